--- a/tools/run_scenarios.py
+++ b/tools/run_scenarios.py
@@ -47,8 +47,8 @@
     """
     with tempfile.TemporaryDirectory() as folder:
         report = Path(folder) / 'report.json'
-        command = [sys.executable, '-m', 'behave', '--no-color', '-f', 'plain']
-        command += ['-f', 'json', '-o', str(report), str(feature.relative_to(ROOT))]
+        command = [sys.executable, '-m', 'behave', '--no-color', '-f', 'json']
+        command += ['-o', str(report), '-f', 'plain', str(feature.relative_to(ROOT))]
         try:
             done = subprocess.run(
                 command,
