--- a/packages/core/src/ibisport_core/errors.py
+++ b/packages/core/src/ibisport_core/errors.py
@@ -46,6 +46,12 @@
     code = 'store_outcome_unknown'
 
 
+class StoreRejected(StoreError):
+    """The service refused the call as wrong: check its version and limits."""
+
+    code = 'store_rejected'
+
+
 class StoreCompacted(StoreError):
     """The wanted revision is gone: read the whole range anew."""
 
--- a/packages/core/src/ibisport_core/link.capnp
+++ b/packages/core/src/ibisport_core/link.capnp
@@ -60,7 +60,7 @@
   workspace @3 :Text;
   budget @4 :Text;
   charge @5 :UInt64;        # sequence number of the charge in (session, budget)
-  class @6 :Text;
+  className @6 :Text;
   priority @7 :UInt16;      # lower goes first
   weight @8 :Float64;
   deadline @9 :UInt64;
