--- a/packages/core/src/ibisport_core/errors.py
+++ b/packages/core/src/ibisport_core/errors.py
@@ -270,3 +270,10 @@
 
     code = 'outcome_unknown'
     status = 502
+
+
+class RequestCancelled(Refusal):
+    """The caller went away before its turn; the request did not run."""
+
+    code = 'request_cancelled'
+    status = 499
--- a/packages/core/src/ibisport_core/internal/watching.py
+++ b/packages/core/src/ibisport_core/internal/watching.py
@@ -56,6 +56,7 @@
             headers={'Content-Type': 'application/json', LABEL_HEADER: label},
         )
         self._response = self._open()
+        self._silent_at = time.monotonic() + SILENCE_LIMIT
         self._thread = threading.Thread(
             target=self._read_lines,
             name='store-watch',
@@ -72,15 +73,8 @@
         Raises:
             StoreError: The watch was cut, went silent or was refused.
         """
-        silent_at = time.monotonic() + SILENCE_LIMIT
         while not stopped.is_set():
             arrival = self._take()
-            if arrival is None and time.monotonic() > silent_at:
-                raise StoreUnavailable('the watch went silent')
-            if isinstance(arrival, StoreError):
-                raise arrival
-            if arrival is not None:
-                silent_at = time.monotonic() + SILENCE_LIMIT
             yield None if arrival is None else _parse_line(arrival)
 
     def close(self) -> None:
@@ -106,11 +100,21 @@
             raise classify_status(self._call, response.status, refusal)
         return response
 
-    def _take(self) -> _Arrival | None:
+    def _take(self) -> bytes | None:
+        """Return the next line, or None after a quiet tick."""
         try:
-            return self._arrivals.get(timeout=TICK)
+            arrival = self._arrivals.get(timeout=TICK)
         except queue.Empty:
+            self._check_silence()
             return None
+        if isinstance(arrival, StoreError):
+            raise arrival
+        self._silent_at = time.monotonic() + SILENCE_LIMIT
+        return arrival
+
+    def _check_silence(self) -> None:
+        if time.monotonic() > self._silent_at:
+            raise StoreUnavailable('the watch went silent')
 
     def _read_lines(self) -> None:
         try:
