Queue fairly at the target's door

Cause: a large workspace that floods a target must not delay the small ones. The policy is apart from the blocking, so that it runs under a virtual clock.

--- /dev/null
+++ b/packages/agent/src/ibisport_agent/internal/fairness_flow.py
@@ -0,0 +1,92 @@
+"""The waiting and running requests of one workspace at one target."""
+
+import bisect
+from dataclasses import dataclass, field
+
+from ibisport_agent.internal.fairness_rates import DecayedSum, MovingMean
+from ibisport_agent.internal.fairness_ticket import Ticket
+
+RATE_SECONDS = 10
+RATIO_WEIGHT = 0.05
+# A request passes one of the next better priority after this wait.
+PRIORITY_SECONDS = 10
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Entry:
+    """A waiting ticket, ordered by arrival with a head start by priority."""
+
+    order: float
+    number: int
+    ticket: Ticket = field(compare=False)
+    expected: float = field(compare=False)
+
+
+class Flow:
+    """One workspace: its queue, its virtual time and its measured rates.
+
+    Attributes:
+        weight: Weight of the workspace.
+        tag: Virtual start time of the next request, tokens over weight.
+        running: Requests that hold a slot.
+        queued: Waiting entries, the next first.
+        queued_tokens: Expected tokens of the waiting entries.
+        active_at: Unix time of the last arrival or departure.
+    """
+
+    def __init__(self, weight: float) -> None:
+        self.weight = weight
+        self.tag = 0.0
+        self.running = 0
+        self.queued: list[Entry] = []
+        self.queued_tokens = 0.0
+        self.active_at = 0.0
+        self.arrivals = DecayedSum(RATE_SECONDS)
+        self.drained = DecayedSum(RATE_SECONDS)
+        self._ratio = MovingMean(RATIO_WEIGHT, initial=1)
+
+    def expect(self, ticket: Ticket) -> float:
+        """Return the tokens the ticket will use, by what earlier ones used."""
+        return max(ticket.cost * self._ratio.mean, 1)
+
+    def make_entry(self, ticket: Ticket, number: int, now: float) -> Entry:
+        """Return the entry that the ticket would wait as."""
+        order = now + ticket.priority * PRIORITY_SECONDS
+        return Entry(order, number, ticket, self.expect(ticket))
+
+    def push(self, entry: Entry) -> None:
+        """Queue an entry at its place."""
+        bisect.insort(self.queued, entry)
+        self.queued_tokens += entry.expected
+
+    def remove(self, entry: Entry) -> None:
+        """Take a queued entry out."""
+        self.queued.pop(bisect.bisect_left(self.queued, entry))
+        self.queued_tokens -= entry.expected
+
+    def count_before(self, entry: Entry) -> float:
+        """Return the expected tokens of what goes before the entry."""
+        place = bisect.bisect_left(self.queued, entry)
+        if place == len(self.queued):
+            return self.queued_tokens
+        return sum(ahead.expected for ahead in self.queued[:place])
+
+    def start(self, entry: Entry) -> None:
+        """Charge the head of the queue and let it run."""
+        self.remove(entry)
+        self.running += 1
+        self.tag += entry.expected / self.weight
+
+    def finish(self, entry: Entry, used_tokens: int, now: float) -> None:
+        """Free the slot and put the charge right."""
+        self.running -= 1
+        self.active_at = now
+        self.tag += (used_tokens - entry.expected) / self.weight
+        if used_tokens > 0:
+            self.drained.add(used_tokens, now)
+            self._ratio.add(used_tokens / max(entry.ticket.cost, 1))
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing of the workspace waits or runs."""
+        return not self.queued and not self.running
--- a/packages/core/src/ibisport_core/errors.py
+++ b/packages/core/src/ibisport_core/errors.py
@@ -277,3 +277,24 @@
 
     code = 'request_cancelled'
     status = 499
+
+
+class AnswerGone(Refusal):
+    """The request ran and its answer is no longer kept: do not repeat it."""
+
+    code = 'answer_gone'
+    status = 410
+
+
+class NotKnown(Refusal):
+    """The agent knows no such request; it may be started elsewhere."""
+
+    code = 'not_known'
+    status = 404
+
+
+class StreamsFull(Refusal):
+    """The router holds as many open requests as it may: try another one."""
+
+    code = 'streams_full'
+    status = 429
