--- /dev/null
+++ b/packages/bench/src/ibisport_bench/standins/errors.py
@@ -0,0 +1,33 @@
+"""Failures inside the stand-ins; none of them reaches the product."""
+
+from ibisport_core.errors import IbisportError
+
+
+class StandinError(IbisportError):
+    """Root of the stand-ins' own failures."""
+
+    code = 'standin'
+
+
+class ConnectionDropped(StandinError):
+    """The connection is to be closed without any (further) answer."""
+
+    code = 'connection_dropped'
+
+
+class CallRejected(StandinError):
+    """A call is answered by an error, in the manner of a gRPC gateway.
+
+    Attributes:
+        status: HTTP status.
+        grpc_code: Number of the gRPC status code.
+    """
+
+    code = 'call_rejected'
+
+    def __init__(self, message: str, status: int, grpc_code: int) -> None:
+        """Keep what the answer says."""
+        super().__init__(message)
+        self.message = message
+        self.status = status
+        self.grpc_code = grpc_code
--- /dev/null
+++ b/packages/bench/src/ibisport_bench/standins/web.py
@@ -0,0 +1,231 @@
+"""HTTP plumbing of the stand-ins: cheroot, one thread for each connection."""
+
+import json
+import os
+import select
+import signal
+import socket
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import parse_qsl
+
+from cheroot.server import Gateway, HTTPServer
+from cheroot.workers.threadpool import ThreadPool
+
+from ibisport_bench.standins.errors import CallRejected, ConnectionDropped
+
+HOST = '127.0.0.1'
+JSON_TYPE = 'application/json'
+EVENT_STREAM_TYPE = 'text/event-stream'
+CONNECTION_TIMEOUT = 600
+SHUTDOWN_TIMEOUT = 2
+LISTEN_BACKLOG = 1024
+MOST_IDLE_CONNECTIONS = 100_000
+PAUSE_STEP = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer.
+
+    Attributes:
+        content: Body as sent.
+        status: HTTP status.
+        content_type: Value of the Content-Type header.
+    """
+
+    content: bytes
+    status: int = HTTPStatus.OK
+    content_type: str = JSON_TYPE
+
+
+@dataclass(frozen=True, slots=True)
+class Stream:
+    """An answer sent piece by piece, in chunked transfer coding.
+
+    Attributes:
+        pieces: Parts of the body; each is sent as soon as it is yielded.
+        content_type: Value of the Content-Type header.
+    """
+
+    pieces: Iterator[bytes]
+    content_type: str = JSON_TYPE
+
+
+class Call:
+    """One HTTP request as the stand-ins see it.
+
+    Attributes:
+        method: HTTP method in capitals.
+        path: Path without the query.
+        query: Last value of each query field.
+        body: Whole body.
+    """
+
+    def __init__(self, request: Any) -> None:
+        """Read the whole request."""
+        self._request = request
+        self.method: str = request.method.decode()
+        self.path: str = request.path.decode()
+        self.query = dict(parse_qsl(request.qs.decode()))
+        self.body: bytes = request.rfile.read()
+
+    def get_header(self, name: str, default: str = '') -> str:
+        """Return a header's value, or the default."""
+        header = self._request.inheaders.get(name.title().encode())
+        return default if header is None else header.decode()
+
+    def is_abandoned(self) -> bool:
+        """Tell whether the client has closed its end."""
+        poll = select.poll()
+        sock = self._request.conn.socket
+        poll.register(sock, select.POLLIN)
+        if not poll.poll(0):
+            return False
+        try:
+            return not sock.recv(1, socket.MSG_PEEK)
+        except OSError:
+            return True
+
+
+Application = Callable[[Call], Answer | Stream]
+
+
+def answer_json(value: object, status: int = HTTPStatus.OK) -> Answer:
+    """Return the value as a JSON answer."""
+    return Answer(json.dumps(value).encode(), status)
+
+
+class _Gateway(Gateway):  # type: ignore[misc]
+    def respond(self) -> None:
+        try:
+            answer = self._call_application()
+            self._send(answer)
+        except ConnectionDropped:
+            self._drop()
+
+    def _call_application(self) -> Answer | Stream:
+        try:
+            return self.req.server.application(Call(self.req))
+        except CallRejected as error:
+            return answer_json(
+                {
+                    'error': error.message,
+                    'code': error.grpc_code,
+                    'message': error.message,
+                },
+                error.status,
+            )
+
+    def _send(self, answer: Answer | Stream) -> None:
+        match answer:
+            case Answer(content=content, status=status, content_type=content_type):
+                self._start(status, content_type)
+                length = str(len(content)).encode()
+                self.req.outheaders.append((b'Content-Length', length))
+                self.req.ensure_headers_sent()
+                self.req.write(content)
+            case Stream(pieces=pieces, content_type=content_type):
+                self._start(HTTPStatus.OK, content_type)
+                self.req.ensure_headers_sent()
+                self._send_pieces(pieces)
+
+    def _send_pieces(self, pieces: Iterator[bytes]) -> None:
+        try:
+            for piece in pieces:
+                self.req.write(piece)
+        finally:
+            # A generator learns of a lost client by being closed.
+            getattr(pieces, 'close', _do_nothing)()
+
+    def _start(self, status: int, content_type: str) -> None:
+        phrase = HTTPStatus(status).phrase
+        self.req.status = f'{int(status)} {phrase}'.encode()
+        self.req.outheaders.append((b'Content-Type', content_type.encode()))
+
+    def _drop(self) -> None:
+        self.req.sent_headers = True
+        self.req.chunked_write = False
+        self.req.close_connection = True
+        # The client must see the end even while a thread still has the socket.
+        try:
+            self.req.conn.socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
+
+
+class _ApplicationServer(HTTPServer):  # type: ignore[misc]
+    application: Application
+    keep_alive_conn_limit = MOST_IDLE_CONNECTIONS
+
+
+class Server:
+    """A stand-in's HTTP server.
+
+    Attributes:
+        stopping: Set when the process is to end; streams should look at it.
+    """
+
+    def __init__(self, application: Application, port: int, threads: int) -> None:
+        """Bind the port; 0 takes a free one."""
+        self.stopping = threading.Event()
+        self._server = _ApplicationServer((HOST, port), _Gateway)
+        self._server.application = application
+        self._server.requests = ThreadPool(self._server, min=threads, max=threads)
+        self._server.timeout = CONNECTION_TIMEOUT
+        self._server.shutdown_timeout = SHUTDOWN_TIMEOUT
+        self._server.request_queue_size = LISTEN_BACKLOG
+        self._server.prepare()
+
+    def serve(self) -> None:
+        """Serve until SIGTERM or SIGINT, then end the process."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._stop)
+        threading.Thread(target=self._server.serve, daemon=True).start()
+        port = self._server.bind_addr[1]
+        sys.stdout.write(f'ready {HOST}:{port}\n')
+        sys.stdout.flush()
+        self.stopping.wait()
+        self._server.stop()
+        # Pool threads may still wait on sockets; nothing is left to be saved.
+        os._exit(0)
+
+    def _stop(self, number: int, frame: object) -> None:
+        self.stopping.set()
+
+
+def pause_while(condition: Callable[[], object], call: Call | None = None) -> None:
+    """Wait while the condition holds.
+
+    Args:
+        condition: Asked again after each short pause.
+        call: Request to be given up when its client leaves.
+
+    Raises:
+        ConnectionDropped: The client left.
+    """
+    while condition():
+        if call is not None and call.is_abandoned():
+            raise ConnectionDropped('client left')
+        time.sleep(PAUSE_STEP)
+
+
+def _do_nothing() -> None:
+    """Stand for the missing ``close`` of a plain iterator."""
+
+
+def read_json(call: Call) -> Any:
+    """Return the body's JSON value; an empty body stands for ``{}``.
+
+    Raises:
+        CallRejected: The body is no JSON.
+    """
+    try:
+        return json.loads(call.body or b'{}')
+    except ValueError as error:
+        raise CallRejected(str(error), HTTPStatus.BAD_REQUEST, 3) from error
