--- a/packages/core/src/ibisport_core/errors.py
+++ b/packages/core/src/ibisport_core/errors.py
@@ -4,6 +4,7 @@
 known about whether the request ran. ``did_not_run`` is said only with proof.
 """
 
+from dataclasses import dataclass
 from enum import StrEnum
 from typing import ClassVar
 
@@ -70,17 +71,43 @@
     code = 'catalogue'
 
 
+@dataclass(frozen=True, slots=True)
+class EntryFault:
+    """What is wrong with an entry; ``field`` is a dotted path in it."""
+
+    field: str
+    reason: str
+
+
 class EntryInvalid(CatalogueError):
-    """An entry was refused whole: mend the named field and put it again."""
+    """An entry was refused whole: mend the named fields and put it again.
+
+    Attributes:
+        faults: Every fault found, with its field.
+    """
 
     code = 'entry_invalid'
 
+    def __init__(self, *faults: EntryFault) -> None:
+        """Keep the faults."""
+        super().__init__('; '.join(f'{one.field}: {one.reason}' for one in faults))
+        self.faults = faults
+
 
 class EntryConflict(CatalogueError):
-    """Another operator changed the entry first: read it and decide anew."""
+    """Another operator changed the entry first: read it and decide anew.
+
+    Attributes:
+        revision: The entry's present revision; 0 when it is absent.
+    """
 
     code = 'entry_conflict'
 
+    def __init__(self, detail: str = '', revision: int = 0) -> None:
+        """Keep the present revision."""
+        super().__init__(detail or self.code)
+        self.revision = revision
+
 
 class EntryMissing(CatalogueError):
     """No such entry: check its kind and name with ``catalogue list``."""
