Add the stand-ins of the engine and of the plain service

Cause: routers and agents need targets that can fail and that log their runs. Change: continuous batching, prefix cache with late events, orders, faults; a service that counts runs.

--- /dev/null
+++ b/packages/bench/src/ibisport_bench/standins/engine/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in for a model engine that batches continuously."""
--- /dev/null
+++ b/packages/bench/src/ibisport_bench/standins/engine/batch.py
@@ -0,0 +1,162 @@
+"""Continuous batching: a queue by priority, slots, prefill and steps."""
+
+import heapq
+import itertools
+import random
+import threading
+import time
+from collections.abc import Iterator
+
+from ibisport_bench.standins.engine.messages import EngineFaults
+from ibisport_bench.standins.engine.prefix_cache import PrefixCache
+from ibisport_bench.standins.engine.run import Run
+from ibisport_bench.standins.engine.settings import EngineSettings
+from ibisport_bench.standins.errors import ConnectionDropped
+from ibisport_bench.standins.web import Call, pause_while
+
+WAIT_STEP = 0.1
+MS = 1000
+
+
+class Batch:
+    """The running and waiting requests of the engine.
+
+    Attributes:
+        cache: Prefix cache.
+        faults: Faults in force.
+        runs: Runs in order of start.
+    """
+
+    def __init__(self, settings: EngineSettings) -> None:
+        """Start idle."""
+        self._settings = settings
+        self.faults = EngineFaults()
+        self.cache = PrefixCache(
+            settings.cache_tokens,
+            settings.event_lag_ms / MS,
+            settings.event_loss,
+            settings.seed,
+        )
+        self.runs: list[Run] = []
+        self.emitted = 0
+        self._random = random.Random(settings.seed)
+        self._changed = threading.Condition()
+        self._numbers = itertools.count()
+        self._waiting: list[tuple[int, int, Run]] = []
+        self._running: set[Run] = set()
+        self._prefilled_at = 0.0
+
+    def fails(self) -> bool:
+        """Draw whether the next request fails before it runs."""
+        with self._changed:
+            return self._random.random() < self.faults.fail_rate
+
+    def generate(self, call: Call, run: Run) -> Iterator[int]:
+        """Yield the index of each token when it is ready.
+
+        Raises:
+            ConnectionDropped: The client left, or the answer is to break.
+        """
+        try:
+            self._enter(call, run)
+            self._prefill(call, run)
+            yield from self._decode(call, run)
+        finally:
+            self._leave(run)
+
+    def cancel(self, request_id: str) -> int:
+        """Stop all runs of a request and return how many there were."""
+        with self._changed:
+            waiting = [run for _, _, run in self._waiting]
+            found = [
+                run
+                for run in (*waiting, *self._running)
+                if run.request_id == request_id
+            ]
+            for run in found:
+                run.cancelled = True
+            self._changed.notify_all()
+        return len(found)
+
+    def count(self) -> tuple[int, int]:
+        """Return the numbers of running and of waiting requests."""
+        with self._changed:
+            return len(self._running), len(self._waiting)
+
+    def take_break(self) -> int | None:
+        """Return after how many tokens this answer breaks, if it does."""
+        with self._changed:
+            break_after = self.faults.break_after_tokens
+            if break_after is not None:
+                self.faults = self.faults.model_copy(
+                    update={'break_after_tokens': None}
+                )
+            return break_after
+
+    def _enter(self, call: Call, run: Run) -> None:
+        place = (run.priority, next(self._numbers), run)
+        with self._changed:
+            heapq.heappush(self._waiting, place)
+            try:
+                self._wait_for_slot(call, place)
+            finally:
+                self._waiting.remove(place)
+                heapq.heapify(self._waiting)
+            if not run.cancelled:
+                run.start()
+                self.runs.append(run)
+                self._running.add(run)
+            self._changed.notify_all()
+
+    def _wait_for_slot(self, call: Call, place: tuple[int, int, Run]) -> None:
+        slots = self._settings.slots
+        while len(self._running) >= slots or self._waiting[0] is not place:
+            if place[-1].cancelled:
+                return
+            self._changed.wait(WAIT_STEP)
+            if call.is_abandoned():
+                raise ConnectionDropped('client left')
+
+    def _leave(self, run: Run) -> None:
+        with self._changed:
+            run.cancelled = not run.finished
+            self._running.discard(run)
+            self._changed.notify_all()
+
+    def _prefill(self, call: Call, run: Run) -> None:
+        if run.cancelled:
+            return
+        cached = self.cache.use(run.prompt.text)
+        uncached = max(0, run.prompt.tokens - cached)
+        work = uncached / self._settings.prefill_tokens_per_second
+        with self._changed:
+            start = max(self._prefilled_at, time.monotonic())
+            self._prefilled_at = start + work * self.faults.slow_factor
+            ready_at = self._prefilled_at
+        self._wait_until(call, ready_at)
+
+    def _decode(self, call: Call, run: Run) -> Iterator[int]:
+        break_after = self.take_break()
+        ready_at = time.monotonic()
+        for index in range(run.prompt.answer_tokens):
+            if index == break_after:
+                raise ConnectionDropped('answer broken')
+            step = self._settings.token_ms / MS * self.faults.slow_factor
+            # A late thread catches up; after a freeze the pace starts anew.
+            ready_at = max(ready_at, time.monotonic() - step) + step
+            self._wait_until(call, ready_at)
+            if run.cancelled:
+                return
+            run.completion_tokens += 1
+            self.emitted += 1
+            yield index
+        run.finished = True
+
+    def _wait_until(self, call: Call, ready_at: float) -> None:
+        time.sleep(max(0, ready_at - time.monotonic()))
+        pause_while(self._is_frozen, call)
+        if call.is_abandoned():
+            raise ConnectionDropped('client left')
+
+    def _is_frozen(self) -> bool:
+        return self.faults.freeze
--- /dev/null
+++ b/packages/bench/src/ibisport_bench/standins/service.py
@@ -0,0 +1,168 @@
+"""Stand-in for a plain service: any method, any path; counts its runs."""
+
+import hashlib
+import random
+import threading
+import time
+from collections import Counter
+from http import HTTPStatus
+
+import fire
+from pydantic import BaseModel, ValidationError
+
+from ibisport_bench.standins.errors import CallRejected, ConnectionDropped
+from ibisport_bench.standins.web import (
+    Answer,
+    Call,
+    Server,
+    answer_json,
+    pause_while,
+)
+
+MS = 1000
+
+
+class ServiceFaults(BaseModel):
+    """Faults in force.
+
+    Attributes:
+        freeze: Calls wait before they run while connections stay open.
+        break_before_answer: Number of next calls that run without an answer.
+        fail_rate: Share of calls answered 500 before they run.
+    """
+
+    freeze: bool = False
+    break_before_answer: int = 0
+    fail_rate: float = 0
+
+
+class ServiceApi:
+    """The service as an HTTP application."""
+
+    def __init__(self, slots: int, work_ms: float, seed: int) -> None:
+        """Start idle."""
+        self._slots = slots
+        self._work_ms = work_ms
+        self._faults = ServiceFaults()
+        self._random = random.Random(seed)
+        self._lock = threading.Lock()
+        self._free = threading.Semaphore(slots)
+        self._running = 0
+        self._runs: list[dict[str, object]] = []
+        self._by_request = Counter[str]()
+        self._by_content = Counter[str]()
+        self._controls = {
+            '/runs': self._show_runs,
+            '/load': self._show_load,
+            '/faults': self._serve_faults,
+        }
+
+    def __call__(self, call: Call) -> Answer:
+        """Serve one call."""
+        if call.path in self._controls:
+            return self._controls[call.path](call)
+        pause_while(self._is_frozen, call)
+        self._fail_by_chance()
+        with self._free:
+            return self._work(call)
+
+    def _work(self, call: Call) -> Answer:
+        number = self._record(call)
+        time.sleep(self._work_ms / MS)
+        with self._lock:
+            self._running -= 1
+            broken = self._faults.break_before_answer > 0
+            if broken:
+                left = self._faults.break_before_answer - 1
+                update = {'break_before_answer': left}
+                self._faults = self._faults.model_copy(update=update)
+        if broken:
+            raise ConnectionDropped('answer broken')
+        return answer_json(
+            {
+                'path': call.path,
+                'method': call.method,
+                'body_hash': _hash_body(call),
+                'call': number,
+            }
+        )
+
+    def _record(self, call: Call) -> int:
+        request_id = call.get_header('X-Request-Id')
+        body_hash = _hash_body(call)
+        run = {
+            'request_id': request_id,
+            'method': call.method,
+            'path': call.path,
+            'body_hash': body_hash,
+            'started_at': time.time(),
+        }
+        with self._lock:
+            self._running += 1
+            self._runs.append(run)
+            self._by_request[request_id] += 1
+            self._by_content[f'{call.path} {body_hash}'] += 1
+            return len(self._runs)
+
+    def _fail_by_chance(self) -> None:
+        with self._lock:
+            failed = self._random.random() < self._faults.fail_rate
+        if failed:
+            raise CallRejected('failed', HTTPStatus.INTERNAL_SERVER_ERROR, 13)
+
+    def _is_frozen(self) -> bool:
+        return self._faults.freeze
+
+    def _show_runs(self, call: Call) -> Answer:
+        with self._lock:
+            return answer_json(
+                {
+                    'runs': self._runs,
+                    'by_request_id': self._by_request,
+                    'by_content': self._by_content,
+                }
+            )
+
+    def _show_load(self, call: Call) -> Answer:
+        return answer_json({'running': self._running, 'slots': self._slots})
+
+    def _serve_faults(self, call: Call) -> Answer:
+        if call.method == 'POST':
+            self._change_faults(call)
+        return answer_json(self._faults.model_dump())
+
+    def _change_faults(self, call: Call) -> None:
+        try:
+            changed = ServiceFaults.model_validate_json(call.body)
+        except ValidationError as error:
+            raise CallRejected(str(error), HTTPStatus.BAD_REQUEST, 3) from error
+        with self._lock:
+            wanted = changed.model_dump(exclude_unset=True)
+            self._faults = self._faults.model_copy(update=wanted)
+
+
+def serve(
+    port: int = 0,
+    slots: int = 8,
+    work_ms: float = 10,
+    seed: int = 0,
+    threads: int = 300,
+) -> None:
+    """Serve the plain service until told to stop.
+
+    Args:
+        port: TCP port on 127.0.0.1; 0 takes a free one.
+        slots: Calls running at once; further ones wait.
+        work_ms: Milliseconds of each call.
+        seed: Seed of the failures.
+        threads: Connections served at once.
+    """
+    Server(ServiceApi(slots, work_ms, seed), port, threads).serve()
+
+
+def _hash_body(call: Call) -> str:
+    return hashlib.sha256(call.body).hexdigest()
+
+
+if __name__ == '__main__':
+    fire.Fire(serve)
