--- a/packages/core/src/ibisport_core/entries.py
+++ b/packages/core/src/ibisport_core/entries.py
@@ -6,6 +6,7 @@
 """
 
 import ipaddress
+import re
 from collections.abc import Mapping
 from enum import StrEnum
 from types import MappingProxyType
@@ -28,8 +29,9 @@
 STANDARD = 'standard'
 DEFAULT_BUDGET = 'main'
 LONGEST_DOCUMENT = 256 * 1024
+# Bounds of lists: a change is one transaction, of at most 128 operations.
 MOST_KEYS = 32
-MOST_MODELS = 256
+MOST_MODELS = 64
 _MOST_TOKENS = 10**12
 _MOST_CALLS = 10**9
 _HIGHEST_PORT = 65535
@@ -72,7 +74,8 @@
     return path or '/'
 
 
-Name = Annotated[str, Field(pattern='^[A-Za-z0-9][A-Za-z0-9._:-]{0,99}$')]
+_NAME_PATTERN = '^[A-Za-z0-9][A-Za-z0-9._:-]{0,99}$'
+Name = Annotated[str, Field(pattern=_NAME_PATTERN)]
 Owner = Annotated[str, Field(min_length=1, max_length=200)]
 Address = Annotated[
     str,
@@ -328,6 +331,16 @@
     return EntryKind(kind), name
 
 
+def check_name(field: str, name: str) -> None:
+    """Check a name that is no entry's, such as that of a budget.
+
+    Raises:
+        EntryInvalid: It is no name.
+    """
+    if re.fullmatch(_NAME_PATTERN, name) is None:
+        raise EntryInvalid(EntryFault(field, f'must match {_NAME_PATTERN}'))
+
+
 def check_document(kind: EntryKind, content: bytes) -> Entry:
     """Return the entry that an operator's document describes.
 
--- a/packages/core/src/ibisport_core/store.py
+++ b/packages/core/src/ibisport_core/store.py
@@ -333,14 +333,26 @@
         StoreOutcomeUnknown: A write was sent and could not be read back.
     """
     swap = _Swap(client, key, build)
-    for attempt in range(MOST_ATTEMPTS):
+    for _ in pace_attempts(rng, deadline):
         if swap.attempt():
             return swap.record
+    raise swap.explain()
+
+
+def pace_attempts(rng: random.Random, deadline: float) -> Iterator[int]:
+    """Yield attempt numbers with growing, jittered pauses between them.
+
+    Args:
+        rng: Jitters the pauses.
+        deadline: ``time.monotonic()`` after which no new attempt is made; the
+            first one is always made.
+    """
+    for attempt in range(MOST_ATTEMPTS):
+        yield attempt
         pause = min(LONGEST_PAUSE, FIRST_PAUSE * 2**attempt) * rng.uniform(0.5, 1)
         if time.monotonic() + pause > deadline:
-            break
+            return
         time.sleep(pause)
-    raise swap.explain()
 
 
 class _Swap:
