--- /dev/null
+++ b/packages/agent/src/ibisport_agent/agent.py
@@ -0,0 +1,229 @@
+"""The process beside a target: the only door through which work reaches it."""
+
+import socket
+import threading
+import time
+
+from ibisport_agent.internal.charges import ChargeBook
+from ibisport_agent.internal.entry import TargetView
+from ibisport_agent.internal.fairness import FairQueue
+from ibisport_agent.internal.routerlink import RouterLink
+from ibisport_agent.internal.runs import Equipment
+from ibisport_agent.internal.runtable import RunTable
+from ibisport_agent.internal.target import TargetClient
+from ibisport_core.errors import FrameInvalid, LinkClosed, Refusal, Statement
+from ibisport_core.events import Event, log_event
+from ibisport_core.identity import make_session
+from ibisport_core.internal.clock import read_micros
+from ibisport_core.link import Link, open_listener
+from ibisport_core.messages import Finished, Goodbye, Heartbeat, Load, Submit
+from ibisport_core.metrics import Metrics, StatusServer
+from ibisport_core.settings import AgentSettings
+
+_MICROS = 1_000_000
+_SWEEP_SECONDS = 0.5
+_STOP_CHECK_SECONDS = 0.05
+
+
+class Agent:
+    """Listens for routers and does their work at the one target."""
+
+    def __init__(self, settings: AgentSettings) -> None:
+        """Open the listeners; ``start`` begins to serve.
+
+        Args:
+            settings: The checked settings.
+        """
+        self.settings = settings
+        self.session = make_session()
+        self.metrics = Metrics()
+        self.charges = ChargeBook()
+        self.queue = FairQueue(settings.slots)
+        self.target = TargetClient(settings.target_address, settings.slots * 2)
+        self.runs = RunTable(
+            Equipment(self.queue, self.target, self.charges, self),
+            settings.keep_answers,
+            settings.answer_bytes,
+        )
+        self.view = TargetView(settings.target)
+        self.stopping = threading.Event()
+        self._links: set[Link] = set()
+        self._links_lock = threading.Lock()
+        self._listener = open_listener(settings.listen)
+        self._status = StatusServer(
+            settings.metrics, self.metrics, self._is_ready, self.describe
+        )
+
+    @property
+    def address(self) -> str:
+        """Where routers connect, ``host:port``."""
+        return '{}:{}'.format(*self._listener.getsockname()[:2])
+
+    @property
+    def status_address(self) -> str:
+        """Where metrics and health are served, ``host:port``."""
+        return self._status.address
+
+    def start(self) -> None:
+        """Serve in threads of its own."""
+        self._status.start()
+        for work in (self._accept_links, self._beat, self._sweep):
+            threading.Thread(target=work, name=work.__name__, daemon=True).start()
+        log_event(
+            Event.process_started,
+            role='agent',
+            session=self.session,
+            target=self.settings.target,
+            address=self.address,
+        )
+
+    def drain(self, reason: str) -> None:
+        """Take no new work and tell every router so."""
+        if self.runs.draining:
+            return
+        self.runs.draining = True
+        log_event(Event.target_draining, target=self.settings.target, reason=reason)
+        for link in self.list_links():
+            self._send(link, Goodbye(reason))
+
+    def resume(self) -> None:
+        """Take new work again after a drain that the operators took back."""
+        if not self.stopping.is_set():
+            self.runs.draining = False
+
+    def stop(self) -> None:
+        """Drain, wait for what is in flight, and close."""
+        self.stopping.set()
+        self.drain('the agent stops')
+        deadline = time.monotonic() + self.settings.grace
+        while time.monotonic() < deadline and self.runs.count_open():
+            time.sleep(_STOP_CHECK_SECONDS)
+        for link in self.list_links():
+            link.drain(time.monotonic() + 1)
+            link.close()
+        self._listener.close()
+        self._status.stop()
+        self.target.close()
+        log_event(Event.process_stopped, role='agent', session=self.session)
+
+    def list_links(self) -> tuple[Link, ...]:
+        """Return the open links to routers."""
+        with self._links_lock:
+            return tuple(self._links)
+
+    def measure_load(self) -> Load:
+        """Return the load as it goes into heartbeats."""
+        load = self.queue.measure()
+        return Load(
+            running=load.running,
+            queued=load.queued,
+            queued_tokens=load.queued_tokens,
+            slots=load.slots,
+            token_rate=load.token_rate,
+            draining=self.runs.draining,
+            measured_at=read_micros(),
+        )
+
+    def describe(self) -> dict[str, object]:
+        """Return what the agent believes, for operators."""
+        load = self.measure_load()
+        return {
+            'role': 'agent',
+            'session': self.session,
+            'target': self.settings.target,
+            'draining': self.runs.draining,
+            'running': load.running,
+            'queued': load.queued,
+            'queued_tokens': load.queued_tokens,
+            'token_rate': load.token_rate,
+            'routers': len(self.list_links()),
+            'charges': self.charges.count(),
+            'entry_revision': self.view.revision,
+            'settings': self.settings.describe(),
+        }
+
+    def note_finished(self, submit: Submit, finished: Finished) -> None:
+        """Count an answer; see ``RunObserver``."""
+        labels = {'workspace': submit.workspace, 'class': submit.class_name}
+        self.metrics.observe(
+            'ibisport_queue_seconds', labels, finished.queue_micros / _MICROS
+        )
+        tokens = finished.prompt_tokens + finished.completion_tokens
+        self.metrics.count('ibisport_tokens_total', labels, tokens)
+        if not finished.complete:
+            self.metrics.count('ibisport_broken_answers_total', labels)
+
+    def note_refused(self, submit: Submit, refusal: Refusal) -> None:
+        """Count a refusal; see ``RunObserver``."""
+        labels = {'workspace': submit.workspace, 'code': refusal.code}
+        self.metrics.count('ibisport_refusals_total', labels)
+        if refusal.statement != Statement.did_not_run:
+            log_event(
+                Event.target_failed,
+                target=self.settings.target,
+                detail=refusal.detail,
+            )
+
+    def add_link(self, link: Link) -> None:
+        """Count a router's link in."""
+        with self._links_lock:
+            self._links.add(link)
+
+    def remove_link(self, link: Link) -> None:
+        """Count a router's link out; its requests may resume on another."""
+        with self._links_lock:
+            self._links.discard(link)
+        self.runs.drop_link(link)
+
+    def _accept_links(self) -> None:
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._serve_link, args=(sock,), name='router-link', daemon=True
+            ).start()
+
+    def _serve_link(self, sock: socket.socket) -> None:
+        try:
+            link = Link(sock, self.settings.silence)
+        except OSError:
+            sock.close()
+            return
+        try:
+            RouterLink(self, link).serve()
+        except FrameInvalid as error:
+            log_event(Event.frame_refused, peer=link.peer, detail=str(error))
+        except LinkClosed as error:
+            log_event(Event.link_lost, peer=link.peer, detail=str(error))
+        finally:
+            link.close()
+            self.remove_link(link)
+
+    def _beat(self) -> None:
+        while not self._listener_closed():
+            heartbeat = Heartbeat(
+                read_micros(), self.measure_load(), self.view.revision
+            )
+            for link in self.list_links():
+                self._send(link, heartbeat)
+            time.sleep(self.settings.heartbeat_every)
+
+    def _sweep(self) -> None:
+        while not self._listener_closed():
+            self.runs.sweep(self.settings.resume_within)
+            time.sleep(_SWEEP_SECONDS)
+
+    def _listener_closed(self) -> bool:
+        return self._listener.fileno() < 0
+
+    def _is_ready(self) -> bool:
+        return not self.runs.draining
+
+    def _send(self, link: Link, message: Heartbeat | Goodbye) -> None:
+        try:
+            link.send(message)
+        except LinkClosed:
+            # Its own thread sees the end and removes it.
+            return
--- /dev/null
+++ b/packages/agent/src/ibisport_agent/cli.py
@@ -0,0 +1,58 @@
+"""Command line of ``ibisport-agent``."""
+
+import signal
+import sys
+import threading
+
+import fire
+import orjson
+
+from ibisport_agent.agent import Agent
+from ibisport_core.errors import SettingsError
+from ibisport_core.events import Event, log_event, start_log
+from ibisport_core.settings import AgentSettings, load_settings
+
+_EXIT_SETTINGS = 2
+
+
+def serve(**flags: object) -> None:
+    """Run the agent until SIGTERM or SIGINT, then end gracefully.
+
+    Args:
+        flags: Settings by name; see ``ibisport-agent settings``.
+    """
+    settings = _load(flags)
+    start_log()
+    agent = Agent(settings)
+    stop = threading.Event()
+
+    def ask_stop(*_: object) -> None:
+        stop.set()
+
+    signal.signal(signal.SIGTERM, ask_stop)
+    signal.signal(signal.SIGINT, ask_stop)
+    agent.start()
+    print(f'ready {agent.address}', flush=True)
+    print(f'ready-status {agent.status_address}', flush=True)
+    stop.wait()
+    log_event(Event.process_stopping, role='agent', session=agent.session)
+    agent.stop()
+
+
+def settings(**flags: object) -> None:
+    """Print the effective settings as JSON, secrets blanked."""
+    shown = orjson.dumps(_load(flags).describe(), option=orjson.OPT_INDENT_2)
+    print(shown.decode())
+
+
+def run() -> None:
+    """Entry point of the binary."""
+    fire.Fire({'serve': serve, 'settings': settings}, name='ibisport-agent')
+
+
+def _load(flags: dict[str, object]) -> AgentSettings:
+    try:
+        return load_settings(AgentSettings, flags)
+    except SettingsError as error:
+        print(f'ibisport-agent: {error}', file=sys.stderr)
+        sys.exit(_EXIT_SETTINGS)
--- /dev/null
+++ b/packages/agent/src/ibisport_agent/internal/answers.py
@@ -0,0 +1,33 @@
+"""The answer of one request, kept so that it can be read from any offset."""
+
+import bisect
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class Answer:
+    """Bytes of an answer in the order they came; not thread-safe.
+
+    Attributes:
+        length: Bytes so far.
+    """
+
+    length: int = 0
+    _pieces: list[bytes] = field(default_factory=list)
+    _offsets: list[int] = field(default_factory=list)
+
+    def append(self, payload: bytes) -> int:
+        """Add bytes and return the offset of their first."""
+        offset = self.length
+        self._pieces.append(payload)
+        self._offsets.append(offset)
+        self.length += len(payload)
+        return offset
+
+    def read_from(self, offset: int) -> bytes:
+        """Return all bytes from an offset on; empty when there are none."""
+        if offset >= self.length:
+            return b''
+        index = bisect.bisect_right(self._offsets, offset) - 1
+        first = self._pieces[index][offset - self._offsets[index] :]
+        return b''.join((first, *self._pieces[index + 1 :]))
--- /dev/null
+++ b/packages/agent/src/ibisport_agent/internal/entry.py
@@ -0,0 +1,53 @@
+"""What the agent knows of its own catalogue entry."""
+
+import threading
+
+import orjson
+
+from ibisport_core.messages import CatalogueUpdate
+
+
+class TargetView:
+    """The latest known state of the agent's own target entry.
+
+    Routers pass the entry on. An older revision never replaces a newer one, so
+    a router that is cut off from the store cannot take a drain back.
+    """
+
+    def __init__(self, target: str) -> None:
+        """Start with nothing known.
+
+        Args:
+            target: Name of the target.
+        """
+        self.key = f'/ibisport/catalogue/target/{target}'
+        self.revision = 0
+        self.state = 'live'
+        self.checks_fencing = False
+        self._lock = threading.Lock()
+
+    def take(self, update: CatalogueUpdate) -> bool:
+        """Take news in.
+
+        Args:
+            update: Entries from a router; others than the own are passed over.
+
+        Returns:
+            Whether the own entry changed.
+        """
+        changed = False
+        with self._lock:
+            for entry in update.entries:
+                if entry.key == self.key and entry.revision > self.revision:
+                    self._read(entry.document)
+                    self.revision = entry.revision
+                    changed = True
+        return changed
+
+    def _read(self, document: bytes) -> None:
+        if not document:
+            self.state = 'retired'
+            return
+        entry = orjson.loads(document)
+        self.state = entry.get('state', 'live')
+        self.checks_fencing = bool(entry.get('checks_fencing', False))
--- /dev/null
+++ b/packages/agent/src/ibisport_agent/internal/routerlink.py
@@ -0,0 +1,130 @@
+"""One router's connection at the agent: its task reads message by message."""
+
+from __future__ import annotations
+
+import hmac
+from typing import TYPE_CHECKING
+
+from ibisport_agent.internal.runs import make_refused
+from ibisport_core.errors import LinkClosed, PeerRejected, Refusal, SchemaMismatch
+from ibisport_core.events import Event, log_event
+from ibisport_core.link import Link
+from ibisport_core.messages import (
+    SCHEMA_VERSION,
+    Cancel,
+    CatalogueUpdate,
+    Fence,
+    FenceReport,
+    Heartbeat,
+    Hello,
+    Message,
+    Release,
+    Settled,
+    Submit,
+    Welcome,
+)
+
+if TYPE_CHECKING:
+    from ibisport_agent.agent import Agent
+
+
+class RouterLink:
+    """Serves one router, or whoever recovers a session, until it goes."""
+
+    def __init__(self, agent: Agent, link: Link) -> None:
+        """Take an accepted connection.
+
+        Args:
+            agent: The agent it reaches.
+            link: The connection.
+        """
+        self._agent = agent
+        self._link = link
+
+    def serve(self) -> None:
+        """Greet the peer, then handle its messages until the link ends.
+
+        Raises:
+            LinkClosed: The link ended.
+            FrameInvalid: The peer sent no frame.
+        """
+        self._greet()
+        self._agent.add_link(self._link)
+        while True:
+            self._handle(self._link.receive())
+
+    def _greet(self) -> None:
+        hello = self._link.receive()
+        try:
+            self._check(hello)
+        except (PeerRejected, SchemaMismatch) as error:
+            log_event(Event.link_refused, peer=self._link.peer, code=error.code)
+            raise LinkClosed(str(error)) from error
+        agent = self._agent
+        self._link.send(
+            Welcome(
+                SCHEMA_VERSION,
+                'agent',
+                agent.session,
+                agent.settings.failure_domain,
+                agent.settings.target,
+                agent.runs.draining,
+            )
+        )
+
+    def _check(self, hello: Message) -> None:
+        if not isinstance(hello, Hello):
+            raise PeerRejected('no hello')
+        if hello.schema_version != SCHEMA_VERSION:
+            raise SchemaMismatch(f'schema {hello.schema_version}')
+        secret = self._agent.settings.link_secret
+        if not hmac.compare_digest(hello.secret.encode(), secret.encode()):
+            raise PeerRejected('wrong secret')
+
+    def _handle(self, message: Message) -> None:
+        match message:
+            case Submit():
+                self._submit(message)
+            case Cancel():
+                self._agent.runs.cancel(message)
+            case Release(request_id=request_id):
+                self._release(request_id)
+            case Settled():
+                self._agent.charges.settle(message)
+            case Fence():
+                self._fence(message)
+            case CatalogueUpdate():
+                self._take_update(message)
+            case Heartbeat():
+                pass  # its bytes have shown that the router lives
+            case _:
+                log_event(Event.frame_refused, peer=self._link.peer)
+
+    def _submit(self, submit: Submit) -> None:
+        try:
+            self._agent.runs.submit(submit, self._link)
+        except Refusal as refusal:
+            self._link.send(make_refused(submit, refusal))
+
+    def _release(self, request_id: bytes) -> None:
+        run = self._agent.runs.find(request_id)
+        if run is not None:
+            run.release()
+
+    def _fence(self, fence: Fence) -> None:
+        agent = self._agent
+        agent.charges.fence(fence.session)
+        agent.runs.withdraw_session(fence.session)
+        records = agent.charges.fence(fence.session)
+        log_event(Event.session_fenced, session=fence.session, charges=len(records))
+        report = FenceReport(fence.session, fence.call, agent.session, records)
+        self._link.send(report)
+
+    def _take_update(self, update: CatalogueUpdate) -> None:
+        agent = self._agent
+        if not agent.view.take(update):
+            return
+        if agent.view.state == 'live':
+            agent.resume()
+        else:
+            agent.drain(f'the catalogue says {agent.view.state}')
--- /dev/null
+++ b/packages/agent/src/ibisport_agent/internal/runtable.py
@@ -0,0 +1,189 @@
+"""All the requests that an agent knows, and how long it remembers them."""
+
+import hashlib
+import threading
+import time
+
+from ibisport_agent.internal.runs import Equipment, Run
+from ibisport_core.errors import (
+    AnswerGone,
+    IdentityReused,
+    NotKnown,
+    SessionRefused,
+    Statement,
+    TargetDraining,
+)
+from ibisport_core.link import Link
+from ibisport_core.messages import Cancel, Submit
+
+_UNKEYED_KEPT_SECONDS = 30.0
+_FORGOTTEN_MOST = 200_000
+
+
+class RunTable:
+    """Starts runs, joins routers to runs that are known, and forgets old ones.
+
+    A request id starts at most one run here, however often it is submitted:
+    that an agent remembers what it was given is what makes a non-idempotent
+    request run at most once at it.
+    """
+
+    def __init__(
+        self, equipment: Equipment, keep_answers: float, answer_bytes: int
+    ) -> None:
+        """Start empty.
+
+        Args:
+            equipment: What all runs share.
+            keep_answers: Seconds that a finished keyed answer stays joinable.
+            answer_bytes: Most bytes of finished answers kept.
+        """
+        self.draining = False
+        self._equipment = equipment
+        self._keep_answers = keep_answers
+        self._answer_bytes = answer_bytes
+        self._lock = threading.Lock()
+        self._runs: dict[bytes, Run] = {}
+        self._bodies: dict[bytes, bytes] = {}
+        self._forgotten: dict[bytes, float] = {}
+
+    def submit(self, submit: Submit, link: Link) -> None:
+        """Start a request, or join the router to it when it is known.
+
+        Args:
+            submit: The request.
+            link: The router's link; the answer goes there.
+
+        Raises:
+            Refusal: It was not started; the statement says what is known.
+        """
+        with self._lock:
+            run = self._find(submit)
+            fresh = run is None
+            if run is None:
+                run = self._make_run(submit)
+        run.subscribe(link, submit)
+        if fresh:
+            run.start()
+
+    def find(self, request_id: bytes) -> Run | None:
+        """Return a run that is known."""
+        return self._runs.get(request_id)
+
+    def drop_link(self, link: Link) -> None:
+        """Unsubscribe a router whose link ended."""
+        for run in self._list_runs():
+            run.unsubscribe(link)
+
+    def cancel(self, cancel: Cancel) -> None:
+        """Stop a run whose caller is gone for good.
+
+        A keyed one goes on, since its caller may come back, and so does one
+        that is not idempotent, since its effect may be half done.
+        """
+        run = self._runs.get(cancel.request_id)
+        if run is not None and not run.submit.keyed and run.submit.idempotent:
+            run.cancel(cancel.billed)
+
+    def withdraw_session(self, session: str) -> None:
+        """Withdraw what a fenced session still has waiting in the queue."""
+        for run in self._list_runs():
+            if run.submit.session == session and not run.ended_at:
+                self._equipment.queue.withdraw(run.submit.request_id)
+
+    def count_open(self) -> int:
+        """Return how many runs have not ended."""
+        return sum(not run.ended_at for run in self._list_runs())
+
+    def sweep(self, resume_within: float) -> None:
+        """Cancel orphans and forget answers that need not be kept.
+
+        Args:
+            resume_within: Seconds a router may be gone before an unkeyed
+                request of it is cancelled.
+        """
+        now = time.time()
+        ended = []
+        for run in self._list_runs():
+            if run.ended_at:
+                ended.append(run)
+            elif not run.submit.keyed and run.is_orphaned(now - resume_within):
+                run.cancel(billed=False)
+        self._forget(self._choose_old(ended, now))
+
+    def _find(self, submit: Submit) -> Run | None:
+        run = self._runs.get(submit.request_id)
+        if run is None:
+            if submit.request_id in self._forgotten:
+                raise AnswerGone(statement=Statement.ran)
+            return None
+        if self._bodies[submit.request_id] != _digest(submit):
+            raise IdentityReused(statement=Statement.did_not_run)
+        again = (submit.session, submit.attempt) != (
+            run.submit.session,
+            run.submit.attempt,
+        )
+        if again and run.restartable:
+            return self._restart(run, submit)
+        return run
+
+    def _restart(self, run: Run, submit: Submit) -> Run | None:
+        if submit.join_only:
+            return run
+        self._runs.pop(run.submit.request_id)
+        return None
+
+    def _make_run(self, submit: Submit) -> Run:
+        if submit.join_only:
+            raise NotKnown()
+        if self.draining:
+            raise TargetDraining()
+        run = Run(submit, self._equipment)
+        if not self._equipment.charges.open_charge(run.charge, submit.request_id):
+            raise SessionRefused()
+        self._runs[submit.request_id] = run
+        self._bodies[submit.request_id] = _digest(submit)
+        return run
+
+    def _choose_old(self, ended: list[Run], now: float) -> list[Run]:
+        ended.sort(key=_read_end)
+        kept_bytes = sum(run.size for run in ended)
+        old = []
+        for run in ended:
+            if kept_bytes > self._answer_bytes or self._is_old(run, now):
+                old.append(run)
+                kept_bytes -= run.size
+        return old
+
+    def _is_old(self, run: Run, now: float) -> bool:
+        if run.submit.keyed or not run.submit.idempotent:
+            return run.ended_at < now - self._keep_answers
+        if run.released:
+            return True
+        return run.ended_at < now - _UNKEYED_KEPT_SECONDS
+
+    def _forget(self, old: list[Run]) -> None:
+        with self._lock:
+            for run in old:
+                request_id = run.submit.request_id
+                if self._runs.get(request_id) is not run:
+                    continue
+                self._runs.pop(request_id)
+                self._bodies.pop(request_id, None)
+                if run.submit.keyed and not run.restartable:
+                    self._forgotten[request_id] = run.ended_at
+            while len(self._forgotten) > _FORGOTTEN_MOST:
+                self._forgotten.pop(next(iter(self._forgotten)))
+
+    def _list_runs(self) -> list[Run]:
+        with self._lock:
+            return list(self._runs.values())
+
+
+def _digest(submit: Submit) -> bytes:
+    asked = b'\n'.join((submit.method.encode(), submit.path.encode(), submit.body))
+    return hashlib.blake2b(asked, digest_size=16).digest()
+
+
+def _read_end(run: Run) -> float:
+    return run.ended_at
--- a/packages/bench/src/ibisport_bench/standins/engine/__main__.py
+++ b/packages/bench/src/ibisport_bench/standins/engine/__main__.py
@@ -1,20 +1,18 @@
 """Runs the stand-in of a model engine."""
 
-import fire
-
 from ibisport_bench.standins.engine.api import EngineApi
 from ibisport_bench.standins.engine.settings import EngineSettings
-from ibisport_bench.standins.web import Server
+from ibisport_bench.standins.web import Server, run_server
 
 
-def serve(
+def make_server(
     port: int = 0,
     threads: int = 300,
     models: str | tuple[str, ...] = (),
     check_fencing: bool | str = True,
     **settings: float,
-) -> None:
-    """Serve the engine until told to stop.
+) -> Server:
+    """Make the server of the engine.
 
     Args:
         port: TCP port on 127.0.0.1; 0 takes a free one.
@@ -27,8 +25,8 @@
     names = tuple(models.split(',')) if isinstance(models, str) else tuple(models)
     checks = str(check_fencing).lower() == 'true'
     typed = EngineSettings(models=names, check_fencing=checks, **settings)  # type: ignore[arg-type]
-    Server(EngineApi(typed), port, threads).serve()
+    return Server(EngineApi(typed), port, threads)
 
 
 if __name__ == '__main__':
-    fire.Fire(serve)
+    run_server(make_server)
--- a/packages/bench/src/ibisport_bench/standins/errors.py
+++ b/packages/bench/src/ibisport_bench/standins/errors.py
@@ -31,3 +31,15 @@
         self.message = message
         self.status = status
         self.grpc_code = grpc_code
+
+
+class ProgramNotReady(StandinError):
+    """A program printed no ``ready`` line in time: read the end of its log."""
+
+    code = 'program_not_ready'
+
+
+class ProgramNotStopped(StandinError):
+    """A program did not end in time after SIGTERM; it was killed."""
+
+    code = 'program_not_stopped'
--- a/packages/bench/src/ibisport_bench/standins/service.py
+++ b/packages/bench/src/ibisport_bench/standins/service.py
@@ -7,7 +7,6 @@
 from collections import Counter
 from http import HTTPStatus
 
-import fire
 from pydantic import BaseModel, ValidationError
 
 from ibisport_bench.standins.errors import CallRejected, ConnectionDropped
@@ -17,6 +16,7 @@
     Server,
     answer_json,
     pause_while,
+    run_server,
 )
 
 MS = 1000
@@ -141,14 +141,14 @@
             self._faults = self._faults.model_copy(update=wanted)
 
 
-def serve(
+def make_server(
     port: int = 0,
     slots: int = 8,
     work_ms: float = 10,
     seed: int = 0,
     threads: int = 300,
-) -> None:
-    """Serve the plain service until told to stop.
+) -> Server:
+    """Make the server of the plain service.
 
     Args:
         port: TCP port on 127.0.0.1; 0 takes a free one.
@@ -157,7 +157,7 @@
         seed: Seed of the failures.
         threads: Connections served at once.
     """
-    Server(ServiceApi(slots, work_ms, seed), port, threads).serve()
+    return Server(ServiceApi(slots, work_ms, seed), port, threads)
 
 
 def _hash_body(call: Call) -> str:
@@ -165,4 +165,4 @@
 
 
 if __name__ == '__main__':
-    fire.Fire(serve)
+    run_server(make_server)
--- a/packages/bench/src/ibisport_bench/standins/store/__main__.py
+++ b/packages/bench/src/ibisport_bench/standins/store/__main__.py
@@ -1,19 +1,17 @@
 """Runs the stand-in of the key-value service."""
 
-import fire
-
 from ibisport_bench.standins.store.api import StoreApi
-from ibisport_bench.standins.web import Server
+from ibisport_bench.standins.web import Server, run_server
 
 
-def serve(
+def make_server(
     port: int = 0,
     writes_per_second: float = 500,
     reads_per_second: float = 2000,
     progress_seconds: float = 10,
     threads: int = 300,
-) -> None:
-    """Serve the key-value service until told to stop.
+) -> Server:
+    """Make the server of the key-value service.
 
     Args:
         port: TCP port on 127.0.0.1; 0 takes a free one.
@@ -24,8 +22,8 @@
     """
     api = StoreApi(writes_per_second, reads_per_second, progress_seconds)
     api.leases.start_clock()
-    Server(api, port, threads).serve()
+    return Server(api, port, threads)
 
 
 if __name__ == '__main__':
-    fire.Fire(serve)
+    run_server(make_server)
--- a/packages/bench/src/ibisport_bench/standins/web.py
+++ b/packages/bench/src/ibisport_bench/standins/web.py
@@ -14,6 +14,7 @@
 from typing import Any
 from urllib.parse import parse_qsl
 
+import fire
 from cheroot.server import Gateway, HTTPServer
 from cheroot.workers.threadpool import ThreadPool
 
@@ -23,7 +24,9 @@
 JSON_TYPE = 'application/json'
 EVENT_STREAM_TYPE = 'text/event-stream'
 CONNECTION_TIMEOUT = 600
-SHUTDOWN_TIMEOUT = 2
+SHUTDOWN_TIMEOUT = 0.5
+STOP_TIMEOUT = 5
+STOP_CHECK_INTERVAL = 0.1
 LISTEN_BACKLOG = 1024
 MOST_IDLE_CONNECTIONS = 100_000
 PAUSE_STEP = 0.05
@@ -161,6 +164,7 @@
 
 class _ApplicationServer(HTTPServer):  # type: ignore[misc]
     application: Application
+    shutdown_timeout: float = SHUTDOWN_TIMEOUT
     keep_alive_conn_limit = MOST_IDLE_CONNECTIONS
 
 
@@ -168,30 +172,41 @@
     """A stand-in's HTTP server.
 
     Attributes:
-        stopping: Set when the process is to end; streams should look at it.
+        stopping: Set when the process is to end.
+        ready_lines: Printed once it serves; ``ready <address>`` if none.
     """
 
     def __init__(self, application: Application, port: int, threads: int) -> None:
         """Bind the port; 0 takes a free one."""
         self.stopping = threading.Event()
+        self.ready_lines: tuple[str, ...] = ()
         self._server = _ApplicationServer((HOST, port), _Gateway)
         self._server.application = application
         self._server.requests = ThreadPool(self._server, min=threads, max=threads)
         self._server.timeout = CONNECTION_TIMEOUT
-        self._server.shutdown_timeout = SHUTDOWN_TIMEOUT
         self._server.request_queue_size = LISTEN_BACKLOG
         self._server.prepare()
 
+    @property
+    def address(self) -> str:
+        """``host:port`` on which the server listens."""
+        return f'{HOST}:{self._server.bind_addr[1]}'
+
     def serve(self) -> None:
         """Serve until SIGTERM or SIGINT, then end the process."""
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._stop)
         threading.Thread(target=self._server.serve, daemon=True).start()
-        port = self._server.bind_addr[1]
-        sys.stdout.write(f'ready {HOST}:{port}\n')
+        for line in self.ready_lines or (f'ready {self.address}',):
+            sys.stdout.write(f'{line}\n')
         sys.stdout.flush()
-        self.stopping.wait()
-        self._server.stop()
+        # A signal that came during a pause may reach another thread, and does not
+        # wake a main thread that waits on a lock for good: so look at intervals.
+        while not self.stopping.is_set():
+            time.sleep(STOP_CHECK_INTERVAL)
+        ending = threading.Thread(target=self._server.stop, daemon=True)
+        ending.start()
+        ending.join(STOP_TIMEOUT)
         # Pool threads may still wait on sockets; nothing is left to be saved.
         os._exit(0)
 
@@ -199,6 +214,19 @@
         self.stopping.set()
 
 
+def run_server(make_server: Callable[..., Server]) -> None:
+    """Make a server by the flags of the command line and serve.
+
+    Fire looks for unknown flags only when the function has returned, so this
+    must not be the function that serves.
+
+    Args:
+        make_server: Its parameters are the flags.
+    """
+    server = fire.Fire(make_server, serialize=_print_nothing)
+    server.serve()
+
+
 def pause_while(condition: Callable[[], object], call: Call | None = None) -> None:
     """Wait while the condition holds.
 
@@ -215,6 +243,10 @@
         time.sleep(PAUSE_STEP)
 
 
+def _print_nothing(_: Server) -> None:
+    """Keep Fire from printing the server."""
+
+
 def _do_nothing() -> None:
     """Stand for the missing ``close`` of a plain iterator."""
 
--- a/packages/core/src/ibisport_core/catalogue.py
+++ b/packages/core/src/ibisport_core/catalogue.py
@@ -127,10 +127,13 @@
             for change in changes
             if parse_key(change.key) is not None and change.key not in later
         }
+        versions = {**fresh, **later}
+        if versions == self.versions:
+            return replace(self, revision=revision, forgotten=revision)
         # All up to the revision is known now, so whatever is not among the
         # versions and not newer than this was removed.
-        whole = Catalogue(revision, {**fresh, **later}, forgotten=revision)
-        return _update_index(whole, {}, whole.versions)
+        whole = Catalogue(revision, versions, forgotten=revision)
+        return _update_index(whole, {}, versions)
 
     def with_snapshot(self, snapshot: Snapshot) -> 'Catalogue':
         """Return the catalogue after reading the store's whole prefix."""
@@ -234,6 +237,8 @@
 
 
 def _read_version(change: Change, known: Version | None) -> Version:
+    if known is not None and known.change == change:
+        return known
     parsed = parse_key(change.key)
     if change.content is None or parsed is None:
         return Version(change, None)
--- a/packages/core/src/ibisport_core/link.capnp
+++ b/packages/core/src/ibisport_core/link.capnp
@@ -121,6 +121,7 @@
 struct Cancel {
   requestId @0 :Data;
   attempt @1 :UInt32;
+  billed @2 :Bool;           # the caller left: what was generated is paid
 }
 
 struct Release {            # the answer was received whole
--- a/packages/core/src/ibisport_core/link.py
+++ b/packages/core/src/ibisport_core/link.py
@@ -94,7 +94,7 @@
         """
         try:
             head = self._read_exactly(_LENGTH.size)
-            (length,) = _LENGTH.unpack(head)
+            length = int.from_bytes(head, 'big')
             if length > MAX_FRAME_BYTES:
                 raise FrameInvalid(f'a frame of {length} bytes from {self.peer}')
             return decode_message(self._read_exactly(length))
--- a/packages/core/src/ibisport_core/messages.py
+++ b/packages/core/src/ibisport_core/messages.py
@@ -152,10 +152,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Cancel:
-    """Nobody waits for the answer any more."""
+    """Nobody waits any more; ``billed`` when it was the caller who left."""
 
     request_id: bytes
     attempt: int
+    billed: bool
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/router/src/ibisport_router/cli.py
@@ -0,0 +1,59 @@
+"""Command line of ``ibisport``: the router, and the operators' commands."""
+
+import signal
+import sys
+import threading
+
+import fire
+import orjson
+
+from ibisport_core.errors import SettingsError
+from ibisport_core.events import Event, log_event, start_log
+from ibisport_core.settings import RouterSettings, load_settings
+from ibisport_router.router import Router
+
+_EXIT_SETTINGS = 2
+
+
+def route(**flags: object) -> None:
+    """Run a router until SIGTERM or SIGINT, then end gracefully.
+
+    Args:
+        flags: Settings by name; see ``ibisport settings``.
+    """
+    settings = _load(flags)
+    start_log()
+    router = Router(settings)
+    stop = threading.Event()
+
+    def ask_stop(*_: object) -> None:
+        stop.set()
+
+    signal.signal(signal.SIGTERM, ask_stop)
+    signal.signal(signal.SIGINT, ask_stop)
+    router.start()
+    print(f'ready {router.gateway.address}', flush=True)
+    print(f'ready-status {router.status_address}', flush=True)
+    print(f'ready-links {router.link_address}', flush=True)
+    stop.wait()
+    log_event(Event.process_stopping, role='router', session=router.session.name)
+    router.stop()
+
+
+def settings(**flags: object) -> None:
+    """Print the effective settings as JSON, secrets blanked."""
+    shown = orjson.dumps(_load(flags).describe(), option=orjson.OPT_INDENT_2)
+    print(shown.decode())
+
+
+def run() -> None:
+    """Entry point of the binary."""
+    fire.Fire({'route': route, 'settings': settings}, name='ibisport')
+
+
+def _load(flags: dict[str, object]) -> RouterSettings:
+    try:
+        return load_settings(RouterSettings, flags)
+    except SettingsError as error:
+        print(f'ibisport: {error}', file=sys.stderr)
+        sys.exit(_EXIT_SETTINGS)
--- /dev/null
+++ b/packages/router/src/ibisport_router/internal/agentlink.py
@@ -0,0 +1,318 @@
+"""The connection to one agent: one task that connects, reads and reconnects.
+
+A connection that is silent for longer than the settings allow is replaced; the
+requests on it are submitted again at their offsets on the new one, and the
+agent goes on where it was. Only a new incarnation of the agent ends them.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING
+
+from ibisport_core.errors import FrameInvalid, LinkClosed, TargetUnavailable
+from ibisport_core.events import Event, log_event
+from ibisport_core.internal.clock import make_seconds, read_micros
+from ibisport_core.link import Link, connect_link
+from ibisport_core.messages import (
+    SCHEMA_VERSION,
+    Accepted,
+    Cancel,
+    Chunk,
+    Fence,
+    Finished,
+    Goodbye,
+    Head,
+    Heartbeat,
+    Hello,
+    Load,
+    Message,
+    Refused,
+    Release,
+    Welcome,
+)
+from ibisport_router.internal.calls import AgentReplaced, Call, LinkLost
+from ibisport_router.internal.choice_candidate import Candidate
+from ibisport_router.internal.session import ListedAgent
+
+if TYPE_CHECKING:
+    from ibisport_core.entries import TargetEntry
+    from ibisport_router.router import Router
+
+_CONNECT_SECONDS = 1.0
+_RETRY_SECONDS = 0.1
+_MOST_RETRY_SECONDS = 2.0
+
+
+@dataclass(slots=True)
+class _Peer:
+    incarnation: str = ''
+    draining: bool = False
+    load: Load = field(default_factory=Load)
+    heard_at: float = 0
+
+
+class AgentLink:
+    """This router's link to the agent of one target."""
+
+    def __init__(self, router: Router, entry: TargetEntry) -> None:
+        """Prepare the link; ``start`` connects.
+
+        Args:
+            router: Whose link it is.
+            entry: The target's catalogue entry.
+        """
+        self.entry = entry
+        self._router = router
+        self._lock = threading.Lock()
+        self._link: Link | None = None
+        self._peer = _Peer()
+        self._calls: dict[tuple[bytes, int], Call] = {}
+        self._sent_since_report: list[float] = []
+        self._closed = threading.Event()
+        self._connected = threading.Event()
+
+    def __repr__(self) -> str:
+        """Name the target and whether it is connected."""
+        return f'AgentLink({self.entry.name}, connected={self.is_connected})'
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether messages can be sent."""
+        return self._connected.is_set()
+
+    @property
+    def incarnation(self) -> str:
+        """The agent's incarnation as it last greeted."""
+        return self._peer.incarnation
+
+    @property
+    def listed(self) -> ListedAgent:
+        """The agent as it stands in the session's record."""
+        return ListedAgent(
+            self.entry.name, self.entry.agent_address, self._peer.incarnation
+        )
+
+    def start(self) -> None:
+        """Connect, and stay connected, in a thread of its own."""
+        name = f'agent-{self.entry.name}'
+        threading.Thread(target=self._work, name=name, daemon=True).start()
+
+    def close(self) -> None:
+        """End the link and its task."""
+        self._closed.set()
+        link = self._link
+        if link is not None:
+            link.close()
+
+    def retire(self) -> None:
+        """End the link once the calls on it have ended."""
+        name = f'retire-{self.entry.name}'
+        threading.Thread(target=self._retire, name=name, daemon=True).start()
+
+    def submit(self, call: Call) -> None:
+        """Send a call's request, and take its events from now on.
+
+        Args:
+            call: The attempt.
+
+        Raises:
+            TargetUnavailable: Nothing was sent: no link, or the agent is not
+                in the session's record.
+        """
+        if not self._router.may_pay(self.incarnation):
+            raise TargetUnavailable(f'{self.entry.name} is not in the session record')
+        key = (call.submit.request_id, call.submit.attempt)
+        with self._lock:
+            link = self._link
+            if link is None or not self.is_connected:
+                raise TargetUnavailable(f'no link to {self.entry.name}')
+            self._calls[key] = call
+            self._sent_since_report.append(time.time())
+        try:
+            link.send(call.submit)
+        except LinkClosed as error:
+            with self._lock:
+                self._calls.pop(key, None)
+            raise TargetUnavailable(str(error)) from error
+
+    def cancel(self, call: Call, billed: bool) -> None:
+        """Tell the agent that nobody waits; the call's end still comes."""
+        self.send(Cancel(call.submit.request_id, call.submit.attempt, billed))
+
+    def release(self, call: Call) -> None:
+        """Tell the agent that the answer was received whole."""
+        self.send(Release(call.submit.request_id))
+
+    def send(self, message: Message) -> bool:
+        """Send a message if the link is there; return whether it was queued."""
+        link = self._link
+        if link is None:
+            return False
+        try:
+            link.send(message)
+        except LinkClosed:
+            return False
+        return True
+
+    def make_candidate(self) -> Candidate:
+        """Return what the chooser wants to know."""
+        with self._lock:
+            load = self._peer.load
+            in_flight = sum(
+                call.submit.reserved_tokens for call in self._calls.values()
+            )
+            return Candidate(
+                target=self.entry.name,
+                failure_domain=self.entry.failure_domain,
+                slots=load.slots or self.entry.limits.slots,
+                running=load.running,
+                queued=load.queued,
+                queued_tokens=load.queued_tokens,
+                token_rate=load.token_rate,
+                measured_at=make_seconds(load.measured_at),
+                own_in_flight_tokens=in_flight,
+                own_in_flight_since_report=len(self._sent_since_report),
+                draining=self._is_draining(),
+                connected=self.is_connected
+                and self._router.may_pay(self._peer.incarnation),
+            )
+
+    def describe(self) -> dict[str, object]:
+        """Return what the router believes of the target."""
+        return {
+            'connected': self.is_connected,
+            'incarnation': self.incarnation,
+            'draining': self._is_draining(),
+            'calls': len(self._calls),
+            'running': self._peer.load.running,
+            'queued': self._peer.load.queued,
+            'age_seconds': round(time.time() - self._peer.heard_at, 3),
+        }
+
+    def _is_draining(self) -> bool:
+        return self._peer.draining or self.entry.state != 'live'
+
+    def _retire(self) -> None:
+        while self._calls and self.is_connected:
+            time.sleep(_RETRY_SECONDS)
+        self.close()
+
+    def _work(self) -> None:
+        pause = _RETRY_SECONDS
+        while not self._closed.is_set():
+            try:
+                self._serve_once()
+                pause = _RETRY_SECONDS
+            except (LinkClosed, FrameInvalid) as error:
+                if self._link is not None:
+                    pause = _RETRY_SECONDS
+                    log_event(
+                        Event.link_lost, target=self.entry.name, detail=str(error)
+                    )
+            self._drop_link()
+            self._closed.wait(pause)
+            pause = min(pause * 2, _MOST_RETRY_SECONDS)
+        self._end_calls(AgentReplaced())
+
+    def _serve_once(self) -> None:
+        settings = self._router.settings
+        link = connect_link(
+            self.entry.agent_address, _CONNECT_SECONDS, settings.silence
+        )
+        try:
+            welcome = self._greet(link)
+            self._open(link, welcome)
+            while True:
+                self._handle(link.receive())
+        finally:
+            link.close()
+
+    def _greet(self, link: Link) -> Welcome:
+        settings = self._router.settings
+        link.send(
+            Hello(
+                SCHEMA_VERSION,
+                'router',
+                self._router.session.name,
+                settings.failure_domain,
+                self._router.link_address,
+                settings.link_secret,
+            )
+        )
+        welcome = link.receive()
+        if not isinstance(welcome, Welcome) or welcome.target != self.entry.name:
+            log_event(Event.link_refused, peer=link.peer, target=self.entry.name)
+            raise LinkClosed(f'{link.peer} is not the agent of {self.entry.name}')
+        return welcome
+
+    def _open(self, link: Link, welcome: Welcome) -> None:
+        if self._peer.incarnation not in {'', welcome.session}:
+            self._router.note_agent_gone(self._peer.incarnation)
+            self._end_calls(AgentReplaced())
+        self._peer = _Peer(welcome.session, welcome.draining, heard_at=time.time())
+        log_event(Event.link_opened, target=self.entry.name, agent=welcome.session)
+        self._router.list_agent(self.listed)
+        for news in self._router.catalogue.make_updates(self.entry.name):
+            link.send(news)
+        with self._lock:
+            self._link = link
+            for call in self._calls.values():
+                link.send(replace(call.submit, offset=call.offset))
+            self._connected.set()
+
+    def _handle(self, message: Message) -> None:
+        self._peer.heard_at = time.time()
+        match message:
+            case Chunk() | Head() | Accepted() | Finished() | Refused():
+                self._give(message)
+            case Heartbeat(load=load):
+                self._take_load(load)
+            case Goodbye():
+                self._peer.draining = True
+                log_event(Event.peer_draining, target=self.entry.name)
+            case _:
+                log_event(Event.frame_refused, target=self.entry.name)
+
+    def _give(self, event: Chunk | Head | Accepted | Finished | Refused) -> None:
+        key = (event.request_id, event.attempt)
+        with self._lock:
+            call = self._calls.get(key)
+        if call is None:
+            self._router.note_drop()
+            return
+        call.take(event)
+        if call.end is not None:
+            with self._lock:
+                self._calls.pop(key, None)
+
+    def _take_load(self, load: Load) -> None:
+        measured_at = make_seconds(load.measured_at)
+        with self._lock:
+            self._peer.load = load
+            self._peer.draining = load.draining
+            self._sent_since_report = [
+                sent for sent in self._sent_since_report if sent > measured_at
+            ]
+
+    def _drop_link(self) -> None:
+        with self._lock:
+            self._connected.clear()
+            self._link = None
+            waiting = list(self._calls.values())
+        for call in waiting:
+            call.take(LinkLost())
+
+    def _end_calls(self, end: AgentReplaced) -> None:
+        with self._lock:
+            waiting = list(self._calls.values())
+            self._calls.clear()
+        for call in waiting:
+            call.take(end)
+
+
+def make_fence(session: str) -> Fence:
+    """Return the message that fences a session at an agent."""
+    return Fence(session, read_micros())
--- /dev/null
+++ b/packages/router/src/ibisport_router/internal/grants.py
@@ -0,0 +1,81 @@
+"""How many tokens a router draws at once, and how many it gives back.
+
+A grant covers a few seconds of demand, so that store writes stay few, but
+never more than a share of what remains, so that a budget near zero is not
+locked up at routers that do not use it.
+"""
+
+from dataclasses import dataclass
+
+from ibisport_core.internal.account import Account, Grant
+from ibisport_router.internal.ledger import LedgerView
+
+SHARE_OF_REMAINING = 2
+LOW_SHARE = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Draw:
+    """The store can give this: the session's new cumulative figure."""
+
+    granted: int
+
+
+@dataclass(frozen=True, slots=True)
+class Short:
+    """The store cannot give enough.
+
+    Attributes:
+        held_elsewhere: Tokens that other sessions hold and may give back.
+    """
+
+    held_elsewhere: int
+
+
+def choose_draw(
+    account: Account, session: str, view: LedgerView, needed: int, horizon: float
+) -> Draw | Short:
+    """Decide how much to draw.
+
+    Args:
+        account: The account as it stands.
+        session: The session that draws.
+        view: Its ledger's figures.
+        needed: Tokens that the request at hand needs.
+        horizon: Seconds of demand that a grant should cover.
+
+    Returns:
+        The new cumulative figure, or that there is not enough.
+    """
+    stored = account.grants.get(session, Grant())
+    free = stored.granted - view.spent - view.reserved
+    missing = max(0, needed - free)
+    if missing > account.remaining:
+        others = account.held - stored.granted
+        return Short(held_elsewhere=others)
+    drawers = len({*account.grants, session})
+    share = account.remaining // (SHARE_OF_REMAINING * drawers)
+    wanted = int(view.demand * horizon) + needed - free
+    return Draw(stored.granted + max(missing, min(wanted, share)))
+
+
+def choose_return(view: LedgerView, horizon: float, idle: bool, asked: bool) -> int:
+    """Decide how much of a grant to give back.
+
+    Args:
+        view: The ledger's figures.
+        horizon: Seconds of demand that a grant should cover.
+        idle: Whether nothing was reserved for long.
+        asked: Whether a peer runs short of this budget.
+
+    Returns:
+        Tokens to give back.
+    """
+    if idle:
+        return view.available
+    keep = int(view.demand * horizon)
+    if asked:
+        keep //= LOW_SHARE
+    elif view.available < LOW_SHARE * keep:
+        return 0
+    return max(0, view.available - keep)
