--- /dev/null
+++ b/packages/bench/src/ibisport_bench/relay_link.py
@@ -0,0 +1,136 @@
+"""One relayed TCP connection: a reader and a writer thread for each way."""
+
+import contextlib
+import queue
+import socket
+import threading
+import time
+from enum import StrEnum
+
+READ_BYTES = 65536
+QUEUE_LENGTH = 64
+WAIT_STEP = 0.5
+
+
+class Direction(StrEnum):
+    """A way through the relay."""
+
+    to_target = 'to_target'
+    to_client = 'to_client'
+
+
+BOTH = frozenset(Direction)
+Piece = tuple[float, bytes]
+
+
+class RelayLink:
+    """A client's connection and the one to the target.
+
+    Attributes:
+        delay: Seconds by which bytes read from now on are delivered late.
+    """
+
+    def __init__(
+        self, client: socket.socket, target: socket.socket, delay: float
+    ) -> None:
+        """Take both sockets over."""
+        for sock in (client, target):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.delay = delay
+        self._client = client
+        self._target = target
+        self._closed = threading.Event()
+        self._flowing = {way: threading.Event() for way in Direction}
+        self._ended: set[Direction] = set()
+        self._lock = threading.Lock()
+        self.resume()
+
+    def start(self) -> None:
+        """Start to forward both ways."""
+        self._start_way(Direction.to_target, self._client, self._target)
+        self._start_way(Direction.to_client, self._target, self._client)
+
+    def silence(self, directions: frozenset[Direction]) -> None:
+        """Forward nothing, not even an end, on these ways."""
+        for way in directions:
+            self._flowing[way].clear()
+
+    def resume(self) -> None:
+        """Forward again, also what was held back."""
+        for flowing in self._flowing.values():
+            flowing.set()
+
+    def is_closed(self) -> bool:
+        """Tell whether both connections have ended."""
+        return self._closed.is_set()
+
+    def close(self) -> None:
+        """End both connections."""
+        self._closed.set()
+        self.resume()
+        for sock in (self._client, self._target):
+            # It may have ended before.
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+            sock.close()
+
+    def _start_way(
+        self, way: Direction, source: socket.socket, sink: socket.socket
+    ) -> None:
+        pieces: queue.Queue[Piece] = queue.Queue(QUEUE_LENGTH)
+        for run, sock in ((self._read, source), (self._write, sink)):
+            threading.Thread(target=run, args=(way, sock, pieces), daemon=True).start()
+
+    def _read(
+        self, way: Direction, source: socket.socket, pieces: queue.Queue[Piece]
+    ) -> None:
+        content = b' '
+        while content:
+            try:
+                content = source.recv(READ_BYTES)
+            except OSError:
+                content = b''
+            if not self._put(pieces, (time.monotonic() + self.delay, content)):
+                return
+
+    def _put(self, pieces: queue.Queue[Piece], piece: Piece) -> bool:
+        while not self._closed.is_set():
+            try:
+                pieces.put(piece, timeout=WAIT_STEP)
+            except queue.Full:
+                continue
+            return True
+        return False
+
+    def _get(self, pieces: queue.Queue[Piece]) -> Piece:
+        while not self._closed.is_set():
+            with contextlib.suppress(queue.Empty):
+                return pieces.get(timeout=WAIT_STEP)
+        return (0, b'')
+
+    def _write(
+        self, way: Direction, sink: socket.socket, pieces: queue.Queue[Piece]
+    ) -> None:
+        content = b' '
+        while content:
+            deliver_at, content = self._get(pieces)
+            time.sleep(max(0, deliver_at - time.monotonic()))
+            self._flowing[way].wait()
+            try:
+                self._deliver(sink, content)
+            except OSError:
+                break
+        self._end(way)
+
+    def _deliver(self, sink: socket.socket, content: bytes) -> None:
+        if content:
+            sink.sendall(content)
+        else:
+            sink.shutdown(socket.SHUT_WR)
+
+    def _end(self, way: Direction) -> None:
+        with self._lock:
+            self._ended.add(way)
+            ended = self._ended == BOTH
+        if ended:
+            self.close()
--- /dev/null
+++ b/packages/bench/src/ibisport_bench/standins/hosts.py
@@ -0,0 +1,100 @@
+"""Stand-in for the platform's lagging list of live and leaving hosts."""
+
+import threading
+import time
+from enum import StrEnum
+from http import HTTPStatus
+
+from pydantic import BaseModel, TypeAdapter, ValidationError
+
+from ibisport_bench.standins.errors import CallRejected
+from ibisport_bench.standins.web import Answer, Call, Server, answer_json, run_server
+
+MS = 1000
+
+
+class HostState(StrEnum):
+    """What the platform says of a host; ``gone`` takes it off the list."""
+
+    live = 'live'
+    leaving = 'leaving'
+    gone = 'gone'
+
+
+class HostEntry(BaseModel):
+    """A host as posted by a test and, one lag later, as listed.
+
+    Attributes:
+        host: IP number or name.
+        failure_domain: Failure domain that the host is in.
+        state: ``live``, ``leaving``, or ``gone``.
+        seen_at: Unix time in seconds of the change; set by the stand-in.
+    """
+
+    host: str
+    failure_domain: str = ''
+    state: HostState = HostState.live
+    seen_at: float = 0
+
+
+class HostList:
+    """Changes of hosts, each shown one lag after it was posted."""
+
+    def __init__(self, lag_ms: float) -> None:
+        """Start without hosts; the lag is in milliseconds."""
+        self._lag = lag_ms / MS
+        self._lock = threading.Lock()
+        self._changes: list[tuple[float, HostEntry]] = []
+
+    def __call__(self, call: Call) -> Answer:
+        """Serve one call."""
+        if call.path != '/hosts':
+            raise CallRejected('no such path', HTTPStatus.NOT_FOUND, 5)
+        if call.method == 'POST':
+            self._change(_read_entries(call))
+        return answer_json(self._list_shown())
+
+    def _change(self, entries: list[HostEntry]) -> None:
+        shown_at = time.monotonic() + self._lag
+        with self._lock:
+            for entry in entries:
+                entry.seen_at = time.time()
+                self._changes.append((shown_at, entry))
+
+    def _list_shown(self) -> list[dict[str, object]]:
+        now = time.monotonic()
+        with self._lock:
+            shown = {
+                entry.host: entry
+                for shown_at, entry in self._changes
+                if shown_at <= now
+            }
+        return [
+            entry.model_dump()
+            for entry in shown.values()
+            if entry.state is not HostState.gone
+        ]
+
+
+def make_server(port: int = 0, lag_ms: float = 2000, threads: int = 300) -> Server:
+    """Make the server of the host list.
+
+    Args:
+        port: TCP port on 127.0.0.1; 0 takes a free one.
+        lag_ms: Milliseconds after which a change is shown.
+        threads: Connections served at once.
+    """
+    return Server(HostList(lag_ms), port, threads)
+
+
+def _read_entries(call: Call) -> list[HostEntry]:
+    one_or_many = TypeAdapter(HostEntry | list[HostEntry])
+    try:
+        posted = one_or_many.validate_json(call.body)
+    except ValidationError as error:
+        raise CallRejected(str(error), HTTPStatus.BAD_REQUEST, 3) from error
+    return posted if isinstance(posted, list) else [posted]
+
+
+if __name__ == '__main__':
+    run_server(make_server)
--- a/packages/bench/src/ibisport_bench/standins/web.py
+++ b/packages/bench/src/ibisport_bench/standins/web.py
@@ -24,7 +24,7 @@
 JSON_TYPE = 'application/json'
 EVENT_STREAM_TYPE = 'text/event-stream'
 CONNECTION_TIMEOUT = 600
-SHUTDOWN_TIMEOUT = 0.5
+SHUTDOWN_TIMEOUT = 1
 STOP_TIMEOUT = 5
 STOP_CHECK_INTERVAL = 0.1
 LISTEN_BACKLOG = 1024
@@ -164,45 +164,60 @@
 
 class _ApplicationServer(HTTPServer):  # type: ignore[misc]
     application: Application
-    shutdown_timeout: float = SHUTDOWN_TIMEOUT
     keep_alive_conn_limit = MOST_IDLE_CONNECTIONS
 
 
-class Server:
-    """A stand-in's HTTP server.
+@dataclass(frozen=True, slots=True)
+class Ready:
+    """What a program prints once it serves.
 
     Attributes:
-        stopping: Set when the process is to end.
-        ready_lines: Printed once it serves; ``ready <address>`` if none.
+        word: First word of the line that tells the server's address.
+        lines: Whole lines that go before.
     """
 
-    def __init__(self, application: Application, port: int, threads: int) -> None:
-        """Bind the port; 0 takes a free one."""
-        self.stopping = threading.Event()
-        self.ready_lines: tuple[str, ...] = ()
+    word: str = 'ready'
+    lines: tuple[str, ...] = ()
+
+
+class Server:
+    """A stand-in's HTTP server."""
+
+    def __init__(
+        self,
+        application: Application,
+        port: int,
+        threads: int,
+        ready: Ready | None = None,
+    ) -> None:
+        """Keep what is to be served.
+
+        Args:
+            application: Serves each call.
+            port: TCP port on 127.0.0.1; 0 takes a free one.
+            threads: Connections served at once.
+            ready: What is printed once it serves.
+        """
+        self._ready = ready or Ready()
+        self._stopping = threading.Event()
         self._server = _ApplicationServer((HOST, port), _Gateway)
         self._server.application = application
         self._server.requests = ThreadPool(self._server, min=threads, max=threads)
         self._server.timeout = CONNECTION_TIMEOUT
+        self._server.shutdown_timeout = SHUTDOWN_TIMEOUT
         self._server.request_queue_size = LISTEN_BACKLOG
-        self._server.prepare()
-
-    @property
-    def address(self) -> str:
-        """``host:port`` on which the server listens."""
-        return f'{HOST}:{self._server.bind_addr[1]}'
 
     def serve(self) -> None:
         """Serve until SIGTERM or SIGINT, then end the process."""
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._stop)
+        # This starts the pool's threads, which keep a process from ending.
+        self._server.prepare()
         threading.Thread(target=self._server.serve, daemon=True).start()
-        for line in self.ready_lines or (f'ready {self.address}',):
-            sys.stdout.write(f'{line}\n')
-        sys.stdout.flush()
+        self._print_ready()
         # A signal that came during a pause may reach another thread, and does not
         # wake a main thread that waits on a lock for good: so look at intervals.
-        while not self.stopping.is_set():
+        while not self._stopping.is_set():
             time.sleep(STOP_CHECK_INTERVAL)
         ending = threading.Thread(target=self._server.stop, daemon=True)
         ending.start()
@@ -210,8 +225,15 @@
         # Pool threads may still wait on sockets; nothing is left to be saved.
         os._exit(0)
 
+    def _print_ready(self) -> None:
+        port = self._server.bind_addr[1]
+        own_line = f'{self._ready.word} {HOST}:{port}'
+        for line in (*self._ready.lines, own_line):
+            sys.stdout.write(f'{line}\n')
+        sys.stdout.flush()
+
     def _stop(self, number: int, frame: object) -> None:
-        self.stopping.set()
+        self._stopping.set()
 
 
 def run_server(make_server: Callable[..., Server]) -> None:
