--- a/packages/agent/src/ibisport_agent/internal/runtable.py
+++ b/packages/agent/src/ibisport_agent/internal/runtable.py
@@ -46,6 +46,7 @@
         self._runs: dict[bytes, Run] = {}
         self._bodies: dict[bytes, bytes] = {}
         self._forgotten: dict[bytes, float] = {}
+        self._barred: dict[bytes, str] = {}
 
     def submit(self, submit: Submit, link: Link) -> None:
         """Start a request, or join the router to it when it is known.
@@ -135,7 +136,11 @@
 
     def _make_run(self, submit: Submit) -> Run:
         if submit.join_only:
+            # Whoever claimed it first and has not sent it may do so no more.
+            self._barred[submit.request_id] = submit.session
             raise NotKnown()
+        if self._barred.get(submit.request_id, submit.session) != submit.session:
+            raise NotKnown('another router has taken the claim over')
         if self.draining:
             raise TargetDraining()
         run = Run(submit, self._equipment)
@@ -174,6 +179,8 @@
                     self._forgotten[request_id] = run.ended_at
             while len(self._forgotten) > _FORGOTTEN_MOST:
                 self._forgotten.pop(next(iter(self._forgotten)))
+            while len(self._barred) > _FORGOTTEN_MOST:
+                self._barred.pop(next(iter(self._barred)))
 
     def _list_runs(self) -> list[Run]:
         with self._lock:
--- a/packages/bench/src/ibisport_bench/site.py
+++ b/packages/bench/src/ibisport_bench/site.py
@@ -8,7 +8,7 @@
 import sys
 import time
 from collections.abc import Sequence
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -141,7 +141,7 @@
         self._store = self._run('store', _module('store', flags))
         self._fill_catalogue()
         with ThreadPoolExecutor(_STARTED_AT_ONCE) as pool:
-            started = [
+            started: list[Future[Any]] = [
                 pool.submit(self.add_target, f'engine-{number}', number, [MODEL])
                 for number in range(self.plan.engines)
             ]
@@ -287,7 +287,8 @@
         for target in self.targets.values():
             if isinstance(target.serves, str) == service:
                 answer = self.http.request('GET', f'{target.program.url}/runs')
-                found += orjson.loads(answer.data)
+                log = orjson.loads(answer.data)
+                found += log['runs'] if service else log
         return found
 
     def _fill_catalogue(self) -> None:
--- a/packages/router/src/ibisport_router/internal/exchange.py
+++ b/packages/router/src/ibisport_router/internal/exchange.py
@@ -8,12 +8,13 @@
 
 import time
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from ibisport_core import errors
 from ibisport_core.errors import (
     DeadlinePassed,
+    NotKnown,
     OutcomeUnknown,
     Refusal,
     Statement,
@@ -37,6 +38,7 @@
 
 if TYPE_CHECKING:
     from ibisport_router.internal.agentlink import AgentLink
+    from ibisport_router.internal.claims import Claim
     from ibisport_router.internal.ledger import Charge
     from ibisport_router.internal.orders import Order
     from ibisport_router.router import Router
@@ -81,6 +83,7 @@
         self._bill: Bill | None = None
         self._attempt = 0
         self._broken = False
+        self._claim: Claim | None = None
         self._call: Call | None = None
         self._link: AgentLink | None = None
         self._tried: list[str] = []
@@ -142,6 +145,7 @@
         )
         match decision:
             case GiveUp(failure=final):
+                self._drop_claim(final)
                 raise final
             case Retry(earliest=earliest):
                 log_event(
@@ -157,10 +161,37 @@
     def _open_one(self) -> Reply:
         link = self._choose_link()
         self._tried.append(link.entry.name)
+        if self._order.idempotent or not self._order.keyed:
+            return self._try_link(link, join_only=False)
+        return self._open_claimed(link)
+
+    def _open_claimed(self, link: AgentLink) -> Reply:
+        """Claim the request, or join it where another claim has put it."""
+        claims = self._router.claims
+        own = self._claim
+        claim = claims.claim(self._order, link, own)
+        if not claim.own:
+            try:
+                return self._try_link(claims.find_link(claim), join_only=True)
+            except NotKnown:
+                # The agent holds nothing and takes nothing from the first
+                # claimant any more, so the claim may be taken over.
+                self._attempt += 1
+                claim = claims.claim(self._order, link, claim)
+        if not claim.own:
+            raise TargetUnavailable('another router claims it', retry_at=time.time())
+        self._claim = claim
+        return self._try_link(link, join_only=False)
+
+    def _drop_claim(self, failure: Refusal) -> None:
+        if self._claim is not None and failure.statement == Statement.did_not_run:
+            self._router.claims.drop(self._order, self._claim)
+
+    def _try_link(self, link: AgentLink, join_only: bool) -> Reply:
         bill = self._bill
         if bill is None:
             raise TargetUnavailable('the exchange is closed')
-        submit = self._make_submit(bill.charge)
+        submit = replace(self._make_submit(bill.charge), join_only=join_only)
         call = Call(submit, bill.note_end, self._router.note_drop)
         link.submit(call)
         bill.expect(call)
--- a/packages/router/src/ibisport_router/router.py
+++ b/packages/router/src/ibisport_router/router.py
@@ -18,6 +18,7 @@
 from ibisport_router.internal.catalogueview import CatalogueView
 from ibisport_router.internal.choice import TargetChooser
 from ibisport_router.internal.choice_rendezvous import rank_homes
+from ibisport_router.internal.claims import Claims
 from ibisport_router.internal.gateway import Gateway
 from ibisport_router.internal.limits import Limits
 from ibisport_router.internal.orders import Order
@@ -48,6 +49,7 @@
         self.listener = PeerListener(self)
         self.peers = Peers(self)
         self.recovery = Recovery(self)
+        self.claims = Claims(self)
         self.catalogue = CatalogueView(self.store, self._follow_catalogue)
         self.chooser = TargetChooser(
             settings.failure_domain, random.Random(), time.time
