Bill a keyed request once wherever its callers retry, and mend found faults

Change: attempt numbers count for the process; the exchange keeps its session's bank and the worst statement; every keyed request is claimed durably, and goes to its one home while the store is down; Router split into targets and keeper, the link's calls into a table; agents forget charges of closed sessions. Ruled out: asking other homes by a message (covers no lost agent).

--- a/packages/agent/src/ibisport_agent/internal/runs.py
+++ b/packages/agent/src/ibisport_agent/internal/runs.py
@@ -152,8 +152,8 @@
         """
         with self._lock:
             state = self._state
-            self._subscribers = [one for one in self._subscribers if one.link != link]
             subscriber = _Subscriber(link, submit.attempt)
+            self._subscribers = [one for one in self._subscribers if one != subscriber]
             state.orphaned_at = 0
             accepted = Accepted(
                 submit.request_id,
@@ -273,7 +273,8 @@
         if whole and reader.usage is not None:
             return reader.usage, True
         if cancelled and self._billed:
-            return Usage(self.submit.prompt_tokens, reader.events), False
+            # The prompt's count is not known: only its bound is.
+            return reader.usage or Usage(0, reader.events), False
         return Usage(0, 0), False
 
     def _set_head(self, answer: TargetAnswer) -> None:
--- a/packages/agent/src/ibisport_agent/internal/runtable.py
+++ b/packages/agent/src/ibisport_agent/internal/runtable.py
@@ -125,19 +125,20 @@
             run.submit.attempt,
         )
         if again and run.restartable:
-            return self._restart(run, submit)
+            self._clear(submit)
+            return None
         return run
 
-    def _restart(self, run: Run, submit: Submit) -> Run | None:
+    def _clear(self, submit: Submit) -> None:
+        """Make room for a new run of a request, unless it was only asked for."""
         if submit.join_only:
-            return run
-        self._runs.pop(run.submit.request_id)
-        return None
+            self._bar(submit)
+            raise NotKnown()
+        self._runs.pop(submit.request_id)
 
     def _make_run(self, submit: Submit) -> Run:
         if submit.join_only:
-            # Whoever claimed it first and has not sent it may do so no more.
-            self._barred[submit.request_id] = submit.session
+            self._bar(submit)
             raise NotKnown()
         if self._barred.get(submit.request_id, submit.session) != submit.session:
             raise NotKnown('another router has taken the claim over')
@@ -150,6 +151,14 @@
         self._bodies[submit.request_id] = _digest(submit)
         return run
 
+    def _bar(self, submit: Submit) -> None:
+        """Take the request from no other session than the one that joins.
+
+        Whoever claimed it first and has not sent it may do so no more, so the
+        claim may be taken over.
+        """
+        self._barred[submit.request_id] = submit.session
+
     def _choose_old(self, ended: list[Run], now: float) -> list[Run]:
         ended.sort(key=_read_end)
         kept_bytes = sum(run.size for run in ended)
--- a/packages/core/src/ibisport_core/messages.py
+++ b/packages/core/src/ibisport_core/messages.py
@@ -11,6 +11,8 @@
 
 SCHEMA_VERSION = 1
 REQUEST_ID_BYTES = 16
+# Above every charge's number: all charges of a closed session are settled.
+CLOSED_FLOOR = 2**60
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/router/src/ibisport_router/internal/agentlink.py
+++ b/packages/router/src/ibisport_router/internal/agentlink.py
@@ -33,7 +33,8 @@
     Release,
     Welcome,
 )
-from ibisport_router.internal.calls import AgentReplaced, Call, LinkLost
+from ibisport_router.internal.calls import Call
+from ibisport_router.internal.calltable import CallTable
 from ibisport_router.internal.choice_candidate import Candidate
 from ibisport_router.internal.session import ListedAgent
 
@@ -43,6 +44,7 @@
 
 _CONNECT_SECONDS = 1.0
 _RETRY_SECONDS = 0.1
+_DRAIN_SECONDS = 0.5
 _MOST_RETRY_SECONDS = 2.0
 
 
@@ -69,8 +71,7 @@
         self._lock = threading.Lock()
         self._link: Link | None = None
         self._peer = _Peer()
-        self._calls: dict[tuple[bytes, int], Call] = {}
-        self._sent_since_report: list[float] = []
+        self._calls = CallTable()
         self._closed = threading.Event()
         self._connected = threading.Event()
 
@@ -83,6 +84,11 @@
         """Whether messages can be sent."""
         return self._connected.is_set()
 
+    @property
+    def is_usable(self) -> bool:
+        """Whether new paid work can be sent."""
+        return self.is_connected and self._may_pay() and not self._is_draining()
+
     @property
     def incarnation(self) -> str:
         """The agent's incarnation as it last greeted."""
@@ -105,6 +111,7 @@
         self._closed.set()
         link = self._link
         if link is not None:
+            link.drain(time.monotonic() + _DRAIN_SECONDS)
             link.close()
 
     def retire(self) -> None:
@@ -122,21 +129,12 @@
             TargetUnavailable: Nothing was sent: no link, or the agent is not
                 in the session's record.
         """
-        if not self._router.may_pay(self.incarnation):
-            raise TargetUnavailable(f'{self.entry.name} is not in the session record')
-        key = (call.submit.request_id, call.submit.attempt)
-        with self._lock:
-            link = self._link
-            if link is None or not self.is_connected:
-                raise TargetUnavailable(f'no link to {self.entry.name}')
-            self._calls[key] = call
-            self._sent_since_report.append(time.time())
-        try:
-            link.send(call.submit)
-        except LinkClosed as error:
-            with self._lock:
-                self._calls.pop(key, None)
-            raise TargetUnavailable(str(error)) from error
+        if not self.is_usable:
+            raise TargetUnavailable(f'{self.entry.name} cannot take paid work now')
+        self._calls.add(call)
+        if not self.send(call.submit):
+            self._calls.remove(call)
+            raise TargetUnavailable(f'no link to {self.entry.name}')
 
     def cancel(self, call: Call, billed: bool) -> None:
         """Tell the agent that nobody waits; the call's end still comes."""
@@ -159,26 +157,21 @@
 
     def make_candidate(self) -> Candidate:
         """Return what the chooser wants to know."""
-        with self._lock:
-            load = self._peer.load
-            in_flight = sum(
-                call.submit.reserved_tokens for call in self._calls.values()
-            )
-            return Candidate(
-                target=self.entry.name,
-                failure_domain=self.entry.failure_domain,
-                slots=load.slots or self.entry.limits.slots,
-                running=load.running,
-                queued=load.queued,
-                queued_tokens=load.queued_tokens,
-                token_rate=load.token_rate,
-                measured_at=make_seconds(load.measured_at),
-                own_in_flight_tokens=in_flight,
-                own_in_flight_since_report=len(self._sent_since_report),
-                draining=self._is_draining(),
-                connected=self.is_connected
-                and self._router.may_pay(self._peer.incarnation),
-            )
+        load = self._peer.load
+        return Candidate(
+            target=self.entry.name,
+            failure_domain=self.entry.failure_domain,
+            slots=load.slots or self.entry.limits.slots,
+            running=load.running,
+            queued=load.queued,
+            queued_tokens=load.queued_tokens,
+            token_rate=load.token_rate,
+            measured_at=make_seconds(load.measured_at),
+            own_in_flight_tokens=self._calls.reserved_tokens,
+            own_in_flight_since_report=self._calls.sent_since_report,
+            draining=self._is_draining(),
+            connected=self.is_connected and self._may_pay(),
+        )
 
     def describe(self) -> dict[str, object]:
         """Return what the router believes of the target."""
@@ -192,6 +185,9 @@
             'age_seconds': round(time.time() - self._peer.heard_at, 3),
         }
 
+    def _may_pay(self) -> bool:
+        return self._router.keeper.may_pay(self._peer.incarnation)
+
     def _is_draining(self) -> bool:
         return self._peer.draining or self.entry.state != 'live'
 
@@ -215,7 +211,7 @@
             self._drop_link()
             self._closed.wait(pause)
             pause = min(pause * 2, _MOST_RETRY_SECONDS)
-        self._end_calls(AgentReplaced())
+        self._calls.end_all()
 
     def _serve_once(self) -> None:
         settings = self._router.settings
@@ -250,16 +246,16 @@
 
     def _open(self, link: Link, welcome: Welcome) -> None:
         if self._peer.incarnation not in {'', welcome.session}:
-            self._router.note_agent_gone(self._peer.incarnation)
-            self._end_calls(AgentReplaced())
+            self._router.keeper.note_agent_gone(self._peer.incarnation)
+            self._calls.end_all()
         self._peer = _Peer(welcome.session, welcome.draining, heard_at=time.time())
         log_event(Event.link_opened, target=self.entry.name, agent=welcome.session)
-        self._router.list_agent(self.listed)
+        self._router.keeper.list_agent(self.listed)
         for news in self._router.catalogue.make_updates(self.entry.name):
             link.send(news)
         with self._lock:
             self._link = link
-            for call in self._calls.values():
+            for call in self._calls.list_calls():
                 link.send(replace(call.submit, offset=call.offset))
             self._connected.set()
 
@@ -267,7 +263,8 @@
         self._peer.heard_at = time.time()
         match message:
             case Chunk() | Head() | Accepted() | Finished() | Refused():
-                self._give(message)
+                if not self._calls.give(message):
+                    self._router.note_drop()
             case Heartbeat(load=load):
                 self._take_load(load)
             case Goodbye():
@@ -276,41 +273,16 @@
             case _:
                 log_event(Event.frame_refused, target=self.entry.name)
 
-    def _give(self, event: Chunk | Head | Accepted | Finished | Refused) -> None:
-        key = (event.request_id, event.attempt)
-        with self._lock:
-            call = self._calls.get(key)
-        if call is None:
-            self._router.note_drop()
-            return
-        call.take(event)
-        if call.end is not None:
-            with self._lock:
-                self._calls.pop(key, None)
-
     def _take_load(self, load: Load) -> None:
-        measured_at = make_seconds(load.measured_at)
-        with self._lock:
-            self._peer.load = load
-            self._peer.draining = load.draining
-            self._sent_since_report = [
-                sent for sent in self._sent_since_report if sent > measured_at
-            ]
+        self._peer.load = load
+        self._peer.draining = load.draining
+        self._calls.note_report(make_seconds(load.measured_at))
 
     def _drop_link(self) -> None:
         with self._lock:
             self._connected.clear()
             self._link = None
-            waiting = list(self._calls.values())
-        for call in waiting:
-            call.take(LinkLost())
-
-    def _end_calls(self, end: AgentReplaced) -> None:
-        with self._lock:
-            waiting = list(self._calls.values())
-            self._calls.clear()
-        for call in waiting:
-            call.take(end)
+        self._calls.note_link_lost()
 
 
 def make_fence(session: str) -> Fence:
--- a/packages/router/src/ibisport_router/internal/bank.py
+++ b/packages/router/src/ibisport_router/internal/bank.py
@@ -77,8 +77,8 @@
             options: How to draw and return.
             recall: Asks the named sessions to give spare tokens back.
         """
+        self.session = session
         self._store = store
-        self._session = session
         self._options = options
         self._recall = recall
         self._lock = threading.Lock()
@@ -236,7 +236,7 @@
         def decide(account: Account, stored: Grant) -> int | None:
             chosen = choose_draw(
                 account,
-                self._session.name,
+                self.session.name,
                 ledger.view(),
                 needed,
                 self._options.horizon,
@@ -262,7 +262,7 @@
         holders = frozenset(
             name for name, grant in grants.items() if grant.granted > grant.spent
         )
-        others = holders - {self._session.name}
+        others = holders - {self.session.name}
         if others:
             returned = self._recall(ledger.workspace, ledger.budget, others)
             log_event(Event.budget_short, workspace=ledger.workspace, returned=returned)
@@ -296,37 +296,37 @@
             decide(Account(), Grant())
             return True
         account = load_account(record.content)
-        stored = account.grants.get(self._session.name, Grant())
+        stored = account.grants.get(self.session.name, Grant())
         granted = decide(account, stored)
         if granted is None:
             return True
         grant = ledger.make_grant(stored, granted)
-        changed = account.with_grant(self._session.name, grant)
+        changed = account.with_grant(self.session.name, grant)
         writes: list[Put | Delete] = [Put(key, dump_account(changed))]
         if not stored.sequence:
-            index = name_grant(self._session.name, ledger.workspace, ledger.budget)
+            index = name_grant(self.session.name, ledger.workspace, ledger.budget)
             writes.append(Put(index, b'{}'))
         condition = Unchanged(key, record.mod_revision)
-        if not self._session.commit([condition], writes).succeeded:
+        if not self.session.commit([condition], writes).succeeded:
             return False
         ledger.adopt(grant)
         return True
 
     def _close_grant(self, ledger: Ledger) -> None:
         key = name_account(ledger.workspace, ledger.budget)
-        index = name_grant(self._session.name, ledger.workspace, ledger.budget)
+        index = name_grant(self.session.name, ledger.workspace, ledger.budget)
         for _ in range(_WRITE_ATTEMPTS):
             record = self._store.read(key)
             if record is None:
                 return
             account = load_account(record.content)
-            closed = account.without_grant(self._session.name, ledger.view().spent)
+            closed = account.without_grant(self.session.name, ledger.view().spent)
             if closed is account:
                 return
             writes = (Put(key, dump_account(closed)), Delete(index))
             condition = Unchanged(key, record.mod_revision)
             with contextlib.suppress(StoreOutcomeUnknown):
-                if self._session.commit([condition], writes).succeeded:
+                if self.session.commit([condition], writes).succeeded:
                     return
         raise StoreOutcomeUnknown(key)
 
--- a/packages/router/src/ibisport_router/internal/bill.py
+++ b/packages/router/src/ibisport_router/internal/bill.py
@@ -29,6 +29,12 @@
         self._call: Call | None = None
         self._left = False
         self._paid = False
+        self._waived = False
+
+    def waive(self) -> None:
+        """Charge nothing: another charge may pay for this request already."""
+        with self._lock:
+            self._waived = True
 
     def expect(self, call: Call) -> None:
         """Note the attempt that counts from now on."""
@@ -60,6 +66,8 @@
                 self._bank.end(self.charge, self._find_cost(call, call.end))
 
     def _find_cost(self, call: Call, end: CallEnd) -> int:
+        if self._waived:
+            return 0
         accepted = call.accepted
         own = (call.submit.session, self.charge.number)
         if accepted is not None and own != (
--- a/packages/router/src/ibisport_router/internal/claims.py
+++ b/packages/router/src/ibisport_router/internal/claims.py
@@ -1,10 +1,11 @@
-"""Durable claims: a keyed request that is not idempotent runs at most once.
+"""Durable claims: a keyed request has one place at a time, known to all routers.
 
 Before such a request is sent to an agent, the router writes a claim that names
 the agent's incarnation. Whoever gets the same key later, here or at another
 router, finds the claim and only joins what that incarnation holds. If it holds
 nothing it bars the first claimant, and only then may the claim be taken over.
-If the incarnation is gone, nobody can tell what ran: the outcome is unknown.
+If the incarnation is gone, nobody can tell what ran: a request that is not
+idempotent ends in an unknown outcome, another one runs again and is not billed.
 The ways that were weighed stand in docs/design/once.md.
 """
 
@@ -111,7 +112,7 @@
             OutcomeUnknown: It is gone or cannot be reached: what ran there is
                 not known.
         """
-        for link in self._router.list_links():
+        for link in self._router.targets.list_links():
             same = link.incarnation == claim.incarnation and link.is_connected
             if link.entry.name == claim.target and same:
                 return link
--- a/packages/router/src/ibisport_router/internal/exchange.py
+++ b/packages/router/src/ibisport_router/internal/exchange.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 import time
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
@@ -46,6 +47,9 @@
 _SERVER_ERROR = 500
 _ANSWER_MARGIN_SECONDS = 0.5
 _RELINK_SECONDS = 5.0
+_MOST_ATTEMPT_NUMBERS = 2**32
+# One count for the process: two callers with one key must not share a number.
+_ATTEMPT_NUMBERS = itertools.count(1)
 _REFUSALS = {
     kind.code: kind
     for kind in vars(errors).values()
@@ -80,7 +84,10 @@
         """
         self._router = router
         self._order = order
+        # The charge, and so every attempt, belongs to the session of now.
+        self._bank = router.bank
         self._bill: Bill | None = None
+        self._known = Statement.did_not_run
         self._attempt = 0
         self._broken = False
         self._claim: Claim | None = None
@@ -98,11 +105,10 @@
             Refusal: It was given up; the statement says whether it ran.
         """
         order = self._order
-        bank = self._router.bank
-        charge = bank.reserve(
+        charge = self._bank.reserve(
             order.workspace, order.budget, order.reserved_tokens, order.deadline
         )
-        self._bill = Bill(bank, charge)
+        self._bill = Bill(self._bank, charge)
         try:
             return self._open_attempts()
         except BaseException:
@@ -139,6 +145,7 @@
 
     def _decide_retry(self, failure: Refusal) -> None:
         order = self._order
+        self._remember(failure)
         budget = self._router.find_retry_budget(order.workspace)
         decision = budget.decide_retry(
             failure, order.idempotent, order.deadline, self._attempt, time.time()
@@ -158,31 +165,69 @@
                 self._cancel_call(paid=False)
                 time.sleep(max(0, earliest - time.time()))
 
+    def _remember(self, failure: Refusal) -> None:
+        """Keep what any attempt may have done: the last one's word is not all."""
+        if failure.statement == Statement.did_not_run:
+            failure.statement = self._known
+        else:
+            self._known = failure.statement
+
+    def _check_session(self, link: AgentLink) -> None:
+        session = self._bank.session
+        if not session.is_open or not session.is_listed(link.incarnation):
+            raise TargetUnavailable(
+                'the session that pays for it has ended', retry_at=time.time()
+            )
+
     def _open_one(self) -> Reply:
         link = self._choose_link()
         self._tried.append(link.entry.name)
-        if self._order.idempotent or not self._order.keyed:
-            return self._try_link(link, join_only=False)
-        return self._open_claimed(link)
+        if self._order.keyed:
+            return self._open_claimed(link)
+        return self._try_link(link, join_only=False)
 
     def _open_claimed(self, link: AgentLink) -> Reply:
         """Claim the request, or join it where another claim has put it."""
-        claims = self._router.claims
-        own = self._claim
-        claim = claims.claim(self._order, link, own)
-        if not claim.own:
-            try:
-                return self._try_link(claims.find_link(claim), join_only=True)
-            except NotKnown:
-                # The agent holds nothing and takes nothing from the first
-                # claimant any more, so the claim may be taken over.
-                self._attempt += 1
-                claim = claims.claim(self._order, link, claim)
+        try:
+            claim = self._router.claims.claim(self._order, link, self._claim)
+        except TargetUnavailable:
+            if not self._order.idempotent:
+                raise
+            # Without the store every router sends it to the one same home.
+            return self._try_link(self._find_home(), join_only=False)
         if not claim.own:
-            raise TargetUnavailable('another router claims it', retry_at=time.time())
+            return self._join(claim, link)
         self._claim = claim
         return self._try_link(link, join_only=False)
 
+    def _join(self, claim: Claim, link: AgentLink) -> Reply:
+        claims = self._router.claims
+        try:
+            return self._try_link(claims.find_link(claim), join_only=True)
+        except NotKnown:
+            # The agent holds no answer of it and takes nothing from the first
+            # claimant any more, so the claim may be taken over.
+            taken = claims.claim(self._order, link, claim)
+        except OutcomeUnknown:
+            if not self._order.idempotent or self._bill is None:
+                raise
+            # Its first claimant may have billed it, so this run is free.
+            self._bill.waive()
+            taken = claims.claim(self._order, link, claim)
+        if not taken.own:
+            raise TargetUnavailable('another router claims it', retry_at=time.time())
+        self._claim = taken
+        return self._try_link(link, join_only=False)
+
+    def _find_home(self) -> AgentLink:
+        home = self._router.targets.find_home(self._order)
+        if home is None:
+            raise TargetUnavailable(
+                'its home takes no work now, and no other may without the store',
+                retry_at=time.time() + 1,
+            )
+        return home
+
     def _drop_claim(self, failure: Refusal) -> None:
         if self._claim is not None and failure.statement == Statement.did_not_run:
             self._router.claims.drop(self._order, self._claim)
@@ -191,6 +236,7 @@
         bill = self._bill
         if bill is None:
             raise TargetUnavailable('the exchange is closed')
+        self._check_session(link)
         submit = replace(self._make_submit(bill.charge), join_only=join_only)
         call = Call(submit, bill.note_end, self._router.note_drop)
         link.submit(call)
@@ -210,10 +256,10 @@
 
     def _note_result(self, link: AgentLink, ok: bool, started: float) -> None:
         seconds = time.monotonic() - started
-        self._router.chooser.note_result(link.entry.name, ok, seconds)
+        self._router.targets.chooser.note_result(link.entry.name, ok, seconds)
 
     def _choose_link(self) -> AgentLink:
-        link = self._router.choose_link(self._order, tuple(self._tried))
+        link = self._router.targets.choose(self._order, tuple(self._tried))
         if link is None:
             raise TargetUnavailable(
                 f'no target of {self._order.pool} takes work now',
@@ -225,8 +271,8 @@
         order = self._order
         return Submit(
             request_id=order.request_id,
-            attempt=self._attempt,
-            session=self._router.session.name,
+            attempt=next(_ATTEMPT_NUMBERS) % _MOST_ATTEMPT_NUMBERS,
+            session=self._bank.session.name,
             workspace=order.workspace,
             budget=order.budget,
             charge=charge.number,
--- /dev/null
+++ b/packages/router/src/ibisport_router/internal/keeper.py
@@ -0,0 +1,135 @@
+"""Keeps the router's session and its budgets: the lease, the record, the money.
+
+When a peer has ended the session, the keeper opens a new one at once; requests
+in flight end under the old one, whose charges its recovery settles.
+"""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+from ibisport_core.errors import SessionFenced, StoreError
+from ibisport_core.events import Event, log_event
+from ibisport_core.messages import CLOSED_FLOOR, ChargeFloor, Settled
+from ibisport_router.internal.bank import Bank, BankOptions
+from ibisport_router.internal.session import ListedAgent, Session
+
+if TYPE_CHECKING:
+    from ibisport_router.router import Router
+
+_OPEN_RETRY_SECONDS = 0.5
+_KEEPS_PER_LEASE = 4
+
+
+class SessionKeeper:
+    """Owns the current session and bank of a router."""
+
+    def __init__(self, router: Router) -> None:
+        """Name the first session; ``keep`` opens it.
+
+        Args:
+            router: Whose session it is.
+        """
+        self._router = router
+        self._lock = threading.Lock()
+        self._gone: set[str] = set()
+        self.session, self.bank = self._make_session()
+
+    def may_pay(self, incarnation: str) -> bool:
+        """Whether paid work may go to an agent incarnation."""
+        return self.session.is_open and self.session.is_listed(incarnation)
+
+    def list_agent(self, agent: ListedAgent) -> None:
+        """Write an agent into the session record; ``keep`` tries again."""
+        try:
+            self.session.list_agents([agent], frozenset())
+        except (StoreError, SessionFenced) as error:
+            log_event(Event.store_failed, detail=str(error))
+
+    def note_agent_gone(self, incarnation: str) -> None:
+        """Note that an agent incarnation has been replaced."""
+        with self._lock:
+            self._gone.add(incarnation)
+
+    def keep(self) -> None:
+        """Keep the session open; the task of one thread."""
+        pace = self._router.settings.lease_seconds / _KEEPS_PER_LEASE
+        while not self._router.stopping.is_set():
+            pause = pace
+            try:
+                self._keep_once()
+            except SessionFenced:
+                log_event(Event.session_lost, session=self.session.name)
+                self.session, self.bank = self._make_session()
+                pause = 0
+            except StoreError as error:
+                log_event(Event.store_failed, detail=str(error))
+                pause = min(pace, _OPEN_RETRY_SECONDS)
+            self._router.stopping.wait(pause)
+
+    def settle(self) -> None:
+        """Settle at a fixed pace and tell the agents; the task of one thread."""
+        while not self._router.stopping.wait(self._router.settings.settle_every):
+            self._settle_once()
+
+    def is_idle(self) -> bool:
+        """Whether no charge is open."""
+        return all(ledger.is_idle for ledger in self.bank.list_ledgers())
+
+    def close(self) -> None:
+        """Give all grants back and end the session; a peer does it otherwise."""
+        try:
+            self.bank.close()
+            self.session.close()
+        except (StoreError, SessionFenced) as error:
+            log_event(Event.session_lost, detail=str(error))
+            return
+        floors = tuple(
+            ChargeFloor(one.workspace, one.budget, CLOSED_FLOOR)
+            for one in self.bank.list_ledgers()
+        )
+        self._router.targets.send_all(Settled(self.session.name, floors))
+        log_event(Event.session_closed, session=self.session.name)
+
+    def _make_session(self) -> tuple[Session, Bank]:
+        router = self._router
+        settings = router.settings
+        session = Session(
+            router.store,
+            router.link_address,
+            settings.failure_domain,
+            settings.lease_seconds,
+        )
+        options = BankOptions(settings.grant_horizon, settings.idle_after)
+        return session, Bank(router.store, session, options, router.peers.recall)
+
+    def _keep_once(self) -> None:
+        if self.session.is_open:
+            self.session.keep_alive()
+        else:
+            self.session.open()
+            log_event(Event.session_opened, session=self.session.name)
+        links = self._router.targets.list_links()
+        connected = [link.listed for link in links if link.is_connected]
+        self.session.list_agents(connected, self._choose_removable())
+
+    def _choose_removable(self) -> frozenset[str]:
+        """Return replaced agents that no unsettled charge can concern."""
+        ledgers = self.bank.list_ledgers()
+        settled = all(one.is_idle and one.is_settled for one in ledgers)
+        with self._lock:
+            if not settled:
+                return frozenset()
+            removable = frozenset(self._gone)
+            self._gone.clear()
+            return removable
+
+    def _settle_once(self) -> None:
+        bank, session = self.bank, self.session
+        try:
+            floors = bank.settle()
+        except (StoreError, SessionFenced):
+            return
+        if floors:
+            self._router.targets.send_all(Settled(session.name, floors))
--- a/packages/router/src/ibisport_router/internal/ledger.py
+++ b/packages/router/src/ibisport_router/internal/ledger.py
@@ -187,9 +187,14 @@
 
     @property
     def is_settled(self) -> bool:
-        """Whether the store knows every ended charge of the unbroken run."""
+        """Whether the store knows all that it should.
+
+        Tokens withheld for a return that was never answered count as unsettled:
+        the next write decides what became of them.
+        """
         with self._changed:
-            return self._settled_floor >= self._floor
+            decided = self._usable == self._grant.granted
+            return decided and self._settled_floor >= self._floor
 
     @property
     def settled_floor(self) -> int:
--- a/packages/router/src/ibisport_router/internal/recovery.py
+++ b/packages/router/src/ibisport_router/internal/recovery.py
@@ -39,10 +39,13 @@
 )
 from ibisport_core.link import Link, connect_link
 from ibisport_core.messages import (
+    CLOSED_FLOOR,
     SCHEMA_VERSION,
+    ChargeFloor,
     ChargeRecord,
     FenceReport,
     Hello,
+    Settled,
     Welcome,
 )
 from ibisport_core.store import Delete, Put, Unchanged
@@ -292,6 +295,8 @@
             'ibisport_stranded_tokens', {'session': session.name}, 0
         )
         self.stranded.pop(session.name, None)
+        floors = tuple(ChargeFloor(*names, CLOSED_FLOOR) for names in records)
+        self._router.targets.send_all(Settled(session.name, floors))
         log_event(Event.recovery_done, session=session.name, freed=freed)
 
     def _close_grant(
