--- a/packages/agent/src/ibisport_agent/agent.py
+++ b/packages/agent/src/ibisport_agent/agent.py
@@ -8,19 +8,19 @@
 from ibisport_agent.internal.entry import TargetView
 from ibisport_agent.internal.fairness import FairQueue
 from ibisport_agent.internal.routerlink import RouterLink
+from ibisport_agent.internal.runmetrics import RunMetrics
 from ibisport_agent.internal.runs import Equipment
 from ibisport_agent.internal.runtable import RunTable
 from ibisport_agent.internal.target import TargetClient
-from ibisport_core.errors import FrameInvalid, LinkClosed, Refusal, Statement
+from ibisport_core.errors import FrameInvalid, LinkClosed
 from ibisport_core.events import Event, log_event
 from ibisport_core.identity import make_session
 from ibisport_core.internal.clock import read_micros
 from ibisport_core.link import Link, open_listener
-from ibisport_core.messages import Finished, Goodbye, Heartbeat, Load, Submit
+from ibisport_core.messages import Goodbye, Heartbeat, Load
 from ibisport_core.metrics import Metrics, StatusServer
 from ibisport_core.settings import AgentSettings
 
-_MICROS = 1_000_000
 _SWEEP_SECONDS = 0.5
 _STOP_CHECK_SECONDS = 0.05
 
@@ -40,8 +40,9 @@
         self.charges = ChargeBook()
         self.queue = FairQueue(settings.slots)
         self.target = TargetClient(settings.target_address, settings.slots * 2)
+        observer = RunMetrics(self.metrics, settings.target)
         self.runs = RunTable(
-            Equipment(self.queue, self.target, self.charges, self),
+            Equipment(self.queue, self.target, self.charges, observer),
             settings.keep_answers,
             settings.answer_bytes,
         )
@@ -142,28 +143,6 @@
             'settings': self.settings.describe(),
         }
 
-    def note_finished(self, submit: Submit, finished: Finished) -> None:
-        """Count an answer; see ``RunObserver``."""
-        labels = {'workspace': submit.workspace, 'class': submit.class_name}
-        self.metrics.observe(
-            'ibisport_queue_seconds', labels, finished.queue_micros / _MICROS
-        )
-        tokens = finished.prompt_tokens + finished.completion_tokens
-        self.metrics.count('ibisport_tokens_total', labels, tokens)
-        if not finished.complete:
-            self.metrics.count('ibisport_broken_answers_total', labels)
-
-    def note_refused(self, submit: Submit, refusal: Refusal) -> None:
-        """Count a refusal; see ``RunObserver``."""
-        labels = {'workspace': submit.workspace, 'code': refusal.code}
-        self.metrics.count('ibisport_refusals_total', labels)
-        if refusal.statement != Statement.did_not_run:
-            log_event(
-                Event.target_failed,
-                target=self.settings.target,
-                detail=refusal.detail,
-            )
-
     def add_link(self, link: Link) -> None:
         """Count a router's link in."""
         with self._links_lock:
--- a/packages/agent/src/ibisport_agent/internal/fairness_flow.py
+++ b/packages/agent/src/ibisport_agent/internal/fairness_flow.py
@@ -6,8 +6,8 @@
 from ibisport_agent.internal.fairness_rates import DecayedSum, MovingMean
 from ibisport_agent.internal.fairness_ticket import Ticket
 
-RATE_SECONDS = 10
-RATIO_WEIGHT = 0.05
+RATE_SECONDS = 30
+MEAN_WEIGHT = 0.05
 # A request passes one of the next better priority after this wait.
 PRIORITY_SECONDS = 10
 
@@ -32,6 +32,10 @@
         queued: Waiting entries, the next first.
         queued_tokens: Expected tokens of the waiting entries.
         active_at: Unix time of the last arrival or departure.
+        arrivals: Requests that came, also refused ones.
+        drained: Tokens that were used.
+        demand: Slots that the arrivals would hold, as last measured.
+        heavy: Whether the demand was above the workspace's level then.
     """
 
     def __init__(self, weight: float) -> None:
@@ -43,7 +47,10 @@
         self.active_at = 0.0
         self.arrivals = DecayedSum(RATE_SECONDS)
         self.drained = DecayedSum(RATE_SECONDS)
-        self._ratio = MovingMean(RATIO_WEIGHT, initial=1)
+        self.demand = 0.0
+        self.heavy = False
+        self._hold_seconds = MovingMean(MEAN_WEIGHT)
+        self._ratio = MovingMean(MEAN_WEIGHT, initial=1)
 
     def expect(self, ticket: Ticket) -> float:
         """Return the tokens the ticket will use, by what earlier ones used."""
@@ -77,14 +84,28 @@
         self.running += 1
         self.tag += entry.expected / self.weight
 
-    def finish(self, entry: Entry, used_tokens: int, now: float) -> None:
-        """Free the slot and put the charge right."""
+    def finish(
+        self, entry: Entry, used_tokens: int, seconds: float, now: float
+    ) -> None:
+        """Free the slot, put the charge right and learn from it."""
         self.running -= 1
         self.active_at = now
         self.tag += (used_tokens - entry.expected) / self.weight
         if used_tokens > 0:
             self.drained.add(used_tokens, now)
             self._ratio.add(used_tokens / max(entry.ticket.cost, 1))
+            self._hold_seconds.add(seconds)
+
+    def measure_demand(self, usual_hold: float, now: float) -> None:
+        """Work out how many slots the arrivals of late would hold.
+
+        Args:
+            usual_hold: Seconds a request holds a slot, where this workspace has
+                none measured yet.
+            now: Unix time in seconds.
+        """
+        hold = self._hold_seconds.mean if self._hold_seconds.samples else usual_hold
+        self.demand = self.arrivals.rate(now) * hold
 
     @property
     def idle(self) -> bool:
--- a/packages/agent/src/ibisport_agent/internal/fairness_policy.py
+++ b/packages/agent/src/ibisport_agent/internal/fairness_policy.py
@@ -10,11 +10,12 @@
 from ibisport_agent.internal.fairness_flow import Entry, Flow
 from ibisport_agent.internal.fairness_rates import ServiceRate
 from ibisport_agent.internal.fairness_reserve import (
-    Admission,
+    HoldLimit,
     Reserve,
+    Shares,
     TrunkReserve,
     is_active,
-    make_admission,
+    share_slots,
 )
 from ibisport_agent.internal.fairness_ticket import (
     Dropped,
@@ -28,6 +29,7 @@
 LEAST_RETRY_SECONDS = 0.25
 MOST_RETRY_SECONDS = 60
 IDLE_FLOWS = 1024
+SHARES_SECONDS = 0.1
 DEFAULT_RESERVE = TrunkReserve()
 
 
@@ -64,6 +66,7 @@
         self._queued: dict[bytes, Entry] = {}
         self._running: dict[bytes, Entry] = {}
         self._rate = ServiceRate()
+        self._shares = Shares()
 
     def enter(self, ticket: Ticket, now: float) -> list[Dropped]:
         """Queue a ticket, or refuse it when its deadline cannot be met.
@@ -79,11 +82,11 @@
             Overloaded: It did not run; come back at ``retry_at``.
         """
         flow = self._touch_flow(ticket, now)
+        self._refresh_shares(now)
         entry = flow.make_entry(ticket, self._entered, now)
         wait = self._estimate_wait(flow, entry, now)
-        if wait > 0 and now + wait + self._rate.predict(entry.expected) > (
-            ticket.deadline
-        ):
+        ends = now + wait + self._rate.predict_longest(entry.expected)
+        if wait > 0 and ends > ticket.deadline:
             raise self._refuse(flow, now, 'its deadline cannot be met')
         dropped = self._make_room(flow, now)
         self._entered += 1
@@ -130,7 +133,7 @@
         entry = self._running.pop(ticket.request_id, None)
         if entry is None:
             return
-        self._flows[ticket.workspace].finish(entry, used_tokens, now)
+        self._flows[ticket.workspace].finish(entry, used_tokens, seconds, now)
         self._rate.add(used_tokens, seconds)
         if not self._running and not self._queued:
             # The busy period ends: what was used in it counts no more.
@@ -188,24 +191,34 @@
         return flow.tag + entry.ticket.priority * step
 
     def _choose_flow(self, now: float) -> Flow | None:
-        admission = self._admit(now)
+        self._refresh_shares(now)
         ranked = [
             (self._rank(flow, flow.queued[0]), flow.queued[0], flow)
             for flow in self._flows.values()
-            if flow.queued and admission.may_start(flow)
+            if flow.queued and self._may_start(flow)
         ]
         if not ranked:
             return None
         return min(ranked, key=_first_two)[2]
 
-    def _admit(self, now: float) -> Admission:
-        return make_admission(
+    def _may_start(self, flow: Flow) -> bool:
+        if self._shares.may_always_start(flow):
+            return True
+        match self._options.reserve:
+            case HoldLimit():
+                return flow.running < self._slots - self._shares.kept
+            case _:
+                return self._slots - len(self._running) > self._shares.kept
+
+    def _refresh_shares(self, now: float) -> None:
+        if now - self._shares.made_at < SHARES_SECONDS:
+            return
+        self._shares = share_slots(
             self._options.reserve,
-            slots=self._slots,
-            running=len(self._running),
-            hold_seconds=self._rate.hold_seconds,
-            flows=self._flows.values(),
-            now=now,
+            self._slots,
+            self._rate.hold_seconds,
+            self._flows.values(),
+            now,
         )
 
     def _estimate_wait(self, flow: Flow, entry: Entry, now: float) -> float:
@@ -213,7 +226,7 @@
         if capacity <= 0:
             return 0
         free = self._slots - len(self._running)
-        if free > 0 and not flow.queued and self._admit(now).may_start(flow):
+        if free > 0 and not flow.queued and self._may_start(flow):
             return 0
         own = flow.count_before(entry)
         rank = self._rank(flow, entry) + own / flow.weight
@@ -223,6 +236,10 @@
                 ahead = (rank - self._rank(other, other.queued[0])) * other.weight
                 others += min(max(ahead, 0), other.queued_tokens)
         departure = self._rate.hold_seconds / self._slots
+        drained = flow.drained.rate(now)
+        if flow.heavy and drained > 0:
+            # What is kept free is no capacity for it.
+            departure = max(departure, own / drained - (own + others) / capacity)
         return (own + others) / capacity + departure
 
     def _make_room(self, flow: Flow, now: float) -> list[Dropped]:
@@ -240,7 +257,7 @@
         ticket = entry.ticket
         if now >= ticket.deadline:
             return Dropped(ticket, DeadlinePassed('it waited until its deadline'))
-        ends = now + self._rate.predict(entry.expected)
+        ends = now + self._rate.predict_longest(entry.expected)
         if ends > ticket.deadline and self._queued:
             refusal = self._refuse(flow, now, 'its deadline cannot be met')
             return Dropped(ticket, refusal)
--- a/packages/agent/src/ibisport_agent/internal/fairness_rates.py
+++ b/packages/agent/src/ibisport_agent/internal/fairness_rates.py
@@ -2,6 +2,9 @@
 
 import math
 
+# Mean absolute errors above the mean: all of a uniform spread.
+ERRORS = 2
+
 
 class DecayedSum:
     """A sum whose terms fade with a time constant.
@@ -51,10 +54,12 @@
     def __init__(self, weight: float = 0.02) -> None:
         self._tokens = MovingMean(weight)
         self._seconds = MovingMean(weight)
+        self._error = MovingMean(weight)
 
     def add(self, used_tokens: int, seconds: float) -> None:
         """Take in one request that ended."""
         if used_tokens > 0 and seconds > 0:
+            self._error.add(abs(seconds - self.hold_seconds))
             self._tokens.add(used_tokens)
             self._seconds.add(seconds)
 
@@ -75,7 +80,9 @@
         """Mean tokens a request uses; zero while unknown."""
         return self._tokens.mean
 
-    def predict(self, tokens: float) -> float:
-        """Return the seconds that so many tokens take in one slot."""
+    def predict_longest(self, tokens: float) -> float:
+        """Return the seconds that so many tokens hardly ever exceed."""
         speed = self.tokens_per_second
-        return tokens / speed if speed > 0 else 0
+        if speed <= 0:
+            return 0
+        return tokens / speed + ERRORS * self._error.mean
--- a/packages/agent/src/ibisport_agent/internal/fairness_reserve.py
+++ b/packages/agent/src/ibisport_agent/internal/fairness_reserve.py
@@ -1,16 +1,19 @@
-"""Slots kept free for workspaces that hold less than their share.
+"""Slots kept free for the workspaces whose demand is small.
 
 A slot is held for a whole generation, so that a flood that fills all slots
-makes a newcomer wait for a departure whatever the order of the queue is.
+makes a newcomer wait for a departure whatever the order of the queue is. A
+workspace is heavy when its demand is above the level at which all demands
+below it fit the slots together; what is kept free is kept from the heavy.
 """
 
 import math
-from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from collections.abc import Collection, Sequence
+from dataclasses import dataclass
 
 from ibisport_agent.internal.fairness_flow import Flow
 
 ACTIVE_SECONDS = 30
+MOST_LOAD = 0.99
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,7 +23,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HoldLimit:
-    """One workspace holds at most all slots but some, while others are active.
+    """A heavy workspace holds at most all slots but some, beside light ones.
 
     Attributes:
         slots: Slots that one workspace may not take.
@@ -31,103 +34,115 @@
 
 @dataclass(frozen=True, slots=True)
 class TrunkReserve:
-    """The last free slots are for workspaces below their share.
+    """The last free slots are kept from heavy workspaces, beside light ones.
 
     Attributes:
-        margin: Standard deviations above the mean of the arrivals that are
-            expected until the next departure.
+        blocked: Part of the light requests that may find no free slot.
         most: Largest part of the slots that is kept free.
     """
 
-    margin: float = 1
-    most: float = 0.25
+    blocked: float = 0.05
+    most: float = 0.5
 
 
 Reserve = NoReserve | HoldLimit | TrunkReserve
 
 
-def is_active(flow: Flow, now: float) -> bool:
-    """Tell whether the workspace waits, runs or did so lately."""
-    return not flow.idle or now - flow.active_at < ACTIVE_SECONDS
-
-
 @dataclass(frozen=True, slots=True)
-class Admission:
-    """Which workspaces may take a slot at one moment.
+class Shares:
+    """How the slots are shared; computed now and then.
 
     Attributes:
-        reserve: The way of reserving.
-        slots: Slots of the target.
-        free: Slots that nobody holds.
-        slots_per_weight: Share of a workspace for each unit of its weight.
-        alone: Whether one workspace at most is active.
+        level: Slots for each unit of weight up to which a demand is light.
+        slots_per_weight: Slots that each unit of weight may always hold.
         kept: Slots that are kept free.
+        made_at: Unix time in seconds.
     """
 
-    reserve: Reserve
-    slots: int
-    free: int
-    slots_per_weight: float
-    alone: bool
+    level: float = math.inf
+    slots_per_weight: float = math.inf
     kept: int = 0
+    made_at: float = -math.inf
 
-    def is_below_share(self, flow: Flow) -> bool:
-        """Tell whether the workspace holds less than its share of slots."""
-        share = max(flow.weight * self.slots_per_weight, 1)
-        return not self.alone and flow.running < share
-
-    def may_start(self, flow: Flow) -> bool:
-        """Tell whether the workspace may take one of the free slots."""
-        if self.is_below_share(flow):
+    def may_always_start(self, flow: Flow) -> bool:
+        """Tell whether the workspace may take any free slot."""
+        if flow.running < flow.weight * self.slots_per_weight:
             return True
-        match self.reserve:
-            case HoldLimit():
-                return flow.running < self.slots - self.kept
-            case _:
-                return self.free > self.kept
+        return not flow.heavy and flow.running < flow.weight * self.level
+
 
+def is_active(flow: Flow, now: float) -> bool:
+    """Tell whether the workspace waits, runs or did so lately."""
+    return not flow.idle or now - flow.active_at < ACTIVE_SECONDS
 
-def make_admission(
+
+def share_slots(
     reserve: Reserve,
     slots: int,
-    running: int,
     hold_seconds: float,
-    flows: Iterable[Flow],
+    flows: Collection[Flow],
     now: float,
-) -> Admission:
-    """Return who may take a slot now.
+) -> Shares:
+    """Measure the demands, mark the heavy workspaces and return the shares.
 
     Args:
         reserve: The way of reserving.
         slots: Slots of the target.
-        running: Slots that are held.
         hold_seconds: Mean time that a request holds a slot.
         flows: Known workspaces.
         now: Unix time in seconds.
     """
     active = [flow for flow in flows if is_active(flow, now)]
+    for flow in active:
+        flow.measure_demand(hold_seconds, now)
+    level = find_level(active, slots)
+    for flow in active:
+        flow.heavy = flow.demand > flow.weight * level
+    light = sum(flow.demand for flow in active if not flow.heavy)
     weights = sum(flow.weight for flow in active)
-    admission = Admission(
-        reserve=reserve,
-        slots=slots,
-        free=slots - running,
-        slots_per_weight=slots / weights if weights else 0,
-        alone=len(active) < 2,
+    return Shares(
+        level=level,
+        slots_per_weight=slots / weights if weights else math.inf,
+        kept=_count_kept(reserve, slots, light / slots),
+        made_at=now,
     )
-    below = [flow for flow in active if admission.is_below_share(flow)]
-    arrivals = sum(flow.arrivals.rate(now) for flow in below)
-    if below:
-        kept = _count_kept(reserve, slots, arrivals * hold_seconds / slots)
-        return replace(admission, kept=kept)
-    return admission
 
 
-def _count_kept(reserve: Reserve, slots: int, expected: float) -> int:
+def find_level(flows: Sequence[Flow], slots: float) -> float:
+    """Return the slots for each unit of weight by max-min fairness.
+
+    Args:
+        flows: Workspaces with measured demands.
+        slots: Slots to share.
+
+    Returns:
+        Infinity when all demands fit.
+    """
+    left = slots
+    weights = sum(flow.weight for flow in flows)
+    for flow in sorted(flows, key=_weigh_demand):
+        if flow.demand * weights > left * flow.weight:
+            return left / weights
+        left -= flow.demand
+        weights -= flow.weight
+    return math.inf
+
+
+def _count_kept(reserve: Reserve, slots: int, light_load: float) -> int:
+    if light_load <= 0:
+        return 0
     match reserve:
         case NoReserve():
             return 0
         case HoldLimit(kept):
             return min(kept, slots - 1)
-        case TrunkReserve(margin, most):
-            wanted = math.ceil(expected + margin * math.sqrt(expected))
-            return min(max(wanted, 1), int(slots * most))
+        case TrunkReserve(blocked, most):
+            # Heavy requests take each slot above those kept, so that the free
+            # ones are a walk: down by a light arrival, up by a departure. All
+            # are taken with the probability load ** kept.
+            wanted = math.log(blocked) / math.log(min(light_load, MOST_LOAD))
+            return min(math.ceil(wanted), int(slots * most))
+
+
+def _weigh_demand(flow: Flow) -> float:
+    return flow.demand / flow.weight
--- a/packages/agent/src/ibisport_agent/internal/routerlink.py
+++ b/packages/agent/src/ibisport_agent/internal/routerlink.py
@@ -109,7 +109,7 @@
     def _release(self, request_id: bytes) -> None:
         run = self._agent.runs.find(request_id)
         if run is not None:
-            run.release()
+            run.released = True
 
     def _fence(self, fence: Fence) -> None:
         agent = self._agent
--- a/packages/agent/src/ibisport_agent/internal/runs.py
+++ b/packages/agent/src/ibisport_agent/internal/runs.py
@@ -7,17 +7,16 @@
 
 import threading
 import time
-from dataclasses import dataclass, field, replace
-from typing import Protocol
+from dataclasses import dataclass
 
-from ibisport_agent.internal.answers import Answer
 from ibisport_agent.internal.charges import ChargeBook, ChargeKey
 from ibisport_agent.internal.fairness import Ticket, TurnQueue
+from ibisport_agent.internal.feed import Feed
+from ibisport_agent.internal.runmetrics import RunMetrics
 from ibisport_agent.internal.target import TargetAnswer, TargetClient
 from ibisport_agent.internal.usage import Usage, UsageReader
 from ibisport_core.errors import (
     IbisportError,
-    LinkClosed,
     Refusal,
     RequestCancelled,
     Statement,
@@ -27,11 +26,8 @@
 from ibisport_core.link import Link
 from ibisport_core.messages import (
     Accepted,
-    Chunk,
     Finished,
     Head,
-    Header,
-    Message,
     Refused,
     Submit,
 )
@@ -41,16 +37,6 @@
 _SERVER_ERROR = 500
 
 
-class RunObserver(Protocol):
-    """Told of what happens to runs, for metrics and logs."""
-
-    def note_finished(self, submit: Submit, finished: Finished) -> None:
-        """A run ended with an answer, whole or not."""
-
-    def note_refused(self, submit: Submit, refusal: Refusal) -> None:
-        """A run was given up before the target answered."""
-
-
 @dataclass(frozen=True, slots=True)
 class Equipment:
     """What all runs of an agent share."""
@@ -58,24 +44,7 @@
     queue: TurnQueue
     target: TargetClient
     charges: ChargeBook
-    observer: RunObserver
-
-
-@dataclass(slots=True)
-class _Subscriber:
-    link: Link
-    attempt: int
-
-
-@dataclass(slots=True)
-class _State:
-    head: tuple[int, tuple[Header, ...]] | None = None
-    answer: Answer = field(default_factory=Answer)
-    finished: Finished | None = None
-    refused: Refused | None = None
-    orphaned_at: float = 0
-    ended_at: float = 0
-    released: bool = False
+    observer: RunMetrics
 
 
 class Run:
@@ -92,23 +61,21 @@
         self.charge = ChargeKey(
             submit.session, submit.workspace, submit.budget, submit.charge
         )
+        self.feed = Feed(submit.request_id)
+        self.released = False
         self._equipment = equipment
-        self._lock = threading.Lock()
-        self._state = _State()
-        self._subscribers: list[_Subscriber] = []
         self._cancelled = threading.Event()
         self._billed = False
         self._target_answer: TargetAnswer | None = None
 
     def __repr__(self) -> str:
         """Name the request and how far it is."""
-        state = self._state
-        return f'Run({self.submit.request_id.hex()}, {state.answer.length} bytes)'
+        return f'Run({self.submit.request_id.hex()}, {self.feed.length} bytes)'
 
     @property
     def ended_at(self) -> float:
         """Unix time of the end; zero while it runs."""
-        return self._state.ended_at
+        return self.feed.ended_at
 
     @property
     def restartable(self) -> bool:
@@ -117,26 +84,17 @@
         So it is when it provably did not run, or when it is idempotent and
         gave no whole answer; nothing was billed for it then.
         """
-        refused = self._state.refused
-        if refused is not None and refused.statement == Statement.did_not_run:
-            return True
-        if not self.submit.idempotent:
-            return False
-        finished = self._state.finished
-        if finished is None:
-            return refused is not None
-        status = self._state.head[0] if self._state.head else 0
-        return not finished.complete or status >= _SERVER_ERROR
-
-    @property
-    def released(self) -> bool:
-        """Whether a router has received the whole answer."""
-        return self._state.released
-
-    @property
-    def size(self) -> int:
-        """Bytes of the answer that are kept."""
-        return self._state.answer.length
+        match self.feed.end:
+            case Refused(statement=Statement.did_not_run):
+                return True
+            case Refused():
+                return self.submit.idempotent
+            case Finished(complete=complete):
+                head = self.feed.head
+                failed = head is None or head.status >= _SERVER_ERROR
+                return self.submit.idempotent and (failed or not complete)
+            case _:
+                return False
 
     def start(self) -> None:
         """Begin the work in a thread of its own."""
@@ -150,38 +108,10 @@
             link: The router's link.
             submit: The router's message, with its attempt and offset.
         """
-        with self._lock:
-            state = self._state
-            subscriber = _Subscriber(link, submit.attempt)
-            self._subscribers = [one for one in self._subscribers if one != subscriber]
-            state.orphaned_at = 0
-            accepted = Accepted(
-                submit.request_id,
-                submit.attempt,
-                self.charge.session,
-                self.charge.charge,
-            )
-            self._send(subscriber, accepted)
-            self._send_known(subscriber, submit.offset)
-            self._subscribers.append(subscriber)
-
-    def unsubscribe(self, link: Link) -> None:
-        """Forget a router; with none left the run is orphaned."""
-        with self._lock:
-            before = len(self._subscribers)
-            self._subscribers = [one for one in self._subscribers if one.link != link]
-            if before and not self._subscribers:
-                self._state.orphaned_at = time.time()
-
-    def is_orphaned(self, since: float) -> bool:
-        """Whether nobody has waited for the answer since a Unix time."""
-        with self._lock:
-            orphaned_at = self._state.orphaned_at
-            return bool(orphaned_at) and orphaned_at < since
-
-    def release(self) -> None:
-        """Note that the answer has been received whole."""
-        self._state.released = True
+        accepted = Accepted(
+            submit.request_id, submit.attempt, self.charge.session, self.charge.charge
+        )
+        self.feed.subscribe(link, submit, accepted)
 
     def cancel(self, billed: bool) -> None:
         """Stop the work as soon as it can be stopped.
@@ -245,14 +175,15 @@
     def _pass_on(self, answer: TargetAnswer, queue_micros: int) -> Usage:
         if self._cancelled.is_set():
             answer.abort()
-        self._set_head(answer)
+        request_id = self.submit.request_id
+        self.feed.set_head(Head(request_id, 0, answer.status, answer.headers))
         streamed = any('event-stream' in one.content for one in answer.headers)
         reader = UsageReader(streamed)
         broken = False
         try:
             for piece in answer.read_pieces():
                 reader.feed(piece)
-                self._append(piece)
+                self.feed.append(piece)
         except TargetFailed:
             broken = True
         reader.finish()
@@ -277,37 +208,20 @@
             return reader.usage or Usage(0, reader.events), False
         return Usage(0, 0), False
 
-    def _set_head(self, answer: TargetAnswer) -> None:
-        with self._lock:
-            self._state.head = (answer.status, answer.headers)
-            for subscriber in self._subscribers:
-                self._send_head(subscriber)
-
-    def _append(self, piece: bytes) -> None:
-        with self._lock:
-            offset = self._state.answer.append(piece)
-            for one in self._subscribers:
-                chunk = Chunk(self.submit.request_id, one.attempt, offset, piece)
-                self._send(one, chunk)
-
     def _finish(self, usage: Usage, complete: bool, queue_micros: int) -> None:
         cap = self.submit.reserved_tokens
         billed = min(usage.total, cap)
         self._equipment.charges.close_charge(self.charge, billed, complete)
-        with self._lock:
-            finished = Finished(
-                self.submit.request_id,
-                0,
-                self._state.answer.length,
-                min(usage.prompt_tokens, cap),
-                max(0, billed - usage.prompt_tokens),
-                complete,
-                queue_micros,
-            )
-            self._state.finished = finished
-            self._state.ended_at = time.time()
-            for one in self._subscribers:
-                self._send(one, replace(finished, attempt=one.attempt))
+        finished = Finished(
+            self.submit.request_id,
+            0,
+            self.feed.length,
+            min(usage.prompt_tokens, cap),
+            max(0, billed - usage.prompt_tokens),
+            complete,
+            queue_micros,
+        )
+        self.feed.finish(finished)
         self._equipment.observer.note_finished(self.submit, finished)
 
     def _break_off(self, refusal: Refusal) -> None:
@@ -323,45 +237,9 @@
         self._tell_refused(refusal)
 
     def _tell_refused(self, refusal: Refusal) -> None:
-        with self._lock:
-            self._state.refused = make_refused(self.submit, refusal)
-            self._state.ended_at = time.time()
-            for one in self._subscribers:
-                self._send(one, replace(self._state.refused, attempt=one.attempt))
+        self.feed.finish(make_refused(self.submit, refusal))
         self._equipment.observer.note_refused(self.submit, refusal)
 
-    def _send_known(self, subscriber: _Subscriber, offset: int) -> None:
-        state = self._state
-        if state.head is not None:
-            self._send_head(subscriber)
-        missing = state.answer.read_from(offset)
-        for start in range(0, len(missing), _PIECE_BYTES):
-            piece = missing[start : start + _PIECE_BYTES]
-            self._send(
-                subscriber,
-                Chunk(
-                    self.submit.request_id, subscriber.attempt, offset + start, piece
-                ),
-            )
-        for end in (state.finished, state.refused):
-            if end is not None:
-                self._send(subscriber, replace(end, attempt=subscriber.attempt))
-
-    def _send_head(self, subscriber: _Subscriber) -> None:
-        if self._state.head is not None:
-            status, headers = self._state.head
-            request_id = self.submit.request_id
-            self._send(
-                subscriber, Head(request_id, subscriber.attempt, status, headers)
-            )
-
-    def _send(self, subscriber: _Subscriber, message: Message) -> None:
-        try:
-            subscriber.link.send(message)
-        except LinkClosed:
-            # The link's own thread sees the end and unsubscribes the router.
-            return
-
 
 def make_refused(submit: Submit, refusal: IbisportError) -> Refused:
     """Return the message that tells a router of a refusal."""
--- a/packages/agent/src/ibisport_agent/internal/runtable.py
+++ b/packages/agent/src/ibisport_agent/internal/runtable.py
@@ -74,7 +74,7 @@
     def drop_link(self, link: Link) -> None:
         """Unsubscribe a router whose link ended."""
         for run in self._list_runs():
-            run.unsubscribe(link)
+            run.feed.unsubscribe(link)
 
     def cancel(self, cancel: Cancel) -> None:
         """Stop a run whose caller is gone for good.
@@ -108,7 +108,7 @@
         for run in self._list_runs():
             if run.ended_at:
                 ended.append(run)
-            elif not run.submit.keyed and run.is_orphaned(now - resume_within):
+            elif not run.submit.keyed and run.feed.is_orphaned(now - resume_within):
                 run.cancel(billed=False)
         self._forget(self._choose_old(ended, now))
 
@@ -161,12 +161,12 @@
 
     def _choose_old(self, ended: list[Run], now: float) -> list[Run]:
         ended.sort(key=_read_end)
-        kept_bytes = sum(run.size for run in ended)
+        kept_bytes = sum(run.feed.length for run in ended)
         old = []
         for run in ended:
             if kept_bytes > self._answer_bytes or self._is_old(run, now):
                 old.append(run)
-                kept_bytes -= run.size
+                kept_bytes -= run.feed.length
         return old
 
     def _is_old(self, run: Run, now: float) -> bool:
--- a/packages/router/src/ibisport_router/internal/agentlink.py
+++ b/packages/router/src/ibisport_router/internal/agentlink.py
@@ -14,19 +14,16 @@
 
 from ibisport_core.errors import FrameInvalid, LinkClosed, TargetUnavailable
 from ibisport_core.events import Event, log_event
-from ibisport_core.internal.clock import make_seconds, read_micros
-from ibisport_core.link import Link, connect_link
+from ibisport_core.internal.clock import make_seconds
+from ibisport_core.link import Link
 from ibisport_core.messages import (
-    SCHEMA_VERSION,
     Accepted,
     Cancel,
     Chunk,
-    Fence,
     Finished,
     Goodbye,
     Head,
     Heartbeat,
-    Hello,
     Load,
     Message,
     Refused,
@@ -36,6 +33,7 @@
 from ibisport_router.internal.calls import Call
 from ibisport_router.internal.calltable import CallTable
 from ibisport_router.internal.choice_candidate import Candidate
+from ibisport_router.internal.greeting import connect_peer
 from ibisport_router.internal.session import ListedAgent
 
 if TYPE_CHECKING:
@@ -215,34 +213,24 @@
 
     def _serve_once(self) -> None:
         settings = self._router.settings
-        link = connect_link(
-            self.entry.agent_address, _CONNECT_SECONDS, settings.silence
+        link, welcome = connect_peer(
+            self._router,
+            self.entry.agent_address,
+            _CONNECT_SECONDS,
+            settings.silence,
         )
         try:
-            welcome = self._greet(link)
+            self._check_target(link, welcome)
             self._open(link, welcome)
             while True:
                 self._handle(link.receive())
         finally:
             link.close()
 
-    def _greet(self, link: Link) -> Welcome:
-        settings = self._router.settings
-        link.send(
-            Hello(
-                SCHEMA_VERSION,
-                'router',
-                self._router.session.name,
-                settings.failure_domain,
-                self._router.link_address,
-                settings.link_secret,
-            )
-        )
-        welcome = link.receive()
-        if not isinstance(welcome, Welcome) or welcome.target != self.entry.name:
+    def _check_target(self, link: Link, welcome: Welcome) -> None:
+        if welcome.target != self.entry.name:
             log_event(Event.link_refused, peer=link.peer, target=self.entry.name)
             raise LinkClosed(f'{link.peer} is not the agent of {self.entry.name}')
-        return welcome
 
     def _open(self, link: Link, welcome: Welcome) -> None:
         if self._peer.incarnation not in {'', welcome.session}:
@@ -283,8 +271,3 @@
             self._connected.clear()
             self._link = None
         self._calls.note_link_lost()
-
-
-def make_fence(session: str) -> Fence:
-    """Return the message that fences a session at an agent."""
-    return Fence(session, read_micros())
--- a/packages/router/src/ibisport_router/internal/exchange.py
+++ b/packages/router/src/ibisport_router/internal/exchange.py
@@ -8,33 +8,21 @@
 
 import itertools
 import time
-from collections.abc import Iterator
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from ibisport_core import errors
 from ibisport_core.errors import (
-    DeadlinePassed,
     NotKnown,
     OutcomeUnknown,
     Refusal,
     Statement,
-    TargetFailed,
     TargetUnavailable,
 )
 from ibisport_core.events import Event, log_event
-from ibisport_core.internal.clock import make_micros, make_seconds
-from ibisport_core.messages import (
-    Accepted,
-    Chunk,
-    Finished,
-    Head,
-    Header,
-    Refused,
-    Submit,
-)
+from ibisport_core.internal.clock import make_micros
+from ibisport_core.messages import Submit
+from ibisport_router.internal.attempt import Attempt, Reply
 from ibisport_router.internal.bill import Bill
-from ibisport_router.internal.calls import AgentReplaced, Call, LinkLost
 from ibisport_router.internal.retries import GiveUp, Retry
 
 if TYPE_CHECKING:
@@ -44,32 +32,9 @@
     from ibisport_router.internal.orders import Order
     from ibisport_router.router import Router
 
-_SERVER_ERROR = 500
-_ANSWER_MARGIN_SECONDS = 0.5
-_RELINK_SECONDS = 5.0
 _MOST_ATTEMPT_NUMBERS = 2**32
 # One count for the process: two callers with one key must not share a number.
 _ATTEMPT_NUMBERS = itertools.count(1)
-_REFUSALS = {
-    kind.code: kind
-    for kind in vars(errors).values()
-    if isinstance(kind, type) and issubclass(kind, Refusal)
-}
-
-
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """An answer whose head is known.
-
-    Attributes:
-        status: HTTP status.
-        headers: Headers for the caller.
-        pieces: The body; raises a ``Refusal`` when it breaks off.
-    """
-
-    status: int
-    headers: tuple[Header, ...]
-    pieces: Iterator[bytes]
 
 
 class Exchange:
@@ -88,11 +53,9 @@
         self._bank = router.bank
         self._bill: Bill | None = None
         self._known = Statement.did_not_run
-        self._attempt = 0
-        self._broken = False
+        self._attempts = 0
+        self._attempt: Attempt | None = None
         self._claim: Claim | None = None
-        self._call: Call | None = None
-        self._link: AgentLink | None = None
         self._tried: list[str] = []
 
     def open(self) -> Reply:
@@ -121,7 +84,8 @@
         A keyed request runs on, since its caller may come back for the answer;
         it is billed at its end.
         """
-        self._abandon(paid=not self._broken)
+        broken = self._attempt is not None and self._attempt.broken
+        self._abandon(paid=not broken)
 
     def _abandon(self, paid: bool) -> None:
         if self._bill is None:
@@ -131,13 +95,12 @@
             self._cancel_call(paid)
 
     def _cancel_call(self, paid: bool) -> None:
-        call = self._call
-        if call is not None and call.end is None and self._link is not None:
-            self._link.cancel(call, paid)
+        if self._attempt is not None:
+            self._attempt.cancel(paid)
 
     def _open_attempts(self) -> Reply:
         while True:
-            self._attempt += 1
+            self._attempts += 1
             try:
                 return self._open_one()
             except Refusal as failure:
@@ -148,7 +111,7 @@
         self._remember(failure)
         budget = self._router.find_retry_budget(order.workspace)
         decision = budget.decide_retry(
-            failure, order.idempotent, order.deadline, self._attempt, time.time()
+            failure, order.idempotent, order.deadline, self._attempts, time.time()
         )
         match decision:
             case GiveUp(failure=final):
@@ -159,7 +122,7 @@
                     Event.request_retried,
                     workspace=order.workspace,
                     code=failure.code,
-                    attempt=self._attempt,
+                    attempt=self._attempts,
                 )
                 self._router.count_retry(order.workspace, failure)
                 self._cancel_call(paid=False)
@@ -238,25 +201,8 @@
             raise TargetUnavailable('the exchange is closed')
         self._check_session(link)
         submit = replace(self._make_submit(bill.charge), join_only=join_only)
-        call = Call(submit, bill.note_end, self._router.note_drop)
-        link.submit(call)
-        bill.expect(call)
-        self._link = link
-        self._call = call
-        started = time.monotonic()
-        try:
-            reply = self._read_head(call)
-        except Refusal as failure:
-            failed = failure.code in {TargetFailed.code, DeadlinePassed.code}
-            if failed:
-                self._note_result(link, False, started)
-            raise
-        self._note_result(link, True, started)
-        return reply
-
-    def _note_result(self, link: AgentLink, ok: bool, started: float) -> None:
-        seconds = time.monotonic() - started
-        self._router.targets.chooser.note_result(link.entry.name, ok, seconds)
+        self._attempt = Attempt(self._router, self._order, link, bill)
+        return self._attempt.open(submit)
 
     def _choose_link(self) -> AgentLink:
         link = self._router.targets.choose(self._order, tuple(self._tried))
@@ -293,91 +239,3 @@
             join_only=False,
             catalogue_revision=self._router.catalogue.revision,
         )
-
-    def _read_head(self, call: Call) -> Reply:
-        """Wait until the status and the first byte, or the end, are known."""
-        head: Head | None = None
-        while True:
-            event = self._wait(call)
-            match event:
-                case Head():
-                    self._check_status(event)
-                    head = event
-                case Chunk() | Finished() if head is not None:
-                    return self._make_reply(call, head, event)
-                case Finished():
-                    raise TargetFailed('the target broke off', Statement.ran)
-
-    def _check_status(self, head: Head) -> None:
-        if head.status >= _SERVER_ERROR and self._order.idempotent:
-            raise TargetFailed(f'the target answered {head.status}', Statement.ran)
-
-    def _make_reply(self, call: Call, head: Head, event: Chunk | Finished) -> Reply:
-        pieces = self._read_pieces(call, event)
-        if self._order.streamed:
-            return Reply(head.status, head.headers, pieces)
-        # A whole answer goes out only when it is whole.
-        body = b''.join(pieces)
-        return Reply(head.status, head.headers, iter((body,)))
-
-    def _read_pieces(
-        self, call: Call, event: Chunk | Finished | Accepted | Head
-    ) -> Iterator[bytes]:
-        try:
-            yield from self._read_rest(call, event)
-        except Refusal:
-            self._broken = True
-            raise
-
-    def _read_rest(
-        self, call: Call, event: Chunk | Finished | Accepted | Head
-    ) -> Iterator[bytes]:
-        while True:
-            match event:
-                case Chunk(payload=payload):
-                    yield payload
-                case Finished(complete=True):
-                    if self._link is not None:
-                        self._link.release(call)
-                    return
-                case Finished():
-                    raise TargetFailed('the target broke off', Statement.ran)
-            event = self._wait(call)
-
-    def _wait(self, call: Call) -> Accepted | Head | Chunk | Finished:
-        """Return the next event that is no failure."""
-        while True:
-            left = self._order.deadline - time.time() + _ANSWER_MARGIN_SECONDS
-            event = call.wait_event(left)
-            match event:
-                case Refused():
-                    raise self._make_refusal(event)
-                case AgentReplaced():
-                    raise self._explain_loss(call)
-                case LinkLost():
-                    self._await_link(call)
-                case _:
-                    return event
-
-    def _await_link(self, call: Call) -> None:
-        """Give the link time to come back; its task resumes the call itself."""
-        link = self._link
-        until = min(time.time() + _RELINK_SECONDS, self._order.deadline)
-        while link is not None and time.time() < until:
-            if link.is_connected or call.end is not None:
-                return
-            time.sleep(0.02)
-        raise self._explain_loss(call)
-
-    def _explain_loss(self, call: Call) -> Refusal:
-        if self._order.idempotent:
-            return TargetFailed('the agent was lost', Statement.outcome_unknown)
-        log_event(Event.request_unknown, workspace=self._order.workspace)
-        return OutcomeUnknown(
-            'the agent was lost with the request', Statement.outcome_unknown
-        )
-
-    def _make_refusal(self, refused: Refused) -> Refusal:
-        kind = _REFUSALS.get(refused.code, TargetUnavailable)
-        retry_at = make_seconds(refused.retry_at) if refused.retry_at else None
-        return kind(refused.detail, refused.statement, retry_at)
--- a/packages/router/src/ibisport_router/internal/gateway.py
+++ b/packages/router/src/ibisport_router/internal/gateway.py
@@ -22,7 +22,7 @@
 from ibisport_router.internal.intake import HttpRequest, Intake
 
 if TYPE_CHECKING:
-    from ibisport_router.internal.exchange import Reply
+    from ibisport_router.internal.attempt import Reply
     from ibisport_router.internal.orders import Order
     from ibisport_router.router import Router
 
@@ -65,7 +65,9 @@
         self._server = wsgi.Server(
             (host, int(port)),
             self._answer,
-            numthreads=_SPARE_THREADS,
+            # cheroot never grows its pool by itself, so all threads stand ready;
+            # the spare ones give the refusals above the limit.
+            numthreads=threads,
             max=threads,
             request_queue_size=1024,
         )
--- a/packages/router/src/ibisport_router/internal/peers.py
+++ b/packages/router/src/ibisport_router/internal/peers.py
@@ -23,7 +23,7 @@
 )
 from ibisport_core.events import Event, log_event
 from ibisport_core.internal.clock import read_micros
-from ibisport_core.link import Link, connect_link, open_listener
+from ibisport_core.link import Link, open_listener
 from ibisport_core.messages import (
     SCHEMA_VERSION,
     CatalogueRequest,
@@ -37,6 +37,7 @@
     Welcome,
 )
 from ibisport_router.internal.choice_rendezvous import order_targets
+from ibisport_router.internal.greeting import connect_peer
 
 if TYPE_CHECKING:
     from ibisport_router.router import Router
@@ -244,27 +245,7 @@
             self._router.catalogue.take_update(news)
 
     def _connect(self, address: str) -> tuple[Link, Welcome]:
-        settings = self._router.settings
-        link = connect_link(address, _CONNECT_SECONDS, _RECALL_SECONDS)
-        try:
-            link.send(
-                Hello(
-                    SCHEMA_VERSION,
-                    'router',
-                    self._router.session.name,
-                    settings.failure_domain,
-                    self._router.link_address,
-                    settings.link_secret,
-                )
-            )
-            welcome = link.receive()
-        except (LinkClosed, FrameInvalid):
-            link.close()
-            raise
-        if not isinstance(welcome, Welcome):
-            link.close()
-            raise LinkClosed(f'{address} did not greet')
-        return link, welcome
+        return connect_peer(self._router, address, _CONNECT_SECONDS, _RECALL_SECONDS)
 
     def _find(self, sessions: Iterable[str]) -> list[str]:
         with self._lock:
--- a/packages/router/src/ibisport_router/internal/recovery.py
+++ b/packages/router/src/ibisport_router/internal/recovery.py
@@ -37,21 +37,20 @@
     load_account,
     name_account,
 )
-from ibisport_core.link import Link, connect_link
+from ibisport_core.internal.clock import read_micros
+from ibisport_core.link import Link
 from ibisport_core.messages import (
     CLOSED_FLOOR,
-    SCHEMA_VERSION,
     ChargeFloor,
     ChargeRecord,
+    Fence,
     FenceReport,
-    Hello,
     Settled,
-    Welcome,
 )
 from ibisport_core.store import Delete, Put, Unchanged
-from ibisport_router.internal.agentlink import make_fence
 from ibisport_router.internal.bank import GRANT_PREFIX
 from ibisport_router.internal.choice_rendezvous import order_targets
+from ibisport_router.internal.greeting import connect_peer
 from ibisport_router.internal.session import (
     ALIVE_PREFIX,
     FENCED,
@@ -344,31 +343,19 @@
         LinkClosed: The incarnation cannot be asked, or is gone.
         FrameInvalid: It answered with no frame.
     """
-    link = connect_link(agent.address, _CONNECT_SECONDS, _ANSWER_SECONDS)
+    link, welcome = connect_peer(
+        router, agent.address, _CONNECT_SECONDS, _ANSWER_SECONDS
+    )
     try:
-        return _ask_on_link(router, link, agent, session)
+        if welcome.session != agent.incarnation:
+            raise LinkClosed(f'{agent.target} has lost the incarnation to be asked')
+        return _ask_on_link(link, session)
     finally:
         link.close()
 
 
-def _ask_on_link(
-    router: Router, link: Link, agent: ListedAgent, session: str
-) -> FenceReport:
-    settings = router.settings
-    link.send(
-        Hello(
-            SCHEMA_VERSION,
-            'router',
-            router.session.name,
-            settings.failure_domain,
-            router.link_address,
-            settings.link_secret,
-        )
-    )
-    welcome = link.receive()
-    if not isinstance(welcome, Welcome) or welcome.session != agent.incarnation:
-        raise LinkClosed(f'{agent.target} has lost the incarnation that was asked')
-    fence = make_fence(session)
+def _ask_on_link(link: Link, session: str) -> FenceReport:
+    fence = Fence(session, read_micros())
     link.send(fence)
     while True:
         answer = link.receive()
