--- /dev/null
+++ b/packages/bench/src/ibisport_bench/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Deterministic experiments on single policies, in virtual time."""
--- /dev/null
+++ b/packages/bench/src/ibisport_bench/experiments/choice.py
@@ -0,0 +1,112 @@
+"""Ways to choose a target, by several routers with lagging reports.
+
+Run by ``python -m ibisport_bench.experiments.choice --seed 1``. All times are
+virtual, so that the figures depend on the seed only.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+import fire
+
+from ibisport_bench.experiments.figures import compute_percentile, print_table
+from ibisport_bench.experiments.fleet_model import Fleet, FleetRun, MakeChooser, Seen
+from ibisport_router.internal.choice import ChoiceOptions, Chooser, TargetChooser
+from ibisport_router.internal.choice_baseline import (
+    LeastReportedChooser,
+    RandomChooser,
+    RoundRobinChooser,
+)
+
+SEEDS = 3
+LOADS = (0.5, 0.9)
+TENGERI = Fleet(targets=6, routers=4, prefixes=40, load=0)
+LARGER = Fleet(targets=24, routers=8, prefixes=160, load=0, seconds=60)
+FLEETS = (
+    ('6 targets, 4 routers', TENGERI),
+    ('6 targets, 4 routers, no shared prefixes', replace(TENGERI, share_prefix=False)),
+    ('24 targets, 8 routers', LARGER),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Way:
+    """A way to choose under its name."""
+
+    name: str
+    make: MakeChooser
+
+
+def make_ours(name: str, options: ChoiceOptions) -> Way:
+    """Return our chooser with other constants."""
+
+    def make(domain: str, seeded: random.Random, clock: Callable[[], float]) -> Chooser:
+        return TargetChooser(domain, seeded, clock, options)
+
+    return Way(name, make)
+
+
+OURS = make_ours('ours', ChoiceOptions())
+WAYS = (
+    OURS,
+    Way('round robin', lambda _domain, _random, _clock: RoundRobinChooser()),
+    Way('random', lambda _domain, seeded, _clock: RandomChooser(seeded)),
+    Way('least reported', lambda _domain, seeded, _clock: LeastReportedChooser(seeded)),
+)
+VARIANTS = (
+    OURS,
+    make_ours('homes 0', ChoiceOptions(homes=0)),
+    make_ours('homes 1', ChoiceOptions(homes=1)),
+    make_ours('homes 3', ChoiceOptions(homes=3)),
+    make_ours('load bound 1', ChoiceOptions(load_bound=1)),
+    make_ours('load bound 1.5', ChoiceOptions(load_bound=1.5)),
+    make_ours('load bound 2', ChoiceOptions(load_bound=2)),
+    make_ours('draws 1', ChoiceOptions(draws=1)),
+    make_ours('draws 3', ChoiceOptions(draws=3)),
+    make_ours('draws 6', ChoiceOptions(draws=6)),
+    make_ours('domain margin 0', ChoiceOptions(domain_margin=0)),
+    make_ours('domain margin 0.3', ChoiceOptions(domain_margin=0.3)),
+)
+
+
+def compare_ways(ways: tuple[Way, ...], title: str, fleet: Fleet, seed: int) -> None:
+    """Print times to the first token and cache hits of each way."""
+    rows = []
+    for load in LOADS:
+        for way in ways:
+            loaded = replace(fleet, load=load)
+            runs = [
+                FleetRun(loaded, way.make, seed + step).run() for step in range(SEEDS)
+            ]
+            rows.append((f'{load}', way.name, *_format_runs(runs)))
+    columns = ('load', 'way', 'p50', 'p95', 'p99', 'cache hits')
+    print_table(f'{title}: seconds to the first token', columns, rows)
+
+
+def run_experiment(seed: int = 1, part: str = 'all') -> None:
+    """Run the experiment and print its tables.
+
+    Args:
+        seed: First seed; each figure pools three in a row.
+        part: ``ways``, ``variants`` or ``all``.
+    """
+    print(f'seed {seed}, {SEEDS} seeds pooled')
+    if part in {'ways', 'all'}:
+        for title, fleet in FLEETS:
+            compare_ways(WAYS, title, fleet, seed)
+    if part in {'variants', 'all'}:
+        for variant_title, variant_fleet in FLEETS[:2]:
+            compare_ways(VARIANTS, variant_title, variant_fleet, seed)
+
+
+def _format_runs(runs: list[Seen]) -> list[str]:
+    first_tokens = [sample for run in runs for sample in run.first_tokens]
+    hits = sum(run.hits for run in runs)
+    started = sum(run.started for run in runs)
+    figures = [compute_percentile(first_tokens, percent) for percent in (50, 95, 99)]
+    return [f'{figure:.3f}' for figure in (*figures, hits / max(started, 1))]
+
+
+if __name__ == '__main__':
+    fire.Fire(run_experiment)
--- /dev/null
+++ b/packages/bench/src/ibisport_bench/experiments/fairness.py
@@ -0,0 +1,275 @@
+"""The queue of one target: small workspaces beside a large one, and overload.
+
+Run by ``python -m ibisport_bench.experiments.fairness --seed 1``. All times are
+virtual, so that the figures depend on the seed only.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import fire
+
+from ibisport_agent.internal.fairness_baseline import (
+    FifoOrder,
+    PlainPolicy,
+    RoundRobinOrder,
+)
+from ibisport_agent.internal.fairness_policy import FairOptions, FairPolicy
+from ibisport_agent.internal.fairness_reserve import (
+    HoldLimit,
+    NoReserve,
+    Reserve,
+    TrunkReserve,
+)
+from ibisport_agent.internal.fairness_ticket import QueuePolicy
+from ibisport_bench.experiments.figures import compute_percentile, print_table
+from ibisport_bench.experiments.target_model import (
+    CAPACITY,
+    MEAN_TOKENS,
+    SLOTS,
+    Observed,
+    Source,
+    TargetRun,
+)
+
+SMALL_WORKSPACES = 9
+SMALL_LOADS = (0.45, 0.7)
+LARGE_FACTORS = (0, 1, 10, 100)
+LOADS = (0.5, 0.9, 1.0, 1.2, 2.0)
+SECONDS = 300
+SEEDS = 3
+WARM_UP = 30
+LARGE = 'large'
+
+
+@dataclass(frozen=True, slots=True)
+class Way:
+    """A queue policy under its name."""
+
+    name: str
+    make: Callable[[], QueuePolicy]
+
+
+@dataclass(frozen=True, slots=True)
+class Goodput:
+    """Parts of the capacity that were spent on answers in time.
+
+    Attributes:
+        slot_time: Time of the slots.
+        tokens: Tokens; more for requests of long prompts, which take less time.
+    """
+
+    slot_time: float
+    tokens: float
+
+
+def make_fair(
+    name: str, reserve: Reserve | None = None, head_start: float | None = None
+) -> Way:
+    """Return the fair queue with other constants."""
+    usual = FairOptions()
+    options = FairOptions(
+        reserve=usual.reserve if reserve is None else reserve,
+        head_start=usual.head_start if head_start is None else head_start,
+    )
+    return Way(name, lambda: FairPolicy(SLOTS, options))
+
+
+FAIR = make_fair('fair')
+WAYS = (
+    FAIR,
+    Way('FIFO', lambda: PlainPolicy(SLOTS, FifoOrder())),
+    Way('round robin', lambda: PlainPolicy(SLOTS, RoundRobinOrder())),
+)
+RESERVES = (
+    make_fair('none', NoReserve()),
+    make_fair('hold limit 1', HoldLimit(1)),
+    make_fair('hold limit 2', HoldLimit(2)),
+    make_fair('hold limit 4', HoldLimit(4)),
+    *(
+        make_fair(f'trunk {blocked} {most}', TrunkReserve(blocked, most))
+        for blocked in (0.2, 0.05, 0.01)
+        for most in (0.25, 0.5)
+    ),
+)
+HEAD_STARTS = (
+    make_fair('no class priority', head_start=0),
+    make_fair('head start 2', head_start=2),
+    make_fair('head start 8', head_start=8),
+    make_fair('strict', head_start=1e9),
+)
+
+
+def run_way(way: Way, sources: list[Source], seed: int) -> list[Observed]:
+    """Run one way with a few seeds."""
+    return [
+        TargetRun(way.make(), seed + step, SECONDS, WARM_UP).run(sources)
+        for step in range(SEEDS)
+    ]
+
+
+def make_small(load: float, priority: int = 0) -> list[Source]:
+    """Return the small workspaces' sources, with a total load of capacity."""
+    rate = load * CAPACITY / SMALL_WORKSPACES
+    return [
+        Source(f'small-{number}', rate, priority) for number in range(SMALL_WORKSPACES)
+    ]
+
+
+def add_large(sources: list[Source], factor: float, priority: int = 0) -> list[Source]:
+    """Return the sources with a large one that sends so often its share."""
+    if not factor:
+        return sources
+    share = CAPACITY / (SMALL_WORKSPACES + 1)
+    return [*sources, Source(LARGE, factor * share, priority)]
+
+
+def gather(runs: list[Observed], kind: str, priority: int | None = None) -> list[float]:
+    """Return the samples of the small workspaces.
+
+    Args:
+        runs: What was seen.
+        kind: ``waits`` or ``first_tokens``.
+        priority: Only these requests, if given.
+    """
+    samples: list[float] = []
+    for run in runs:
+        for (workspace, of), found in getattr(run, kind).items():
+            if workspace != LARGE and priority in {None, of}:
+                samples.extend(found)
+    return samples
+
+
+def measure_goodput(runs: list[Observed]) -> Goodput:
+    """Return what came in time, as parts of the capacity."""
+    seconds = (SECONDS - WARM_UP) * len(runs)
+    return Goodput(
+        slot_time=sum(run.seconds_in_time for run in runs) / seconds / SLOTS,
+        tokens=sum(run.tokens_in_time for run in runs)
+        / seconds
+        / (CAPACITY * MEAN_TOKENS),
+    )
+
+
+def measure_refused(runs: list[Observed], large: bool) -> float:
+    """Return the part of the requests that was refused or expired."""
+    names = {name for run in runs for name in run.sent if (name == LARGE) is large}
+    sent = sum(run.sent[name] for run in runs for name in names)
+    return sum(run.refused[name] for run in runs for name in names) / max(sent, 1)
+
+
+def compare_neighbours(ways: tuple[Way, ...], load: float, seed: int) -> None:
+    """Print the small workspaces' waits alone and beside a large one."""
+    rows = []
+    for way in ways:
+        alone = float('nan')
+        for factor in LARGE_FACTORS:
+            runs = run_way(way, add_large(make_small(load), factor), seed)
+            first = compute_percentile(gather(runs, 'first_tokens'), 95)
+            alone = first if not factor else alone
+            rows.append(
+                (
+                    way.name,
+                    f'{factor}x',
+                    *_format_waits(gather(runs, 'waits')),
+                    f'{first:.3f}',
+                    f'{first / alone:.2f}',
+                    f'{measure_refused(runs, large=False):.4f}',
+                    f'{measure_refused(runs, large=True):.3f}',
+                    f'{measure_goodput(runs).slot_time:.3f}',
+                )
+            )
+    print_table(
+        f'Small workspaces at {load} of capacity, times in seconds',
+        (
+            'way',
+            'large',
+            'wait p50',
+            'wait p95',
+            'wait p99',
+            'first token p95',
+            'to alone',
+            'small refused',
+            'large refused',
+            'goodput (slot time)',
+        ),
+        rows,
+    )
+
+
+def compare_loads(ways: tuple[Way, ...], seed: int) -> None:
+    """Print the goodput of ten equal workspaces below and above capacity."""
+    rows = []
+    for way in ways:
+        found = [_run_equal(way, load, seed) for load in LOADS]
+        slot_time = [goodput.slot_time for goodput in found]
+        tokens = [goodput.tokens for goodput in found]
+        rows.append((way.name, 'slot time', *_format_kept(slot_time)))
+        rows.append((way.name, 'tokens', *_format_kept(tokens)))
+    columns = ('way', 'in time', *(f'{load}' for load in LOADS), '2.0 to 1.0')
+    print_table('Goodput as a part of capacity, by load', columns, rows)
+
+
+def compare_priorities(seed: int) -> None:
+    """Print what classes cost when a large workspace floods the better one."""
+    rows = []
+    for way in HEAD_STARTS:
+        sources = [*make_small(0.35, 0), *make_small(0.35, 1)]
+        runs = run_way(way, add_large(sources, 100), seed)
+        better = gather(runs, 'waits', priority=0)
+        worse = gather(runs, 'waits', priority=1)
+        rows.append(
+            (
+                way.name,
+                *_format_waits(better),
+                *_format_waits(worse),
+                f'{measure_refused(runs, large=False):.4f}',
+            )
+        )
+    columns = ('way', 'p50', 'p95', 'p99', 'worse p50', 'p95', 'p99', 'refused')
+    print_table(
+        'Small workspaces with two classes, a large one floods the better (100x)',
+        columns,
+        rows,
+    )
+
+
+def run_experiment(seed: int = 1, part: str = 'all') -> None:
+    """Run the experiment and print its tables.
+
+    Args:
+        seed: First seed; each figure pools three in a row.
+        part: One of ``neighbours``, ``loads``, ``reserves``, ``priorities``, or
+            ``all``.
+    """
+    print(f'seed {seed}, {SEEDS} seeds pooled, {SECONDS} s each, {SLOTS} slots')
+    if part in {'neighbours', 'all'}:
+        for load in SMALL_LOADS:
+            compare_neighbours(WAYS, load, seed)
+    if part in {'loads', 'all'}:
+        compare_loads(WAYS, seed)
+    if part in {'reserves', 'all'}:
+        for small_load in SMALL_LOADS:
+            compare_neighbours(RESERVES, small_load, seed)
+        compare_loads(RESERVES, seed)
+    if part in {'priorities', 'all'}:
+        compare_priorities(seed)
+
+
+def _run_equal(way: Way, load: float, seed: int) -> Goodput:
+    rate = load * CAPACITY / (SMALL_WORKSPACES + 1)
+    names = [f'equal-{number}' for number in range(SMALL_WORKSPACES + 1)]
+    return measure_goodput(run_way(way, [Source(name, rate) for name in names], seed))
+
+
+def _format_kept(by_load: list[float]) -> list[str]:
+    kept = by_load[LOADS.index(2.0)] / by_load[LOADS.index(1.0)]
+    return [f'{part:.3f}' for part in (*by_load, kept)]
+
+
+def _format_waits(waits: list[float]) -> list[str]:
+    return [f'{compute_percentile(waits, percent):.3f}' for percent in (50, 95, 99)]
+
+
+if __name__ == '__main__':
+    fire.Fire(run_experiment)
--- /dev/null
+++ b/packages/bench/src/ibisport_bench/experiments/figures.py
@@ -0,0 +1,23 @@
+"""Percentiles and tables of the experiments."""
+
+from collections.abc import Iterable, Sequence
+
+import numpy as np
+
+
+def compute_percentile(samples: Sequence[float], percent: float) -> float:
+    """Return a percentile of the samples; not a number without any."""
+    if not samples:
+        return float('nan')
+    return float(np.percentile(np.asarray(samples), percent))
+
+
+def print_table(
+    title: str, columns: Sequence[str], rows: Iterable[Sequence[str]]
+) -> None:
+    """Print a table as Markdown."""
+    print(f'\n{title}\n')
+    print('| ' + ' | '.join(columns) + ' |')
+    print('|' + ' --- |' * len(columns))
+    for row in rows:
+        print('| ' + ' | '.join(row) + ' |')
--- /dev/null
+++ b/packages/bench/src/ibisport_bench/experiments/target_model.py
@@ -0,0 +1,202 @@
+"""A fixed model of a target with slots behind a queue policy."""
+
+import random
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from functools import partial
+
+from ibisport_agent.internal.fairness_ticket import (
+    Dropped,
+    QueuePolicy,
+    Started,
+    Ticket,
+)
+from ibisport_bench.experiments.timeline import Timeline
+from ibisport_core.errors import Refusal
+
+SLOTS = 16
+PROMPT_TOKENS_PER_SECOND = 2000
+OUTPUT_TOKENS_PER_SECOND = 50
+MEAN_PROMPT = 300
+RESERVED_OUTPUT = 256
+LEAST_OUTPUT = 16
+MEAN_OUTPUT = (RESERVED_OUTPUT + LEAST_OUTPUT) / 2
+MEAN_TOKENS = MEAN_PROMPT + MEAN_OUTPUT
+DEADLINE_SECONDS = 20
+MEAN_HOLD = MEAN_PROMPT / PROMPT_TOKENS_PER_SECOND + (
+    MEAN_OUTPUT / OUTPUT_TOKENS_PER_SECOND
+)
+# Requests a second with all slots taken.
+CAPACITY = SLOTS / MEAN_HOLD
+
+
+@dataclass(frozen=True, slots=True)
+class Source:
+    """Requests of one workspace in one class.
+
+    Attributes:
+        workspace: Its name.
+        rate: Requests a second.
+        priority: Priority of its class.
+        size: Factor on the tokens of a request.
+    """
+
+    workspace: str
+    rate: float
+    priority: int = 0
+    size: float = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A ticket and what the target will really make of it."""
+
+    ticket: Ticket
+    arrived_at: float
+    prompt: int
+    output: int
+
+    @property
+    def prefill_seconds(self) -> float:
+        """Time from the slot to the first token."""
+        return self.prompt / PROMPT_TOKENS_PER_SECOND
+
+    @property
+    def hold_seconds(self) -> float:
+        """Time for which the slot is held."""
+        return self.prefill_seconds + self.output / OUTPUT_TOKENS_PER_SECOND
+
+
+@dataclass
+class Observed:
+    """What a run showed, by (workspace, priority)."""
+
+    waits: dict[tuple[str, int], list[float]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    first_tokens: dict[tuple[str, int], list[float]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
+    refused: Counter[str] = field(default_factory=Counter)
+    sent: Counter[str] = field(default_factory=Counter)
+    tokens_in_time: int = 0
+    seconds_in_time: float = 0
+
+
+class TargetRun:
+    """One run of sources against a policy.
+
+    Args:
+        policy: The queue under test.
+        seed: Seed of arrivals and sizes; each source has its own stream, so
+            that adding one changes nothing for the others.
+        seconds: Virtual length of the arrivals.
+        warm_up: Virtual seconds at the start that are not counted.
+    """
+
+    def __init__(
+        self, policy: QueuePolicy, seed: int, seconds: float, warm_up: float
+    ) -> None:
+        self.observed = Observed()
+        self._policy = policy
+        self._seed = seed
+        self._seconds = seconds
+        self._warm_up = warm_up
+        self._timeline = Timeline()
+        self._requests: dict[bytes, Request] = {}
+
+    def run(self, sources: list[Source]) -> Observed:
+        """Run all sources to their end and return what was seen."""
+        for number, source in enumerate(sources):
+            stream = random.Random(f'{self._seed} {source.workspace} {source.priority}')
+            self._plan_arrivals(source, number, stream)
+        self._timeline.run()
+        return self.observed
+
+    def _plan_arrivals(
+        self, source: Source, number: int, stream: random.Random
+    ) -> None:
+        at = stream.expovariate(source.rate)
+        count = 0
+        while at < self._seconds:
+            name = f'{number}-{count}'.encode().ljust(16)
+            request = _draw_request(source, name, at, stream)
+            self._timeline.schedule(at, partial(self._arrive, request))
+            at += stream.expovariate(source.rate)
+            count += 1
+
+    def _arrive(self, request: Request) -> None:
+        ticket = request.ticket
+        now = self._timeline.now
+        self._count(request, self.observed.sent, 1)
+        try:
+            dropped = self._policy.enter(ticket, now)
+        except Refusal:
+            self._count(request, self.observed.refused, 1)
+            return
+        self._requests[ticket.request_id] = request
+        for evicted in dropped:
+            self._drop(evicted)
+        self._timeline.schedule(ticket.deadline, partial(self._expire, request))
+        self._take_turns()
+
+    def _expire(self, request: Request) -> None:
+        if self._policy.withdraw(request.ticket.request_id):
+            self._count(request, self.observed.refused, 1)
+
+    def _take_turns(self) -> None:
+        now = self._timeline.now
+        turn = self._policy.take_turn(now)
+        while turn is not None:
+            match turn:
+                case Started(ticket):
+                    self._start(self._requests[ticket.request_id])
+                case Dropped():
+                    self._drop(turn)
+            turn = self._policy.take_turn(now)
+
+    def _drop(self, dropped: Dropped) -> None:
+        request = self._requests[dropped.ticket.request_id]
+        self._count(request, self.observed.refused, 1)
+
+    def _start(self, request: Request) -> None:
+        now = self._timeline.now
+        self._timeline.schedule(
+            now + request.hold_seconds, partial(self._finish, request)
+        )
+        if request.arrived_at < self._warm_up:
+            return
+        key = (request.ticket.workspace, request.ticket.priority)
+        wait = now - request.arrived_at
+        self.observed.waits[key].append(wait)
+        self.observed.first_tokens[key].append(wait + request.prefill_seconds)
+
+    def _finish(self, request: Request) -> None:
+        used = request.prompt + request.output
+        now = self._timeline.now
+        self._policy.leave(request.ticket, used, request.hold_seconds, now)
+        if self._warm_up <= request.arrived_at and now <= request.ticket.deadline:
+            self.observed.tokens_in_time += used
+            self.observed.seconds_in_time += request.hold_seconds
+        self._take_turns()
+
+    def _count(self, request: Request, counter: Counter[str], amount: int) -> None:
+        if request.arrived_at >= self._warm_up:
+            counter[request.ticket.workspace] += amount
+
+
+def _draw_request(
+    source: Source, name: bytes, at: float, stream: random.Random
+) -> Request:
+    prompt = int(stream.uniform(0.2, 1.8) * MEAN_PROMPT * source.size)
+    reserved = int(RESERVED_OUTPUT * source.size)
+    ticket = Ticket(
+        request_id=name,
+        workspace=source.workspace,
+        class_name=f'priority-{source.priority}',
+        priority=source.priority,
+        weight=1,
+        cost=prompt + reserved,
+        deadline=at + DEADLINE_SECONDS,
+    )
+    return Request(ticket, at, prompt, stream.randint(LEAST_OUTPUT, reserved))
--- a/packages/router/src/ibisport_router/internal/choice.py
+++ b/packages/router/src/ibisport_router/internal/choice.py
@@ -32,11 +32,13 @@
         domain_margin: Occupancy by which a target of another failure domain
             must be better.
         homes: Targets in rendezvous order that a prefix may go to.
+        draws: Targets of each side, near and far, that are compared.
     """
 
     load_bound: float = 1.25
     domain_margin: float = 0.1
     homes: int = 2
+    draws: int = 2
 
 
 class TargetChooser:
@@ -144,11 +146,13 @@
     def _choose_by_load(self, usable: Sequence[Candidate]) -> Candidate:
         near = [one for one in usable if self._is_near(one)]
         far = [one for one in usable if not self._is_near(one)]
-        drawn = [*self._draw_pair(near), *self._draw_pair(far)]
+        drawn = [*self._draw(near), *self._draw(far)]
         return min(drawn, key=self._score)
 
-    def _draw_pair(self, candidates: Sequence[Candidate]) -> list[Candidate]:
-        return self._random.sample(candidates, min(2, len(candidates)))
+    def _draw(self, candidates: Sequence[Candidate]) -> list[Candidate]:
+        return self._random.sample(
+            candidates, min(self._options.draws, len(candidates))
+        )
 
     def _is_near(self, candidate: Candidate) -> bool:
         return candidate.failure_domain == self._failure_domain
