Add the load tool and the experiment on added latency

Change: open-loop callers from a checked configuration, latency by HdrHistogram from the intended arrival, wholeness checks, results as JSON and plots; an experiment that sends the same load to the engines and through one router.

--- a/packages/bench/src/ibisport_bench/experiments/figures.py
+++ b/packages/bench/src/ibisport_bench/experiments/figures.py
@@ -20,4 +20,9 @@
     print('| ' + ' | '.join(columns) + ' |')
     print('|' + ' --- |' * len(columns))
     for row in rows:
-        print('| ' + ' | '.join(row) + ' |')
+        print_row(row)
+
+
+def print_row(row: Sequence[str]) -> None:
+    """Print one row of a table as Markdown, at once."""
+    print('| ' + ' | '.join(row) + ' |', flush=True)
--- /dev/null
+++ b/packages/bench/src/ibisport_bench/load/runner.py
@@ -0,0 +1,61 @@
+"""Sends the arrivals of a run at their times, a thread for each request."""
+
+import sys
+import threading
+import time
+from collections.abc import Sequence
+
+from ibisport_bench.load.arrivals import Arrival, draw_arrivals
+from ibisport_bench.load.caller import Caller
+from ibisport_bench.load.config import LoadConfig
+from ibisport_bench.load.recording import Recorder
+
+_PROGRESS_SECONDS = 5.0
+_MARGIN_SECONDS = 5.0
+
+
+def run_load(config: LoadConfig, routers: Sequence[str]) -> Recorder:
+    """Run a load against routers until all answers are in.
+
+    Args:
+        config: The run.
+        routers: Addresses of routers, ``host:port``.
+
+    Returns:
+        What the callers met.
+    """
+    recorder = Recorder()
+    caller = Caller(config, routers, recorder)
+    arrivals = draw_arrivals(config, len(routers))
+    threads = _send_all(arrivals, caller, recorder)
+    deadline = time.monotonic() + config.patience * 2 + _MARGIN_SECONDS
+    for thread in threads:
+        thread.join(max(0, deadline - time.monotonic()))
+    unfinished = sum(thread.is_alive() for thread in threads)
+    recorder.count('arrivals', len(arrivals))
+    recorder.count('unfinished', unfinished)
+    caller.close()
+    return recorder
+
+
+def _send_all(
+    arrivals: Sequence[Arrival], caller: Caller, recorder: Recorder
+) -> list[threading.Thread]:
+    threads = []
+    start = time.monotonic()
+    shown = start
+    for arrival in arrivals:
+        due = start + arrival.at
+        time.sleep(max(0, due - time.monotonic()))
+        thread = threading.Thread(target=caller.run, args=(arrival, due), daemon=True)
+        thread.start()
+        threads.append(thread)
+        if time.monotonic() - shown > _PROGRESS_SECONDS:
+            shown = time.monotonic()
+            _show_progress(arrival, len(arrivals), recorder)
+    return threads
+
+
+def _show_progress(arrival: Arrival, count: int, recorder: Recorder) -> None:
+    answered = recorder.read_count('answered')
+    sys.stderr.write(f'{arrival.number + 1}/{count} sent, {answered} answered\n')
