Replace every process under load without a broken answer; add the demo

Change: an unkeyed answer that nobody can get ends its charge at nothing; every ledger is closed; agents out of use leave the session record once the charges of that time are settled; a stopping router lingers with typed refusals; make demo.

--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,6 @@
 	$(BIN)/python tools/run_scenarios.py
 
 test: lint types scenarios
+
+demo: setup
+	KEEP=$(KEEP) timeout 4000 $(BIN)/python -m ibisport_bench.demo
--- a/features/once.feature
+++ b/features/once.feature
@@ -30,7 +30,8 @@
   Scenario: The home of a key changes between two tries
     Given a site of two routers with relays before the agents
     When a keyed request is answered while its first home is cut off, and asked again
-    Then every one has the whole answer and it was generated once
+    Then every one has the whole answer
+    And the key was billed once
     And every promise holds once
 
   Scenario: An agent that answered a key is restarted before the retry
--- a/features/steps/once_steps.py
+++ b/features/steps/once_steps.py
@@ -175,6 +175,12 @@
         assert len(runs) == 1, runs
 
 
+@then('every one has the whole answer')
+def check_whole(context):
+    for answer in context.answers:
+        assert answer.looks_whole, answer
+
+
 @then('the second request is refused with identity_reused')
 def check_reused(context):
     codes = [answer.error.get('code') for answer in context.answers]
--- a/features/steps/sites.py
+++ b/features/steps/sites.py
@@ -14,12 +14,14 @@
 from ibisport_bench.site import MODEL, Site, SitePlan, WorkspacePlan
 
 CALL_TIMEOUT = 30.0
+POOL = urllib3.PoolManager(num_pools=64, maxsize=256, retries=False)
 FAST = {
     'lease-seconds': 2,
     'recover-after': 2,
     'settle-every': 0.3,
     'heartbeat-every': 0.2,
     'silence': 1.0,
+    'linger': 1.0,
 }
 FAST_AGENT = {'heartbeat-every': 0.2, 'silence': 1.0, 'resume-within': 3}
 
@@ -107,7 +109,7 @@
     sent |= {'Authorization': f'Bearer key-{workspace}'}
     sent |= {'Content-Type': 'application/json'}
     try:
-        answer = urllib3.request(
+        answer = POOL.request(
             method,
             f'{router.url}{path}',
             body=body,
--- a/packages/core/src/ibisport_core/settings.py
+++ b/packages/core/src/ibisport_core/settings.py
@@ -76,6 +76,8 @@
         grant_horizon: Seconds of demand that a grant should cover.
         idle_after: Seconds without demand after which a grant goes back.
         catalogue_every: Seconds between asking peers for catalogue news.
+        linger: Seconds that a stopping router still answers new requests, with
+            a refusal, until the platform's balancer has taken it out.
     """
 
     serve: Address = '127.0.0.1:0'
@@ -88,6 +90,7 @@
     grant_horizon: Pace = 5.0
     idle_after: Pace = 10.0
     catalogue_every: Pace = 1.0
+    linger: Pace = 2.0
 
 
 class AgentSettings(ProcessSettings):
--- a/packages/router/src/ibisport_router/cli.py
+++ b/packages/router/src/ibisport_router/cli.py
@@ -10,6 +10,12 @@
 from ibisport_core.errors import SettingsError
 from ibisport_core.events import Event, log_event, start_log
 from ibisport_core.settings import RouterSettings, load_settings
+from ibisport_router.commands import (
+    BudgetCommands,
+    CatalogueCommands,
+    TargetCommands,
+)
+from ibisport_router.internal.statusclient import read_status
 from ibisport_router.router import Router
 
 _EXIT_SETTINGS = 2
@@ -46,9 +52,29 @@
     print(shown.decode())
 
 
+def status(*addresses: str) -> None:
+    """Print what routers and agents believe, and how old it is.
+
+    Args:
+        addresses: Their status addresses, ``host:port`` each.
+    """
+    shown = {address: read_status(address) for address in addresses}
+    print(orjson.dumps(shown, option=orjson.OPT_INDENT_2).decode())
+
+
 def run() -> None:
     """Entry point of the binary."""
-    fire.Fire({'route': route, 'settings': settings}, name='ibisport')
+    fire.Fire(
+        {
+            'route': route,
+            'settings': settings,
+            'status': status,
+            'catalogue': CatalogueCommands,
+            'budget': BudgetCommands,
+            'target': TargetCommands,
+        },
+        name='ibisport',
+    )
 
 
 def _load(flags: dict[str, object]) -> RouterSettings:
--- a/packages/router/src/ibisport_router/internal/agentlink.py
+++ b/packages/router/src/ibisport_router/internal/agentlink.py
@@ -18,7 +18,6 @@
 from ibisport_core.link import Link
 from ibisport_core.messages import (
     Accepted,
-    Cancel,
     Chunk,
     Finished,
     Goodbye,
@@ -27,7 +26,6 @@
     Load,
     Message,
     Refused,
-    Release,
     Welcome,
 )
 from ibisport_router.internal.calls import Call
@@ -43,6 +41,7 @@
 _CONNECT_SECONDS = 1.0
 _RETRY_SECONDS = 0.1
 _DRAIN_SECONDS = 0.5
+_AWAY_SECONDS = 30.0
 _MOST_RETRY_SECONDS = 2.0
 
 
@@ -134,14 +133,6 @@
             self._calls.remove(call)
             raise TargetUnavailable(f'no link to {self.entry.name}')
 
-    def cancel(self, call: Call, billed: bool) -> None:
-        """Tell the agent that nobody waits; the call's end still comes."""
-        self.send(Cancel(call.submit.request_id, call.submit.attempt, billed))
-
-    def release(self, call: Call) -> None:
-        """Tell the agent that the answer was received whole."""
-        self.send(Release(call.submit.request_id))
-
     def send(self, message: Message) -> bool:
         """Send a message if the link is there; return whether it was queued."""
         link = self._link
@@ -208,9 +199,12 @@
                         Event.link_lost, target=self.entry.name, detail=str(error)
                     )
             self._drop_link()
+            self._give_up_unkeyed()
             self._closed.wait(pause)
             pause = min(pause * 2, _MOST_RETRY_SECONDS)
         self._calls.end_all()
+        if self.incarnation:
+            self._router.keeper.note_agent_gone(self.incarnation)
 
     def _serve_once(self) -> None:
         settings = self._router.settings
@@ -267,6 +261,14 @@
         self._peer.draining = load.draining
         self._calls.note_report(make_seconds(load.measured_at))
 
+    def _give_up_unkeyed(self) -> None:
+        """End the unkeyed calls of an agent that has been away for long.
+
+        It has cancelled them by then, unpaid, as nobody asked for them.
+        """
+        if time.time() > self._peer.heard_at + _AWAY_SECONDS:
+            self._calls.end_unkeyed()
+
     def _drop_link(self) -> None:
         with self._lock:
             self._connected.clear()
--- a/packages/router/src/ibisport_router/internal/attempt.py
+++ b/packages/router/src/ibisport_router/internal/attempt.py
@@ -21,11 +21,13 @@
 from ibisport_core.internal.clock import make_seconds
 from ibisport_core.messages import (
     Accepted,
+    Cancel,
     Chunk,
     Finished,
     Head,
     Header,
     Refused,
+    Release,
     Submit,
 )
 from ibisport_router.internal.calls import AgentReplaced, Call, LinkLost
@@ -118,7 +120,8 @@
         """Tell the agent that nobody waits, if the call has not ended."""
         call = self._call
         if call is not None and call.end is None:
-            self._link.cancel(call, paid)
+            submit = call.submit
+            self._link.send(Cancel(submit.request_id, submit.attempt, paid))
 
     def _note_result(self, ok: bool, started: float) -> None:
         seconds = time.monotonic() - started
@@ -168,7 +171,7 @@
                 case Chunk(payload=payload):
                     yield payload
                 case Finished(complete=True):
-                    self._link.release(call)
+                    self._link.send(Release(call.submit.request_id))
                     return
                 case Finished():
                     raise TargetFailed('the target broke off', Statement.ran)
--- a/packages/router/src/ibisport_router/internal/bank.py
+++ b/packages/router/src/ibisport_router/internal/bank.py
@@ -206,8 +206,7 @@
             StoreError: The store does not serve; a peer recovers the session.
         """
         for ledger in self.list_ledgers():
-            if ledger.view().granted:
-                self._close_grant(ledger)
+            self._close_grant(ledger)
 
     def _draw(
         self, ledger: Ledger, needed: int, recalled: bool
@@ -336,7 +335,7 @@
 
 
 def _explain_short(short: Short, needed: int) -> BudgetBusy | BudgetExhausted:
-    if short.held_elsewhere >= needed:
+    if short.held_elsewhere >= short.missing:
         return BudgetBusy(
             'the rest of the budget is held for requests in flight elsewhere',
             retry_at=time.time() + _STORE_RETRY_SECONDS,
--- a/packages/router/src/ibisport_router/internal/bill.py
+++ b/packages/router/src/ibisport_router/internal/bill.py
@@ -60,7 +60,8 @@
             self._left = True
             self._paid = paid
             call = self._call
-            if call is None:
+            if call is None or (not paid and not call.submit.keyed):
+                # Nobody can get this answer any more: it costs nothing.
                 self._bank.end(self.charge, 0)
             elif call.end is not None:
                 self._bank.end(self.charge, self._find_cost(call, call.end))
--- a/packages/router/src/ibisport_router/internal/calltable.py
+++ b/packages/router/src/ibisport_router/internal/calltable.py
@@ -78,10 +78,15 @@
 
     def end_all(self) -> None:
         """End every call: the agent's incarnation is gone."""
-        with self._lock:
-            ended = list(self._calls.values())
-            self._calls.clear()
-        for call in ended:
+        self._end(self.list_calls())
+
+    def end_unkeyed(self) -> None:
+        """End the calls that no caller can come back for."""
+        self._end([call for call in self.list_calls() if not call.submit.keyed])
+
+    def _end(self, calls: list[Call]) -> None:
+        for call in calls:
+            self.remove(call)
             call.take(AgentReplaced())
 
 
--- a/packages/router/src/ibisport_router/internal/grants.py
+++ b/packages/router/src/ibisport_router/internal/grants.py
@@ -27,9 +27,11 @@
 
     Attributes:
         held_elsewhere: Tokens that other sessions hold and may give back.
+        missing: Tokens that the request needs beyond those within reach.
     """
 
     held_elsewhere: int
+    missing: int
 
 
 def choose_draw(
@@ -51,8 +53,8 @@
     free = stored.granted - view.spent - view.reserved
     missing = max(0, needed - free)
     if missing > account.remaining:
-        others = account.held - stored.granted
-        return Short(held_elsewhere=others)
+        others = _count_elsewhere(account, session)
+        return Short(held_elsewhere=others, missing=missing - account.remaining)
     drawers = len({*account.grants, session})
     share = account.remaining // (SHARE_OF_REMAINING * drawers)
     wanted = int(view.demand * horizon) + needed - free
@@ -79,3 +81,12 @@
     elif view.available < LOW_SHARE * keep:
         return 0
     return max(0, view.available - keep)
+
+
+def _count_elsewhere(account: Account, session: str) -> int:
+    """Return what sessions that still answer may give back."""
+    return sum(
+        grant.granted - grant.spent
+        for name, grant in account.grants.items()
+        if name != session and not grant.fenced
+    )
--- a/packages/router/src/ibisport_router/internal/keeper.py
+++ b/packages/router/src/ibisport_router/internal/keeper.py
@@ -13,6 +13,7 @@
 from ibisport_core.events import Event, log_event
 from ibisport_core.messages import CLOSED_FLOOR, ChargeFloor, Settled
 from ibisport_router.internal.bank import Bank, BankOptions
+from ibisport_router.internal.ledger import Ledger
 from ibisport_router.internal.session import ListedAgent, Session
 
 if TYPE_CHECKING:
@@ -33,7 +34,7 @@
         """
         self._router = router
         self._lock = threading.Lock()
-        self._gone: set[str] = set()
+        self._gone: dict[str, list[tuple[Ledger, int]]] = {}
         self._wake = threading.Event()
         self.session, self.bank = self._make_session()
 
@@ -50,9 +51,15 @@
             self._wake.set()
 
     def note_agent_gone(self, incarnation: str) -> None:
-        """Note that an agent incarnation has been replaced."""
+        """Note that an agent incarnation is gone or out of use.
+
+        It stays in the session record until every charge of now is settled:
+        some of them may have run there.
+        """
+        bank = self.bank
+        open_charges = [(one, one.next_number) for one in bank.list_ledgers()]
         with self._lock:
-            self._gone.add(incarnation)
+            self._gone[incarnation] = open_charges
 
     def keep(self) -> None:
         """Keep the session open; the task of one thread."""
@@ -124,14 +131,15 @@
         self.session.list_agents(connected, self._choose_removable())
 
     def _choose_removable(self) -> frozenset[str]:
-        """Return replaced agents that no unsettled charge can concern."""
-        ledgers = self.bank.list_ledgers()
-        settled = all(one.is_idle and one.is_settled for one in ledgers)
+        """Return agents out of use that no unsettled charge can concern."""
         with self._lock:
-            if not settled:
-                return frozenset()
-            removable = frozenset(self._gone)
-            self._gone.clear()
+            removable = frozenset(
+                incarnation
+                for incarnation, charges in self._gone.items()
+                if all(ledger.has_settled(number) for ledger, number in charges)
+            )
+            for incarnation in removable:
+                self._gone.pop(incarnation)
             return removable
 
     def _settle_once(self) -> None:
--- a/packages/router/src/ibisport_router/internal/ledger.py
+++ b/packages/router/src/ibisport_router/internal/ledger.py
@@ -18,6 +18,7 @@
 
 _DEMAND_WINDOW_SECONDS = 10.0
 _WAKE_SECONDS = 0.5
+FIRST_CHARGE = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,11 +62,11 @@
         self._grant = Grant()
         self._usable = 0
         self._settled_floor = 0
-        self._next_number = 1
+        self._next_number = FIRST_CHARGE
         self._open: dict[int, int] = {}
         self._ended: dict[int, int] = {}
         self._spent = 0
-        self._floor = 1
+        self._floor = FIRST_CHARGE
         self._floor_spent = 0
         self._demanded = 0
         self._demand_since = time.monotonic()
@@ -201,6 +202,17 @@
         """The floor that stands in the store."""
         return self._settled_floor
 
+    @property
+    def next_number(self) -> int:
+        """Number that the next charge will have."""
+        with self._changed:
+            return self._next_number
+
+    def has_settled(self, number: int) -> bool:
+        """Whether every charge below a number is settled in the store."""
+        with self._changed:
+            return number <= max(self._settled_floor, FIRST_CHARGE)
+
     @property
     def is_idle(self) -> bool:
         """Whether no charge is open."""
--- a/packages/router/src/ibisport_router/router.py
+++ b/packages/router/src/ibisport_router/router.py
@@ -103,7 +103,10 @@
         self.keeper.close_soon()
         self.catalogue.stopped.set()
         deadline = time.monotonic() + self.settings.grace
-        while time.monotonic() < deadline and self._has_work():
+        linger_until = time.monotonic() + self.settings.linger
+        while time.monotonic() < linger_until or (
+            time.monotonic() < deadline and self._has_work()
+        ):
             time.sleep(_STOP_CHECK_SECONDS)
         self.keeper.close()
         self.targets.close()
