--- a/packages/router/src/ibisport_router/internal/grants.py
+++ b/packages/router/src/ibisport_router/internal/grants.py
@@ -73,12 +73,12 @@
     Returns:
         Tokens to give back.
     """
-    if idle:
+    if idle or asked:
+        # A peer that asks would refuse a request now; what is kept here may
+        # never be wanted. Near zero, parts too small for a request add up so.
         return view.available
     keep = int(view.demand * horizon)
-    if asked:
-        keep //= LOW_SHARE
-    elif view.available < LOW_SHARE * keep:
+    if view.available < LOW_SHARE * keep:
         return 0
     return max(0, view.available - keep)
 
