Tell the newest news of a key whose removal is long known

Cause: a whole read drops tombstones, since all up to its revision is known. CatalogueView.make_updates then has no version of a removed target and tells its agent nothing, so the agent would go on with the entry it knows.

Change: find_change answers such a key with its absence as of the catalogue's revision.

Conclusion: the callers of make_updates are still to use it.

--- a/features/steps/catalogue_news.py
+++ b/features/steps/catalogue_news.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from ibisport_core import catalogue as catalogue_module
-from ibisport_core.catalogue import Catalogue
+from ibisport_core.catalogue import Catalogue, find_change
 from ibisport_core.entries import EntryKind, name_entry
 from ibisport_core.store import Change
 
@@ -73,9 +73,10 @@
         due = {one.key: one for one in self._list_until(self.known.revision)}
         for key in sorted({*before.versions, *due}):
             least = max(_find_revision(before, key), _get_revision(due.get(key)))
-            if key in self.known.versions:
-                assert _find_revision(self.known, key) >= least
-            else:
+            news = find_change(self.known, key)
+            assert news is not None
+            assert news.mod_revision >= least
+            if key not in self.known.versions:
                 # Only a removal that is long known may be forgotten.
                 assert key in due
                 assert due[key].content is None
--- a/packages/core/src/ibisport_core/catalogue.py
+++ b/packages/core/src/ibisport_core/catalogue.py
@@ -229,6 +229,23 @@
         return self.index.targets_by_service.get(service, ())
 
 
+def find_change(catalogue: Catalogue, key: str) -> Change | None:
+    """Return the newest news of one store key, also where none is kept.
+
+    All news up to the catalogue's revision is known, so a key without a
+    version is absent as of that revision.
+
+    Returns:
+        The news, or None while the catalogue has heard nothing at all.
+    """
+    version = catalogue.versions.get(key)
+    if version is not None:
+        return version.change
+    if catalogue.revision:
+        return Change(key, None, catalogue.revision)
+    return None
+
+
 def _is_news(change: Change, known: Version | None, forgotten: int) -> bool:
     if parse_key(change.key) is None:
         return False
