Wait a little for targets that are away, and say when a router is not ready

Cause: a router without a catalogue answered key_unknown (a false, final refusal); while a link was being replaced, requests were refused at once. Change: router_not_ready with Retry-After; a request waits up to 3 s for a target that only has no link at the moment.

--- a/packages/core/src/ibisport_core/errors.py
+++ b/packages/core/src/ibisport_core/errors.py
@@ -278,6 +278,13 @@
     status = 503
 
 
+class RouterNotReady(Refusal):
+    """The router knows no catalogue yet: another one serves the request."""
+
+    code = 'router_not_ready'
+    status = 503
+
+
 class RouterStopping(Refusal):
     """The router is shutting down: another router serves the request."""
 
--- a/packages/router/src/ibisport_router/internal/agentlink.py
+++ b/packages/router/src/ibisport_router/internal/agentlink.py
@@ -84,7 +84,12 @@
     @property
     def is_usable(self) -> bool:
         """Whether new paid work can be sent."""
-        return self.is_connected and self._may_pay() and not self._is_draining()
+        return self.is_connected and self._may_pay() and not self.is_draining
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether the agent or the catalogue says that it takes no new work."""
+        return self._peer.draining or self.entry.state != 'live'
 
     @property
     def incarnation(self) -> str:
@@ -158,7 +163,7 @@
             measured_at=make_seconds(load.measured_at),
             own_in_flight_tokens=self._calls.reserved_tokens,
             own_in_flight_since_report=self._calls.sent_since_report,
-            draining=self._is_draining(),
+            draining=self.is_draining,
             connected=self.is_connected and self._may_pay(),
         )
 
@@ -168,7 +173,7 @@
             'connected': self.is_connected,
             'usable': self.is_usable,
             'incarnation': self.incarnation,
-            'draining': self._is_draining(),
+            'draining': self.is_draining,
             'calls': len(self._calls),
             'running': self._peer.load.running,
             'queued': self._peer.load.queued,
@@ -178,9 +183,6 @@
     def _may_pay(self) -> bool:
         return self._router.keeper.may_pay(self._peer.incarnation)
 
-    def _is_draining(self) -> bool:
-        return self._peer.draining or self.entry.state != 'live'
-
     def _retire(self) -> None:
         while self._calls and self.is_connected:
             time.sleep(_RETRY_SECONDS)
--- a/packages/router/src/ibisport_router/internal/choice.py
+++ b/packages/router/src/ibisport_router/internal/choice.py
@@ -1,7 +1,9 @@
-"""Choosing a target: by prompt prefix while load allows, else by two choices.
+"""Choosing a target: by prompt prefix while load allows, else by few choices.
 
-The load is the last report, corrected by what this router sent since. Random
-pairs keep routers that see the same old report from all choosing one target.
+The load is the last report, corrected by what this router sent since. Only the
+targets that this router chose least recently are compared: that spreads its
+work as evenly as round robin, and as each router has an order of its own, those
+that see the same old report do not all choose one target.
 """
 
 import random
@@ -19,6 +21,7 @@
 from ibisport_router.internal.choice_health import HealthTable
 from ibisport_router.internal.choice_load import has_free_slot, measure_occupancy
 from ibisport_router.internal.choice_rendezvous import order_targets, rank_homes
+from ibisport_router.internal.choice_turns import TurnTable
 
 __all__ = ('Candidate', 'ChoiceOptions', 'Chooser', 'TargetChooser', 'rank_homes')
 
@@ -32,13 +35,13 @@
         domain_margin: Occupancy by which a target of another failure domain
             must be better.
         homes: Targets in rendezvous order that a prefix may go to.
-        draws: Targets of each side, near and far, that are compared.
+        draws: Targets that are compared, those chosen least recently.
     """
 
     load_bound: float = 1.25
     domain_margin: float = 0.1
     homes: int = 2
-    draws: int = 2
+    draws: int = 3
 
 
 class TargetChooser:
@@ -46,7 +49,7 @@
 
     Args:
         failure_domain: Where the router is.
-        random: Source of the pairs.
+        random: Source of the first order and of jitter.
         clock: Unix time in seconds.
         options: Constants.
     """
@@ -65,6 +68,7 @@
         self._lock = threading.Lock()
         self._health = HealthTable(random)
         self._cache = CacheTable()
+        self._turns = TurnTable(random)
 
     def rank(
         self, candidates: Sequence[Candidate], affinity: bytes | None, now: float
@@ -144,15 +148,12 @@
         return None
 
     def _choose_by_load(self, usable: Sequence[Candidate]) -> Candidate:
-        near = [one for one in usable if self._is_near(one)]
-        far = [one for one in usable if not self._is_near(one)]
-        drawn = [*self._draw(near), *self._draw(far)]
-        return min(drawn, key=self._score)
-
-    def _draw(self, candidates: Sequence[Candidate]) -> list[Candidate]:
-        return self._random.sample(
-            candidates, min(self._options.draws, len(candidates))
-        )
+        ordered = sorted(usable, key=self._turns.read)
+        near = [one for one in ordered if self._is_near(one)]
+        drawn = [*ordered[: self._options.draws], *near[:1]]
+        chosen = min(drawn, key=self._score)
+        self._turns.note(chosen)
+        return chosen
 
     def _is_near(self, candidate: Candidate) -> bool:
         return candidate.failure_domain == self._failure_domain
--- a/packages/router/src/ibisport_router/internal/exchange.py
+++ b/packages/router/src/ibisport_router/internal/exchange.py
@@ -33,6 +33,8 @@
     from ibisport_router.router import Router
 
 _MOST_ATTEMPT_NUMBERS = 2**32
+_PLACE_SECONDS = 3.0
+_PLACE_CHECK_SECONDS = 0.05
 # One count for the process: two callers with one key must not share a number.
 _ATTEMPT_NUMBERS = itertools.count(1)
 
@@ -205,13 +207,23 @@
         return self._attempt.open(submit)
 
     def _choose_link(self) -> AgentLink:
-        link = self._router.targets.choose(self._order, tuple(self._tried))
-        if link is None:
-            raise TargetUnavailable(
-                f'no target of {self._order.pool} takes work now',
-                retry_at=time.time() + 1,
-            )
-        return link
+        """Return the link to send to, waiting a little for one that is away.
+
+        A link that is being replaced is back within a second; to refuse for
+        that would be a false refusal.
+        """
+        targets = self._router.targets
+        until = min(time.time() + _PLACE_SECONDS, self._order.deadline)
+        while True:
+            link = targets.choose(self._order, tuple(self._tried))
+            if link is not None:
+                return link
+            if time.time() >= until or not targets.may_return(self._order):
+                raise TargetUnavailable(
+                    f'no target of {self._order.pool} takes work now',
+                    retry_at=time.time() + 1,
+                )
+            time.sleep(_PLACE_CHECK_SECONDS)
 
     def _make_submit(self, charge: Charge) -> Submit:
         order = self._order
--- a/packages/router/src/ibisport_router/internal/gateway.py
+++ b/packages/router/src/ibisport_router/internal/gateway.py
@@ -14,6 +14,7 @@
     IbisportError,
     Refusal,
     RequestInvalid,
+    RouterNotReady,
     RouterStopping,
     StreamsFull,
 )
@@ -147,6 +148,8 @@
         with self._lock:
             if self._router.stopping.is_set():
                 raise RouterStopping(retry_at=time.time())
+            if not self._router.catalogue.loaded.is_set():
+                raise RouterNotReady(retry_at=time.time() + 1)
             if self._open >= self._router.settings.streams:
                 raise StreamsFull(retry_at=time.time() + 1)
             self._open += 1
--- a/packages/router/src/ibisport_router/internal/grants.py
+++ b/packages/router/src/ibisport_router/internal/grants.py
@@ -55,12 +55,34 @@
     if missing > account.remaining:
         others = _count_elsewhere(account, session)
         return Short(held_elsewhere=others, missing=missing - account.remaining)
-    drawers = len({*account.grants, session})
-    share = account.remaining // (SHARE_OF_REMAINING * drawers)
+    share = _find_share(account, session)
     wanted = int(view.demand * horizon) + needed - free
     return Draw(stored.granted + max(missing, min(wanted, share)))
 
 
+def choose_refill(
+    account: Account, session: str, view: LedgerView, horizon: float
+) -> int:
+    """Decide the grant that a settlement writes beside the spend.
+
+    It tops the grant up to the horizon while the budget is ample, so that a
+    partition finds it full and not nearly spent, at no further write.
+
+    Args:
+        account: The account as it stands.
+        session: The session that settles.
+        view: Its ledger's figures.
+        horizon: Seconds of demand that a grant should cover.
+
+    Returns:
+        The new cumulative figure; never below the present one.
+    """
+    granted = account.grants.get(session, Grant()).granted
+    free = granted - view.spent - view.reserved
+    wanted = int(view.demand * horizon) - free
+    return granted + max(0, min(wanted, _find_share(account, session)))
+
+
 def choose_return(view: LedgerView, horizon: float, idle: bool, asked: bool) -> int:
     """Decide how much of a grant to give back.
 
@@ -83,6 +105,12 @@
     return max(0, view.available - keep)
 
 
+def _find_share(account: Account, session: str) -> int:
+    """Return the most that one router may draw beyond its need."""
+    drawers = len({*account.grants, session})
+    return account.remaining // (SHARE_OF_REMAINING * drawers)
+
+
 def _count_elsewhere(account: Account, session: str) -> int:
     """Return what sessions that still answer may give back."""
     return sum(
--- a/packages/router/src/ibisport_router/internal/targets.py
+++ b/packages/router/src/ibisport_router/internal/targets.py
@@ -70,6 +70,11 @@
         best = next(iter(fresh or ranked), None)
         return None if best is None else links[best]
 
+    def may_return(self, order: Order) -> bool:
+        """Whether a target that takes work is only away for the moment."""
+        links = self._find_links(order).values()
+        return any(not link.is_draining for link in links)
+
     def find_home(self, order: Order) -> AgentLink | None:
         """Return the link to a request's first home, or None if it is unusable."""
         links = self._find_links(order)
