Hold a range condition on nothing against an empty pair

Cause: a compare with range_end on no keys always held, unlike etcd; a wrong lease id in a fault order was answered 500. Change: as in etcd; 400 for the order.

--- a/packages/bench/src/ibisport_bench/standins/store/controls.py
+++ b/packages/bench/src/ibisport_bench/standins/store/controls.py
@@ -57,7 +57,15 @@
             with self._database.lock:
                 self._database.cut_watches()
         if expired:
-            self._leases.expire(None if expired == ALL_LEASES else int(expired))
+            self._expire(expired)
+
+    def _expire(self, expired: str) -> None:
+        if expired == ALL_LEASES:
+            self._leases.expire()
+        elif expired.isdigit():
+            self._leases.expire(int(expired))
+        else:
+            raise CallRejected(f'no lease id: {expired}', 400, 3)
 
     def _show_history(self, call: Call) -> Answer:
         after = int(call.query.get('after', 0))
--- a/packages/bench/src/ibisport_bench/standins/store/operations.py
+++ b/packages/bench/src/ibisport_bench/standins/store/operations.py
@@ -90,11 +90,17 @@
         relation = _RELATIONS[condition.result]
         if condition.range_end:
             wanted = KeyRange(condition.key, condition.range_end)
-            pairs = self._database.select(wanted)
+            found = self._database.select(wanted)
         else:
-            pairs = [self._database.get(condition.key) or Pair(condition.key)]
+            found = self._find(condition.key)
+        # As in etcd, a condition on nothing is held against an empty pair.
+        pairs = found or [Pair(condition.key)]
         return all(_compare(pair, condition, relation) for pair in pairs)
 
+    def _find(self, key: bytes) -> list[Pair]:
+        pair = self._database.get(key)
+        return [] if pair is None else [pair]
+
     def _check(self, branch: list[RequestOp]) -> None:
         # Nothing of a transaction may be applied when a part of it is wrong.
         puts = [one.request_put for one in branch if one.request_put]
