--- a/packages/agent/src/ibisport_agent/cli.py
+++ b/packages/agent/src/ibisport_agent/cli.py
@@ -1,8 +1,6 @@
 """Command line of ``ibisport-agent``."""
 
-import signal
 import sys
-import threading
 
 import fire
 import orjson
@@ -11,6 +9,7 @@
 from ibisport_core.errors import SettingsError
 from ibisport_core.events import Event, log_event, start_log
 from ibisport_core.settings import AgentSettings, load_settings
+from ibisport_core.shutdown import wait_signal
 
 _EXIT_SETTINGS = 2
 
@@ -24,17 +23,10 @@
     settings = _load(flags)
     start_log()
     agent = Agent(settings)
-    stop = threading.Event()
-
-    def ask_stop(*_: object) -> None:
-        stop.set()
-
-    signal.signal(signal.SIGTERM, ask_stop)
-    signal.signal(signal.SIGINT, ask_stop)
     agent.start()
     print(f'ready {agent.address}', flush=True)
     print(f'ready-status {agent.status_address}', flush=True)
-    stop.wait()
+    wait_signal()
     log_event(Event.process_stopping, role='agent', session=agent.session)
     agent.stop()
 
--- a/packages/router/src/ibisport_router/cli.py
+++ b/packages/router/src/ibisport_router/cli.py
@@ -1,8 +1,6 @@
 """Command line of ``ibisport``: the router, and the operators' commands."""
 
-import signal
 import sys
-import threading
 
 import fire
 import orjson
@@ -10,6 +8,7 @@
 from ibisport_core.errors import SettingsError
 from ibisport_core.events import Event, log_event, start_log
 from ibisport_core.settings import RouterSettings, load_settings
+from ibisport_core.shutdown import wait_signal
 from ibisport_router.commands import (
     BudgetCommands,
     CatalogueCommands,
@@ -30,18 +29,11 @@
     settings = _load(flags)
     start_log()
     router = Router(settings)
-    stop = threading.Event()
-
-    def ask_stop(*_: object) -> None:
-        stop.set()
-
-    signal.signal(signal.SIGTERM, ask_stop)
-    signal.signal(signal.SIGINT, ask_stop)
     router.start()
     print(f'ready {router.gateway.address}', flush=True)
     print(f'ready-status {router.status_address}', flush=True)
     print(f'ready-links {router.link_address}', flush=True)
-    stop.wait()
+    wait_signal()
     log_event(Event.process_stopping, role='router', session=router.session.name)
     router.stop()
 
--- a/packages/router/src/ibisport_router/internal/agentlink.py
+++ b/packages/router/src/ibisport_router/internal/agentlink.py
@@ -236,8 +236,8 @@
         self._peer = _Peer(welcome.session, welcome.draining, heard_at=time.time())
         log_event(Event.link_opened, target=self.entry.name, agent=welcome.session)
         self._router.keeper.list_agent(self.listed)
-        for news in self._router.catalogue.make_updates(self.entry.name):
-            link.send(news)
+        link.send(self._router.catalogue.make_update(self.entry.name))
+        link.send(self._router.keeper.make_settled())
         with self._lock:
             self._link = link
             for call in self._calls.list_calls():
--- a/packages/router/src/ibisport_router/internal/bank.py
+++ b/packages/router/src/ibisport_router/internal/bank.py
@@ -28,7 +28,13 @@
 )
 from ibisport_core.messages import ChargeFloor
 from ibisport_core.store import Delete, Put, StoreClient, Unchanged
-from ibisport_router.internal.grants import Draw, Short, choose_draw, choose_return
+from ibisport_router.internal.grants import (
+    Draw,
+    Short,
+    choose_draw,
+    choose_refill,
+    choose_return,
+)
 from ibisport_router.internal.ledger import Charge, Ledger
 from ibisport_router.internal.session import Session
 
@@ -152,7 +158,7 @@
             if surplus > 0:
                 self.give_back(ledger, surplus)
             elif not ledger.is_settled:
-                self._write(ledger, _keep_granted)
+                self._write(ledger, self._make_refill(ledger))
         return self.list_floors()
 
     def list_floors(self) -> tuple[ChargeFloor, ...]:
@@ -266,6 +272,13 @@
             returned = self._recall(ledger.workspace, ledger.budget, others)
             log_event(Event.budget_short, workspace=ledger.workspace, returned=returned)
 
+    def _make_refill(self, ledger: Ledger) -> Decide:
+        def decide(account: Account, _: Grant) -> int:
+            horizon = self._options.horizon
+            return choose_refill(account, self.session.name, ledger.view(), horizon)
+
+        return decide
+
     def _write(self, ledger: Ledger, decide: Decide) -> None:
         with ledger.write_lock:
             self._write_locked(ledger, decide)
@@ -330,10 +343,6 @@
         raise StoreOutcomeUnknown(key)
 
 
-def _keep_granted(account: Account, stored: Grant) -> int:
-    return stored.granted
-
-
 def _explain_short(short: Short, needed: int) -> BudgetBusy | BudgetExhausted:
     if short.held_elsewhere >= short.missing:
         return BudgetBusy(
--- a/packages/router/src/ibisport_router/internal/choice.py
+++ b/packages/router/src/ibisport_router/internal/choice.py
@@ -35,6 +35,8 @@
         domain_margin: Occupancy by which a target of another failure domain
             must be better.
         homes: Targets in rendezvous order that a prefix may go to.
+        imbalance: Occupancy by which the least loaded target of all must be better
+            than those compared to be chosen instead.
         draws: Targets that are compared, those chosen least recently.
     """
 
@@ -42,6 +44,7 @@
     domain_margin: float = 0.1
     homes: int = 2
     draws: int = 3
+    imbalance: float = 0.5
 
 
 class TargetChooser:
@@ -152,6 +155,9 @@
         near = [one for one in ordered if self._is_near(one)]
         drawn = [*ordered[: self._options.draws], *near[:1]]
         chosen = min(drawn, key=self._score)
+        least = min(ordered, key=self._score)
+        if self._score(chosen) - self._score(least) > self._options.imbalance:
+            chosen = least
         self._turns.note(chosen)
         return chosen
 
--- a/packages/router/src/ibisport_router/internal/gateway.py
+++ b/packages/router/src/ibisport_router/internal/gateway.py
@@ -72,6 +72,7 @@
             max=threads,
             request_queue_size=1024,
         )
+        self._server.keep_alive_conn_limit = threads
         self._server.max_request_body_size = _MOST_BODY_BYTES
         self._server.prepare()
 
--- a/packages/router/src/ibisport_router/internal/grants.py
+++ b/packages/router/src/ibisport_router/internal/grants.py
@@ -11,7 +11,9 @@
 from ibisport_router.internal.ledger import LedgerView
 
 SHARE_OF_REMAINING = 2
-LOW_SHARE = 4
+LOW_SHARE = 16
+# A sparse caller's next requests find their reservations drawn already.
+READY_REQUESTS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,8 +81,8 @@
     """
     granted = account.grants.get(session, Grant()).granted
     free = granted - view.spent - view.reserved
-    wanted = int(view.demand * horizon) - free
-    return granted + max(0, min(wanted, _find_share(account, session)))
+    ample = max(int(view.demand * horizon), READY_REQUESTS * view.typical)
+    return granted + max(0, min(ample - free, _find_share(account, session)))
 
 
 def choose_return(view: LedgerView, horizon: float, idle: bool, asked: bool) -> int:
@@ -99,10 +101,12 @@
         # A peer that asks would refuse a request now; what is kept here may
         # never be wanted. Near zero, parts too small for a request add up so.
         return view.available
-    keep = int(view.demand * horizon)
-    if view.available < LOW_SHARE * keep:
+    keep = max(int(view.demand * horizon), READY_REQUESTS * view.typical)
+    if not view.demand or view.available < LOW_SHARE * keep:
+        # A short pause is no idleness: what goes back now is drawn again soon,
+        # or cannot be, in a partition.
         return 0
-    return max(0, view.available - keep)
+    return view.available - keep
 
 
 def _find_share(account: Account, session: str) -> int:
--- a/packages/router/src/ibisport_router/internal/keeper.py
+++ b/packages/router/src/ibisport_router/internal/keeper.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import random
 import threading
 from typing import TYPE_CHECKING
 
@@ -34,8 +35,10 @@
         """
         self._router = router
         self._lock = threading.Lock()
+        self._random = random.Random()
         self._gone: dict[str, list[tuple[Ledger, int]]] = {}
         self._wake = threading.Event()
+        self._told: frozenset[ChargeFloor] = frozenset()
         self.session, self.bank = self._make_session()
 
     def may_pay(self, incarnation: str) -> bool:
@@ -61,6 +64,11 @@
         with self._lock:
             self._gone[incarnation] = open_charges
 
+    def make_settled(self) -> Settled:
+        """Return all settled floors, for an agent that has just been linked."""
+        bank = self.bank
+        return Settled(bank.session.name, bank.list_floors())
+
     def keep(self) -> None:
         """Keep the session open; the task of one thread."""
         pace = self._router.settings.lease_seconds / _KEEPS_PER_LEASE
@@ -74,7 +82,8 @@
                 pause = 0
             except StoreError as error:
                 log_event(Event.store_failed, detail=str(error))
-                pause = min(pace, _OPEN_RETRY_SECONDS)
+                # All routers lose the store at once; they come back apart.
+                pause = min(pace, self._random.uniform(1, 2) * _OPEN_RETRY_SECONDS)
             if self._wake.wait(pause):
                 # An agent waits to be listed: soon, but not at once again.
                 self._wake.clear()
@@ -148,5 +157,7 @@
             floors = bank.settle()
         except (StoreError, SessionFenced):
             return
-        if floors:
-            self._router.targets.send_all(Settled(session.name, floors))
+        risen = tuple(floor for floor in floors if floor not in self._told)
+        self._told = frozenset(floors)
+        if risen:
+            self._router.targets.send_all(Settled(session.name, risen))
--- a/packages/router/src/ibisport_router/internal/ledger.py
+++ b/packages/router/src/ibisport_router/internal/ledger.py
@@ -40,13 +40,23 @@
 
 @dataclass(frozen=True, slots=True)
 class LedgerView:
-    """A ledger's figures at one moment, in tokens."""
+    """A ledger's figures at one moment, in tokens.
+
+    Attributes:
+        granted: What may be used.
+        spent: Of ended charges.
+        reserved: Of open charges.
+        available: The rest.
+        demand: Asked for a second, lately.
+        typical: Size of the last reservation that was asked for.
+    """
 
     granted: int
     spent: int
     reserved: int
     available: int
     demand: float
+    typical: int = 0
 
 
 class Ledger:
@@ -71,6 +81,7 @@
         self._demanded = 0
         self._demand_since = time.monotonic()
         self._demand = 0.0
+        self._typical = 0
         self._last_use = time.monotonic()
 
     def __repr__(self) -> str:
@@ -86,6 +97,7 @@
                 sum(self._open.values()),
                 self._available(),
                 self._read_demand(),
+                self._typical,
             )
 
     def reserve(self, tokens: int) -> Charge | None:
@@ -124,6 +136,7 @@
         """Count what requests ask for, admitted or not."""
         with self._changed:
             self._demanded += tokens
+            self._typical = tokens
 
     def wait_change(self, deadline: float) -> None:
         """Wait for a charge to end, or the grant to grow, or a monotonic time."""
--- a/packages/router/src/ibisport_router/internal/session.py
+++ b/packages/router/src/ibisport_router/internal/session.py
@@ -84,6 +84,7 @@
 @dataclass(slots=True)
 class _Stored:
     record: SessionRecord = field(default_factory=SessionRecord)
+    listed: frozenset[str] = frozenset()
     revision: int = 0
     lease: int = 0
 
@@ -145,8 +146,7 @@
 
     def is_listed(self, incarnation: str) -> bool:
         """Whether paid work may be sent to an agent incarnation."""
-        agents = self._stored.record.agents
-        return any(one.incarnation == incarnation for one in agents)
+        return incarnation in self._stored.listed
 
     def list_agents(
         self, added: Sequence[ListedAgent], removed: frozenset[str]
@@ -220,8 +220,7 @@
                     return
                 continue
             if commit.succeeded:
-                self._stored.record = record
-                self._stored.revision = commit.revision
+                self._note_written(record, commit.revision)
                 return
             if self._was_written(key, record):
                 return
@@ -238,10 +237,14 @@
             self._note_fenced()
         if found.content != dump_session(record):
             return False
-        self._stored.record = record
-        self._stored.revision = found.mod_revision
+        self._note_written(record, found.mod_revision)
         return True
 
+    def _note_written(self, record: SessionRecord, revision: int) -> None:
+        self._stored.record = record
+        self._stored.listed = frozenset(one.incarnation for one in record.agents)
+        self._stored.revision = revision
+
     def _check_record(self) -> None:
         found = self._store.read(name_session(self.name))
         if found is None or load_session(found.content).state != LIVE:
--- a/packages/router/src/ibisport_router/internal/targets.py
+++ b/packages/router/src/ibisport_router/internal/targets.py
@@ -7,7 +7,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from ibisport_core.entries import EntryKind, TargetEntry, TargetState
+from ibisport_core.entries import EntryKind, TargetEntry, TargetState, name_entry
 from ibisport_core.messages import Message
 from ibisport_router.internal.agentlink import AgentLink
 from ibisport_router.internal.choice import TargetChooser
@@ -82,8 +82,13 @@
         link = links[home[0]] if home else None
         return link if link is not None and link.is_usable else None
 
-    def follow_catalogue(self) -> None:
-        """Open links to new targets, end those to retired ones, pass news on."""
+    def follow_catalogue(self, changed: frozenset[str]) -> None:
+        """Open links to new targets, end those to retired ones, pass news on.
+
+        Args:
+            changed: Store keys of the entries that changed; an agent is told
+                of its own entry only.
+        """
         catalogue = self._router.catalogue
         entries = catalogue.current.list_entries(EntryKind.target)
         wanted = {
@@ -97,8 +102,8 @@
             for name, entry in wanted.items():
                 self._update(name, entry)
         for link in self.list_links():
-            for news in catalogue.make_updates(link.entry.name):
-                link.send(news)
+            if name_entry(EntryKind.target, link.entry.name) in changed:
+                link.send(catalogue.make_update(link.entry.name))
 
     def close(self) -> None:
         """End all links."""
@@ -120,8 +125,7 @@
 
     def _retire(self, name: str) -> None:
         link = self._links.pop(name)
-        for news in self._router.catalogue.make_updates(name):
-            link.send(news)
+        link.send(self._router.catalogue.make_update(name))
         link.retire()
 
     def _update(self, name: str, entry: TargetEntry) -> None:
