--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,14 @@
 
 demo: setup
 	KEEP=$(KEEP) timeout 4000 $(BIN)/python -m ibisport_bench.demo
+
+bench: setup
+	timeout 90 $(BIN)/python -m ibisport_bench.load --config packages/bench/src/ibisport_bench/load/tengeri.json
+	timeout 90 $(BIN)/python -m ibisport_bench.load --config packages/bench/src/ibisport_bench/load/kenangan.json
+	timeout 300 $(BIN)/python -m ibisport_bench.experiments.latency --streams 1,50,150 --seconds 10
+	timeout 500 $(BIN)/python -m ibisport_bench.experiments.slopes --seconds 6
+	timeout 60 $(BIN)/python -m ibisport_bench.experiments.operator_cost
+	$(BIN)/python -m ibisport_bench.experiments.capacity write --check
+
+bench-check: setup
+	timeout 180 $(BIN)/python -m ibisport_bench.experiments.regression
--- /dev/null
+++ b/packages/bench/src/ibisport_bench/experiments/capacity.py
@@ -0,0 +1,466 @@
+"""Works docs/CAPACITY.md out from measured slopes at the target's size.
+
+Run by ``python -m ibisport_bench.experiments.capacity``; with ``--check`` it
+only says whether the page is what the committed measurements give. Each figure
+of the page is a field of ``capacity_page.md`` beside this module.
+"""
+
+import math
+import sys
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from types import MappingProxyType
+from typing import Any
+
+import fire
+import orjson
+
+from ibisport_bench.experiments import frames
+from ibisport_bench.experiments.capacity_target import (
+    BOUNDS,
+    FLEET,
+    SECONDS_A_DAY,
+)
+from ibisport_bench.experiments.fit import Line
+from ibisport_core.internal.watching import SILENCE_LIMIT
+from ibisport_core.settings import AgentSettings, RouterSettings
+from ibisport_core.store import PAGE_SIZE
+
+FOLDER = Path(__file__).parent
+MEASURED = FOLDER / 'measured.json'
+TEMPLATE = FOLDER / 'capacity_page.md'
+PAGE = 'docs/CAPACITY.md'
+MICROS = 1_000_000
+BUSY_SHARE = 0.7
+# What the changes would be: design figures, not measurements.
+PLANNED_PROCESSES = 3
+LINKS_A_MODEL = 2
+PLANNED_LINKS = LINKS_A_MODEL * FLEET.models
+PLANNED_HEARTBEAT = 15.0
+PLANNED_POLL_SHARE = 0.25
+LISTED_AT_ONCE = 10
+PLANNED_SETTLE = 2.0
+WATCHERS_A_DOMAIN = 2
+REGION_HORIZON = 3600
+SHARDS = 64
+SHARD_DRAW_SECONDS = 5.0
+REGION_TRIP = 0.15
+LOOKS_A_GRACE = 4
+KEEPS_A_LEASE = 4
+PREFIXES_A_LOOK = 2
+# Session and watch, each after 0.5 to 1 s.
+RETRIES_A_SECOND = 2 / 0.75
+LIMITS = MappingProxyType(
+    {
+        'links_core': BOUNDS.core,
+        'links_mb': BOUNDS.megabytes,
+        'links_bytes': BOUNDS.bytes_a_second,
+        'node_base_core': BOUNDS.core,
+        'node_base_mb': BOUNDS.megabytes,
+        'agent_core': BOUNDS.core,
+        'agent_mb': BOUNDS.megabytes,
+        'agent_bytes': BOUNDS.bytes_a_second,
+        'record_bytes': BOUNDS.value_bytes,
+        'look_reads': BOUNDS.store_reads,
+        'keep_reads': BOUNDS.store_reads,
+        'settle_writes': BOUNDS.store_writes,
+        'watch_calls': BOUNDS.store_reads,
+        'listing_writes': BOUNDS.store_writes,
+        'commands_writes': BOUNDS.store_writes,
+        'planned_node_core': BOUNDS.core,
+        'planned_node_mb': BOUNDS.megabytes,
+        'planned_links_bytes': BOUNDS.bytes_a_second,
+        'agent_planned_core': BOUNDS.core,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Measurements:
+    """The committed results.
+
+    Attributes:
+        lines: Line by experiment and level.
+        router_micros: Processor microseconds of a router a chunk.
+        agent_micros: The same of an agent.
+        document: The whole document.
+    """
+
+    lines: dict[str, dict[str, Line]]
+    router_micros: float
+    agent_micros: float
+    document: dict[str, Any]
+
+
+class Capacity:
+    """Figures at the target, by the name they have on the page."""
+
+    def __init__(self, measured: Measurements) -> None:
+        """Keep the measurements.
+
+        Args:
+            measured: The committed results.
+        """
+        self._measured = measured
+        self._lines = measured.lines
+        self._router = RouterSettings()
+        self._agent = AgentSettings()
+        node_chunks = FLEET.tokens / FLEET.nodes
+        node_cores = node_chunks * measured.router_micros / MICROS
+        self._processes = max(1, math.ceil(node_cores / BUSY_SHARE))
+        self._routers = FLEET.nodes * self._processes
+        self._entries_mb = self._lines['entries']['router_mb'].slope * FLEET.entries
+
+    def list_figures(self) -> dict[str, str]:
+        """Return every figure of the page as text."""
+        found: dict[str, float] = {}
+        parts: tuple[Callable[[], dict[str, float]], ...] = (
+            self._work_streams,
+            self._work_links,
+            self._work_agent,
+            self._work_catalogue,
+            self._work_sessions,
+            self._work_settlement,
+            self._work_events,
+            self._work_outage,
+            self._work_commands,
+        )
+        for part in parts:
+            found |= part()
+        shown = {name: show(level) for name, level in found.items()}
+        return shown | judge(found)
+
+    def _work_streams(self) -> dict[str, float]:
+        measured = self._measured
+        return {
+            'node_chunks': FLEET.tokens / FLEET.nodes,
+            'node_requests': FLEET.requests / FLEET.nodes,
+            'router_micros': measured.router_micros,
+            'agent_micros': measured.agent_micros,
+            'node_cores': FLEET.tokens / FLEET.nodes * measured.router_micros / MICROS,
+            'processes': self._processes,
+            'wanted_micros': BUSY_SHARE
+            * PLANNED_PROCESSES
+            * MICROS
+            * FLEET.nodes
+            / FLEET.tokens,
+            'routers': self._routers,
+            'agent_chunks': FLEET.tokens / FLEET.workers,
+            'agent_stream_core': FLEET.tokens
+            / FLEET.workers
+            * measured.agent_micros
+            / MICROS,
+        }
+
+    def _work_links(self) -> dict[str, float]:
+        core = self._lines['agents']['router_core']
+        memory = self._lines['agents']['router_mb']
+        heartbeats = frames.measure_heartbeats()
+        a_second = heartbeats / self._router.heartbeat_every
+        planned = heartbeats / PLANNED_HEARTBEAT
+        pace = self._router.heartbeat_every / PLANNED_HEARTBEAT
+        node_links = PLANNED_LINKS * PLANNED_PROCESSES
+        return {
+            'link_core': core.slope,
+            'router_base_core': core.base,
+            'router_base_mb': memory.base,
+            'link_mb': memory.slope,
+            'links_core': core.at(FLEET.workers),
+            'links_mb': memory.at(FLEET.workers),
+            'heartbeat_bytes': heartbeats,
+            'links_bytes': a_second * FLEET.workers,
+            'links_messages': 2 * FLEET.workers / self._router.heartbeat_every,
+            'links_fit_core': max(0, (BOUNDS.core - core.base) / core.slope),
+            'links_fit_mb': max(0, (BOUNDS.megabytes - memory.base) / memory.slope),
+            'links_fit_bytes': BOUNDS.bytes_a_second / a_second,
+            'planned_links': PLANNED_LINKS,
+            'planned_heartbeat': PLANNED_HEARTBEAT,
+            'planned_node_links': node_links,
+            'planned_processes': PLANNED_PROCESSES,
+            'planned_node_core': core.slope * pace * node_links
+            + core.base * PLANNED_POLL_SHARE,
+            'planned_node_mb': (memory.at(PLANNED_LINKS) + self._entries_mb)
+            * PLANNED_PROCESSES,
+            'planned_links_bytes': planned * node_links,
+            'node_base_core': core.base * self._processes,
+            'node_base_mb': memory.base * self._processes,
+        }
+
+    def _work_agent(self) -> dict[str, float]:
+        core = self._lines['routers']['agent_core']
+        memory = self._lines['routers']['agent_mb']
+        a_second = frames.measure_heartbeats() / self._agent.heartbeat_every
+        planned_links = FLEET.nodes * PLANNED_PROCESSES * PLANNED_LINKS
+        routers_planned = planned_links / FLEET.workers
+        return {
+            'agent_link_core': core.slope,
+            'agent_base_core': core.base,
+            'agent_base_mb': memory.base,
+            'agent_link_mb': memory.slope,
+            'agent_core': core.at(self._routers),
+            'agent_mb': memory.at(self._routers),
+            'agent_bytes': a_second * self._routers,
+            'agent_links_planned': routers_planned,
+            'agent_planned_core': core.at(routers_planned),
+            'agent_planned_bytes': frames.measure_heartbeats()
+            / PLANNED_HEARTBEAT
+            * routers_planned,
+        }
+
+    def _work_catalogue(self) -> dict[str, float]:
+        memory = self._lines['entries']['router_mb']
+        core = self._lines['changes']['router_core']
+        update = frames.measure_update()
+        return {
+            'entries': FLEET.entries,
+            'entry_kb': memory.slope * 1000,
+            'entries_mb': self._entries_mb,
+            'changes': FLEET.changes,
+            'change_core': core.slope,
+            'changes_core': core.slope * FLEET.changes,
+            'fan_messages': FLEET.changes,
+            'fan_bytes': FLEET.changes * update,
+            'fan_agent_messages': self._routers,
+            'model_targets': FLEET.workers / FLEET.models,
+            'watches': self._routers,
+            'watch_calls': self._routers / SILENCE_LIMIT,
+            'watch_events': FLEET.changes * self._routers,
+            'watches_planned': WATCHERS_A_DOMAIN * FLEET.domains,
+            'relay_bytes': FLEET.changes * update,
+            'ask_messages': self._routers / self._router.catalogue_every,
+        }
+
+    def _work_sessions(self) -> dict[str, float]:
+        agent = frames.measure_listed_agent()
+        record = agent * FLEET.workers
+        looks = self._routers * LOOKS_A_GRACE / self._router.recover_after
+        keeps = self._routers * KEEPS_A_LEASE / self._router.lease_seconds
+        idle = self._lines['routers']
+        routers = self._routers
+        return {
+            'listed_bytes': agent,
+            'record_bytes': record,
+            'record_most_agents': BOUNDS.value_bytes / agent,
+            'look_reads': looks * PREFIXES_A_LOOK * math.ceil(routers / PAGE_SIZE),
+            'look_reads_one': FLEET.nodes
+            * LOOKS_A_GRACE
+            / self._router.recover_after
+            * PREFIXES_A_LOOK,
+            'look_mb_one': FLEET.nodes**2
+            * LOOKS_A_GRACE
+            / self._router.recover_after
+            * record
+            / MICROS,
+            'look_mb': looks * routers * record / MICROS,
+            'keep_reads': keeps,
+            'keep_writes': keeps,
+            'idle_reads': idle['reads'].base + idle['reads'].slope,
+            'idle_writes': idle['writes'].base + idle['writes'].slope,
+            'planned_record': agent * PLANNED_LINKS,
+            'planned_sessions': FLEET.domains,
+            'planned_session_reads': FLEET.domains
+            * (KEEPS_A_LEASE / self._router.lease_seconds)
+            * (1 + PREFIXES_A_LOOK),
+            'planned_session_writes': FLEET.domains
+            * KEEPS_A_LEASE
+            / self._router.lease_seconds,
+        }
+
+    def _work_settlement(self) -> dict[str, float]:
+        pairs = FLEET.budgets * self._routers
+        period = self._router.settle_every
+        expected = FLEET.requests * period / pairs
+        touched = pairs * -math.expm1(-expected)
+        floors = frames.measure_floor()
+        rises = FLEET.requests / self._routers
+        lines = self._lines['budgets']
+        one_key = self._routers / period
+        return {
+            'budget_reads': lines['reads'].slope,
+            'budget_writes': lines['writes'].slope,
+            'settle_writes': touched / period,
+            'busiest_writes': one_key,
+            'busiest_serial': 1 / REGION_TRIP,
+            'busiest_bytes': frames.measure_grant() * self._routers,
+            'grant_bytes': frames.measure_grant(),
+            'floor_bytes': floors,
+            'floors_bytes': floors * rises * FLEET.workers,
+            'floors_agent_bytes': floors * FLEET.requests,
+            'floors_whole': floors * FLEET.budgets,
+            'planned_settle': FLEET.domains / PLANNED_SETTLE,
+            'planned_draws': SHARDS * FLEET.regions / SHARD_DRAW_SECONDS,
+            'planned_busiest': FLEET.regions / SHARD_DRAW_SECONDS,
+            'shard_budgets': FLEET.budgets / SHARDS,
+            'shard_bytes': FLEET.budgets
+            / SHARDS
+            * FLEET.regions
+            * frames.measure_grant(),
+            'horizon': self._router.grant_horizon,
+            'region_horizon': REGION_HORIZON,
+        }
+
+    def _work_events(self) -> dict[str, float]:
+        listings = FLEET.agent_events * self._routers / SECONDS_A_DAY
+        agents = FLEET.workers / FLEET.domains
+        routers = self._routers / FLEET.domains
+        writes = agents * self._routers + FLEET.workers * routers
+        reads = routers * (FLEET.entries / PAGE_SIZE + PREFIXES_A_LOOK)
+        domain_links = FLEET.nodes * PLANNED_PROCESSES * PLANNED_LINKS / FLEET.domains
+        planned = FLEET.nodes / FLEET.domains * 2 + domain_links / LISTED_AT_ONCE
+        return {
+            'agent_events': FLEET.agent_events,
+            'router_events': FLEET.router_events,
+            'listing_writes': listings,
+            'recovery_threads': FLEET.workers,
+            'domain_agents': agents,
+            'domain_routers': routers,
+            'domain_writes': writes,
+            'domain_seconds': writes / BOUNDS.store_writes,
+            'domain_reads': reads,
+            'domain_planned': planned,
+            'domain_planned_seconds': planned / BOUNDS.store_writes,
+        }
+
+    def _work_outage(self) -> dict[str, float]:
+        leases = 2 * self._routers
+        pending = FLEET.budgets
+        # An hour of demand touches every budget at every router, nearly.
+        most = FLEET.budgets * self._routers
+        pages = math.ceil(FLEET.entries / PAGE_SIZE)
+        # The whole catalogue is read only if the store has compacted meanwhile.
+        reads = self._routers * (pages + PREFIXES_A_LOOK + 1)
+        planned = FLEET.domains * 3 + SHARDS * FLEET.regions
+        return {
+            'back_lease_writes': leases,
+            'back_pending_least': pending,
+            'back_pending_most': most,
+            'back_seconds_least': (leases + pending) / BOUNDS.store_writes,
+            'back_hours_most': (leases + most) / BOUNDS.store_writes / 3600,
+            'back_reads': reads,
+            'back_read_seconds': reads / BOUNDS.store_reads,
+            'back_retries': self._routers * RETRIES_A_SECOND,
+            'back_planned': planned,
+            'back_planned_seconds': planned / BOUNDS.store_writes,
+        }
+
+    def _work_commands(self) -> dict[str, float]:
+        commands = self._measured.document['commands']
+        put = commands['catalogue put']
+        top_up = commands['budget top-up']
+        drain = commands['target drain']
+        return {
+            'put_reads': put['reads'],
+            'put_writes': put['writes'],
+            'drain_reads': drain['reads'],
+            'drain_writes': drain['writes'],
+            'top_reads': top_up['reads'],
+            'top_writes': top_up['writes'],
+            'commands_reads': put['reads'] * FLEET.changes,
+            'commands_writes': put['writes'] * FLEET.changes,
+        }
+
+
+def judge(found: Mapping[str, float]) -> dict[str, str]:
+    """Return ``yes`` or ``no`` for each figure that a bound holds for.
+
+    Args:
+        found: The figures by name.
+    """
+    return {
+        f'fit_{name}': 'yes' if found[name] <= bound else '**no**'
+        for name, bound in LIMITS.items()
+    }
+
+
+def show(level: float) -> str:
+    """Return a figure with three digits that count, and thousands apart."""
+    if level == 0:
+        return '0'
+    digits = 2 - math.floor(math.log10(abs(level)))
+    if digits <= 0:
+        return f'{round(level, digits):,.0f}'
+    return f'{level:.{digits}f}'.rstrip('0').rstrip('.')
+
+
+def load_measured(path: Path = MEASURED) -> Measurements:
+    """Read the committed results.
+
+    Args:
+        path: The document that ``collect`` has written.
+    """
+    document = orjson.loads(path.read_bytes())
+    lines = {
+        name: {level: Line(**line) for level, line in slope['lines'].items()}
+        for name, slope in document['slopes'].items()
+    }
+    routed = [one for one in document['latency'] if one['way'] == 'routed']
+    busiest = max(routed, key=_read_chunks)
+    return Measurements(
+        lines, busiest['router_micros'], busiest['agent_micros'], document
+    )
+
+
+def collect(folder: str) -> None:
+    """Gather the results in a folder into the committed document.
+
+    Args:
+        folder: Where slopes, latency and operator_cost have written.
+    """
+    read = {
+        name: orjson.loads((Path(folder) / f'{name}.json').read_bytes())
+        for name in ('slopes', 'latency', 'operator_cost')
+    }
+    document = {
+        'commit': read['slopes']['commit'],
+        'machine': read['slopes']['machine'],
+        'slopes': read['slopes']['slopes'],
+        'latency': read['latency']['runs'],
+        'commands': read['operator_cost']['commands'],
+    }
+    MEASURED.write_bytes(orjson.dumps(document, option=orjson.OPT_INDENT_2) + b'\n')
+
+
+def render() -> str:
+    """Return the page that the committed results give."""
+    figures = Capacity(load_measured()).list_figures()
+    page = TEMPLATE.read_text()
+    return page.format(**figures, slope_table=_make_slope_table())
+
+
+def run(check: bool = False, page: str = PAGE) -> None:
+    """Write the page, or check it.
+
+    Args:
+        check: Only compare; the exit code is 1 when the page differs.
+        page: Path of the page.
+    """
+    text = render()
+    if not check:
+        Path(page).write_text(text)
+        return
+    if Path(page).read_text() != text:
+        sys.stderr.write(f'{page} is not what the measurements give\n')
+        sys.exit(1)
+
+
+def _read_chunks(one: dict[str, Any]) -> float:
+    return float(one['chunks_a_second'])
+
+
+def _make_slope_table() -> str:
+    rows = ['| against | level | points | slope | base | residual |']
+    rows.append('| --- | --- | --- | --- | --- | --- |')
+    document = load_measured().document
+    for name, slope in document['slopes'].items():
+        for level, line in slope['lines'].items():
+            points = ', '.join(
+                f'{one["size"]:g}: {one[level]}' for one in slope['costs']
+            )
+            shown = [show(line[part]) for part in ('slope', 'base', 'residual')]
+            rows.append(f'| {name} | {level} | {points} | {" | ".join(shown)} |')
+    return '\n'.join(rows)
+
+
+if __name__ == '__main__':
+    fire.Fire({'write': run, 'collect': collect})
--- /dev/null
+++ b/packages/bench/src/ibisport_bench/experiments/fit.py
@@ -0,0 +1,37 @@
+"""Straight lines through measured points."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import numpy as np
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """A least-squares line.
+
+    Attributes:
+        slope: Change of the level a unit.
+        base: Level at zero.
+        residual: Largest distance of a point from the line.
+    """
+
+    slope: float
+    base: float
+    residual: float
+
+    def at(self, size: float) -> float:
+        """Return the line's level at a size."""
+        return self.base + self.slope * size
+
+
+def fit_line(sizes: Sequence[float], levels: Sequence[float]) -> Line:
+    """Fit a line to points.
+
+    Args:
+        sizes: At least two different sizes; shape (points,).
+        levels: The level measured at each; shape (points,).
+    """
+    slope, base = np.polyfit(sizes, levels, 1)
+    distances = np.abs(np.asarray(levels) - (base + slope * np.asarray(sizes)))
+    return Line(float(slope), float(base), float(distances.max()))
--- /dev/null
+++ b/packages/bench/src/ibisport_bench/experiments/frames.py
@@ -0,0 +1,72 @@
+"""Sizes on the wire and in the store, taken from the real encoders."""
+
+from ibisport_core.codec import encode_message
+from ibisport_core.identity import make_session
+from ibisport_core.internal.account import Account, Grant, dump_account
+from ibisport_core.messages import (
+    CatalogueEntry,
+    CatalogueUpdate,
+    ChargeFloor,
+    Heartbeat,
+    Load,
+    Message,
+    Settled,
+)
+from ibisport_router.internal.session import (
+    ListedAgent,
+    SessionRecord,
+    dump_session,
+)
+
+LENGTH_BYTES = 4
+# IPv4 and TCP headers with timestamps; the answer's bare acknowledgement is
+# counted with the frame, as a quiet link has one for each.
+PACKET_BYTES = 52 * 2
+ENTRY_BYTES = 250
+_MANY = 100
+_NOW = 1_800_000_000_000_000
+_ADDRESS = '10.123.45.67:41234'
+
+
+def measure_frame(message: Message) -> int:
+    """Return the bytes that one message costs on a quiet link."""
+    return len(encode_message(message)) + LENGTH_BYTES + PACKET_BYTES
+
+
+def measure_heartbeats() -> int:
+    """Return the bytes of a heartbeat of each side of a link."""
+    load = Load(5, 3, 4000, 8, 900.5, measured_at=_NOW)
+    sides = (Load(), load)
+    return sum(measure_frame(Heartbeat(_NOW, one, 123_456)) for one in sides)
+
+
+def measure_floor() -> float:
+    """Return the bytes of one budget in a message of settled floors."""
+    session = make_session()
+    floor = ChargeFloor('workspace-123', 'main', 123_456)
+    many = len(encode_message(Settled(session, (floor,) * _MANY)))
+    return (many - len(encode_message(Settled(session, ())))) / _MANY
+
+
+def measure_update() -> int:
+    """Return the bytes of a message with one catalogue entry."""
+    entry = CatalogueEntry('/ibisport/catalogue/target/x', b'x' * ENTRY_BYTES, _NOW)
+    return measure_frame(CatalogueUpdate(_NOW, (entry,), False))
+
+
+def measure_listed_agent() -> float:
+    """Return the bytes of one agent in a session's record."""
+    agents = tuple(
+        ListedAgent(f'worker-{number:05}', _ADDRESS, make_session())
+        for number in range(_MANY)
+    )
+    many = len(dump_session(SessionRecord(agents=agents)))
+    return (many - len(dump_session(SessionRecord()))) / _MANY
+
+
+def measure_grant() -> float:
+    """Return the bytes of one session's grant in a budget's account."""
+    grant = Grant(1_234_567, 1_200_000, 12_345, 6_789)
+    grants = {make_session(): grant for _ in range(_MANY)}
+    many = len(dump_account(Account(10**9, grants=grants)))
+    return (many - len(dump_account(Account(10**9)))) / _MANY
--- a/packages/bench/src/ibisport_bench/experiments/latency.py
+++ b/packages/bench/src/ibisport_bench/experiments/latency.py
@@ -66,6 +66,7 @@
         router_share: The router's share of one core.
         agent_share: The busiest agent's.
         engine_share: The busiest engine's.
+        store_writes: Writes of the router to the store.
         counts: What the callers counted.
     """
 
@@ -79,6 +80,7 @@
     router_share: float
     agent_share: float
     engine_share: float
+    store_writes: int
     counts: dict[str, int]
 
 
@@ -126,6 +128,7 @@
     def _measure(self, way: str, addresses: Sequence[str]) -> Measured:
         groups = self._list_groups()
         before = [_read_seconds(group) for group in groups]
+        writes = self._read_writes()
         started = time.monotonic()
         results = self._run_callers(way, addresses)
         elapsed = time.monotonic() - started
@@ -146,9 +149,17 @@
             router_share=round(max(used[0]) / elapsed, 3),
             agent_share=round(max(used[1]) / elapsed, 3),
             engine_share=round(max(used[2]) / elapsed, 3),
+            store_writes=self._read_writes() - writes,
             counts=counts,
         )
 
+    def _read_writes(self) -> int:
+        """Return the writes of the router since its start."""
+        answer = self._site.http.request('GET', f'{self._site.store.url}/counts')
+        clients = orjson.loads(answer.data)['clients']
+        own = [one for name, one in clients.items() if name.startswith('entry-')]
+        return sum(one['writes'] for one in own)
+
     def _list_groups(self) -> tuple[list[Program], ...]:
         targets = self._site.targets.values()
         return (
@@ -214,13 +225,14 @@
         for one in LatencyRun(count, token_ms, seconds).measure():
             measured.append(one)
             print_row(_make_row(one))
-    found = {
-        'token_ms': token_ms,
-        'tokens': TOKENS,
-        'seconds': seconds,
-        'runs': [asdict(one) for one in measured],
-    }
-    write_result(Path(out) / 'latency.json', 1, found)
+        # Written after each count, so that what was measured is kept.
+        found = {
+            'token_ms': token_ms,
+            'tokens': TOKENS,
+            'seconds': seconds,
+            'runs': [asdict(one) for one in measured],
+        }
+        write_result(Path(out) / 'latency.json', 1, found)
 
 
 def _list_counts(streams: Sequence[int] | int) -> Sequence[int]:
--- /dev/null
+++ b/packages/bench/src/ibisport_bench/experiments/regression.py
@@ -0,0 +1,123 @@
+"""Compares a short run to committed bounds: ``make bench-check``.
+
+Processor times are divided by the time of a fixed loop on the same machine in
+the same run, so the bounds are ratios that hold on other machines too; the rest
+are counts. A breach ends with exit code 1 and is named.
+"""
+
+import sys
+import time
+import timeit
+from collections.abc import Callable, Mapping
+from pathlib import Path
+
+import fire
+import orjson
+
+from ibisport_bench.experiments.figures import print_table
+from ibisport_bench.experiments.latency import LatencyRun, Measured
+from ibisport_bench.load.report import write_result
+from ibisport_core.codec import decode_message, encode_message
+from ibisport_core.messages import REQUEST_ID_BYTES, Chunk
+
+BOUNDS = Path(__file__).parent / 'bounds.json'
+STREAMS = 12
+TOKEN_MS = 40
+SECONDS = 6
+PIECE = b'data: %s\n\n' % (b'x' * 200)
+LOOPS = 100_000
+UNIT_LOOPS = 100
+REPEATS = 5
+CALLS = 2000
+MICROS = 1_000_000
+_FACTOR = 31
+_MODULUS = 1009
+
+
+def list_breaches(found: Mapping[str, float], bounds: Mapping[str, float]) -> list[str]:
+    """Return a line for each bound that is missed or not measured.
+
+    Args:
+        found: Figures by name.
+        bounds: The highest figure allowed, by name.
+    """
+    breaches = []
+    for name, bound in bounds.items():
+        figure = found.get(name)
+        if figure is None:
+            breaches.append(f'{name}: not measured, bound {bound:g}')
+        elif figure > bound:
+            breaches.append(f'{name}: {figure:.3g} is above the bound {bound:g}')
+    return breaches
+
+
+def measure_codec(unit: float) -> dict[str, float]:
+    """Return the cost of encoding and decoding a chunk, in units."""
+    chunk = Chunk(b'x' * REQUEST_ID_BYTES, 1, len(PIECE), PIECE)
+    wire = encode_message(chunk)
+    return {
+        'chunk_encode': _time_calls(lambda: encode_message(chunk)) / unit,
+        'chunk_decode': _time_calls(lambda: decode_message(wire)) / unit,
+    }
+
+
+def measure_unit() -> float:
+    """Return the processor seconds of a hundred turns of a fixed loop."""
+    times = timeit.repeat(_spin, number=1, repeat=REPEATS, timer=time.process_time)
+    return min(times) * UNIT_LOOPS / LOOPS
+
+
+def measure_site(unit: float) -> dict[str, float]:
+    """Return the figures of a small site, in units and counts."""
+    run = LatencyRun(STREAMS, TOKEN_MS, SECONDS)
+    routed = next(one for one in run.measure() if one.way == 'routed')
+    return _judge(routed, unit)
+
+
+def run(out: str = 'bench-results') -> None:
+    """Measure, print, and fail on a breach.
+
+    Args:
+        out: Folder of the result.
+    """
+    unit = measure_unit()
+    found = measure_codec(unit) | measure_site(unit)
+    bounds: dict[str, float] = orjson.loads(BOUNDS.read_bytes())
+    write_result(Path(out) / 'regression.json', 1, {'unit': unit, 'found': found})
+    rows = [
+        [name, f'{found.get(name, 0):.3g}', f'{bound:g}']
+        for name, bound in bounds.items()
+    ]
+    print_table('Regression', ('figure', 'measured', 'bound'), rows)
+    breaches = list_breaches(found, bounds)
+    for breach in breaches:
+        sys.stderr.write(f'breach of {breach}\n')
+    if breaches:
+        sys.exit(1)
+
+
+def _judge(routed: Measured, unit: float) -> dict[str, float]:
+    counts = routed.counts
+    arrivals = counts['arrivals']
+    return {
+        'router_chunk': routed.router_micros / MICROS / unit,
+        'agent_chunk': routed.agent_micros / MICROS / unit,
+        'not_whole': arrivals - counts.get('verdict.whole', 0),
+        'store_writes_a_request': routed.store_writes / max(1, arrivals),
+    }
+
+
+def _time_calls(call: Callable[[], object]) -> float:
+    times = timeit.repeat(call, number=CALLS, repeat=REPEATS, timer=time.process_time)
+    return min(times) / CALLS
+
+
+def _spin() -> int:
+    state = 1
+    for number in range(LOOPS):
+        state = (state * _FACTOR + number) % _MODULUS
+    return state
+
+
+if __name__ == '__main__':
+    fire.Fire(run)
