--- a/packages/bench/src/ibisport_bench/experiments/choice.py
+++ b/packages/bench/src/ibisport_bench/experiments/choice.py
@@ -5,14 +5,19 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 
 import fire
 
 from ibisport_bench.experiments.figures import compute_percentile, print_table
 from ibisport_bench.experiments.fleet_model import Fleet, FleetRun, MakeChooser, Seen
-from ibisport_router.internal.choice import ChoiceOptions, Chooser, TargetChooser
+from ibisport_router.internal.choice import (
+    Candidate,
+    ChoiceOptions,
+    Chooser,
+    TargetChooser,
+)
 from ibisport_router.internal.choice_baseline import (
     LeastReportedChooser,
     RandomChooser,
@@ -27,6 +32,7 @@
     ('6 targets, 4 routers', TENGERI),
     ('6 targets, 4 routers, no shared prefixes', replace(TENGERI, share_prefix=False)),
     ('24 targets, 8 routers', LARGER),
+    ('24 targets, 8 routers, no shared prefixes', replace(LARGER, share_prefix=False)),
 )
 
 
@@ -47,6 +53,19 @@
     return Way(name, make)
 
 
+class PairChooser(TargetChooser):
+    """Ours with two random choices near and two far, as first built."""
+
+    def _choose_by_load(self, usable: Sequence[Candidate]) -> Candidate:
+        near = [one for one in usable if self._is_near(one)]
+        far = [one for one in usable if not self._is_near(one)]
+        drawn = [*self._draw(near), *self._draw(far)]
+        return min(drawn, key=self._score)
+
+    def _draw(self, candidates: list[Candidate]) -> list[Candidate]:
+        return self._random.sample(candidates, min(2, len(candidates)))
+
+
 OURS = make_ours('ours', ChoiceOptions())
 WAYS = (
     OURS,
@@ -56,6 +75,7 @@
 )
 VARIANTS = (
     OURS,
+    Way('random pairs', PairChooser),
     make_ours('homes 0', ChoiceOptions(homes=0)),
     make_ours('homes 1', ChoiceOptions(homes=1)),
     make_ours('homes 3', ChoiceOptions(homes=3)),
@@ -63,8 +83,10 @@
     make_ours('load bound 1.5', ChoiceOptions(load_bound=1.5)),
     make_ours('load bound 2', ChoiceOptions(load_bound=2)),
     make_ours('draws 1', ChoiceOptions(draws=1)),
-    make_ours('draws 3', ChoiceOptions(draws=3)),
+    make_ours('draws 2', ChoiceOptions(draws=2)),
     make_ours('draws 6', ChoiceOptions(draws=6)),
+    make_ours('imbalance 0', ChoiceOptions(imbalance=0)),
+    make_ours('no imbalance', ChoiceOptions(imbalance=99)),
     make_ours('domain margin 0', ChoiceOptions(domain_margin=0)),
     make_ours('domain margin 0.3', ChoiceOptions(domain_margin=0.3)),
 )
