--- a/packages/bench/src/ibisport_bench/experiments/money.py
+++ b/packages/bench/src/ibisport_bench/experiments/money.py
@@ -36,7 +36,7 @@
 SHIFT = 300.0
 ADMISSIONS = 20_000
 MICROS = 1_000_000
-HORIZONS = (5.0, 60.0, 600.0)
+HORIZONS = (5.0, 600.0)
 _LEDGER_TIME = 'ibisport_router.internal.ledger.time'
 
 
--- a/packages/bench/src/ibisport_bench/experiments/money_model.py
+++ b/packages/bench/src/ibisport_bench/experiments/money_model.py
@@ -12,13 +12,18 @@
 from typing import Protocol
 
 from ibisport_core.internal.account import Account, Grant
-from ibisport_router.internal.grants import Draw, choose_draw, choose_return
+from ibisport_router.internal.grants import (
+    Draw,
+    choose_draw,
+    choose_refill,
+    choose_return,
+)
 from ibisport_router.internal.ledger import Charge, Ledger
 
 PATIENCE = 10.0
 RETRY = 0.5
 SETTLE_EVERY = 2.0
-IDLE_AFTER = 10.0
+IDLE_AFTER = 60.0
 PROMPT_TOKENS = 60
 MOST_TOKENS = 200
 LEAST_TOKENS = 20
@@ -242,7 +247,9 @@
         if surplus > 0:
             self._give_back(router, surplus)
         elif not ledger.is_settled:
-            self._write(router, self._find(router).granted)
+            name = f'session-{router}'
+            view = ledger.view()
+            self._write(router, choose_refill(self._account, name, view, self._horizon))
 
     def count_idle(self) -> int:
         """Return what routers hold, neither spent nor reserved."""
