--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,7 @@
 	timeout 300 $(BIN)/python -m ibisport_bench.experiments.latency --streams 1,50,150 --seconds 10
 	timeout 500 $(BIN)/python -m ibisport_bench.experiments.slopes --seconds 6
 	timeout 60 $(BIN)/python -m ibisport_bench.experiments.operator_cost
+	$(BIN)/python -m ibisport_bench.experiments.plots
 	$(BIN)/python -m ibisport_bench.experiments.capacity write --check
 
 bench-check: setup
--- a/packages/bench/src/ibisport_bench/experiments/capacity.py
+++ b/packages/bench/src/ibisport_bench/experiments/capacity.py
@@ -33,6 +33,8 @@
 PAGE = 'docs/CAPACITY.md'
 MICROS = 1_000_000
 BUSY_SHARE = 0.7
+# Below this a level is rounding of the fit.
+SMALLEST = 1e-9
 # What the changes would be: design figures, not measurements.
 PLANNED_PROCESSES = 3
 LINKS_A_MODEL = 2
@@ -46,11 +48,19 @@
 SHARDS = 64
 SHARD_DRAW_SECONDS = 5.0
 REGION_TRIP = 0.15
+CLAIM_WINDOW = 0.1
 LOOKS_A_GRACE = 4
 KEEPS_A_LEASE = 4
 PREFIXES_A_LOOK = 2
 # Session and watch, each after 0.5 to 1 s.
 RETRIES_A_SECOND = 2 / 0.75
+PLANNED_WRITES = (
+    'planned_settle',
+    'planned_claims',
+    'planned_draws',
+    'planned_session_writes',
+    'commands_writes',
+)
 LIMITS = MappingProxyType(
     {
         'links_core': BOUNDS.core,
@@ -65,9 +75,11 @@
         'look_reads': BOUNDS.store_reads,
         'keep_reads': BOUNDS.store_reads,
         'settle_writes': BOUNDS.store_writes,
+        'claim_writes': BOUNDS.store_writes,
         'watch_calls': BOUNDS.store_reads,
         'listing_writes': BOUNDS.store_writes,
         'commands_writes': BOUNDS.store_writes,
+        'planned_store_writes': BOUNDS.store_writes,
         'planned_node_core': BOUNDS.core,
         'planned_node_mb': BOUNDS.megabytes,
         'planned_links_bytes': BOUNDS.bytes_a_second,
@@ -128,6 +140,7 @@
         )
         for part in parts:
             found |= part()
+        found['planned_store_writes'] = sum(found[name] for name in PLANNED_WRITES)
         shown = {name: show(level) for name, level in found.items()}
         return shown | judge(found)
 
@@ -280,6 +293,12 @@
             'budget_reads': lines['reads'].slope,
             'budget_writes': lines['writes'].slope,
             'settle_writes': touched / period,
+            'ledger_mb': lines['router_mb'].slope,
+            'ledgers_mb': lines['router_mb'].slope * FLEET.budgets,
+            'workspaces_mb': lines['router_mb'].slope * FLEET.workspaces,
+            'charges_mb': lines['agent_mb'].slope,
+            'charges_all_mb': lines['agent_mb'].slope * FLEET.budgets,
+            'charges_workspaces_mb': lines['agent_mb'].slope * FLEET.workspaces,
             'busiest_writes': one_key,
             'busiest_serial': 1 / REGION_TRIP,
             'busiest_bytes': frames.measure_grant() * self._routers,
@@ -296,6 +315,10 @@
             / SHARDS
             * FLEET.regions
             * frames.measure_grant(),
+            'claim_writes': FLEET.requests,
+            'claims_kept': FLEET.requests * SECONDS_A_DAY / MICROS,
+            'planned_claims': FLEET.domains / CLAIM_WINDOW,
+            'claim_window': CLAIM_WINDOW * 1000,
             'horizon': self._router.grant_horizon,
             'region_horizon': REGION_HORIZON,
         }
@@ -325,8 +348,9 @@
     def _work_outage(self) -> dict[str, float]:
         leases = 2 * self._routers
         pending = FLEET.budgets
-        # An hour of demand touches every budget at every router, nearly.
-        most = FLEET.budgets * self._routers
+        # As many as requests that the grants in hand can serve.
+        served = FLEET.requests * min(self._router.grant_horizon, REGION_HORIZON)
+        most = min(FLEET.budgets * self._routers, served)
         pages = math.ceil(FLEET.entries / PAGE_SIZE)
         # The whole catalogue is read only if the store has compacted meanwhile.
         reads = self._routers * (pages + PREFIXES_A_LOOK + 1)
@@ -375,7 +399,7 @@
 
 def show(level: float) -> str:
     """Return a figure with three digits that count, and thousands apart."""
-    if level == 0:
+    if abs(level) < SMALLEST:
         return '0'
     digits = 2 - math.floor(math.log10(abs(level)))
     if digits <= 0:
