--- a/packages/agent/src/ibisport_agent/internal/fairness_reserve.py
+++ b/packages/agent/src/ibisport_agent/internal/fairness_reserve.py
@@ -37,11 +37,11 @@
     """The last free slots are kept from heavy workspaces, beside light ones.
 
     Attributes:
-        blocked: Part of the light requests that may find no free slot.
+        blocked: Part of the light requests that may have to wait.
         most: Largest part of the slots that is kept free.
     """
 
-    blocked: float = 0.05
+    blocked: float = 0.02
     most: float = 0.5
 
 
@@ -137,11 +137,24 @@
         case HoldLimit(kept):
             return min(kept, slots - 1)
         case TrunkReserve(blocked, most):
-            # Heavy requests take each slot above those kept, so that the free
-            # ones are a walk: down by a light arrival, up by a departure. All
-            # are taken with the probability load ** kept.
-            wanted = math.log(blocked) / math.log(min(light_load, MOST_LOAD))
-            return min(math.ceil(wanted), int(slots * most))
+            most_kept = int(slots * most)
+            return _find_kept(slots, min(light_load, MOST_LOAD), blocked, most_kept)
+
+
+def _find_kept(slots: int, light_load: float, blocked: float, most: int) -> int:
+    # Heavy requests take each slot above those kept, so that the free ones are
+    # a birth-death chain: down by a light arrival, up by a departure of one of
+    # the others. The weights are of its states, that of no free slot being one;
+    # behind it are the states in which light requests wait.
+    waiting = 1 / (1 - light_load)
+    weight = 1.0
+    free = 0.0
+    kept = 0
+    while kept < most and waiting > blocked * (waiting + free):
+        weight *= (slots - kept) / (light_load * slots)
+        free += weight
+        kept += 1
+    return kept
 
 
 def _weigh_demand(flow: Flow) -> float:
