--- a/packages/router/src/ibisport_router/internal/claims.py
+++ b/packages/router/src/ibisport_router/internal/claims.py
@@ -13,6 +13,7 @@
 
 import threading
 import time
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -28,7 +29,8 @@
 )
 from ibisport_core.events import Event, log_event
 from ibisport_core.identity import make_key
-from ibisport_core.store import Delete, Put, Unchanged
+from ibisport_core.store import Commit, Delete, Put, Unchanged
+from ibisport_router.internal.groupcommit import GroupCommit
 
 if TYPE_CHECKING:
     from ibisport_router.internal.agentlink import AgentLink
@@ -36,8 +38,11 @@
     from ibisport_router.router import Router
 
 CLAIM_PREFIX = '/ibisport/request/'
-_KEPT_SECONDS = 24 * 3600
-_LEASE_SECONDS = 3600.0
+# An answer stays joinable for ten minutes; a request that may run only once is
+# remembered for a day. A lease serves for a tenth of its time.
+_KEPT_IDEMPOTENT = 15 * 60
+_KEPT_ONCE = 24 * 3600
+_LEASE_SHARE = 0.1
 _ATTEMPTS = 4
 _RETRY_SECONDS = 1.0
 
@@ -49,14 +54,12 @@
     Attributes:
         target: Where the request may be.
         incarnation: The agent incarnation that may hold it.
-        nonce: Tells the claims of different attempts apart.
         revision: Store revision of the claim.
         own: Whether this attempt wrote it.
     """
 
     target: str
     incarnation: str
-    nonce: str
     revision: int
     own: bool
 
@@ -72,8 +75,8 @@
         """
         self._router = router
         self._lock = threading.Lock()
-        self._lease = 0
-        self._lease_until = 0.0
+        self._leases: dict[int, tuple[int, float]] = {}
+        self.group = GroupCommit(self._commit)
 
     def claim(self, order: Order, link: AgentLink, known: Claim | None) -> Claim:
         """Claim a request for an agent, or return the claim that stands.
@@ -91,14 +94,15 @@
             TargetUnavailable: The store does not serve; it did not run.
         """
         key = _name_claim(order)
-        nonce = make_key()
         named = {
             'target': link.entry.name,
             'incarnation': link.incarnation,
-            'nonce': nonce,
+            # Tells the claims of different attempts apart.
+            'nonce': make_key(),
         }
         try:
-            return self._write(key, orjson.dumps(named), known, nonce)
+            kept = _KEPT_IDEMPOTENT if order.idempotent else _KEPT_ONCE
+            return self._write(key, orjson.dumps(named), known, kept)
         except (StoreError, SessionFenced) as error:
             raise TargetUnavailable(
                 'the store does not serve, so this request cannot be claimed',
@@ -132,50 +136,44 @@
             # It stays: a later try joins, finds nothing and takes it over.
             log_event(Event.store_failed, detail=str(error))
 
-    def _write(
-        self, key: str, content: bytes, known: Claim | None, nonce: str
-    ) -> Claim:
+    def _commit(self, conditions: Sequence[Unchanged], writes: Sequence[Put]) -> Commit:
+        return self._router.session.commit(conditions, writes)
+
+    def _write(self, key: str, content: bytes, known: Claim | None, kept: int) -> Claim:
         expected = known.revision if known else 0
+        lease = self._find_lease(kept)
         for _ in range(_ATTEMPTS):
-            revision = self._try_write(Put(key, content, self._find_lease()), expected)
+            revision = self.group.put(Put(key, content, lease), expected)
             if revision:
-                return _load_claim(content, revision, nonce)
+                return _load_claim(content, revision, content)
             # Read back: another claim may stand, or this one, unanswered.
             standing = self._router.store.read(key)
             if standing is None:
                 expected = 0
             elif standing.mod_revision != expected:
-                return _load_claim(standing.content, standing.mod_revision, nonce)
+                return _load_claim(standing.content, standing.mod_revision, content)
         raise StoreOutcomeUnknown(key)
 
-    def _try_write(self, write: Put, expected: int) -> int:
-        """Return the revision of the write, or 0 if it is not known to stand."""
-        try:
-            commit = self._router.session.commit(
-                [Unchanged(write.key, expected)], [write]
-            )
-        except StoreOutcomeUnknown:
-            return 0
-        return commit.revision if commit.succeeded else 0
-
-    def _find_lease(self) -> int:
+    def _find_lease(self, kept: int) -> int:
+        """Return a lease that keeps a claim for some seconds."""
         with self._lock:
-            if time.monotonic() >= self._lease_until:
-                self._lease = self._router.store.grant_lease(_KEPT_SECONDS)
-                self._lease_until = time.monotonic() + _LEASE_SECONDS
-            return self._lease
+            lease, until = self._leases.get(kept, (0, 0.0))
+            if time.monotonic() >= until:
+                lease = self._router.store.grant_lease(kept)
+                until = time.monotonic() + kept * _LEASE_SHARE
+                self._leases[kept] = (lease, until)
+            return lease
 
 
 def _name_claim(order: Order) -> str:
     return f'{CLAIM_PREFIX}{order.request_id.hex()}'
 
 
-def _load_claim(content: bytes, revision: int, nonce: str) -> Claim:
+def _load_claim(content: bytes, revision: int, written: bytes) -> Claim:
     named = orjson.loads(content)
     return Claim(
         target=named['target'],
         incarnation=named['incarnation'],
-        nonce=named['nonce'],
         revision=revision,
-        own=named['nonce'] == nonce,
+        own=content == written,
     )
--- a/packages/router/src/ibisport_router/internal/keeper.py
+++ b/packages/router/src/ibisport_router/internal/keeper.py
@@ -137,19 +137,20 @@
             log_event(Event.session_opened, session=self.session.name)
         links = self._router.targets.list_links()
         connected = [link.listed for link in links if link.is_connected]
-        self.session.list_agents(connected, self._choose_removable())
+        removable = self._choose_removable()
+        self.session.list_agents(connected, removable)
+        with self._lock:
+            for incarnation in removable:
+                self._gone.pop(incarnation, None)
 
     def _choose_removable(self) -> frozenset[str]:
         """Return agents out of use that no unsettled charge can concern."""
         with self._lock:
-            removable = frozenset(
+            return frozenset(
                 incarnation
                 for incarnation, charges in self._gone.items()
                 if all(ledger.has_settled(number) for ledger, number in charges)
             )
-            for incarnation in removable:
-                self._gone.pop(incarnation)
-            return removable
 
     def _settle_once(self) -> None:
         bank, session = self.bank, self.session
--- a/packages/router/src/ibisport_router/internal/session.py
+++ b/packages/router/src/ibisport_router/internal/session.py
@@ -16,7 +16,6 @@
 from ibisport_core.errors import (
     LeaseLapsed,
     SessionFenced,
-    StoreError,
     StoreOutcomeUnknown,
 )
 from ibisport_core.identity import make_session
@@ -185,14 +184,16 @@
             SessionFenced: The session is ended; nothing was written.
             StoreError: As the store's client says.
         """
-        with self._lock:
-            if not self.is_open:
-                raise SessionFenced(self.name)
-            own = Unchanged(name_session(self.name), self._stored.revision)
-            commit = self._store.commit((*conditions, own), writes)
-            if not commit.succeeded:
+        if not self.is_open:
+            raise SessionFenced(self.name)
+        # No lock during the call: a revision that is out of date by then only
+        # makes it fail, and the caller tries again with the new one.
+        own = Unchanged(name_session(self.name), self._stored.revision)
+        commit = self._store.commit((*conditions, own), writes)
+        if not commit.succeeded:
+            with self._lock:
                 self._check_record()
-            return commit
+        return commit
 
     def close(self) -> None:
         """Remove record and lease after all grants were given back.
@@ -259,9 +260,9 @@
     def _renew_lease(self) -> None:
         lease = self._store.grant_lease(self._lease_seconds)
         alive = Put(name_alive(self.name), self.name.encode(), lease)
-        try:
-            self._store.commit([], [alive])
-        except StoreError:
-            self._stored.lease = 0
-            raise
+        own = Unchanged(name_session(self.name), self._stored.revision)
+        self._stored.lease = 0
+        if not self._store.commit([own], [alive]).succeeded:
+            self._check_record()
+            return
         self._stored.lease = lease
--- a/packages/router/src/ibisport_router/router.py
+++ b/packages/router/src/ibisport_router/router.py
@@ -87,6 +87,7 @@
             self.recovery.watch,
             self.keeper.keep,
             self.keeper.settle,
+            self.claims.group.work,
             self._beat,
         ):
             threading.Thread(target=work, name=work.__name__, daemon=True).start()
