--- a/packages/bench/src/ibisport_bench/experiments/capacity.py
+++ b/packages/bench/src/ibisport_bench/experiments/capacity.py
@@ -49,6 +49,8 @@
 SHARD_DRAW_SECONDS = 5.0
 REGION_TRIP = 0.15
 CLAIM_WINDOW = 0.1
+# As long as the router keeps a claim of an idempotent request.
+CLAIM_KEPT = 15 * 60
 LOOKS_A_GRACE = 4
 KEEPS_A_LEASE = 4
 PREFIXES_A_LOOK = 2
@@ -316,8 +318,9 @@
             * FLEET.regions
             * frames.measure_grant(),
             'claim_writes': FLEET.requests,
-            'claims_kept': FLEET.requests * SECONDS_A_DAY / MICROS,
+            'claims_kept': FLEET.requests * CLAIM_KEPT / MICROS,
             'planned_claims': FLEET.domains / CLAIM_WINDOW,
+            'router_requests': FLEET.requests / self._routers,
             'claim_window': CLAIM_WINDOW * 1000,
             'horizon': self._router.grant_horizon,
             'region_horizon': REGION_HORIZON,
--- a/packages/bench/src/ibisport_bench/experiments/latency.py
+++ b/packages/bench/src/ibisport_bench/experiments/latency.py
@@ -26,6 +26,7 @@
 from ibisport_bench.launcher import Program
 from ibisport_bench.load import recording
 from ibisport_bench.load.arrivals import name_workspace
+from ibisport_bench.load.patience import start_patiently
 from ibisport_bench.load.report import write_result
 from ibisport_bench.site import Site, SitePlan, WorkspacePlan
 
@@ -118,7 +119,7 @@
     def measure(self) -> list[Measured]:
         """Start the site and measure both ways."""
         try:
-            self._site.start()
+            start_patiently(self._site)
             engines = [one.program.address for one in self._site.targets.values()]
             routers = [one.address for one in self._site.routers]
             return [self._measure('direct', engines), self._measure('routed', routers)]
--- a/packages/bench/src/ibisport_bench/experiments/slopes.py
+++ b/packages/bench/src/ibisport_bench/experiments/slopes.py
@@ -25,6 +25,7 @@
 from ibisport_bench.experiments.fit import Line, fit_line
 from ibisport_bench.experiments.processes import Used, read_used
 from ibisport_bench.launcher import Program
+from ibisport_bench.load.patience import start_patiently
 from ibisport_bench.load.report import write_result
 from ibisport_bench.site import Site, SitePlan, Target, WorkspacePlan
 from ibisport_core.entries import EntryKind, name_entry
@@ -266,7 +267,7 @@
         )
 
     def __enter__(self) -> Site:
-        self._site.start()
+        start_patiently(self._site)
         return self._site
 
     def __exit__(self, *failure: object) -> None:
--- a/packages/bench/src/ibisport_bench/load/__main__.py
+++ b/packages/bench/src/ibisport_bench/load/__main__.py
@@ -9,6 +9,7 @@
 
 from ibisport_bench.load.arrivals import name_workspace
 from ibisport_bench.load.config import LoadConfig, LoadConfigInvalid, load_config
+from ibisport_bench.load.patience import start_patiently
 from ibisport_bench.load.recording import Recorder
 from ibisport_bench.load.report import plot_latency, write_result
 from ibisport_bench.load.runner import run_load
@@ -65,7 +66,7 @@
         return run_load(config, config.routers)
     site = Site(make_plan(config), Path(tempfile.mkdtemp(prefix='ibisport-load-')))
     try:
-        site.start()
+        start_patiently(site)
         return run_load(config, [router.address for router in site.routers])
     finally:
         site.stop()
