--- a/packages/core/src/ibisport_core/events.py
+++ b/packages/core/src/ibisport_core/events.py
@@ -16,7 +16,6 @@
     process_started = 1001
     process_stopping = 1002
     process_stopped = 1003
-    setting_refused = 1004
     unexpected_failure = 1005
     link_opened = 1101
     link_lost = 1102
@@ -24,28 +23,21 @@
     frame_refused = 1104
     peer_draining = 1105
     store_failed = 1201
-    store_recovered = 1202
     watch_lost = 1203
     catalogue_changed = 1204
     session_opened = 1301
     session_lost = 1302
     session_closed = 1303
-    grant_drawn = 1304
     grant_returned = 1305
     budget_short = 1306
     recovery_began = 1401
     recovery_waits = 1402
     recovery_done = 1403
     session_fenced = 1404
-    request_refused = 1501
     request_retried = 1502
-    request_joined = 1503
     request_unknown = 1504
-    chunk_dropped = 1505
     target_failed = 1601
     target_draining = 1602
-    order_refused = 1603
-    order_done = 1604
 
 
 def start_log() -> None:
