Queue a request at its whole cost once, and let it earn its share of a retry

Change: cost is the reservation, which includes the prompt; note_request is called for each exchange.

--- a/packages/agent/src/ibisport_agent/internal/runs.py
+++ b/packages/agent/src/ibisport_agent/internal/runs.py
@@ -158,7 +158,7 @@
             class_name=submit.class_name,
             priority=submit.priority,
             weight=submit.weight,
-            cost=submit.prompt_tokens + submit.reserved_tokens,
+            cost=submit.reserved_tokens,
             deadline=make_seconds(submit.deadline),
         )
 
--- a/packages/core/src/ibisport_core/link.capnp
+++ b/packages/core/src/ibisport_core/link.capnp
@@ -37,7 +37,7 @@
   queued @1 :UInt32;
   queuedTokens @2 :UInt64;
   slots @3 :UInt32;
-  tokenRate @4 :Float64;    # tokens a second, over the last seconds
+  tokenRate @4 :Float64;    # tokens a second with all slots taken
   draining @5 :Bool;
   measuredAt @6 :UInt64;
 }
@@ -64,7 +64,7 @@
   priority @7 :UInt16;      # lower goes first
   weight @8 :Float64;
   deadline @9 :UInt64;
-  reservedTokens @10 :UInt64;
+  reservedTokens @10 :UInt64;  # the most it can cost, prompt included
   promptTokens @11 :UInt64;
   idempotent @12 :Bool;
   keyed @13 :Bool;          # the caller gave the key: it may come again elsewhere
--- a/packages/router/src/ibisport_router/internal/exchange.py
+++ b/packages/router/src/ibisport_router/internal/exchange.py
@@ -70,6 +70,7 @@
             Refusal: It was given up; the statement says whether it ran.
         """
         order = self._order
+        self._router.find_retry_budget(order.workspace).note_request()
         charge = self._bank.reserve(
             order.workspace, order.budget, order.reserved_tokens, order.deadline
         )
