Announce addresses in one write; test settings and hostile links

Change: announce() writes one line at once. Ruled out: slow start (both routers had their links 2 s after they started). Measured: process.feature passes (6 scenarios); the announcement's scenario fails with print(..., flush=True).

--- /dev/null
+++ b/features/process.feature
@@ -0,0 +1,21 @@
+Feature: The processes themselves
+
+  Scenario: An announced address and its line's end are written at once
+    When a process announces where it serves
+    Then exactly one whole line was written
+
+  Scenario Outline: A wrong setting is named, with its variable, and ends the start
+    When <program> is started with <flag>
+    Then it ends with exit code 2 and names <variable>
+
+    Examples:
+      | program        | flag                       | variable               |
+      | ibisport       | --streams=-1               | IBISPORT_STREAMS       |
+      | ibisport       | --serve=localhost:80       | IBISPORT_SERVE         |
+      | ibisport-agent | --target-address=engine    | IBISPORT_TARGET_ADDRESS |
+      | ibisport-agent | --nonsense=1               | IBISPORT_NONSENSE      |
+
+  Scenario: Broken and hostile bytes on a link end only that link
+    Given a listening agent
+    When random frames, cut frames and a wrong secret are sent to it
+    Then the agent still greets a peer that shows the right secret
--- /dev/null
+++ b/features/steps/process_steps.py
@@ -0,0 +1,95 @@
+"""Steps on start-up, settings and what comes in on links."""
+
+import random
+import socket
+import struct
+import subprocess
+import sys
+from pathlib import Path
+from unittest import mock
+
+from behave import given, then, when
+
+from ibisport_agent.agent import Agent
+from ibisport_core import announce
+from ibisport_core.codec import encode_message
+from ibisport_core.link import connect_link
+from ibisport_core.messages import SCHEMA_VERSION, Hello, Welcome
+from ibisport_core.settings import AgentSettings
+
+SEED = 20261202
+HOSTILE_FRAMES = 60
+START_TIMEOUT = 30
+VERBS = {'ibisport': 'route', 'ibisport-agent': 'serve'}
+
+
+@when('a process announces where it serves')
+def announce_address(context):
+    with mock.patch.object(announce.sys, 'stdout') as stdout:
+        announce.announce('ready', '127.0.0.1:1')
+    context.written = [call.args[0] for call in stdout.write.call_args_list]
+
+
+@then('exactly one whole line was written')
+def check_line(context):
+    assert context.written == ['ready 127.0.0.1:1\n'], context.written
+
+
+@when('{program} is started with {flag}')
+def start_program(context, program, flag):
+    path = Path(sys.executable).parent / program
+    context.ended = subprocess.run(
+        [str(path), VERBS[program], flag],
+        capture_output=True,
+        text=True,
+        timeout=START_TIMEOUT,
+    )
+
+
+@then('it ends with exit code {code:d} and names {variable}')
+def check_exit(context, code, variable):
+    assert context.ended.returncode == code, context.ended
+    assert variable in context.ended.stderr, context.ended.stderr
+
+
+@given('a listening agent')
+def listen(context):
+    context.agent = Agent(AgentSettings(silence=1.0, grace=0.1))
+    context.agent.start()
+    context.add_cleanup(context.agent.stop)
+
+
+@when('random frames, cut frames and a wrong secret are sent to it')
+def send_hostile(context):
+    rng = random.Random(SEED)
+    whole = _frame(encode_message(_make_hello('development')))
+    _send(context.agent.address, _frame(encode_message(_make_hello('wrong'))))
+    _send(context.agent.address, struct.pack('>I', 2**32 - 1))
+    for _ in range(HOSTILE_FRAMES):
+        flipped = bytearray(whole)
+        flipped[rng.randrange(len(flipped))] ^= 1 << rng.randrange(8)
+        _send(context.agent.address, bytes(flipped))
+        _send(context.agent.address, whole + rng.randbytes(rng.randrange(200)))
+        _send(context.agent.address, whole[: rng.randrange(len(whole))])
+
+
+@then('the agent still greets a peer that shows the right secret')
+def check_greeting(context):
+    link = connect_link(context.agent.address, 1.0, 5.0)
+    link.send(_make_hello('development'))
+    assert isinstance(link.receive(), Welcome)
+    link.close()
+
+
+def _make_hello(secret):
+    return Hello(SCHEMA_VERSION, 'router', 'a', 'local', '127.0.0.1:1', secret)
+
+
+def _frame(wire):
+    return struct.pack('>I', len(wire)) + wire
+
+
+def _send(address, sent):
+    host, _, port = address.rpartition(':')
+    with socket.create_connection((host, int(port)), timeout=1) as sock:
+        sock.sendall(sent)
--- a/packages/agent/src/ibisport_agent/cli.py
+++ b/packages/agent/src/ibisport_agent/cli.py
@@ -6,6 +6,7 @@
 import orjson
 
 from ibisport_agent.agent import Agent
+from ibisport_core.announce import announce
 from ibisport_core.errors import SettingsError
 from ibisport_core.events import Event, log_event, start_log
 from ibisport_core.settings import AgentSettings, load_settings
@@ -24,8 +25,8 @@
     start_log()
     agent = Agent(settings)
     agent.start()
-    print(f'ready {agent.address}', flush=True)
-    print(f'ready-status {agent.status_address}', flush=True)
+    announce('ready', agent.address)
+    announce('ready-status', agent.status_address)
     wait_signal()
     log_event(Event.process_stopping, role='agent', session=agent.session)
     agent.stop()
--- a/packages/router/src/ibisport_router/cli.py
+++ b/packages/router/src/ibisport_router/cli.py
@@ -5,6 +5,7 @@
 import fire
 import orjson
 
+from ibisport_core.announce import announce
 from ibisport_core.errors import SettingsError
 from ibisport_core.events import Event, log_event, start_log
 from ibisport_core.settings import RouterSettings, load_settings
@@ -30,9 +31,9 @@
     start_log()
     router = Router(settings)
     router.start()
-    print(f'ready {router.gateway.address}', flush=True)
-    print(f'ready-status {router.status_address}', flush=True)
-    print(f'ready-links {router.link_address}', flush=True)
+    announce('ready', router.gateway.address)
+    announce('ready-status', router.status_address)
+    announce('ready-links', router.link_address)
     wait_signal()
     log_event(Event.process_stopping, role='router', session=router.session.name)
     router.stop()
