Give a workspace's place back when its request is refused

Cause: found by reading: a refusal after admission never left the count of requests in flight, so a workspace with max_concurrent was locked out for good. Change: admission and opening of the exchange undo each other. Measured: the new scenario of path.feature failed (429 limit_reached) before and passes after.

--- a/features/path.feature
+++ b/features/path.feature
@@ -18,3 +18,8 @@
     And a request that is no JSON is refused with 400 request_invalid
     And a request of more tokens than the budget has is refused with 402 budget_exhausted
     And nothing has run at any target
+
+  Scenario: Refused requests do not use a workspace's limit up
+    Given a site whose workspace may have 2 requests in flight
+    When 6 requests over the budget are refused at each router
+    Then a request of the workspace is served at each router
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -11,6 +11,8 @@
     wait_until,
 )
 
+from ibisport_bench.site import WorkspacePlan
+
 MORE_THAN_PAID = 'many ' * 300_000
 
 
@@ -97,6 +99,29 @@
     assert not context.site.read_runs()
 
 
+@given('a site whose workspace may have {count:d} requests in flight')
+def start_limited(context, count):
+    limits = {'max_concurrent': count}
+    start_site(context, workspaces=(WorkspacePlan('small', 5_000, limits=limits),))
+
+
+@when(
+    '{count:d} requests over the budget are refused at each router'
+)
+def refuse_many(context, count):
+    body = make_body(MORE_THAN_PAID[:20_000], max_tokens=64)
+    for router in context.site.routers:
+        for _ in range(count):
+            _check_refused(ask(router, 'small', body), 402, 'budget_exhausted')
+
+
+@then('a request of the workspace is served at each router')
+def check_each_serves(context):
+    for router in context.site.routers:
+        answer = ask(router, 'small', make_body('hello', max_tokens=8))
+        assert answer.status == 200, answer
+
+
 def _ask(context, router, count, stream):
     prompt = f'why does the hall echo answer_tokens={count}'
     body = make_body(prompt, stream)
--- a/packages/router/src/ibisport_router/internal/gateway.py
+++ b/packages/router/src/ibisport_router/internal/gateway.py
@@ -106,15 +106,13 @@
             self._enter()
         except Refusal as refusal:
             return iter(_refuse(refusal, start_response))
-        exchange: Exchange | None = None
         started = time.time()
         try:
             order = self._intake.read(
                 _read_request(environ), self._router.catalogue.current
             )
             exchange = Exchange(self._router, order)
-            self._router.limits.enter(order)
-            reply = exchange.open()
+            reply = self._open_within_limits(order, exchange)
         except Refusal as refusal:
             self._leave()
             self._note_refusal(refusal)
@@ -127,6 +125,15 @@
         start_response(_name_status(reply.status), headers)
         return self._stream(order, exchange, reply, started)
 
+    def _open_within_limits(self, order: Order, exchange: Exchange) -> Reply:
+        limits = self._router.limits
+        limits.enter(order)
+        try:
+            return exchange.open()
+        except BaseException:
+            limits.leave(order)
+            raise
+
     def _stream(
         self, order: Order, exchange: Exchange, reply: Reply, started: float
     ) -> Iterator[bytes]:
