Leave room at a router for workspaces that come later

Cause: one workspace could hold all 256 open requests of a router, and each waiting one costs all others a thread that is woken. Change: a workspace may hold at most twice what is still free (dynamic threshold, Choudhury and Hahne 1998).

--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -105,9 +105,7 @@
     start_site(context, workspaces=(WorkspacePlan('small', 5_000, limits=limits),))
 
 
-@when(
-    '{count:d} requests over the budget are refused at each router'
-)
+@when('{count:d} requests over the budget are refused at each router')
 def refuse_many(context, count):
     body = make_body(MORE_THAN_PAID[:20_000], max_tokens=64)
     for router in context.site.routers:
--- a/packages/router/src/ibisport_router/internal/limits.py
+++ b/packages/router/src/ibisport_router/internal/limits.py
@@ -12,11 +12,12 @@
 
 from ibisport_core.catalogue import Catalogue
 from ibisport_core.entries import RequestLimits
-from ibisport_core.errors import LimitReached
+from ibisport_core.errors import LimitReached, StreamsFull
 from ibisport_router.internal.orders import Order
 
 _MINUTE = 60.0
 _RETRY_SECONDS = 1.0
+_FREE_SHARE = 2
 
 
 @dataclass(slots=True)
@@ -32,14 +33,19 @@
     """Counts what each workspace has in flight and was admitted a minute."""
 
     def __init__(
-        self, read_catalogue: Callable[[], Catalogue], count_routers: Callable[[], int]
+        self,
+        room: int,
+        read_catalogue: Callable[[], Catalogue],
+        count_routers: Callable[[], int],
     ) -> None:
         """Start with nothing in flight.
 
         Args:
+            room: Most requests in flight at this router.
             read_catalogue: Returns the catalogue as it is known now.
             count_routers: Returns how many routers share a limit.
         """
+        self._room = room
         self._read_catalogue = read_catalogue
         self._count_routers = count_routers
         self._lock = threading.Lock()
@@ -51,10 +57,12 @@
 
         Raises:
             LimitReached: The workspace is over one of its limits.
+            StreamsFull: It holds its share of this router's requests.
         """
         workspace = self._read_catalogue().find_workspace(order.workspace)
         limits = workspace.limits if workspace else RequestLimits()
         with self._lock:
+            self._check_room(order.workspace)
             window = self._open_window(order.workspace)
             self._check(order, limits, window)
             self._in_flight[order.workspace] += 1
@@ -66,6 +74,23 @@
         with self._lock:
             self._in_flight[order.workspace] -= 1
 
+    def _check_room(self, workspace: str) -> None:
+        """Leave room among the open requests for workspaces that come later.
+
+        A workspace may hold at most twice what is still free, so one alone
+        gets two thirds of the room, and however many large ones there are,
+        some is left. This is the dynamic threshold of Choudhury and Hahne,
+        "Dynamic Queue Length Thresholds for Shared-Memory Packet Switches",
+        IEEE/ACM Transactions on Networking 6(2), 1998.
+        """
+        held = self._in_flight[workspace]
+        free = self._room - sum(self._in_flight.values())
+        if held >= max(1, _FREE_SHARE * free):
+            raise StreamsFull(
+                'the workspace holds its share of this router',
+                retry_at=time.time() + _RETRY_SECONDS,
+            )
+
     def _check(self, order: Order, limits: RequestLimits, window: _Window) -> None:
         in_flight = self._in_flight[order.workspace]
         if in_flight >= self._share(limits.max_concurrent):
--- a/packages/router/src/ibisport_router/router.py
+++ b/packages/router/src/ibisport_router/router.py
@@ -49,7 +49,9 @@
         self.keeper = SessionKeeper(self)
         self.recovery = Recovery(self)
         self.claims = Claims(self)
-        self.limits = Limits(lambda: self.catalogue.current, self.peers.count)
+        self.limits = Limits(
+            settings.streams, lambda: self.catalogue.current, self.peers.count
+        )
         self._retry_budgets: dict[str, RetryBudget] = defaultdict(_make_retry_budget)
         self.gateway = Gateway(self)
         self._status = StatusServer(
