Remove a question of the charge book that nobody asks

Cause: read-through: ChargeBook.is_fenced has had no caller since open_charge refuses fenced sessions itself. Change: removed; behaviour is the same.

--- a/packages/agent/src/ibisport_agent/internal/charges.py
+++ b/packages/agent/src/ibisport_agent/internal/charges.py
@@ -92,11 +92,6 @@
             self._fenced.add(session)
             return tuple(self._records.get(session, {}).values())
 
-    def is_fenced(self, session: str) -> bool:
-        """Whether a session may spend no more."""
-        with self._lock:
-            return session in self._fenced
-
     def count(self) -> int:
         """Return how many charges are kept."""
         with self._lock:
