Keep prepaid budgets by escrow rows with a proof of contact

Ruled out: an equal split (false refusals by the hundred), a renewed lease as proof (a late renewal lengthens it unnoticed; a new lease for each write can't be).

Change: one page in the store holds every account; each router's row bounds what it may have spent, a smaller part of it while its proof of contact lives.

--- a/packages/fleet/src/ibisport_fleet/handling.py
+++ b/packages/fleet/src/ibisport_fleet/handling.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 
-from ibisport_fleet.budgets import Budgets, Reservation
+from ibisport_fleet.budgets import Budgets, Short
 from ibisport_fleet.calls import Call, draw_pause
 from ibisport_fleet.catalogue import RouteKind
 from ibisport_fleet.choice import Candidate, choose_engine, choose_plain
@@ -11,6 +11,7 @@
 from ibisport_fleet.eventlog import Event, EventLog
 from ibisport_fleet.fleetview import CatalogueView, TargetView
 from ibisport_fleet.intake import Refused, admit
+from ibisport_fleet.ledger import Reservation
 from ibisport_fleet.messages import Request
 from ibisport_fleet.replies import Replies
 from ibisport_fleet.retries import RetryBudget
@@ -101,10 +102,13 @@
                 refused.status, refused.reason, terms.request_id, refused.pause
             )
             return
-        reservation = parts.budgets.reserve(call.workspace, terms.most_tokens)
-        if reservation is None:
-            self._log_refusal(terms.request_id, STATUS_PAYMENT_REQUIRED, 'budget')
-            replies.refuse(STATUS_PAYMENT_REQUIRED, 'budget', terms.request_id, None)
+        try:
+            reservation = await parts.budgets.reserve(call.workspace, terms.most_tokens)
+        except Short as short:
+            spent = short.pause is None
+            status = STATUS_PAYMENT_REQUIRED if spent else STATUS_UNAVAILABLE
+            self._log_refusal(terms.request_id, status, 'budget')
+            replies.refuse(status, 'budget', terms.request_id, short.pause)
             return
         self.in_flight += 1
         try:
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -8,6 +8,7 @@
 from ibisport_fleet.budgets import Budgets
 from ibisport_fleet.callers import CallerServer
 from ibisport_fleet.catalogue import Catalogue
+from ibisport_fleet.errors import StoreError
 from ibisport_fleet.eventlog import Event, EventLog
 from ibisport_fleet.fleetview import CatalogueView, TargetView
 from ibisport_fleet.following import PrefixWatch, StoreContact
@@ -69,7 +70,9 @@
             adapters.decode_target, adapters.name_incarnation, log
         )
         self._pool = ConnectionPool()
-        self._budgets = Budgets()
+        self._budgets = Budgets(
+            settings.host, adapters.store, self._catalogue, log
+        )
         self._handler = CallHandler(
             Parts(
                 settings=settings,
@@ -96,6 +99,7 @@
         loop = asyncio.get_running_loop()
         self._watch(self._adapters.catalogue_prefix, self._catalogue)
         self._watch(self._adapters.target_prefix, self._targets)
+        keeping = self._spawn(self._budgets.run(), 'budgets')
         servers = [
             await loop.create_server(accept, *address, backlog=BACKLOG)
             for accept, address in (
@@ -110,6 +114,8 @@
         )
         await self._stopped.wait()
         await self._leave(servers[1])
+        keeping.cancel()
+        await self._close_budgets()
         self._log.write(Event.process_stopped, host=self._settings.host)
 
     def stop(self) -> None:
@@ -135,11 +141,22 @@
         )
         self._spawn(watch.run(lambda: self._listed.add(prefix)), prefix)
 
-    def _spawn(self, work: Coroutine[Any, Any, None], name: str) -> None:
+    async def _close_budgets(self) -> None:
+        try:
+            async with asyncio.timeout(LEAVE_MARGIN_S):
+                await self._budgets.close()
+        except (StoreError, TimeoutError) as error:
+            # What isn't given back counts as spent: the safe side.
+            self._log.write(Event.budget_unknown, reason=repr(error))
+
+    def _spawn(
+        self, work: Coroutine[Any, Any, None], name: str
+    ) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(work, name=name)
         # The loop itself keeps no reference to a task.
         self._tasks.add(task)
         task.add_done_callback(self._check_task)
+        return task
 
     def _check_task(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
--- a/packages/fleet/src/ibisport_fleet/store.py
+++ b/packages/fleet/src/ibisport_fleet/store.py
@@ -51,10 +51,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Put:
-    """One key to be written."""
+    """One key to be written; it goes with its lease, unless that is 0."""
 
     key: str
     content: bytes
+    lease: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,3 +90,6 @@
         self, conditions: Sequence[Condition], puts: Sequence[Put]
     ) -> Written | Conflict:
         """Write all keys if all conditions hold, or none."""
+
+    async def grant_lease(self, seconds: float) -> tuple[int, float]:
+        """Return a new lease and how long it lasts, counted from the call."""
