--- a/packages/fleet/src/ibisport_fleet/handling.py
+++ b/packages/fleet/src/ibisport_fleet/handling.py
@@ -120,14 +120,17 @@
     async def _serve_in_time(
         self, call: Call, replies: Replies, reservation: Reservation
     ) -> None:
+        serving = Serving(self, self._parts, call, replies)
         try:
             async with asyncio.timeout_at(call.until):
-                await Serving(self, self._parts, call, replies, reservation).run()
+                await serving.run()
         except TimeoutError:
             status = STATUS_TIMEOUT if call.may_have_run else STATUS_UNAVAILABLE
             self._give_up(call, replies, GivenUp(status, 'timeout'))
         except GivenUp as given_up:
             self._give_up(call, replies, given_up)
+        finally:
+            reservation.spent = serving.count_tokens()
 
     def _give_up(self, call: Call, replies: Replies, given_up: GivenUp) -> None:
         self._parts.log.write(
@@ -178,12 +181,10 @@
         parts: Parts,
         call: Call,
         replies: Replies,
-        reservation: Reservation,
     ) -> None:
         self._parts = parts
         self._call = call
         self._replies = replies
-        self._reservation = reservation
         self._retries = handler.find_retries(call.service)
         self._cutter = EventCutter(call.terms.last_event_id)
         self._rejections = 0
@@ -204,6 +205,26 @@
             finally:
                 candidate.health.running -= 1
 
+    def count_tokens(self) -> int:
+        """Return the tokens that the request has cost.
+
+        A request that may have run costs its prompt, whatever became of it.
+        """
+        call = self._call
+        if not call.may_have_run:
+            return 0
+        generated = self._cutter.events * self._tokens_per_event()
+        return call.terms.prompt_tokens + min(
+            call.terms.most_output_tokens, generated
+        )
+
+    def _tokens_per_event(self) -> int:
+        catalogue = self._parts.catalogue.current
+        service = catalogue and catalogue.services.get(self._call.service)
+        if service is None or service.engine is None:
+            return 1
+        return service.engine.tokens_per_event
+
     def _choose(self) -> Candidate:
         call = self._call
         targets = self._parts.targets
@@ -288,7 +309,6 @@
             self._note_break(repr(error))
             return False
         finally:
-            self._charge()
             # Whatever was not read to its end must not run on.
             if not answered.exchange.clean:
                 answered.exchange.close()
@@ -328,17 +348,6 @@
         answered.health.note_success()
         self._log_served(answered)
 
-    def _charge(self) -> None:
-        terms = self._call.terms
-        service = self._parts.catalogue.current
-        stride = 1
-        if service is not None:
-            known = service.services.get(self._call.service)
-            if known is not None and known.engine is not None:
-                stride = known.engine.tokens_per_event
-        output = min(terms.most_output_tokens, self._cutter.events * stride)
-        self._reservation.spent = terms.prompt_tokens + output
-
     def _log_served(self, answered: Answered) -> None:
         call = self._call
         self._parts.log.write(
