--- a/packages/fleet/src/ibisport_fleet/choice.py
+++ b/packages/fleet/src/ibisport_fleet/choice.py
@@ -31,6 +31,7 @@
         running_at_report: ``running`` at that time.
         failures: Failures in a row.
         avoided_until: Loop time up to which it is avoided.
+        replaced: Another incarnation answered at its address.
     """
 
     running: int = 0
@@ -39,6 +40,7 @@
     running_at_report: int = 0
     failures: int = 0
     avoided_until: float = 0.0
+    replaced: bool = False
 
     def note_load(self, load: TargetLoad, now: float) -> None:
         """Keep what the target told of its load."""
@@ -57,6 +59,10 @@
         self.failures = min(self.failures + 1, 8)
         self.avoided_until = now + min(pause, LONGEST_AVOIDANCE_S)
 
+    def note_replaced(self) -> None:
+        """Give the incarnation up: another one has its address."""
+        self.replaced = True
+
     def estimate_load(self, now: float) -> int:
         """Return how many requests probably run or wait there."""
         if self.reported is None or now - self.reported_at > REPORT_SECONDS:
--- a/packages/fleet/src/ibisport_fleet/fleetview.py
+++ b/packages/fleet/src/ibisport_fleet/fleetview.py
@@ -30,12 +30,12 @@
         self._decode = decode
         self._log = log
 
-    def take_listing(self, listing: Listing, after_outage: bool) -> None:
+    def take_listing(self, listing: Listing, doubtful: bool) -> None:
         """Take the catalogue out of a listing of its prefix."""
         for item in listing.items:
             self._take(item)
 
-    def take_change(self, change: Change, after_outage: bool) -> None:
+    def take_change(self, change: Change, doubtful: bool) -> None:
         """Take a new version."""
         if isinstance(change, Item):
             self._take(change)
@@ -78,22 +78,23 @@
         self._log = log
         self._health: dict[str, TargetHealth] = {}
 
-    def take_listing(self, listing: Listing, after_outage: bool) -> None:
+    def take_listing(self, listing: Listing, doubtful: bool) -> None:
         """Take all entries; those that are missing may only have lapsed."""
         entries = [entry for item in listing.items if (entry := self._read(item))]
         now = asyncio.get_running_loop().time()
-        self.targets.replace_all(entries, now + RETURN_GRACE_S)
+        until = now + RETURN_GRACE_S if doubtful else now
+        self.targets.replace_all(entries, until)
         self._log.write(
             Event.target_added, targets=len(entries), revision=listing.revision
         )
 
-    def take_change(self, change: Change, after_outage: bool) -> None:
+    def take_change(self, change: Change, doubtful: bool) -> None:
         """Take one entry that was written or removed."""
         match change:
             case Item():
                 self._put(change)
             case Removal(key=key, revision=revision):
-                self._remove(self._name_incarnation(key), revision, after_outage)
+                self._remove(self._name_incarnation(key), revision, doubtful)
 
     def health(self, incarnation: str) -> TargetHealth:
         """Return what is known of an incarnation's load and failures."""
@@ -106,10 +107,11 @@
     def list_candidates(self, service: str) -> list[Candidate]:
         """Return the targets of a service that take new work."""
         self._drop_lapsed()
-        return [
+        candidates = [
             Candidate(entry, self.health(entry.incarnation))
             for entry in self.targets.list_serving(service)
         ]
+        return [one for one in candidates if not one.health.replaced]
 
     def _drop_lapsed(self) -> None:
         for incarnation in self.targets.drop_lapsed(asyncio.get_running_loop().time()):
@@ -137,8 +139,8 @@
             revision=entry.revision,
         )
 
-    def _remove(self, incarnation: str, revision: int, after_outage: bool) -> None:
-        if after_outage:
+    def _remove(self, incarnation: str, revision: int, doubtful: bool) -> None:
+        if doubtful:
             now = asyncio.get_running_loop().time()
             self.targets.lapse(incarnation, now + RETURN_GRACE_S)
             self._log.write(
--- a/packages/fleet/src/ibisport_fleet/handling.py
+++ b/packages/fleet/src/ibisport_fleet/handling.py
@@ -84,6 +84,7 @@
     def __init__(self, parts: Parts) -> None:
         self._parts = parts
         self._retries: dict[str, RetryBudget] = {}
+        self._started = _now()
         self.in_flight = 0
 
     async def handle(self, request: Request, replies: Replies) -> None:
@@ -166,7 +167,10 @@
         if found is None:
             bounds = self._parts.settings.bounds
             found = RetryBudget(
-                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
+                bounds.retry_ratio,
+                bounds.retry_slack,
+                bounds.retry_window,
+                self._started,
             )
             self._retries[service] = found
         return found
--- a/packages/fleet/src/ibisport_fleet/retries.py
+++ b/packages/fleet/src/ibisport_fleet/retries.py
@@ -13,14 +13,20 @@
         window: Length of the window, seconds.
     """
 
-    def __init__(self, ratio: float, slack: float, window: float) -> None:
+    def __init__(
+        self, ratio: float, slack: float, window: float, started: float
+    ) -> None:
         """Keep the figures of the whole fleet.
 
         Args:
             ratio: Second sends allowed for each request.
             slack: Second sends allowed besides, over all routers.
             window: Length of the window, seconds.
+            started: Loop time at which the process began. What the one before it
+                sent is forgotten, so its part of the slack counts as used up
+                until a window has passed.
         """
+        self._slack_from = started + window
         self.window = window
         self._ratio = ratio
         self._slack = slack
@@ -40,7 +46,8 @@
         """
         self._trim(now)
         earned = self._ratio * len(self._requests) * SAFETY
-        allowed = earned + self._slack * SAFETY / max(1, routers)
+        slack = self._slack * SAFETY / max(1, routers)
+        allowed = earned + (slack if now >= self._slack_from else 0)
         if len(self._repeats) + 1 > allowed:
             return False
         self._repeats.append(now)
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -11,7 +11,7 @@
 from ibisport_fleet.errors import StoreError
 from ibisport_fleet.eventlog import Event, EventLog
 from ibisport_fleet.fleetview import CatalogueView, TargetView
-from ibisport_fleet.following import PrefixWatch, StoreContact
+from ibisport_fleet.following import PrefixWatch
 from ibisport_fleet.handling import CallHandler, Parts
 from ibisport_fleet.pool import ConnectionPool
 from ibisport_fleet.readiness import ReadinessServer
@@ -27,7 +27,9 @@
 # listener stays open that long and a bit more.
 LEAVE_NOTICE_S = 3.2
 # Kept back of the grace, for the last answers and the last write to the store.
-LEAVE_MARGIN_S = 0.6
+LEAVE_MARGIN_S = 1.0
+# Longest time for giving grants back; the store answers within 10 ms.
+CLOSE_SECONDS = 0.5
 POLL_SECONDS = 0.1
 
 
@@ -136,14 +138,12 @@
         self._log.write(Event.settings_reloaded, host=self._settings.host)
 
     def _watch(self, prefix: str, follower: CatalogueView | TargetView) -> None:
-        watch = PrefixWatch(
-            self._adapters.store, prefix, follower, self._log, StoreContact()
-        )
+        watch = PrefixWatch(self._adapters.store, prefix, follower, self._log)
         self._spawn(watch.run(lambda: self._listed.add(prefix)), prefix)
 
     async def _close_budgets(self) -> None:
         try:
-            async with asyncio.timeout(LEAVE_MARGIN_S):
+            async with asyncio.timeout(CLOSE_SECONDS):
                 await self._budgets.close()
         except (StoreError, TimeoutError) as error:
             # What isn't given back counts as spent: the safe side.
--- a/packages/fleet/src/ibisport_fleet/sending.py
+++ b/packages/fleet/src/ibisport_fleet/sending.py
@@ -30,9 +30,14 @@
 
 @dataclass(frozen=True, slots=True)
 class NotRun:
-    """The target proved that the request did not run."""
+    """The target proved that the request did not run.
+
+    Attributes:
+        misdirected: Another incarnation has the address now.
+    """
 
     status: int
+    misdirected: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,7 +160,9 @@
         if terms.not_run:
             await exchange.read_rest()
             self.finish(answered)
-            return NotRun(head.status)
+            if terms.misdirected:
+                health.note_replaced()
+            return NotRun(head.status, terms.misdirected)
         if answered.succeeded and not (terms.signed and terms.request_id):
             raise ConnectionBroken('a success without a signature')
         return answered
--- a/packages/fleet/src/ibisport_fleet/terms.py
+++ b/packages/fleet/src/ibisport_fleet/terms.py
@@ -86,6 +86,7 @@
     Attributes:
         request_id: The request that it answers, or None if it doesn't say.
         not_run: The target proved that the request did not run.
+        misdirected: The incarnation that was meant isn't there any more.
         signed: The target's signature is there.
         load: How busy the target is, if it says so.
         idle_seconds: How long it keeps an idle connection, if it says so.
@@ -93,6 +94,7 @@
 
     request_id: str | None
     not_run: bool
+    misdirected: bool
     signed: bool
     load: TargetLoad | None
     idle_seconds: float | None
