Fix the end of doubt about lapsed entries at the store's return

Cause: each watch took its own first answer, up to 1.5 s late, for the store's return, and each doubtful removal began a new 2.3 s; a target that left 3.5 s after a cut got requests up to 2283 ms after it said so (bound 2000). Ruled out: late or silent watches (the removal was seen within 5 ms).

--- a/packages/fleet/src/ibisport_fleet/fleetview.py
+++ b/packages/fleet/src/ibisport_fleet/fleetview.py
@@ -8,7 +8,7 @@
 from ibisport_fleet.errors import RecordInvalid
 from ibisport_fleet.eventlog import Event, EventLog
 from ibisport_fleet.store import Change, Item, Listing, Removal
-from ibisport_fleet.targets import RETURN_GRACE_S, TargetEntry, TargetList
+from ibisport_fleet.targets import TargetEntry, TargetList
 
 
 class CatalogueView:
@@ -30,12 +30,12 @@
         self._decode = decode
         self._log = log
 
-    def take_listing(self, listing: Listing, doubtful: bool) -> None:
+    def take_listing(self, listing: Listing, doubtful_until: float) -> None:
         """Take the catalogue out of a listing of its prefix."""
         for item in listing.items:
             self._take(item)
 
-    def take_change(self, change: Change, doubtful: bool) -> None:
+    def take_change(self, change: Change, doubtful_until: float) -> None:
         """Take a new version."""
         if isinstance(change, Item):
             self._take(change)
@@ -78,23 +78,21 @@
         self._log = log
         self._health: dict[str, TargetHealth] = {}
 
-    def take_listing(self, listing: Listing, doubtful: bool) -> None:
+    def take_listing(self, listing: Listing, doubtful_until: float) -> None:
         """Take all entries; those that are missing may only have lapsed."""
         entries = [entry for item in listing.items if (entry := self._read(item))]
-        now = asyncio.get_running_loop().time()
-        until = now + RETURN_GRACE_S if doubtful else now
-        self.targets.replace_all(entries, until)
+        self.targets.replace_all(entries, doubtful_until)
         self._log.write(
             Event.target_added, targets=len(entries), revision=listing.revision
         )
 
-    def take_change(self, change: Change, doubtful: bool) -> None:
+    def take_change(self, change: Change, doubtful_until: float) -> None:
         """Take one entry that was written or removed."""
         match change:
             case Item():
                 self._put(change)
             case Removal(key=key, revision=revision):
-                self._remove(self._name_incarnation(key), revision, doubtful)
+                self._remove(self._name_incarnation(key), revision, doubtful_until)
 
     def health(self, incarnation: str) -> TargetHealth:
         """Return what is known of an incarnation's load and failures."""
@@ -139,10 +137,9 @@
             revision=entry.revision,
         )
 
-    def _remove(self, incarnation: str, revision: int, doubtful: bool) -> None:
-        if doubtful:
-            now = asyncio.get_running_loop().time()
-            self.targets.lapse(incarnation, now + RETURN_GRACE_S)
+    def _remove(self, incarnation: str, revision: int, doubtful_until: float) -> None:
+        if asyncio.get_running_loop().time() < doubtful_until:
+            self.targets.lapse(incarnation, doubtful_until)
             self._log.write(
                 Event.target_lapsed, target=incarnation, revision=revision
             )
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -8,6 +8,7 @@
 from ibisport_fleet.budgets import Budgets
 from ibisport_fleet.callers import CallerServer
 from ibisport_fleet.catalogue import Catalogue
+from ibisport_fleet.contact import StoreContact
 from ibisport_fleet.errors import StoreError
 from ibisport_fleet.eventlog import Event, EventLog
 from ibisport_fleet.fleetview import CatalogueView, TargetView
@@ -65,6 +66,7 @@
         self._stopped = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._listed: set[str] = set()
+        self._contact = StoreContact(asyncio.get_running_loop().time())
         self._catalogue = CatalogueView(
             adapters.catalogue_key, adapters.decode_catalogue, log
         )
@@ -138,7 +140,9 @@
         self._log.write(Event.settings_reloaded, host=self._settings.host)
 
     def _watch(self, prefix: str, follower: CatalogueView | TargetView) -> None:
-        watch = PrefixWatch(self._adapters.store, prefix, follower, self._log)
+        watch = PrefixWatch(
+            self._adapters.store, prefix, follower, self._log, self._contact
+        )
         self._spawn(watch.run(lambda: self._listed.add(prefix)), prefix)
 
     async def _close_budgets(self) -> None:
