Relay store calls through the hosts of targets when the straight way is lost

Change: a relay beside each target passes calls on; a call takes the next way after 0.3 s; the straight way is probed by stale reads; contact caps cover 0.6 s.

--- a/packages/fleet/src/ibisport_fleet/allowance.py
+++ b/packages/fleet/src/ibisport_fleet/allowance.py
@@ -7,15 +7,15 @@
 # While the store can't be reached a host lives on what it holds. Its contact cap
 # carries it until its proof of contact has lapsed, 3 s after the last write that
 # is up to 1 s old; half as much again is for bursts.
-CONTACT_SECONDS = 2.5
+CONTACT_SECONDS = 0.6
 BURST = 1.5
 # Its isolated cap carries it through a partition of nine seconds in which one
 # workspace sends several times its usual.
 ISOLATED_SECONDS = 24.0
 # Shares of the unspent rest that all hosts together may hold. What is left over
 # is drawn on demand; above these, hosts would strand what others need.
-CONTACT_SHARE = 0.25
-ISOLATED_SHARE = 0.65
+CONTACT_SHARE = 0.15
+ISOLATED_SHARE = 0.5
 # A host that saw no demand yet is taken for one that sees this share of the rest
 # a second, so that it can answer its first requests in a partition.
 PRIOR_RATE_SHARE = 0.002
--- a/packages/fleet/src/ibisport_fleet/budgets.py
+++ b/packages/fleet/src/ibisport_fleet/budgets.py
@@ -91,6 +91,7 @@
     """A write that may be tried."""
 
     page: BudgetPage
+    session: Session
     rows: dict[str, Row]
     conditions: list[Condition]
     puts: list[Put]
@@ -181,10 +182,11 @@
         }
         self._ledger.take_rows(rows)
         while True:
-            page = self._page.with_rows(self._host, self._next_session(), rows)
+            session = self._next_session()
+            page = self._page.with_rows(self._host, session, rows)
             page = page.close_session(self._host, proved=True)
             try:
-                if await self._put(_Plan(page, {}, [self._condition()], [])):
+                if await self._put(_Plan(page, session, {}, [self._condition()], [])):
                     return
             except StoreError as error:
                 self._note_failure(error)
@@ -271,8 +273,9 @@
             conditions = [self._condition()]
             if proved and proof is not None:
                 conditions.append(Condition(proof.key, proof.revision))
-            page = page.with_rows(self._host, self._next_session(), {})
-            self._opened = await self._put(_Plan(page, {}, conditions, []))
+            session = self._next_session()
+            page = page.with_rows(self._host, session, {})
+            self._opened = await self._put(_Plan(page, session, {}, conditions, []))
             if proved and not self._opened:
                 # The proof may have run out in the meantime.
                 proof = await self._store.read(PROOF_PREFIX + self._host)
@@ -312,12 +315,13 @@
             account = self._page.accounts.get(name, Account())
             demand = purse.demand(now)
             rows[name] = plan_row(account, budget, self._host, demand, self.routers)
-        page = self._page.with_rows(self._host, self._next_session(), rows)
+        session = self._next_session()
+        page = self._page.with_rows(self._host, session, rows)
         puts = []
         if self._proof is not None and not self._proof_stands:
             content = msgspec.json.encode((self._incarnation, time.time()))
             puts.append(Put(PROOF_PREFIX + self._host, content, self._proof.lease))
-        return _Plan(page, rows, [self._condition()], puts)
+        return _Plan(page, session, rows, [self._condition()], puts)
 
     async def _put(self, plan: _Plan) -> bool:
         """Try a write; False on a conflict, after which the page is up to date."""
@@ -334,15 +338,23 @@
         if isinstance(outcome, Conflict):
             current = outcome.find(PAGE_KEY) or await self._store.read(PAGE_KEY)
             self._take_page(current)
+            if self._page.sessions.get(self._host) == plan.session:
+                # An earlier try of this write was done though not answered.
+                self._accept(plan)
+                return True
             await asyncio.sleep(random.random() * CONFLICT_PAUSE_S)
             return False
         self._page = plan.page
         self._revision = outcome.revision
+        self._accept(plan)
+        return True
+
+    def _accept(self, plan: _Plan) -> None:
+        """Take a write that surely stands in the store."""
         self._ledger.take_rows(plan.rows)
         self._proof_stands = self._proof_stands or bool(plan.puts)
         self._written_at = _boot_time()
         self._note_sessions()
-        return True
 
     def _take_page(self, item: Item | None) -> None:
         self._page = BudgetPage() if item is None else load_page(item.content)
--- a/packages/fleet/src/ibisport_fleet/eventlog.py
+++ b/packages/fleet/src/ibisport_fleet/eventlog.py
@@ -23,6 +23,7 @@
     store_lost = 2101
     store_regained = 2102
     watch_lost = 2103
+    store_way_regained = 2104
     catalogue_changed = 2201
     record_refused = 2202
     target_added = 2301
--- a/packages/fleet/src/ibisport_fleet/exchange.py
+++ b/packages/fleet/src/ibisport_fleet/exchange.py
@@ -38,11 +38,14 @@
     Attributes:
         address: The peer's IP number and port.
         idle_until: Loop time from which the connection must not be used again.
+        answered: The last request has its whole answer, and the peer keeps the
+            connection.
     """
 
     def __init__(self, address: Address, channel: Channel) -> None:
         self.address = address
         self.idle_until = 0.0
+        self.answered = False
         self._channel = channel
         self._pieces: deque[_Piece] = deque()
         self._begin_parsing()
@@ -112,9 +115,12 @@
 
     async def ask(self, start: bytes, headers: Headers, body: bytes) -> Answer:
         """Send one request and return its whole answer."""
+        self.answered = False
         self.send(start, headers, body)
         head = await self.read_head()
-        return Answer(head, await self.read_rest())
+        content = await self.read_rest()
+        self.answered = head.keeps_open
+        return Answer(head, content)
 
     def close(self) -> None:
         """Drop the connection, and with it whatever runs for it."""
--- a/packages/fleet/src/ibisport_fleet/process.py
+++ b/packages/fleet/src/ibisport_fleet/process.py
@@ -6,7 +6,8 @@
 
 import uvloop
 
-from ibisport_fleet.eventlog import EventLog
+from ibisport_fleet.eventlog import Event, EventLog
+from ibisport_fleet.relay import Relay
 from ibisport_fleet.router import Adapters, Router
 from ibisport_fleet.settings import HostSettings
 
@@ -23,6 +24,31 @@
     uvloop.run(_run(settings, adapters))
 
 
+def run_relay(settings: HostSettings) -> None:
+    """Pass store calls on until the process is told to stop.
+
+    Args:
+        settings: Who this process is.
+    """
+    gc.freeze()
+    uvloop.run(_run_relay(settings))
+
+
+async def _run_relay(settings: HostSettings) -> None:
+    log = EventLog()
+    relay = Relay(settings.store_address, log)
+    loop = asyncio.get_running_loop()
+    stopped = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    # A relay has nothing to reload.
+    loop.add_signal_handler(signal.SIGHUP, int)
+    await loop.create_server(relay.accept, *settings.relay_address)
+    log.write(Event.process_started, host=settings.host, domain=settings.domain)
+    await stopped.wait()
+    log.write(Event.process_stopped, host=settings.host)
+
+
 async def _run(settings: HostSettings, adapters: Adapters) -> None:
     router = Router(settings, adapters, EventLog())
     loop = asyncio.get_running_loop()
--- /dev/null
+++ b/packages/fleet/src/ibisport_fleet/relay.py
@@ -0,0 +1,88 @@
+"""Passes store calls on for routers that can't reach the store themselves.
+
+A router that is cut off from the store, or that the store turns away, still
+reaches the hosts of its targets, and these may still reach the store. A relay
+keeps nothing and decides nothing: it sends a call on and its answer back.
+"""
+
+import asyncio
+
+from ibisport_fleet.catalogue import Limits
+from ibisport_fleet.channel import Channel
+from ibisport_fleet.errors import ConnectionBroken, ConnectionFailed, RequestInvalid
+from ibisport_fleet.eventlog import Event, EventLog
+from ibisport_fleet.exchange import Address, Exchange, open_exchange
+from ibisport_fleet.messages import Request, drop_connection_headers, dump_head
+from ibisport_fleet.requestreader import RequestReader
+
+# A call that waits for changes takes up to 1.5 s; no caller waits beyond this.
+MOST_CALL_SECONDS = 3.0
+# Routers keep their connections; one that was silent for so long is dropped.
+IDLE_SECONDS = 60.0
+# The largest value of the store, encoded, and its frame.
+RELAY_LIMITS = Limits(most_body_bytes=2_097_152, idle_seconds=IDLE_SECONDS)
+
+
+class Relay:
+    """Accepts routers' connections and sends their calls on to the store."""
+
+    def __init__(self, store_address: Address, log: EventLog) -> None:
+        self._store_address = store_address
+        self._log = log
+        self._idle: list[Exchange] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def accept(self) -> Channel:
+        """Return the protocol of a new connection."""
+        return Channel(self._start)
+
+    def _start(self, channel: Channel) -> None:
+        task = asyncio.get_running_loop().create_task(self._serve(channel))
+        self._tasks.add(task)
+        task.add_done_callback(self._finish)
+        channel.on_lost = task.cancel
+
+    def _finish(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            reason = repr(task.exception())
+            self._log.write(Event.task_failed, task='relay', reason=reason)
+
+    async def _serve(self, channel: Channel) -> None:
+        reader = RequestReader(channel, RELAY_LIMITS)
+        try:
+            while (request := await reader.read()) is not None:
+                await self._pass_on(request, channel)
+        except (ConnectionBroken, ConnectionFailed, RequestInvalid, TimeoutError):
+            # The router sees its connection end: the call may have been executed.
+            channel.abort()
+        finally:
+            channel.close()
+
+    async def _pass_on(self, request: Request, channel: Channel) -> None:
+        deadline = asyncio.get_running_loop().time() + MOST_CALL_SECONDS
+        exchange = await self._take(deadline)
+        start = f'{request.method} '.encode() + request.target + b' HTTP/1.1'
+        headers = drop_connection_headers(request.headers)
+        try:
+            async with asyncio.timeout_at(deadline):
+                answer = await exchange.ask(start, headers, request.body)
+        except BaseException:
+            exchange.close()
+            raise
+        if exchange.answered and exchange.clean:
+            self._idle.append(exchange)
+        else:
+            exchange.close()
+        length = (b'content-length', b'%d' % len(answer.body))
+        kept = (*drop_connection_headers(answer.head.headers), length)
+        first = b'HTTP/1.1 %d Relayed' % answer.head.status
+        channel.write(dump_head(first, kept) + answer.body)
+
+    async def _take(self, deadline: float) -> Exchange:
+        while self._idle:
+            exchange = self._idle.pop()
+            if exchange.clean:
+                return exchange
+            exchange.close()
+        return await open_exchange(self._store_address, deadline)
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -9,6 +9,7 @@
 from ibisport_fleet.callers import CallerServer
 from ibisport_fleet.catalogue import Catalogue
 from ibisport_fleet.contact import StoreContact
+from ibisport_fleet.errors import RecordInvalid
 from ibisport_fleet.eventlog import Event, EventLog
 from ibisport_fleet.fleetview import CatalogueView, TargetView
 from ibisport_fleet.following import PrefixWatch
@@ -18,6 +19,7 @@
 from ibisport_fleet.sending import Sender
 from ibisport_fleet.settings import HostSettings
 from ibisport_fleet.store import Item, Store
+from ibisport_fleet.storepaths import RelayPlace, StorePaths
 from ibisport_fleet.targets import TargetEntry
 from ibisport_fleet.terms import Dialect
 
@@ -32,6 +34,8 @@
 # when it leaves would strand all that it holds.
 CLOSE_MARGIN_S = 0.4
 POLL_SECONDS = 0.1
+# Stale reads cost a tenth of a call.
+PROBE_PERIOD_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,7 +43,7 @@
     """What a platform's adapter provides."""
 
     dialect: Dialect
-    store: Store
+    open_store: Callable[[StorePaths], Store]
     catalogue_key: str
     catalogue_prefix: str
     target_prefix: str
@@ -73,8 +77,13 @@
         self._targets = TargetView(
             adapters.decode_target, adapters.name_incarnation, log
         )
+        self._paths = StorePaths(
+            settings.store_address, settings.domain, self._list_relays
+        )
+        self._store = adapters.open_store(self._paths)
+        self._paths.on_straight_lost = self._store.drop_straight
         self._pool = ConnectionPool()
-        self._budgets = Budgets(settings.host, adapters.store, self._catalogue, log)
+        self._budgets = Budgets(settings.host, self._store, self._catalogue, log)
         self._handler = CallHandler(
             Parts(
                 settings=settings,
@@ -101,14 +110,16 @@
         loop = asyncio.get_running_loop()
         self._watch(self._adapters.catalogue_prefix, self._catalogue)
         self._watch(self._adapters.target_prefix, self._targets)
+        self._spawn(self._probe_straight(), 'probe')
         keeping = self._spawn(self._budgets.run(), 'budgets')
-        servers = [
-            await loop.create_server(accept, *address, backlog=BACKLOG)
-            for accept, address in (
-                (self._readiness.accept, self._settings.readiness_address),
-                (self._callers.accept, self._settings.callers_address),
-            )
-        ]
+        readiness = self._settings.readiness_address
+        callers = self._settings.callers_address
+        if readiness is None or callers is None:
+            raise RecordInvalid('a router needs addresses for callers and readiness')
+        await loop.create_server(self._readiness.accept, *readiness, backlog=BACKLOG)
+        listener = await loop.create_server(
+            self._callers.accept, *callers, backlog=BACKLOG
+        )
         self._log.write(
             Event.process_started,
             host=self._settings.host,
@@ -116,7 +127,7 @@
         )
         await self._stopped.wait()
         killed_at = loop.time() + self._settings.bounds.stop_grace
-        await self._leave(servers[1], killed_at - LEAVE_MARGIN_S)
+        await self._leave(listener, killed_at - LEAVE_MARGIN_S)
         keeping.cancel()
         await self._close_budgets(killed_at - CLOSE_MARGIN_S)
         self._log.write(Event.process_stopped, host=self._settings.host)
@@ -138,9 +149,24 @@
         """Take changed settings; nothing that runs is cut off."""
         self._log.write(Event.settings_reloaded, host=self._settings.host)
 
+    async def _probe_straight(self) -> None:
+        """Take the straight way to the store again as soon as it works."""
+        while True:
+            await asyncio.sleep(PROBE_PERIOD_S)
+            if not self._paths.straight_works and await self._store.probe():
+                self._log.write(Event.store_way_regained)
+
+    def _list_relays(self) -> list[RelayPlace]:
+        port = self._settings.relay_address[1]
+        places = [
+            RelayPlace((entry.address[0], port), entry.domain)
+            for entry in self._targets.targets.entries
+        ]
+        return places
+
     def _watch(self, prefix: str, follower: CatalogueView | TargetView) -> None:
         watch = PrefixWatch(
-            self._adapters.store, prefix, follower, self._log, self._contact
+            self._store, prefix, follower, self._log, self._contact
         )
         self._spawn(watch.run(lambda: self._listed.add(prefix)), prefix)
 
--- a/packages/fleet/src/ibisport_fleet/settings.py
+++ b/packages/fleet/src/ibisport_fleet/settings.py
@@ -32,15 +32,19 @@
     Attributes:
         host: Name of the host.
         domain: Its failure domain.
-        callers_address: Where callers' connections arrive.
-        readiness_address: Where the balancer asks whether new ones may come.
+        relay_address: Where this host's relay listens, if it has one; the port is
+            the same on all hosts.
+        callers_address: Where callers' connections arrive, or None.
+        readiness_address: Where the balancer asks whether new ones may come, or
+            None.
         store_address: The key-value service.
         bounds: Figures of the deployment.
     """
 
     host: str
     domain: str
-    callers_address: Address
-    readiness_address: Address
+    relay_address: Address
+    callers_address: Address | None
+    readiness_address: Address | None
     store_address: Address
     bounds: Bounds
--- a/packages/fleet/src/ibisport_fleet/store.py
+++ b/packages/fleet/src/ibisport_fleet/store.py
@@ -102,3 +102,9 @@
 
     async def grant_lease(self, seconds: float) -> tuple[int, float]:
         """Return a new lease and how long it lasts, counted from the call."""
+
+    async def probe(self) -> bool:
+        """Whether the service answers on the straight way."""
+
+    def drop_straight(self) -> None:
+        """End the calls that wait on the straight way, so that they take another."""
