--- a/packages/fleet/src/ibisport_fleet/allowance.py
+++ b/packages/fleet/src/ibisport_fleet/allowance.py
@@ -2,26 +2,29 @@
 
 from dataclasses import dataclass
 
-from ibisport_fleet.budgetpage import Account, Row
+from ibisport_fleet.budgetpage import Account, Share
 
-# While the store can't be reached a host lives on what it holds. Its contact cap
-# carries it until its proof of contact has lapsed, 3 s after the last write that
-# is up to 1 s old; half as much again is for bursts.
+# What a host may spend without asking while it is in contact covers the time that
+# a write takes when the store is slow; more would be lost in a crash (two seconds
+# and a half of demand lost 0.08 of worth when all routers died).
 CONTACT_SECONDS = 0.6
-BURST = 1.5
-# Its isolated cap carries it through a partition of nine seconds in which one
-# workspace sends several times its usual.
-ISOLATED_SECONDS = 24.0
-# Shares of the unspent rest that all hosts together may hold. What is left over
-# is drawn on demand; above these, hosts would strand what others need.
-CONTACT_SHARE = 0.15
+# And at most this part of what the host holds.
+CONTACT_PART = 0.3
+# While neither the store nor a relay can be reached a host lives on its cap: it
+# carries it through nine seconds in which one workspace sends twice its usual.
+ISOLATED_SECONDS = 20.0
+# Share of the unspent rest that all hosts together hold. What is left over is
+# drawn on demand; above it, hosts would strand what others need.
 ISOLATED_SHARE = 0.5
 # A host that saw no demand yet is taken for one that sees this share of the rest
 # a second, so that it can answer its first requests in a partition.
 PRIOR_RATE_SHARE = 0.002
-
-
+# This part of the shares is even, the rest follows demand: single large prompts
+# make short measurements of demand jump.
 EVEN_PART = 0.4
+# A cap is left as it is while it is within this factor of what is planned, so
+# that hosts don't write the shared page for nothing.
+TOLERANCE = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,14 +42,15 @@
     wanted: int = 0
 
 
-def measure_unspent(account: Account, budget: int) -> int:
-    """Return the tokens that nobody has spent or reserved, as far as is known."""
-    return max(0, budget - account.used)
+def measure_room(account: Account, budget: int, host: str) -> int:
+    """Return up to which cap a host could raise its own."""
+    own = account.shares.get(host, Share())
+    return budget - (account.held - own.cap)
 
 
-def plan_row(
+def plan_share(
     account: Account, budget: int, host: str, demand: Demand, hosts: int
-) -> Row:
+) -> Share:
     """Return what a host should hold of a budget from now on.
 
     Args:
@@ -56,18 +60,43 @@
         demand: What it needs.
         hosts: How many hosts draw on the budget.
     """
-    held = account.rows.get(host, Row())
-    others = account.held - held.isolated_cap
-    room = max(0, budget - others - demand.used)
+    held = account.shares.get(host, Share())
+    room = max(0, measure_room(account, budget, host) - demand.used)
     unspent = max(0, budget - (account.used - held.used) - demand.used)
-    prior = PRIOR_RATE_SHARE * unspent / max(1, hosts)
-    rate = demand.rate + prior
-    everyone = account.rate - held.rate + demand.rate + prior * max(1, hosts)
     even = 1 / max(1, hosts)
-    share = (rate / everyone if everyone > 0 else even) * (1 - EVEN_PART) + even * EVEN_PART
-    contact = min(CONTACT_SECONDS * BURST * rate, CONTACT_SHARE * unspent * share)
-    contact = min(room, max(int(contact), demand.wanted))
-    isolated = min(ISOLATED_SECONDS * rate, ISOLATED_SHARE * unspent * share)
-    isolated = min(room - contact, int(isolated))
-    contact_cap = demand.used + contact
-    return Row(demand.used, contact_cap, contact_cap + isolated, demand.rate)
+    prior = PRIOR_RATE_SHARE * unspent * even
+    everyone = account.rate - held.rate + demand.rate + prior / even
+    by_demand = (demand.rate + prior) / everyone if everyone > 0 else even
+    part = by_demand * (1 - EVEN_PART) + even * EVEN_PART
+    planned = min(
+        ISOLATED_SECONDS * (demand.rate + prior), ISOLATED_SHARE * unspent * part
+    )
+    cap = demand.used + min(room, max(int(planned), demand.wanted))
+    return Share(demand.used, cap, demand.rate)
+
+
+def plan_contact_cap(cap: int, demand: Demand) -> int:
+    """Return what a host may spend without asking while it is in contact.
+
+    Args:
+        cap: What it holds.
+        demand: What it needs.
+    """
+    spare = max(0, cap - demand.used)
+    usual = min(CONTACT_SECONDS * demand.rate, CONTACT_PART * spare)
+    return demand.used + min(spare, max(int(usual), demand.wanted))
+
+
+def needs_page(cap: int, planned: Share, demand: Demand) -> bool:
+    """Whether a host's share is worth a write of the shared page.
+
+    Args:
+        cap: What it holds.
+        planned: What it should hold.
+        demand: What it needs.
+    """
+    have = cap - demand.used
+    want = planned.cap - demand.used
+    if have < demand.wanted:
+        return True
+    return abs(have - want) > TOLERANCE * max(have, want, 1)
--- a/packages/fleet/src/ibisport_fleet/budgetpage.py
+++ b/packages/fleet/src/ibisport_fleet/budgetpage.py
@@ -1,12 +1,12 @@
-"""The page of all budgets in the store: who may spend how much of which.
+"""The page of all budgets in the store: which host holds how much of which.
 
 One record holds every workspace's account, so one compare-and-swap keeps
 
-    closed + sum(row.isolated_cap of every host) <= tokens paid for
+    closed + sum(share.cap of every host) <= tokens paid for
 
 for each of them: tokens that a router may still spend have left the budget
 before the router knows of them (escrow: O'Neil, ACM TODS 11(4), 1986). Whatever
-happens to a router, its row bounds what it can have spent.
+happens to a router, its cap bounds what it can have spent.
 """
 
 from dataclasses import dataclass, field, replace
@@ -18,19 +18,17 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Row:
+class Share:
     """What one host holds of one budget, in tokens since its process began.
 
     Attributes:
-        used: Spent, and reserved at the most, when the row was written.
-        contact_cap: Bound of ``used`` while the host's proof of contact lives.
-        isolated_cap: Bound of ``used`` in any case, at least ``contact_cap``.
+        used: Spent, and reserved at the most, when the page was written.
+        cap: Bound of ``used`` whatever happens.
         rate: Tokens a second that callers have lately asked for at this host.
     """
 
     used: int = 0
-    contact_cap: int = 0
-    isolated_cap: int = 0
+    cap: int = 0
     rate: float = 0.0
 
 
@@ -40,31 +38,31 @@
 
     Attributes:
         closed: Tokens counted as spent by processes that have ended.
-        rows: What hosts hold, by the host's name.
+        shares: What hosts hold, by the host's name.
     """
 
     closed: int = 0
-    rows: dict[str, Row] = field(default_factory=dict)
+    shares: dict[str, Share] = field(default_factory=dict)
 
     @property
     def held(self) -> int:
         """Tokens that have left the budget."""
-        return self.closed + sum(row.isolated_cap for row in self.rows.values())
+        return self.closed + sum(share.cap for share in self.shares.values())
 
     @property
     def used(self) -> int:
         """Tokens known to be spent or reserved."""
-        return self.closed + sum(row.used for row in self.rows.values())
+        return self.closed + sum(share.used for share in self.shares.values())
 
     @property
     def rate(self) -> float:
         """Tokens a second that callers ask for at all hosts."""
-        return sum(row.rate for row in self.rows.values())
+        return sum(share.rate for share in self.shares.values())
 
 
 @dataclass(frozen=True, slots=True)
 class Session:
-    """The process of a host that last wrote.
+    """The process of a host that last wrote the page.
 
     Attributes:
         incarnation: Drawn at the start of the process.
@@ -82,35 +80,39 @@
     accounts: dict[str, Account] = field(default_factory=dict)
     sessions: dict[str, Session] = field(default_factory=dict)
 
-    def close_session(self, host: str, proved: bool) -> 'BudgetPage':
-        """Return the page with a dead process's rows counted as spent.
+    def find(self, workspace: str) -> Account:
+        """Return a workspace's account, empty at first."""
+        return self.accounts.get(workspace, Account())
+
+    def close_session(self, host: str, spent: dict[str, int]) -> 'BudgetPage':
+        """Return the page with a dead process's shares counted as spent.
 
         Args:
             host: The host whose process has ended.
-            proved: Its proof of contact still lived, so it can't have gone
-                beyond its contact caps.
+            spent: Bounds of what it spent, by workspace, where they are known
+                to be lower than its caps.
         """
         accounts = {}
         for name, account in self.accounts.items():
-            row = account.rows.get(host)
-            if row is not None:
-                lost = row.contact_cap if proved else row.isolated_cap
-                rows = {
-                    other: one for other, one in account.rows.items() if other != host
+            share = account.shares.get(host)
+            if share is not None:
+                lost = min(share.cap, spent.get(name, share.cap))
+                others = {
+                    one: held for one, held in account.shares.items() if one != host
                 }
-                account = Account(account.closed + lost, rows)
+                account = Account(account.closed + lost, others)
             accounts[name] = account
         sessions = {one: held for one, held in self.sessions.items() if one != host}
         return BudgetPage(accounts, sessions)
 
-    def with_rows(
-        self, host: str, session: Session, rows: dict[str, Row]
+    def with_shares(
+        self, host: str, session: Session, shares: dict[str, Share]
     ) -> 'BudgetPage':
-        """Return the page with all rows of a host replaced."""
+        """Return the page with shares of a host replaced."""
         accounts = dict(self.accounts)
-        for name, row in rows.items():
-            account = accounts.get(name, Account())
-            accounts[name] = replace(account, rows={**account.rows, host: row})
+        for name, share in shares.items():
+            account = self.find(name)
+            accounts[name] = replace(account, shares={**account.shares, host: share})
         return BudgetPage(accounts, {**self.sessions, host: session})
 
 
@@ -119,7 +121,7 @@
     return msgspec.json.encode(
         {
             'accounts': {
-                name: [account.closed, _dump_rows(account)]
+                name: [account.closed, _dump_shares(account)]
                 for name, account in page.accounts.items()
             },
             'sessions': {
@@ -143,19 +145,19 @@
         raise RecordInvalid(f'budget page: {error!r}') from error
 
 
-def _dump_rows(account: Account) -> dict[str, list[float]]:
+def _dump_shares(account: Account) -> dict[str, list[float]]:
     return {
-        host: [row.used, row.contact_cap, row.isolated_cap, round(row.rate, 1)]
-        for host, row in account.rows.items()
+        host: [share.used, share.cap, round(share.rate, 1)]
+        for host, share in account.shares.items()
     }
 
 
 def _build_page(document: dict[str, Any]) -> BudgetPage:
     accounts = {}
-    for name, (closed, rows) in document['accounts'].items():
+    for name, (closed, shares) in document['accounts'].items():
         built = {
-            host: Row(int(used), int(contact), int(isolated), float(rate))
-            for host, (used, contact, isolated, rate) in rows.items()
+            host: Share(int(used), int(cap), float(rate))
+            for host, (used, cap, rate) in shares.items()
         }
         accounts[name] = Account(int(closed), built)
     sessions = {
--- a/packages/fleet/src/ibisport_fleet/budgets.py
+++ b/packages/fleet/src/ibisport_fleet/budgets.py
@@ -1,11 +1,12 @@
 """What workspaces may spend at this router, kept in step with the store.
 
-The router keeps a proof of contact in the store: a key under a lease of
-``PROOF_SECONDS`` that is never renewed but replaced by a new one about once a
-second. It spends up to its contact caps, and beyond them, up to its isolated
-caps, only when the newest lease has surely run out. So a process that starts
-after a crash and still finds the proof of the one before knows that no more than
-the contact caps can have been spent; without it the isolated caps count as spent.
+The router holds caps in the budget page, which all hosts share, and lower contact
+caps in its own record. It keeps to the contact caps while its proof of contact
+lives: a key under a lease that is never renewed but replaced by a new one. It
+goes up to its caps only when the newest lease has surely run out. So a process
+that starts after a crash and still finds the proof of the one before knows that
+no more than the contact caps can have been spent; without it the caps count as
+spent.
 """
 
 import asyncio
@@ -13,37 +14,53 @@
 import random
 import time
 import uuid
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 
-from ibisport_fleet.allowance import measure_unspent, plan_row
+from ibisport_fleet.allowance import (
+    Demand,
+    measure_room,
+    needs_page,
+    plan_contact_cap,
+    plan_share,
+)
 from ibisport_fleet.budgetpage import (
-    Account,
     BudgetPage,
-    Row,
     Session,
+    Share,
     dump_page,
     load_page,
 )
 from ibisport_fleet.calls import draw_pause
 from ibisport_fleet.catalogue import Workspace
-from ibisport_fleet.errors import StoreError, StoreUnknown
+from ibisport_fleet.errors import RecordInvalid, StoreError
 from ibisport_fleet.eventlog import Event, EventLog
 from ibisport_fleet.fleetview import CatalogueView
+from ibisport_fleet.hostrecord import (
+    HostRecord,
+    dump_record,
+    load_record,
+    name_record,
+)
 from ibisport_fleet.ledger import Ledger, Reservation
 from ibisport_fleet.store import Condition, Conflict, Item, Put, Store
 
 PAGE_KEY = 'ibisport/budgets'
 PROOF_PREFIX = 'ibisport/contact/'
 # A crash of all routers is over within 1.2 s and half a second of starting; the
-# proof is up to a second old then.
+# proof is up to 0.7 s old then.
 PROOF_SECONDS = 2.5
+PROOF_PERIOD_S = 0.7
 WRITE_PERIOD_S = 0.75
+# The shared page is looked at, and shares are balanced, about so often.
+PAGE_PERIOD_S = 1.5
 RETRY_PAUSE_S = 0.2
-# Longest time that a request waits for tokens: a write takes 4 to 10 ms, and two
-# conflicts may come before it.
-DRAW_SECONDS = 0.15
+# Longest time that a request waits for tokens: a write takes 5 ms, and 250 ms
+# while the store is slow; conflicts may come before it.
+DRAW_SECONDS = 0.6
+# The same while calls fail: sooner with another router than waiting here.
+FAILING_DRAW_SECONDS = 0.1
 MOST_CONFLICTS = 8
 # Spreads writers that collided: a write and its answer take about 5 ms.
 CONFLICT_PAUSE_S = 0.004
@@ -88,13 +105,21 @@
 
 @dataclass(frozen=True, slots=True)
 class _Plan:
-    """A write that may be tried."""
+    """A write that may be tried.
+
+    Attributes:
+        record: This host's record.
+        page: The shared page, or None to leave it alone.
+        caps: The caps that the page gives to this host.
+        proof: The proof to be written, or None.
+        conditions: Revisions that must hold besides those of page and record.
+    """
 
-    page: BudgetPage
-    session: Session
-    rows: dict[str, Row]
-    conditions: list[Condition]
-    puts: list[Put]
+    record: HostRecord
+    page: BudgetPage | None = None
+    caps: dict[str, int] = field(default_factory=dict)
+    proof: _Proof | None = None
+    conditions: tuple[Condition, ...] = ()
 
 
 class Budgets:
@@ -111,13 +136,13 @@
         self._sequence = 0
         self._ledger = Ledger()
         self._page = BudgetPage()
-        self._revision: int | None = None
+        self._page_revision = 0
+        self._page_at = 0.0
+        self._record_revision = 0
         self._opened = False
         self._proof: _Proof | None = None
         self._proof_stands = False
         self._lapses_at = 0.0
-        self._started = _boot_time()
-        self._written_at = 0.0
         self._seen: dict[str, tuple[Session, float]] = {}
         self._wake = asyncio.Event()
         self._drawn = asyncio.Event()
@@ -144,13 +169,10 @@
         Raises:
             Short: The budget doesn't cover it, or can't be asked now.
         """
-        if workspace is None or workspace.budget is None:
+        if workspace is None or workspace.budget is None or not tokens:
             return Reservation(None, tokens)
-        if not tokens:
-            return Reservation(None, 0)
         now = _boot_time()
-        purse = self._ledger.find(workspace.name)
-        purse.note_asked(tokens, now)
+        self._ledger.find(workspace.name).note_asked(tokens, now)
         held = self._ledger.reserve(workspace.name, tokens, self._is_isolated(now))
         if held is not None:
             return held
@@ -160,8 +182,25 @@
         """Count what a request has cost and give the rest back."""
         self._ledger.settle(reservation)
 
+    async def grant_proofs(self) -> None:
+        """Get a new lease for the proof of contact from time to time, for ever.
+
+        It is a task of its own so that no draw waits for it.
+        """
+        while True:
+            try:
+                lease, seconds = await self._store.grant_lease(PROOF_SECONDS)
+            except StoreError as error:
+                self._note_failure(error)
+                await asyncio.sleep(RETRY_PAUSE_S)
+                continue
+            self._proof = _Proof(lease, _boot_time() + seconds)
+            self._proof_stands = False
+            self._wake.set()
+            await asyncio.sleep(PROOF_PERIOD_S)
+
     async def run(self) -> None:
-        """Keep the page in step with the ledger for ever."""
+        """Keep the store in step with the ledger for ever."""
         while True:
             try:
                 await self._write()
@@ -173,20 +212,15 @@
             await self._wait()
 
     async def close(self) -> None:
-        """Give back all that isn't spent; the process serves no more."""
+        """Say what was spent in the end; the process serves no more."""
         if not self._opened:
             return
-        rows = {
-            name: Row(purse.used, purse.used, purse.used)
-            for name, purse in self._ledger.purses.items()
-        }
-        self._ledger.take_rows(rows)
+        spent = {name: purse.used for name, purse in self._ledger.purses.items()}
+        self._ledger.accept(spent, spent)
         while True:
-            session = self._next_session()
-            page = self._page.with_rows(self._host, session, rows)
-            page = page.close_session(self._host, proved=True)
+            record = HostRecord(self._incarnation, self._next(), final=True, caps=spent)
             try:
-                if await self._put(_Plan(page, session, {}, [self._condition()], [])):
+                if await self._put(_Plan(record)):
                     return
             except StoreError as error:
                 self._note_failure(error)
@@ -197,7 +231,8 @@
             raise self._explain(workspace, tokens)
         purse = self._ledger.find(workspace.name)
         purse.wanted += tokens
-        until = asyncio.get_running_loop().time() + DRAW_SECONDS
+        wait = FAILING_DRAW_SECONDS if self._failing else DRAW_SECONDS
+        until = asyncio.get_running_loop().time() + wait
         try:
             async with asyncio.timeout_at(until):
                 return await self._wait_for_tokens(workspace, tokens)
@@ -221,28 +256,25 @@
     def _pause_until_isolated(self) -> float:
         """Return how long a caller should wait while the store can't be reached.
 
-        Once the proof of contact has run out the isolated caps hold.
+        Once the proof of contact has run out the caps hold.
         """
         left = max(0.0, self._lapses_at - _boot_time())
         return left + draw_pause(SHORT_PAUSE_S)
 
     def _is_hopeless(self, workspace: Workspace, tokens: int) -> bool:
         """Whether a draw just now can't bring the tokens either."""
-        if _boot_time() - self._written_at > FRESH_SECONDS:
+        if _boot_time() - self._page_at > FRESH_SECONDS:
             return False
-        account = self._page.accounts.get(workspace.name, Account())
-        own = account.rows.get(self._host, Row())
-        purse = self._ledger.find(workspace.name)
-        room = (workspace.budget or 0) - account.held + own.isolated_cap
-        return purse.used + tokens > room
+        account = self._page.find(workspace.name)
+        room = measure_room(account, workspace.budget or 0, self._host)
+        return self._ledger.find(workspace.name).used + tokens > room
 
     def _explain(self, workspace: Workspace, tokens: int) -> Short:
-        account = self._page.accounts.get(workspace.name, Account())
-        budget = workspace.budget or 0
-        own = account.rows.get(self._host, Row())
-        purse = self._ledger.find(workspace.name)
-        unspent = measure_unspent(account, budget) + own.used - purse.used
-        return Short(None if unspent < tokens else draw_pause(SHORT_PAUSE_S))
+        account = self._page.find(workspace.name)
+        own = account.shares.get(self._host, Share())
+        used = account.used - own.used + self._ledger.find(workspace.name).used
+        short = used + tokens > (workspace.budget or 0)
+        return Short(None if short else draw_pause(SHORT_PAUSE_S))
 
     async def _wait(self) -> None:
         with contextlib.suppress(TimeoutError):
@@ -254,10 +286,10 @@
         if not self._opened:
             # Nothing is drawn before the process before this one is accounted for.
             await self._open()
-        await self._renew_proof()
+        if _boot_time() - self._page_at > PAGE_PERIOD_S:
+            self._take_page(await self._store.read(PAGE_KEY))
         for _ in range(MOST_CONFLICTS):
-            plan = self._plan()
-            if await self._put(plan):
+            if await self._put(self._plan()):
                 break
         drawn, self._drawn = self._drawn, asyncio.Event()
         drawn.set()
@@ -265,27 +297,48 @@
     async def _open(self) -> None:
         """End the session that this host's process had before."""
         self._take_page(await self._store.read(PAGE_KEY))
-        proof = await self._store.read(PROOF_PREFIX + self._host)
         while not self._opened:
+            record_item = await self._store.read(name_record(self._host))
+            proof = await self._store.read(PROOF_PREFIX + self._host)
+            self._record_revision = 0 if record_item is None else record_item.revision
             before = self._page.sessions.get(self._host)
-            proved = before is not None and self._proves(proof, before)
-            page = self._page.close_session(self._host, proved)
-            conditions = [self._condition()]
-            if proved and proof is not None:
-                conditions.append(Condition(proof.key, proof.revision))
-            session = self._next_session()
-            page = page.with_rows(self._host, session, {})
-            self._opened = await self._put(_Plan(page, session, {}, conditions, []))
-            if proved and not self._opened:
-                # The proof may have run out in the meantime.
-                proof = await self._store.read(PROOF_PREFIX + self._host)
+            spent = self._bound_spent(before, record_item, proof)
+            page = self._page.close_session(self._host, spent)
+            session = Session(self._incarnation, self._next())
+            page = page.with_shares(self._host, session, {})
+            conditions = ()
+            if spent and proof is not None:
+                conditions = (Condition(proof.key, proof.revision),)
+            plan = _Plan(
+                HostRecord(self._incarnation, session.sequence),
+                page,
+                conditions=conditions,
+            )
+            self._opened = await self._put(plan)
         self._log.write(
             Event.budget_opened,
-            revision=self._revision,
+            revision=self._page_revision,
             before=None if before is None else before.incarnation,
-            proved=proved,
+            bounded=bool(spent),
         )
 
+    def _bound_spent(
+        self, before: Session | None, record_item: Item | None, proof: Item | None
+    ) -> dict[str, int]:
+        """Return bounds of what the process before spent; empty if unknown."""
+        if before is None or record_item is None:
+            return {}
+        try:
+            record = load_record(record_item.content)
+        except RecordInvalid as error:
+            self._log.write(Event.record_refused, reason=str(error))
+            return {}
+        if record.incarnation != before.incarnation:
+            return {}
+        if record.final or self._proves(proof, before):
+            return record.caps
+        return {}
+
     def _proves(self, proof: Item | None, before: Session) -> bool:
         if proof is None:
             return False
@@ -299,66 +352,112 @@
         age = time.time() - written
         return incarnation == before.incarnation and age < PROOF_SECONDS + WALL_MARGIN_S
 
-    async def _renew_proof(self) -> None:
-        now = _boot_time()
-        if self._proof is not None and now - self._written_at < WRITE_PERIOD_S / 2:
-            return
-        lease, seconds = await self._store.grant_lease(PROOF_SECONDS)
-        self._proof = _Proof(lease, _boot_time() + seconds)
-        self._proof_stands = False
-
     def _plan(self) -> _Plan:
         now = _boot_time()
-        rows = {}
-        for name, budget in self._list_budgets():
-            purse = self._ledger.find(name)
-            account = self._page.accounts.get(name, Account())
-            demand = purse.demand(now)
-            rows[name] = plan_row(account, budget, self._host, demand, self.routers)
-        session = self._next_session()
-        page = self._page.with_rows(self._host, session, rows)
-        puts = []
-        if self._proof is not None and not self._proof_stands:
-            content = msgspec.json.encode((self._incarnation, time.time()))
-            puts.append(Put(PROOF_PREFIX + self._host, content, self._proof.lease))
-        return _Plan(page, session, rows, [self._condition()], puts)
+        hosts = self.routers
+        demands = {
+            name: self._ledger.find(name).demand(now)
+            for name, _ in self._list_budgets()
+        }
+        shares = {
+            name: plan_share(
+                self._page.find(name), budget, self._host, demands[name], hosts
+            )
+            for name, budget in self._list_budgets()
+        }
+        proof = None if self._proof_stands else self._proof
+        sequence = self._next()
+        if not self._is_page_due(shares, demands):
+            caps = {name: self._ledger.find(name).cap for name in demands}
+            return _Plan(self._build_record(sequence, caps, demands), proof=proof)
+        caps = {name: share.cap for name, share in shares.items()}
+        session = Session(self._incarnation, sequence)
+        page = self._page.with_shares(self._host, session, shares)
+        return _Plan(self._build_record(sequence, caps, demands), page, caps, proof)
+
+    def _is_page_due(
+        self, shares: dict[str, Share], demands: dict[str, Demand]
+    ) -> bool:
+        held = self._ledger.purses
+        return any(
+            needs_page(held[name].cap, share, demands[name])
+            for name, share in shares.items()
+        )
+
+    def _build_record(
+        self, sequence: int, caps: dict[str, int], demands: dict[str, Demand]
+    ) -> HostRecord:
+        contact_caps = {
+            name: plan_contact_cap(cap, demands[name]) for name, cap in caps.items()
+        }
+        return HostRecord(self._incarnation, sequence, caps=contact_caps)
 
     async def _put(self, plan: _Plan) -> bool:
         """Try a write; False on a conflict, after which the page is up to date."""
-        # Until the answer is here both the old rows and the new may stand.
-        self._ledger.narrow(plan.rows, self._is_isolated(_boot_time()))
-        if plan.puts and self._proof is not None:
-            self._lapses_at = max(self._lapses_at, self._proof.lapses_at)
-        puts = [Put(PAGE_KEY, dump_page(plan.page)), *plan.puts]
-        try:
-            outcome = await self._store.write(plan.conditions, puts)
-        except StoreUnknown:
-            self._revision = None
-            raise
+        # Until the answer is here both the old caps and the new may stand.
+        now = _boot_time()
+        self._ledger.narrow(plan.record.caps, plan.caps, self._is_isolated(now))
+        if plan.proof is not None:
+            self._lapses_at = max(self._lapses_at, plan.proof.lapses_at)
+        outcome = await self._store.write(
+            self._list_conditions(plan), self._list_puts(plan)
+        )
         if isinstance(outcome, Conflict):
-            current = outcome.find(PAGE_KEY) or await self._store.read(PAGE_KEY)
-            self._take_page(current)
-            if self._page.sessions.get(self._host) == plan.session:
-                # An earlier try of this write was done though not answered.
-                self._accept(plan)
-                return True
-            await asyncio.sleep(random.random() * CONFLICT_PAUSE_S)
-            return False
-        self._page = plan.page
-        self._revision = outcome.revision
+            return await self._resolve(plan, outcome)
+        self._record_revision = outcome.revision
+        if plan.page is not None:
+            self._page = plan.page
+            self._page_revision = outcome.revision
+            self._page_at = _boot_time()
         self._accept(plan)
         return True
 
+    async def _resolve(self, plan: _Plan, conflict: Conflict) -> bool:
+        """Find out whose write came before ours; True if it was ours itself."""
+        key = name_record(self._host)
+        item = conflict.find(key) or await self._store.read(key)
+        record = None if item is None else load_record(item.content)
+        self._record_revision = 0 if item is None else item.revision
+        done = record is not None and record == plan.record
+        if plan.page is not None:
+            current = conflict.find(PAGE_KEY) or await self._store.read(PAGE_KEY)
+            self._take_page(current)
+        if done:
+            # An earlier try of this write was done though not answered.
+            self._accept(plan)
+            return True
+        await asyncio.sleep(random.random() * CONFLICT_PAUSE_S)
+        return False
+
     def _accept(self, plan: _Plan) -> None:
         """Take a write that surely stands in the store."""
-        self._ledger.take_rows(plan.rows)
-        self._proof_stands = self._proof_stands or bool(plan.puts)
-        self._written_at = _boot_time()
+        self._ledger.accept(plan.record.caps, plan.caps)
+        if plan.proof is self._proof:
+            self._proof_stands = True
         self._note_sessions()
 
+    def _list_conditions(self, plan: _Plan) -> list[Condition]:
+        conditions = [
+            Condition(name_record(self._host), self._record_revision),
+            *plan.conditions,
+        ]
+        if plan.page is not None:
+            conditions.append(Condition(PAGE_KEY, self._page_revision))
+        return conditions
+
+    def _list_puts(self, plan: _Plan) -> list[Put]:
+        puts = [Put(name_record(self._host), dump_record(plan.record))]
+        if plan.page is not None:
+            puts.append(Put(PAGE_KEY, dump_page(plan.page)))
+        if plan.proof is not None:
+            content = msgspec.json.encode((self._incarnation, time.time()))
+            puts.append(Put(PROOF_PREFIX + self._host, content, plan.proof.lease))
+        return puts
+
     def _take_page(self, item: Item | None) -> None:
         self._page = BudgetPage() if item is None else load_page(item.content)
-        self._revision = 0 if item is None else item.revision
+        self._page_revision = 0 if item is None else item.revision
+        self._page_at = _boot_time()
         self._note_sessions()
 
     def _note_sessions(self) -> None:
@@ -368,12 +467,9 @@
             if known is None or known[0] != session:
                 self._seen[host] = (session, now)
 
-    def _next_session(self) -> Session:
+    def _next(self) -> int:
         self._sequence += 1
-        return Session(self._incarnation, self._sequence)
-
-    def _condition(self) -> Condition:
-        return Condition(PAGE_KEY, self._revision or 0)
+        return self._sequence
 
     def _is_isolated(self, now: float) -> bool:
         return self._opened and now > self._lapses_at
--- a/packages/fleet/src/ibisport_fleet/ledger.py
+++ b/packages/fleet/src/ibisport_fleet/ledger.py
@@ -1,10 +1,9 @@
 """What this process has spent and reserved of each budget, and may still spend."""
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from ibisport_fleet.allowance import Demand
-from ibisport_fleet.budgetpage import Row
 
 # Demand is averaged over about this time: long enough to see rare large prompts,
 # short enough to follow a workspace that suddenly sends several times its usual.
@@ -33,13 +32,16 @@
     Attributes:
         settled: Spent by requests that have ended.
         reserved: Held for requests that run.
-        row: The row that bounds it, as it surely stands in the store.
+        contact_cap: Bound while the proof of contact lives, as it surely stands
+            in the store.
+        cap: Bound without it, as it surely stands in the store.
         wanted: Tokens that requests wait for.
     """
 
     settled: int = 0
     reserved: int = 0
-    row: Row = field(default_factory=Row)
+    contact_cap: int = 0
+    cap: int = 0
     wanted: int = 0
     _asked: float = 0.0
     _asked_at: float = 0.0
@@ -55,9 +57,9 @@
         self._asked += tokens
 
     def fits(self, tokens: int, isolated: bool) -> bool:
-        """Whether a request of so many tokens is within the row."""
-        cap = self.row.isolated_cap if isolated else self.row.contact_cap
-        return self.used + tokens <= cap
+        """Whether a request of so many tokens is within the bounds."""
+        bound = self.cap if isolated else min(self.cap, self.contact_cap)
+        return self.used + tokens <= bound
 
     def demand(self, now: float) -> Demand:
         """Return what this host needs of the budget."""
@@ -105,26 +107,26 @@
         purse.reserved -= reservation.tokens
         purse.settled += min(reservation.spent, reservation.tokens)
 
-    def narrow(self, rows: dict[str, Row], isolated: bool) -> None:
-        """Bound the purses by rows that may or may not have been written.
+    def narrow(
+        self, contact_caps: dict[str, int], caps: dict[str, int], isolated: bool
+    ) -> None:
+        """Bound the purses by a write that may or may not be done.
 
         Args:
-            rows: The rows of the write that is on its way.
-            isolated: The proof of contact beside the old rows has run out, so
-                that these bound the host by their isolated caps.
+            contact_caps: The contact caps of the write.
+            caps: Its caps; empty if the write doesn't change them.
+            isolated: The proof of contact beside the old caps has run out, so
+                that the old contact caps don't bind any more.
         """
-        for name, row in rows.items():
+        for name, contact_cap in contact_caps.items():
             purse = self.find(name)
-            old = purse.row
-            old_cap = old.isolated_cap if isolated else old.contact_cap
-            purse.row = Row(
-                row.used,
-                min(old_cap, row.contact_cap),
-                min(old.isolated_cap, row.isolated_cap),
-                row.rate,
-            )
-
-    def take_rows(self, rows: dict[str, Row]) -> None:
-        """Bound the purses by rows that surely stand in the store."""
-        for name, row in rows.items():
-            self.find(name).row = row
+            old = purse.cap if isolated else purse.contact_cap
+            purse.contact_cap = min(old, contact_cap)
+            purse.cap = min(purse.cap, caps.get(name, purse.cap))
+
+    def accept(self, contact_caps: dict[str, int], caps: dict[str, int]) -> None:
+        """Bound the purses by a write that surely stands in the store."""
+        for name, contact_cap in contact_caps.items():
+            self.find(name).contact_cap = contact_cap
+        for name, cap in caps.items():
+            self.find(name).cap = cap
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -111,6 +111,7 @@
         self._watch(self._adapters.catalogue_prefix, self._catalogue)
         self._watch(self._adapters.target_prefix, self._targets)
         self._spawn(self._probe_straight(), 'probe')
+        proving = self._spawn(self._budgets.grant_proofs(), 'proofs')
         keeping = self._spawn(self._budgets.run(), 'budgets')
         readiness = self._settings.readiness_address
         callers = self._settings.callers_address
@@ -129,6 +130,7 @@
         killed_at = loop.time() + self._settings.bounds.stop_grace
         await self._leave(listener, killed_at - LEAVE_MARGIN_S)
         keeping.cancel()
+        proving.cancel()
         await self._close_budgets(killed_at - CLOSE_MARGIN_S)
         self._log.write(Event.process_stopped, host=self._settings.host)
 
