--- a/packages/fleet/src/ibisport_fleet/budgets.py
+++ b/packages/fleet/src/ibisport_fleet/budgets.py
@@ -306,7 +306,7 @@
             page = self._page.close_session(self._host, spent)
             session = Session(self._incarnation, self._next())
             page = page.with_shares(self._host, session, {})
-            conditions = ()
+            conditions: tuple[Condition, ...] = ()
             if spent and proof is not None:
                 conditions = (Condition(proof.key, proof.revision),)
             plan = _Plan(
--- a/packages/fleet/src/ibisport_fleet/callers.py
+++ b/packages/fleet/src/ibisport_fleet/callers.py
@@ -1,6 +1,7 @@
 """Serves one caller's connection after the other request."""
 
 import asyncio
+from functools import partial
 
 from ibisport_fleet.catalogue import Limits
 from ibisport_fleet.channel import Channel
@@ -58,7 +59,7 @@
         # The loop itself keeps no reference to a task.
         self._tasks.add(task)
         task.add_done_callback(self._finish)
-        channel.on_lost = task.cancel
+        channel.on_lost = partial(_cancel, task)
 
     def _finish(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
@@ -105,3 +106,7 @@
     def _limits(self) -> Limits:
         current = self._catalogue.current
         return Limits() if current is None else current.limits
+
+
+def _cancel(task: asyncio.Task[None]) -> None:
+    task.cancel()
--- a/packages/fleet/src/ibisport_fleet/handling.py
+++ b/packages/fleet/src/ibisport_fleet/handling.py
@@ -222,7 +222,9 @@
 
     def _tokens_per_event(self) -> int:
         catalogue = self._parts.catalogue.current
-        service = catalogue and catalogue.services.get(self._call.service)
+        if catalogue is None:
+            return 1
+        service = catalogue.services.get(self._call.service)
         if service is None or service.engine is None:
             return 1
         return service.engine.tokens_per_event
--- a/packages/fleet/src/ibisport_fleet/ledger.py
+++ b/packages/fleet/src/ibisport_fleet/ledger.py
@@ -91,7 +91,9 @@
             self._purses[workspace] = found
         return found
 
-    def reserve(self, workspace: str, tokens: int, isolated: bool) -> Reservation | None:
+    def reserve(
+        self, workspace: str, tokens: int, isolated: bool
+    ) -> Reservation | None:
         """Hold tokens for a request, or return None if they aren't at hand."""
         purse = self.find(workspace)
         if not purse.fits(tokens, isolated):
--- a/packages/fleet/src/ibisport_fleet/readiness.py
+++ b/packages/fleet/src/ibisport_fleet/readiness.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
 from ibisport_fleet.catalogue import Limits
 from ibisport_fleet.channel import Channel
@@ -36,7 +37,7 @@
         task = asyncio.get_running_loop().create_task(self._serve(channel))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        channel.on_lost = task.cancel
+        channel.on_lost = partial(_cancel, task)
 
     async def _serve(self, channel: Channel) -> None:
         reader = RequestReader(channel, Limits())
@@ -56,3 +57,7 @@
             text = self._dump_metrics()
             return METRICS_HEAD % len(text) + text
         return READY if self._is_ready() else NOT_READY
+
+
+def _cancel(task: asyncio.Task[None]) -> None:
+    task.cancel()
--- a/packages/fleet/src/ibisport_fleet/relay.py
+++ b/packages/fleet/src/ibisport_fleet/relay.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from functools import partial
 
 from ibisport_fleet.catalogue import Limits
 from ibisport_fleet.channel import Channel
@@ -40,7 +41,7 @@
         task = asyncio.get_running_loop().create_task(self._serve(channel))
         self._tasks.add(task)
         task.add_done_callback(self._finish)
-        channel.on_lost = task.cancel
+        channel.on_lost = partial(_cancel, task)
 
     def _finish(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
@@ -86,3 +87,7 @@
                 return exchange
             exchange.close()
         return await open_exchange(self._store_address, deadline)
+
+
+def _cancel(task: asyncio.Task[None]) -> None:
+    task.cancel()
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -81,7 +81,6 @@
             settings.store_address, settings.domain, self._list_relays
         )
         self._store = adapters.open_store(self._paths)
-        self._paths.on_straight_lost = self._store.drop_straight
         self._pool = ConnectionPool()
         self._budgets = Budgets(settings.host, self._store, self._catalogue, log)
         self._handler = CallHandler(
@@ -167,9 +166,7 @@
         return places
 
     def _watch(self, prefix: str, follower: CatalogueView | TargetView) -> None:
-        watch = PrefixWatch(
-            self._store, prefix, follower, self._log, self._contact
-        )
+        watch = PrefixWatch(self._store, prefix, follower, self._log, self._contact)
         self._spawn(watch.run(lambda: self._listed.add(prefix)), prefix)
 
     async def _close_budgets(self, until: float) -> None:
--- a/packages/fleet/src/ibisport_fleet/store.py
+++ b/packages/fleet/src/ibisport_fleet/store.py
@@ -105,6 +105,3 @@
 
     async def probe(self) -> bool:
         """Whether the service answers on the straight way."""
-
-    def drop_straight(self) -> None:
-        """End the calls that wait on the straight way, so that they take another."""
