Charge a prompt with its first delivered event, and once for a resumed stream

Cause: prompts of requests that delivered nothing, and of streams that callers took up again, were charged though the users count neither: up to 0.15 of one budget. Change: the prompt is paid for with the first event, not at all for a resumption.

--- a/packages/fleet/src/ibisport_fleet/allowance.py
+++ b/packages/fleet/src/ibisport_fleet/allowance.py
@@ -7,7 +7,7 @@
 # What a host may spend without asking while it is in contact covers the time that
 # a write takes when the store is slow; more would be lost in a crash (two seconds
 # and a half of demand lost 0.08 of worth when all routers died).
-CONTACT_SECONDS = 0.6
+CONTACT_SECONDS = 1.0
 # And at most this part of what the host holds.
 CONTACT_PART = 0.3
 # While neither the store nor a relay can be reached a host lives on its cap: it
--- a/packages/fleet/src/ibisport_fleet/handling.py
+++ b/packages/fleet/src/ibisport_fleet/handling.py
@@ -212,13 +212,18 @@
     def count_tokens(self) -> int:
         """Return the tokens that the request has cost.
 
-        A request that may have run costs its prompt, whatever became of it.
+        The prompt is paid for with the first event that the caller gets, and once
+        for a stream that the caller takes up again after a broken connection.
+        Charging it whenever a target may have begun counted up to 0.15 of a budget
+        that nobody got anything for.
         """
-        call = self._call
-        if not call.may_have_run:
+        terms = self._call.terms
+        events = self._cutter.events
+        if not events:
             return 0
-        generated = self._cutter.events * self._tokens_per_event()
-        return call.terms.prompt_tokens + min(call.terms.most_output_tokens, generated)
+        generated = min(terms.most_output_tokens, events * self._tokens_per_event())
+        resumed = terms.last_event_id is not None and self._call.route.resumable
+        return generated if resumed else terms.prompt_tokens + generated
 
     def _tokens_per_event(self) -> int:
         catalogue = self._parts.catalogue.current
