--- /dev/null
+++ b/features/steps/budgets_steps.py
@@ -0,0 +1,223 @@
+"""Steps on budgets: the shipped ledger, page and keeper in virtual time."""
+
+import random
+
+from behave import given, then, when
+from hypothesis import HealthCheck, given as forall, settings, strategies
+
+from ibisport_bench.budgetworld import BudgetWorld
+from ibisport_bench.virtualtime import run_virtually
+from ibisport_fleet.budgetpage import load_page
+from ibisport_fleet.budgets import PAGE_KEY
+
+import asyncio
+
+BUDGET = 1_000_000
+REQUEST_TOKENS = 2_000
+QUIET_SECONDS = 12.0
+
+FAULTS = strategies.sampled_from(
+    ('kill', 'kill all', 'stop', 'cut', 'cut all', 'down', 'slow', 'lose', 'late')
+)
+STEPS = strategies.lists(
+    strategies.tuples(
+        FAULTS,
+        strategies.integers(0, 4),
+        strategies.floats(0.2, 9.0, allow_nan=False),
+    ),
+    min_size=1,
+    max_size=6,
+)
+
+
+async def _press(world, seconds, per_second, rng):
+    """Send requests to all hosts for some seconds."""
+    for _ in range(int(seconds * per_second)):
+        tokens = rng.choice((500, REQUEST_TOKENS, 9_000, 40_000))
+        world.ask(rng.randrange(5), tokens, rng.random(), rng.uniform(0.05, 3.0))
+        await asyncio.sleep(1 / per_second)
+
+
+async def _hurt(world, fault, number, seconds, rng):
+    faults = world.service.faults
+    match fault:
+        case 'kill':
+            world.kill(number)
+        case 'kill all':
+            for host in range(5):
+                world.kill(host)
+        case 'stop':
+            await world.stop(number)
+        case 'cut':
+            faults.cut = {world.names[number]}
+        case 'cut all':
+            faults.cut = set(world.names)
+        case 'down':
+            faults.down = True
+        case 'slow':
+            faults.slow = 60.0
+        case 'lose':
+            faults.lose = 0.3
+        case 'late':
+            faults.late = 0.3
+    await _press(world, seconds, 20, rng)
+    faults.cut, faults.down, faults.slow = set(), False, 1.0
+    faults.lose = faults.late = 0.0
+
+
+async def _play(steps, seed):
+    world = BudgetWorld(hosts=5, budget=BUDGET, seed=seed)
+    rng = random.Random(seed)
+    world.start_all()
+    await asyncio.sleep(0.5)
+    for fault, number, seconds in steps:
+        await _hurt(world, fault, number, seconds, rng)
+        assert world.delivered <= BUDGET, (world.delivered, steps)
+        await _press(world, 1.0, 20, rng)
+    assert world.delivered <= BUDGET, (world.delivered, steps)
+    return world
+
+
+async def _spend_third(per_second=30):
+    world = BudgetWorld(hosts=5, budget=BUDGET, seed=3)
+    rng = random.Random(3)
+    world.start_all()
+    await asyncio.sleep(0.5)
+    while world.delivered < BUDGET // 3:
+        world.ask(rng.randrange(5), REQUEST_TOKENS, 0.9, 0.3)
+        await asyncio.sleep(1 / per_second)
+    await asyncio.sleep(1.0)
+    return world
+
+
+def _measure_stranded(world):
+    page = load_page(world.service.items[PAGE_KEY].content)
+    return page.find('acme').used - world.delivered
+
+
+@given('routers that share one budget in virtual time')
+def note_routers(context):
+    context.served = 0
+    context.mixtures = 0
+
+
+@when('{count:d} mixtures of faults are played')
+def play_mixtures(context, count):
+    @settings(
+        max_examples=count,
+        deadline=None,
+        derandomize=True,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    @forall(STEPS, strategies.integers(0, 10_000))
+    def play(steps, seed):
+        world = run_virtually(_play(steps, seed))
+        context.served += world.outcomes['served']
+        context.mixtures += 1
+
+    play()
+
+
+@then('no budget was ever overspent')
+def check_never(context):
+    assert context.mixtures >= 40, context.mixtures
+
+
+@then('most requests were served while the budget lasted')
+def check_served(context):
+    assert context.served > 20 * context.mixtures, context.served
+
+
+@given('5 routers that are all killed while their callers press on')
+def kill_under_load(context):
+    async def run():
+        world = BudgetWorld(hosts=5, budget=BUDGET, seed=7)
+        rng = random.Random(7)
+        world.start_all()
+        await asyncio.sleep(0.5)
+        await _press(world, 3.0, 30, rng)
+        for host in range(5):
+            world.kill(host)
+        await _press(world, 4.0, 100, rng)
+        return world
+
+    context.work = run
+
+
+@when('they have started again')
+def start_again(context):
+    context.world = run_virtually(context.work())
+
+
+@then('what was spent and what is held fits the budget')
+def check_fits(context):
+    page = load_page(context.world.service.items[PAGE_KEY].content)
+    assert page.find('acme').held <= BUDGET
+    assert context.world.delivered <= BUDGET
+
+
+@then('each dead process is accounted for')
+def check_closed(context):
+    page = load_page(context.world.service.items[PAGE_KEY].content)
+    assert page.find('acme').closed > 0
+    assert page.find('acme').used >= context.world.delivered - REQUEST_TOKENS
+
+
+@given('5 routers that have spent a third of a budget')
+def spend_third(context):
+    context.prepare = _spend_third
+
+
+@when('all of them are killed at once and start again')
+def kill_all(context):
+    async def run():
+        world = await context.prepare()
+        for host in range(5):
+            world.kill(host)
+        await asyncio.sleep(QUIET_SECONDS)
+        return world
+
+    context.world = run_virtually(run())
+
+
+@when('one of them is stopped while the store is slow')
+def stop_slowly(context):
+    async def run():
+        world = await context.prepare()
+        world.service.faults.slow = 60.0
+        await world.stop(0)
+        world.service.faults.slow = 1.0
+        await asyncio.sleep(QUIET_SECONDS)
+        return world
+
+    context.world = run_virtually(run())
+
+
+@then('less than {percent:d} % of the budget is stranded')
+def check_stranded(context, percent):
+    stranded = _measure_stranded(context.world)
+    assert 0 <= stranded < BUDGET * percent / 100, stranded
+
+
+@when('the store takes 60 times as long for 5 seconds')
+def slow_down(context):
+    async def run():
+        world = await context.prepare()
+        world.outcomes.clear()
+        world.service.faults.slow = 60.0
+        rng = random.Random(5)
+        for _ in range(150):
+            world.ask(rng.randrange(5), REQUEST_TOKENS, 0.9, 0.3)
+            await asyncio.sleep(1 / 30)
+        await asyncio.sleep(1.0)
+        return world
+
+    context.world = run_virtually(run())
+
+
+@then('fewer than 1 in 20 requests of these seconds are refused')
+def check_refused(context):
+    outcomes = context.world.outcomes
+    refused = outcomes['short'] + outcomes['spent']
+    assert refused * 20 < outcomes.total(), outcomes
--- /dev/null
+++ b/packages/bench/src/ibisport_bench/budgetworld.py
@@ -0,0 +1,132 @@
+"""Routers' budgets in virtual time: who spends what while all sorts of things fail."""
+
+import asyncio
+import os
+from collections import Counter
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+from typing import Any
+
+from ibisport_bench.standins.memorystore import MemoryService
+from ibisport_fleet.budgets import Budgets, Short
+from ibisport_fleet.catalogue import Catalogue, Workspace
+from ibisport_fleet.clocks import Clocks
+from ibisport_fleet.eventlog import EventLog
+
+RESTART_SECONDS = 1.2
+
+
+@dataclass(slots=True)
+class Host:
+    """One host and the process that runs on it now."""
+
+    name: str
+    budgets: Budgets | None = None
+    tasks: set[asyncio.Task[Any]] = field(default_factory=set)
+
+
+class BudgetWorld:
+    """Some hosts that spend one workspace's budget.
+
+    Attributes:
+        service: The store that they share, and its faults.
+        delivered: Tokens that callers surely got, or may have got.
+        outcomes: How often requests were served and refused, by reason.
+    """
+
+    def __init__(self, hosts: int, budget: int, seed: int) -> None:
+        self.service = MemoryService(seed)
+        self.delivered = 0
+        self.outcomes: Counter[str] = Counter()
+        self.workspace = Workspace('acme', None, budget)
+        self._log = EventLog(os.open(os.devnull, os.O_WRONLY))
+        self._hosts = [Host(f'host-{number}') for number in range(hosts)]
+
+    @property
+    def names(self) -> list[str]:
+        """Names of the hosts."""
+        return [host.name for host in self._hosts]
+
+    def start_all(self) -> None:
+        """Start a process on each host."""
+        for number in range(len(self._hosts)):
+            self.start(number)
+
+    def start(self, number: int) -> None:
+        """Start a process on a host, unless one runs there."""
+        host = self._hosts[number % len(self._hosts)]
+        if host.budgets is not None:
+            return
+        time = asyncio.get_running_loop().time
+        host.budgets = Budgets(
+            host.name,
+            self.service.open_store(host.name),
+            SimpleNamespace(current=self._build_catalogue()),
+            self._log,
+            Clocks(boot=time, wall=time),
+        )
+        self._spawn(host, host.budgets.run())
+        self._spawn(host, host.budgets.grant_proofs())
+
+    def kill(self, number: int) -> None:
+        """Kill a host's process; another starts a moment later."""
+        host = self._hosts[number % len(self._hosts)]
+        host.budgets = None
+        for task in tuple(host.tasks):
+            task.cancel()
+        loop = asyncio.get_running_loop()
+        loop.call_later(RESTART_SECONDS, self.start, number)
+
+    async def stop(self, number: int) -> None:
+        """Stop a host's process in order; another starts a moment later."""
+        host = self._hosts[number % len(self._hosts)]
+        budgets, host.budgets = host.budgets, None
+        if budgets is None:
+            return
+        for task in tuple(host.tasks):
+            task.cancel()
+        try:
+            async with asyncio.timeout(5):
+                await budgets.close()
+        except TimeoutError:
+            self.outcomes['not given back'] += 1
+        loop = asyncio.get_running_loop()
+        loop.call_later(RESTART_SECONDS, self.start, number)
+
+    def ask(self, number: int, tokens: int, share: float, seconds: float) -> None:
+        """Let a caller send a request to a host.
+
+        Args:
+            number: Which host.
+            tokens: The most that it may cost.
+            share: The part of it that it costs in the end.
+            seconds: How long it runs.
+        """
+        host = self._hosts[number % len(self._hosts)]
+        if host.budgets is not None:
+            self._spawn(host, self._serve(host.budgets, tokens, share, seconds))
+
+    async def _serve(
+        self, budgets: Budgets, tokens: int, share: float, seconds: float
+    ) -> None:
+        try:
+            held = await budgets.reserve(self.workspace, tokens)
+        except Short as short:
+            self.outcomes['spent' if short.pause is None else 'short'] += 1
+            return
+        # Until it has ended nobody can tell how much of it was delivered.
+        self.delivered += tokens
+        await asyncio.sleep(seconds)
+        held.spent = int(tokens * share)
+        budgets.settle(held)
+        self.delivered -= tokens - held.spent
+        self.outcomes['served'] += 1
+
+    def _spawn(self, host: Host, work: Any) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        host.tasks.add(task)
+        task.add_done_callback(host.tasks.discard)
+
+    def _build_catalogue(self) -> Catalogue:
+        name = self.workspace.name
+        return Catalogue(1, 1, (), {}, {name: self.workspace}, {}, needs_keys=True)
--- /dev/null
+++ b/packages/bench/src/ibisport_bench/standins/memorystore.py
@@ -0,0 +1,212 @@
+"""A stand-in of the key-value service in memory, with the faults it may show."""
+
+import asyncio
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from ibisport_fleet.errors import HistoryLost, StoreUnavailable, StoreUnknown
+from ibisport_fleet.store import (
+    Change,
+    Changes,
+    Condition,
+    Conflict,
+    Item,
+    Listing,
+    Put,
+    Removal,
+    Written,
+)
+
+ANSWER_SECONDS = 0.004
+SILENCE_SECONDS = 0.9
+LONGEST_DELAY_S = 6.0
+
+
+@dataclass(slots=True)
+class Faults:
+    """What goes wrong now; all is well at first.
+
+    Attributes:
+        down: Every call is refused, and leases stand still.
+        cut: Names of callers whose calls get no answer.
+        lose: Share of the writes that are done and not answered.
+        late: Share of the writes that are done seconds later, unanswered.
+        slow: An answer takes so many times as long.
+    """
+
+    down: bool = False
+    cut: set[str] = field(default_factory=set)
+    lose: float = 0.0
+    late: float = 0.0
+    slow: float = 1.0
+
+
+class MemoryService:
+    """What all callers share: the keys, the leases and the history."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.faults = Faults()
+        self.items: dict[str, Item] = {}
+        self.revision = 1
+        self.first_kept = 0
+        self.history: list[Change] = []
+        self.calls = 0
+        self.random = random.Random(seed)
+        self._leases: dict[int, float] = {}
+        self._leased: dict[str, int] = {}
+        self._changed = asyncio.Event()
+
+    def open_store(self, caller: str) -> 'MemoryStore':
+        """Return the service as one caller sees it."""
+        return MemoryStore(self, caller)
+
+    def put(self, key: str, content: bytes, lease: int = 0) -> None:
+        """Write one key without a condition, as operators and targets do."""
+        self.revision += 1
+        self._set(Put(key, content, lease))
+        self._tell()
+
+    def remove(self, key: str) -> None:
+        """Remove one key."""
+        self.revision += 1
+        self.items.pop(key, None)
+        self.history.append(Removal(key, self.revision))
+        self._tell()
+
+    def forget_history(self) -> None:
+        """Drop the history; a watch from before is refused."""
+        self.first_kept = self.revision
+
+    def grant(self, seconds: float) -> int:
+        """Return a new lease."""
+        lease = len(self._leases) + 1
+        self._leases[lease] = asyncio.get_running_loop().time() + seconds
+        return lease
+
+    def lapse(self) -> None:
+        """Remove the keys whose leases have run out; none does in an outage."""
+        now = asyncio.get_running_loop().time()
+        for key, lease in tuple(self._leased.items()):
+            if lease and self._leases[lease] <= now and not self.faults.down:
+                self._leased.pop(key)
+                self.remove(key)
+
+    def commit(self, conditions: Sequence[Condition], puts: Sequence[Put]) -> Written | Conflict:
+        """Write all keys if all conditions hold."""
+        self.lapse()
+        for condition in conditions:
+            item = self.items.get(condition.key)
+            if (item.revision if item else 0) != condition.revision:
+                found = (self.items.get(one.key) for one in conditions)
+                return Conflict(tuple(one for one in found if one is not None))
+        self.revision += 1
+        for put in puts:
+            self._set(put)
+        self._tell()
+        return Written(self.revision)
+
+    async def wait_for_change(self, after: int, wait: float) -> None:
+        """Wait until something was written after a revision."""
+        until = asyncio.get_running_loop().time() + wait
+        while self.revision <= after:
+            changed = self._changed
+            try:
+                async with asyncio.timeout_at(until):
+                    await changed.wait()
+            except TimeoutError:
+                return
+
+    def _set(self, put: Put) -> None:
+        self.items[put.key] = Item(put.key, put.content, self.revision)
+        self._leased[put.key] = put.lease
+        self.history.append(self.items[put.key])
+
+    def _tell(self) -> None:
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+
+class MemoryStore:
+    """The service as one caller sees it."""
+
+    def __init__(self, service: MemoryService, caller: str) -> None:
+        self._service = service
+        self._caller = caller
+
+    async def read(self, key: str) -> Item | None:
+        """Return one key, or None if there is none."""
+        await self._travel()
+        self._service.lapse()
+        return self._service.items.get(key)
+
+    async def scan(self, prefix: str) -> Listing:
+        """Return all keys of a prefix."""
+        await self._travel()
+        self._service.lapse()
+        items = [
+            item for key, item in self._service.items.items() if key.startswith(prefix)
+        ]
+        return Listing(tuple(items), self._service.revision)
+
+    async def watch(self, prefix: str, after: int, wait: float) -> Changes:
+        """Return what changed after a revision."""
+        await self._travel()
+        if after < self._service.first_kept:
+            raise HistoryLost(prefix)
+        await self._service.wait_for_change(after, wait)
+        changes = tuple(
+            one
+            for one in self._service.history
+            if one.revision > after and one.key.startswith(prefix)
+        )
+        await self._travel()
+        return Changes(changes, self._service.revision)
+
+    async def write(
+        self, conditions: Sequence[Condition], puts: Sequence[Put]
+    ) -> Written | Conflict:
+        """Write all keys if all conditions hold, with the faults of the time."""
+        service = self._service
+        try:
+            await self._travel()
+        except asyncio.CancelledError:
+            # The caller died; its call is on its way all the same.
+            delay = service.random.uniform(0.0, LONGEST_DELAY_S)
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay, service.commit, list(conditions), list(puts))
+            raise
+        if service.random.random() < service.faults.late:
+            delay = service.random.uniform(1.0, LONGEST_DELAY_S)
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay, service.commit, list(conditions), list(puts))
+            await self._stay_silent()
+        outcome = service.commit(conditions, puts)
+        if service.random.random() < service.faults.lose:
+            await self._stay_silent()
+        await self._travel()
+        return outcome
+
+    async def grant_lease(self, seconds: float) -> tuple[int, float]:
+        """Return a new lease and how long it lasts."""
+        await self._travel()
+        lease = self._service.grant(seconds)
+        await self._travel()
+        return lease, seconds
+
+    async def probe(self) -> bool:
+        """Whether the service answers."""
+        return not self._service.faults.down
+
+    async def _travel(self) -> None:
+        faults = self._service.faults
+        self._service.calls += 1
+        await asyncio.sleep(ANSWER_SECONDS / 2 * faults.slow)
+        if self._caller in faults.cut:
+            await self._stay_silent()
+        if faults.down:
+            raise StoreUnavailable('the store is down')
+
+    async def _stay_silent(self) -> None:
+        await asyncio.sleep(SILENCE_SECONDS)
+        raise StoreUnknown('no answer')
--- a/packages/fleet/src/ibisport_fleet/budgets.py
+++ b/packages/fleet/src/ibisport_fleet/budgets.py
@@ -12,7 +12,6 @@
 import asyncio
 import contextlib
 import random
-import time
 import uuid
 from dataclasses import dataclass, field
 
@@ -34,6 +33,7 @@
 )
 from ibisport_fleet.calls import draw_pause
 from ibisport_fleet.catalogue import Workspace
+from ibisport_fleet.clocks import SYSTEM_CLOCKS, Clocks
 from ibisport_fleet.errors import RecordInvalid, StoreError
 from ibisport_fleet.eventlog import Event, EventLog
 from ibisport_fleet.fleetview import CatalogueView
@@ -126,8 +126,14 @@
     """Reserves tokens before a request runs and settles them after it."""
 
     def __init__(
-        self, host: str, store: Store, catalogue: CatalogueView, log: EventLog
+        self,
+        host: str,
+        store: Store,
+        catalogue: CatalogueView,
+        log: EventLog,
+        clocks: Clocks = SYSTEM_CLOCKS,
     ) -> None:
+        self._clocks = clocks
         self._host = host
         self._store = store
         self._catalogue = catalogue
@@ -152,7 +158,7 @@
     @property
     def routers(self) -> int:
         """How many routers draw on the budgets, this one counted."""
-        now = _boot_time()
+        now = self._clocks.boot()
         fresh = [
             host
             for host, (_, seen) in self._seen.items()
@@ -172,7 +178,7 @@
         """
         if workspace is None or workspace.budget is None or not tokens:
             return Reservation(None, tokens)
-        now = _boot_time()
+        now = self._clocks.boot()
         self._ledger.find(workspace.name).note_asked(tokens, now)
         held = self._ledger.reserve(workspace.name, tokens, self._is_isolated(now))
         if held is not None:
@@ -195,7 +201,7 @@
                 self._note_failure(error)
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
-            self._proof = _Proof(lease, _boot_time() + seconds)
+            self._proof = _Proof(lease, self._clocks.boot() + seconds)
             self._proof_stands = False
             self._wake.set()
             await asyncio.sleep(PROOF_PERIOD_S)
@@ -248,7 +254,7 @@
             drawn = self._drawn
             self._wake.set()
             await drawn.wait()
-            isolated = self._is_isolated(_boot_time())
+            isolated = self._is_isolated(self._clocks.boot())
             held = self._ledger.reserve(workspace.name, tokens, isolated)
             if held is not None:
                 return held
@@ -259,12 +265,12 @@
 
         Once the proof of contact has run out the caps hold.
         """
-        left = max(0.0, self._lapses_at - _boot_time())
+        left = max(0.0, self._lapses_at - self._clocks.boot())
         return left + draw_pause(SHORT_PAUSE_S)
 
     def _is_hopeless(self, workspace: Workspace, tokens: int) -> bool:
         """Whether a draw just now can't bring the tokens either."""
-        if _boot_time() - self._page_at > FRESH_SECONDS:
+        if self._clocks.boot() - self._page_at > FRESH_SECONDS:
             return False
         account = self._page.find(workspace.name)
         room = measure_room(account, workspace.budget or 0, self._host)
@@ -287,7 +293,7 @@
         if not self._opened:
             # Nothing is drawn before the process before this one is accounted for.
             await self._open()
-        if _boot_time() - self._page_at > PAGE_PERIOD_S:
+        if self._clocks.boot() - self._page_at > PAGE_PERIOD_S:
             self._take_page(await self._store.read(PAGE_KEY))
         for _ in range(MOST_CONFLICTS):
             if await self._put(self._plan()):
@@ -350,11 +356,11 @@
         except msgspec.MsgspecError as error:
             self._log.write(Event.record_refused, key=proof.key, reason=repr(error))
             return False
-        age = time.time() - written
+        age = self._clocks.wall() - written
         return incarnation == before.incarnation and age < PROOF_SECONDS + WALL_MARGIN_S
 
     def _plan(self) -> _Plan:
-        now = _boot_time()
+        now = self._clocks.boot()
         hosts = self.routers
         demands = {
             name: self._ledger.find(name).demand(now)
@@ -410,7 +416,7 @@
     async def _put(self, plan: _Plan) -> bool:
         """Try a write; False on a conflict, after which the page is up to date."""
         # Until the answer is here both the old caps and the new may stand.
-        now = _boot_time()
+        now = self._clocks.boot()
         self._ledger.narrow(plan.record.caps, plan.caps, self._is_isolated(now))
         if plan.proof is not None:
             self._lapses_at = max(self._lapses_at, plan.proof.lapses_at)
@@ -423,7 +429,7 @@
         if plan.page is not None:
             self._page = plan.page
             self._page_revision = outcome.revision
-            self._page_at = _boot_time()
+            self._page_at = self._clocks.boot()
         self._accept(plan)
         return True
 
@@ -465,18 +471,18 @@
         if plan.page is not None:
             puts.append(Put(PAGE_KEY, dump_page(plan.page)))
         if plan.proof is not None:
-            content = msgspec.json.encode((self._incarnation, time.time()))
+            content = msgspec.json.encode((self._incarnation, self._clocks.wall()))
             puts.append(Put(PROOF_PREFIX + self._host, content, plan.proof.lease))
         return puts
 
     def _take_page(self, item: Item | None) -> None:
         self._page = BudgetPage() if item is None else load_page(item.content)
         self._page_revision = 0 if item is None else item.revision
-        self._page_at = _boot_time()
+        self._page_at = self._clocks.boot()
         self._note_sessions()
 
     def _note_sessions(self) -> None:
-        now = _boot_time()
+        now = self._clocks.boot()
         for host, session in self._page.sessions.items():
             known = self._seen.get(host)
             if known is None or known[0] != session:
@@ -503,8 +509,3 @@
         if not self._failing:
             self._failing = True
             self._log.write(Event.budget_unknown, reason=repr(error))
-
-
-def _boot_time() -> float:
-    """Return seconds that go on while the machine is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/packages/fleet/src/ibisport_fleet/calls.py
+++ b/packages/fleet/src/ibisport_fleet/calls.py
@@ -8,6 +8,10 @@
 from ibisport_fleet.terms import CallTerms
 
 
+# Ranks of routes that are told apart within one rank of workspaces.
+ROUTE_RANKS = 3
+
+
 @dataclass(slots=True)
 class Call:
     """One request, what the catalogue says of it, and how far it has come.
@@ -37,11 +41,15 @@
     may_have_run: bool = False
 
     @property
-    def rank(self) -> int:
-        """Return how urgent it is; 0 is the most urgent."""
-        if self.workspace is not None and self.workspace.rank is not None:
-            return self.workspace.rank
-        return self.route.rank
+    def urgency(self) -> int:
+        """Return how urgent it is at a target; 0 is the most urgent.
+
+        A workspace's rank goes before the route's, which orders the requests of
+        workspaces of one rank: short questions before long reviews.
+        """
+        if self.workspace is None or self.workspace.rank is None:
+            return self.route.rank
+        return self.workspace.rank * ROUTE_RANKS + min(self.route.rank, ROUTE_RANKS - 1)
 
     def left(self, now: float) -> float:
         """Return the seconds until the final answer is due."""
--- a/packages/fleet/src/ibisport_fleet/sending.py
+++ b/packages/fleet/src/ibisport_fleet/sending.py
@@ -127,7 +127,7 @@
             incarnation=candidate.entry.incarnation,
             workspace=None if call.workspace is None else call.workspace.name,
             seconds_left=call.left(now),
-            rank=call.rank,
+            urgency=call.urgency,
             last_event_id=last_event_id,
         )
         request = call.request
--- a/packages/fleet/src/ibisport_fleet/terms.py
+++ b/packages/fleet/src/ibisport_fleet/terms.py
@@ -59,14 +59,14 @@
         incarnation: The target's incarnation that is meant.
         workspace: Name of the caller's workspace, or None.
         seconds_left: How long the caller still waits.
-        rank: 0 is the most urgent; None leaves it to the target.
+        urgency: 0 is the most urgent, 9 the least.
         last_event_id: The last event that the caller has, or None.
     """
 
     incarnation: str
     workspace: str | None
     seconds_left: float
-    rank: int | None
+    urgency: int
     last_event_id: int | None
 
 
