--- /dev/null
+++ b/features/steps/serving_steps.py
@@ -0,0 +1,331 @@
+"""Steps on the way of a request: the shipped core between scripted peers."""
+
+import asyncio
+import os
+
+from behave import given, then, when
+from hypothesis import HealthCheck, given as forall, settings, strategies
+
+from ibisport_bench.standins.memorystore import MemoryService
+from ibisport_bench.standins.scripted import Reply, ScriptedTarget
+from ibisport_fleet.catalogue import Catalogue, Route, RouteKind, Service, ServiceShare, Workspace
+from ibisport_fleet.eventlog import EventLog
+from ibisport_fleet.router import Adapters, Router
+from ibisport_fleet.settings import Bounds, HostSettings
+from ibisport_fleet.targets import TargetEntry
+from ibisport_platform.headers import PlatformDialect
+
+SEAL = b'Response-Seal: s\r\n'
+OK = b'HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\n'
+WHOLE = OK + SEAL + b'Content-Length: 5\r\n\r\nhello'
+STREAM = OK + SEAL + b'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n'
+REJECTED = (
+    b'HTTP/1.1 503 Full\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+)
+
+
+def _event(number):
+    text = b'id: %d\ndata: d%d\n\n' % (number, number)
+    return b'%x\r\n%b\r\n' % (len(text), text)
+
+
+END = b'0\r\n\r\n'
+REPLIES = {
+    'whole stream': Reply([STREAM, _event(1), _event(2), _event(3), END]),
+    'broken stream': Reply([STREAM, _event(1), b'8\r\nid: 2\nda'], resets=True),
+    'rest of the stream': Reply([STREAM, _event(2), _event(3), END]),
+    'slow stream': Reply([STREAM, _event(1), *([b''] * 40), _event(2), END], pause=0.02),
+    'truncated': Reply([OK + SEAL + b'Content-Length: 50\r\n\r\nhel'], ends=True),
+    'whole answer': Reply([WHOLE]),
+    'rejected': Reply([REJECTED]),
+    'late answer before whole answer': Reply(
+        [WHOLE.replace(b'{id}', b'another').replace(b'hello', b'wrong') + WHOLE]
+    ),
+    'unsigned': Reply([OK + b'Content-Length: 5\r\n\r\nwrong']),
+    'silent': Reply([b''], pause=5.0),
+}
+KEY = 'key-of-acme'
+
+
+def _route(name, kind, most_targets, resumable=False, time_limit=6.0):
+    return Route(
+        name=name,
+        host='h.example',
+        prefix=f'/{name}/',
+        kind=kind,
+        shares=(ServiceShare('svc', 1.0),),
+        time_limit=time_limit,
+        objective=0.5,
+        rank=1,
+        most_targets=most_targets,
+        public=False,
+        resumable=resumable,
+    )
+
+
+CATALOGUE = Catalogue(
+    version=1,
+    revision=2,
+    routes=(
+        _route('stream', RouteKind.stream, 2, resumable=True),
+        _route('once', RouteKind.stream, 1),
+        _route('idempotent', RouteKind.idempotent, 2),
+        _route('plain-once', RouteKind.once, 1),
+        _route('hasty', RouteKind.idempotent, 1, time_limit=0.2),
+    ),
+    services={'svc': Service('svc', 10, None)},
+    workspaces={'acme': Workspace('acme', 1, None)},
+    keys={KEY: 'acme'},
+    needs_keys=True,
+)
+
+
+class Site:
+    """One router between a caller and scripted targets."""
+
+    def __init__(self, names, catalogue=CATALOGUE):
+        self.targets = [ScriptedTarget([REPLIES[name]]) for name in names]
+        self.catalogue = catalogue
+        self.order = {}
+
+    async def start(self):
+        service = MemoryService()
+        for number, target in enumerate(self.targets):
+            await target.start()
+            service.put(f'servers/i-{number}', b'')
+        service.put('op/config', b'')
+        if self.catalogue is None:
+            service.faults.cut = {'router'}
+        adapters = Adapters(
+            dialect=PlatformDialect(),
+            open_store=lambda paths: service.open_store('router'),
+            catalogue_key='op/config',
+            catalogue_prefix='op/',
+            target_prefix='servers/',
+            decode_catalogue=lambda item: self.catalogue,
+            decode_target=self._build_entry,
+            name_incarnation=lambda key: key.removeprefix('servers/'),
+            load_settings=_build_settings,
+        )
+        log = EventLog(os.open(os.devnull, os.O_WRONLY))
+        self.router = Router(_build_settings(), adapters, log)
+        self.task = asyncio.get_running_loop().create_task(self.router.run())
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            self.router.accept_caller, '127.0.0.1', 0
+        )
+        self.address = self.server.sockets[0].getsockname()
+        if self.catalogue is not None:
+            while not self.router.is_ready():
+                await asyncio.sleep(0.01)
+
+    def _build_entry(self, item):
+        number = int(item.key.rpartition('-')[2])
+        # Earlier targets are preferred: they seem to have more room.
+        slots = 1_000 // (number + 1)
+        address = self.targets[number].address
+        return TargetEntry(
+            f'i-{number}', 'svc', address, f'd-{number}', slots, False, item.revision
+        )
+
+
+def _build_settings():
+    return HostSettings(
+        host='router',
+        domain='d-0',
+        relay_address=('127.0.0.1', 1),
+        callers_address=('127.0.0.1', 0),
+        readiness_address=('127.0.0.1', 0),
+        store_address=('127.0.0.1', 1),
+        bounds=Bounds(1.0, 100.0, 0.0, 8.0, 1.5),
+    )
+
+
+async def _talk(site, request, leave_after=None):
+    """Send bytes and return all that comes back."""
+    reader, writer = await asyncio.open_connection(*site.address)
+    writer.write(request)
+    answer = b''
+    try:
+        async with asyncio.timeout(3):
+            while data := await reader.read(65_536):
+                answer += data
+                if leave_after is not None and leave_after in answer:
+                    break
+    except (ConnectionError, TimeoutError):
+        # A reset answer is judged by what came before.
+        answer += b'|reset'
+    writer.close()
+    return answer
+
+
+def _request(route, key=KEY, method='POST', extra=''):
+    return (
+        f'{method} /{route}/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\n'
+        f'Deadline-Ms: 3000\r\nAuthorization: Bearer {key}\r\n'
+        f'Tenant: forged\r\nHold: h\r\n{extra}Connection: close\r\n'
+        'Content-Length: 2\r\n\r\nab'
+    ).encode()
+
+
+def _play(site, *requests, leave_after=None, wait=0.0):
+    async def run():
+        await site.start()
+        answers = [await _talk(site, one, leave_after) for one in requests]
+        await asyncio.sleep(wait)
+        site.task.cancel()
+        return answers
+
+    return asyncio.run(run())
+
+
+@given('a router and targets "{names}"')
+def make_site(context, names):
+    context.site = Site([name.strip() for name in names.split(',')])
+
+
+@given('a router that knows no catalogue')
+def make_blank_site(context):
+    context.site = Site(['whole answer'], catalogue=None)
+
+
+@when('a caller sends a streaming request')
+def send_stream(context):
+    context.answers = _play(context.site, _request('stream'))
+
+
+@when('a caller sends a streaming request to the route "{route}"')
+@when('a caller sends a plain request to the route "{route}"')
+def send_to(context, route):
+    context.answers = _play(context.site, _request(route))
+
+
+@when('a caller sends a streaming request and leaves after the first event')
+def send_and_leave(context):
+    request = _request('stream')
+    _play(context.site, request, leave_after=b'id: 1', wait=0.4)
+
+
+@when('a caller sends requests with an unknown key and to an unknown route')
+def send_wrong(context):
+    wrong = _request('idempotent', key='nobody'), _request('nowhere')
+    context.answers = _play(context.site, *wrong)
+
+
+@when('callers send {count:d} generated requests with doubtful framing')
+def send_doubtful(context, count):
+    doubtful = strategies.sampled_from(
+        (
+            'Content-Length: 2\r\nTransfer-Encoding: chunked\r\n',
+            'Transfer-Encoding: chunked\r\nContent-Length: 60\r\n',
+            'Content-Length: +2\r\n',
+            'Content-Length: 2, 2\r\n',
+            'Content-Length: 2\r\nContent-Length: 4\r\n',
+            'Transfer-Encoding : chunked\r\n',
+            'Transfer-Encoding: xchunked\r\n',
+            'Transfer-Encoding: chunked, identity\r\n',
+            'X: a\nTransfer-Encoding: chunked\r\n',
+            'Content-Length: 0x2\r\n',
+        )
+    )
+    inner = b'POST /idempotent/smuggled HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: evil\r\n\r\n'
+    bodies = strategies.sampled_from((b'ab', b'0\r\n\r\n' + inner, inner, b'2\r\nab\r\n0\r\n\r\n' + inner))
+
+    async def run():
+        await context.site.start()
+        sent = []
+
+        @settings(
+            max_examples=count,
+            deadline=None,
+            derandomize=True,
+            database=None,
+            suppress_health_check=list(HealthCheck),
+        )
+        @forall(doubtful, bodies)
+        def collect(header, body):
+            head = (
+                'POST /idempotent/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\n'
+                f'Deadline-Ms: 500\r\nAuthorization: Bearer {KEY}\r\n{header}\r\n'
+            )
+            sent.append(head.encode() + body)
+
+        collect()
+        await asyncio.gather(*(_talk(context.site, one, b'hello') for one in sent))
+        context.site.task.cancel()
+
+    asyncio.run(run())
+
+
+@then('the caller gets {status:d} and the events 1 to 3, and the answer ends')
+def check_events(context, status):
+    answer = context.answers[0]
+    assert answer.startswith(b'HTTP/1.1 %d ' % status), answer
+    assert [answer.count(b'id: %d\n' % number) for number in (1, 2, 3)] == [1, 1, 1]
+    assert answer.endswith(b'0\r\n\r\n'), answer
+
+
+@then("the target got the caller's words without the key, and the workspace's name")
+def check_words(context):
+    request = context.site.targets[0].requests[0]
+    names = [name for name, _ in request.headers]
+    assert request.find(b'tenant') == b'acme', request
+    assert request.find(b'expect-instance') == b'i-0', request
+    assert b'authorization' not in names and b'hold' not in names, names
+    assert request.body == b'ab' and request.target == b'/stream/x'
+
+
+@then('the second target was told event {number:d}')
+def check_told(context, number):
+    request = context.site.targets[1].requests[0]
+    assert request.find(b'last-event-id') == b'%d' % number, request
+
+
+@then("the caller's answer doesn't end as complete")
+def check_cut(context):
+    assert not context.answers[0].endswith(b'0\r\n\r\n'), context.answers
+
+
+@then('the caller gets {status:d} and the body "{body}"')
+def check_body(context, status, body):
+    answer = context.answers[0]
+    assert answer.startswith(b'HTTP/1.1 %d ' % status), answer
+    assert answer.endswith(body.encode()), answer
+
+
+@then("the caller gets {status:d} without the target's signature")
+def check_unsigned(context, status):
+    answer = context.answers[0]
+    assert answer.startswith(b'HTTP/1.1 %d ' % status), answer
+    assert b'esponse-' not in answer, answer
+
+
+@then('the targets got {count:d} requests')
+def check_count(context, count):
+    got = sum(len(target.requests) for target in context.site.targets)
+    assert got == count, got
+
+
+@then('the caller gets {status:d} with a time to come back')
+def check_pause(context, status):
+    answer = context.answers[0]
+    assert answer.startswith(b'HTTP/1.1 %d ' % status), answer
+    assert b'retry-after: ' in answer, answer
+
+
+@then("the target's run is cancelled")
+def check_cancelled(context):
+    assert context.site.targets[0].cancelled == 1, context.site.targets[0]
+
+
+@then('the caller gets {first:d} and {second:d}')
+def check_two(context, first, second):
+    got = [int(answer[9:12]) for answer in context.answers]
+    assert got == [first, second], got
+
+
+@then('each target got only what the router itself had read as one request')
+def check_not_smuggled(context):
+    for request in context.site.targets[0].requests:
+        assert request.target == b'/idempotent/x', request
+        assert request.find(b'attempt-id') == b'a1', request
--- /dev/null
+++ b/packages/bench/src/ibisport_bench/standins/scripted.py
@@ -0,0 +1,84 @@
+"""A target on a loopback port that answers each request by a script."""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from ibisport_fleet.catalogue import Limits
+from ibisport_fleet.channel import Channel
+from ibisport_fleet.errors import FleetError
+from ibisport_fleet.messages import Request
+from ibisport_fleet.requestreader import RequestReader
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """What the target does with one request.
+
+    Attributes:
+        pieces: Bytes to send, one after the other; ``{id}`` in them is replaced
+            by the request's id.
+        pause: Seconds before each piece.
+        ends: The connection is closed after them.
+        resets: The connection is reset after them.
+    """
+
+    pieces: Sequence[bytes]
+    pause: float = 0.0
+    ends: bool = False
+    resets: bool = False
+
+
+@dataclass(slots=True)
+class ScriptedTarget:
+    """A target; it keeps the requests that it got.
+
+    Attributes:
+        replies: One for each request, in order; the last is used again.
+        requests: What came.
+        cancelled: Requests whose connection ended before their reply did.
+    """
+
+    replies: list[Reply]
+    requests: list[Request] = field(default_factory=list)
+    cancelled: int = 0
+    address: tuple[str, int] = ('', 0)
+    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    async def start(self) -> None:
+        """Listen on a free port of the loopback address."""
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(lambda: Channel(self._open), '127.0.0.1', 0)
+        self.address = server.sockets[0].getsockname()
+
+    def _open(self, channel: Channel) -> None:
+        task = asyncio.get_running_loop().create_task(self._serve(channel))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, channel: Channel) -> None:
+        reader = RequestReader(channel, Limits())
+        try:
+            while (request := await reader.read()) is not None:
+                await self._reply(request, channel)
+        except FleetError:
+            # The router reset the connection: nothing is left to answer.
+            return
+
+    async def _reply(self, request: Request, channel: Channel) -> None:
+        number = min(len(self.requests), len(self.replies) - 1)
+        self.requests.append(request)
+        reply = self.replies[number]
+        request_id = request.find(b'attempt-id') or b''
+        for piece in reply.pieces:
+            await asyncio.sleep(reply.pause)
+            if channel.ended:
+                self.cancelled += 1
+                return
+            channel.write(piece.replace(b'{id}', request_id))
+        await asyncio.sleep(0)
+        if reply.resets:
+            await asyncio.sleep(0.02)
+            channel.abort()
+        elif reply.ends:
+            channel.close()
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -8,6 +8,7 @@
 from ibisport_fleet.budgets import Budgets
 from ibisport_fleet.callers import CallerServer
 from ibisport_fleet.catalogue import Catalogue
+from ibisport_fleet.channel import Channel
 from ibisport_fleet.contact import StoreContact
 from ibisport_fleet.errors import RecordInvalid
 from ibisport_fleet.eventlog import Event, EventLog
@@ -104,6 +105,10 @@
         known = self._catalogue.current is not None and len(self._listed) > 1
         return known and not self.leaving
 
+    def accept_caller(self) -> Channel:
+        """Return the protocol of a caller's new connection."""
+        return self._callers.accept()
+
     async def run(self) -> None:
         """Serve until ``stop`` was called and the last answer is given."""
         loop = asyncio.get_running_loop()
