Serve metrics for each workspace and route; record each decision in one place

Cause: nothing but the log told how a workspace fares; handling held logs, sends and charges in one file of 330 lines. Change: metrics on the last port between processes (and on readiness), handling split into handling, serving and recording; a refusal for the budget logs what was known.

--- a/packages/fleet/src/ibisport_fleet/budgets.py
+++ b/packages/fleet/src/ibisport_fleet/budgets.py
@@ -37,11 +37,13 @@
     Attributes:
         pause: Seconds after which tokens may be at hand again; None: the budget
             itself is spent.
+        known: What was known of the budget, for the log.
     """
 
-    def __init__(self, pause: float | None) -> None:
+    def __init__(self, pause: float | None, **known: float) -> None:
         super().__init__('budget')
         self.pause = pause
+        self.known = known
 
 
 class Budgets:
@@ -141,7 +143,9 @@
             async with asyncio.timeout_at(until):
                 return await self._wait_for_tokens(workspace, tokens)
         except TimeoutError:
-            raise Short(self._pause_until_isolated()) from None
+            raise Short(
+                self._pause_until_isolated(), own_used=purse.used, own_cap=purse.cap
+            ) from None
         finally:
             purse.wanted -= tokens
 
@@ -176,9 +180,20 @@
     def _explain(self, workspace: Workspace, tokens: int) -> Short:
         account = self._keeper.find_account(workspace.name)
         own = account.shares.get(self._host, Share())
-        used = account.used - own.used + self._ledger.find(workspace.name).used
-        short = used + tokens > (workspace.budget or 0)
-        return Short(None if short else draw_pause(SHORT_PAUSE_S))
+        purse = self._ledger.find(workspace.name)
+        budget = workspace.budget or 0
+        used = account.used - own.used + purse.used
+        short = used + tokens > budget
+        return Short(
+            None if short else draw_pause(SHORT_PAUSE_S),
+            budget=budget,
+            used=used,
+            held=account.held,
+            own_used=purse.used,
+            own_cap=purse.cap,
+            page_age=round(self._clocks.boot() - self._keeper.page_at, 3),
+            isolated=self._keeper.is_isolated,
+        )
 
     async def _wait(self) -> None:
         with contextlib.suppress(TimeoutError):
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -15,10 +15,13 @@
 from ibisport_fleet.eventlog import Event, EventLog
 from ibisport_fleet.fleetview import CatalogueView, TargetView
 from ibisport_fleet.following import PrefixWatch
-from ibisport_fleet.handling import CallHandler, Parts
+from ibisport_fleet.handling import CallHandler
+from ibisport_fleet.metrics import Metrics
 from ibisport_fleet.pool import ConnectionPool
 from ibisport_fleet.readiness import ReadinessServer
+from ibisport_fleet.recording import Recorder
 from ibisport_fleet.sending import Sender
+from ibisport_fleet.serving import Parts
 from ibisport_fleet.settings import HostSettings
 from ibisport_fleet.store import Item, Store
 from ibisport_fleet.storepaths import RelayPlace, StorePaths
@@ -84,6 +87,7 @@
         )
         self._store = adapters.open_store(self._paths)
         self._pool = ConnectionPool()
+        self._metrics = Metrics()
         self._budgets = Budgets(settings.host, self._store, self._catalogue, log)
         self._handler = CallHandler(
             Parts(
@@ -93,13 +97,13 @@
                 targets=self._targets,
                 sender=Sender(adapters.dialect, self._pool),
                 budgets=self._budgets,
-                log=log,
+                recorder=Recorder(log, self._metrics),
             )
         )
         self._callers = CallerServer(
             self._handler, self._catalogue, adapters.dialect, log
         )
-        self._readiness = ReadinessServer(self.is_ready, bytes)
+        self._readiness = ReadinessServer(self.is_ready, self._dump_metrics)
 
     def is_ready(self) -> bool:
         """Whether new connections may come."""
@@ -118,14 +122,7 @@
         self._spawn(self._probe_straight(), 'probe')
         proving = self._spawn(self._budgets.grant_proofs(), 'proofs')
         keeping = self._spawn(self._budgets.run(), 'budgets')
-        readiness = self._settings.readiness_address
-        callers = self._settings.callers_address
-        if readiness is None or callers is None:
-            raise RecordInvalid('a router needs addresses for callers and readiness')
-        await loop.create_server(self._readiness.accept, *readiness, backlog=BACKLOG)
-        listener = await loop.create_server(
-            self._callers.accept, *callers, backlog=BACKLOG
-        )
+        listener = await self._listen()
         self._log.write(
             Event.process_started,
             host=self._settings.host,
@@ -139,6 +136,17 @@
         await self._close_budgets(killed_at - CLOSE_MARGIN_S)
         self._log.write(Event.process_stopped, host=self._settings.host)
 
+    async def _listen(self) -> asyncio.Server:
+        """Open all listeners; return the one for callers."""
+        loop = asyncio.get_running_loop()
+        readiness = self._settings.readiness_address
+        callers = self._settings.callers_address
+        if readiness is None or callers is None:
+            raise RecordInvalid('a router needs addresses for callers and readiness')
+        for address in (readiness, self._settings.metrics_address):
+            await loop.create_server(self._readiness.accept, *address, backlog=BACKLOG)
+        return await loop.create_server(self._callers.accept, *callers, backlog=BACKLOG)
+
     def stop(self) -> None:
         """Begin to leave: no new connections, and an end to the old ones."""
         if self.leaving:
@@ -163,6 +171,17 @@
             if not self._paths.straight_works and await self._store.probe():
                 self._log.write(Event.store_way_regained)
 
+    def _dump_metrics(self) -> bytes:
+        catalogue = self._catalogue.current
+        self._metrics.set_state('targets', len(self._targets.targets))
+        self._metrics.set_state('in_flight', self._handler.in_flight)
+        self._metrics.set_state('connections', self._callers.connections)
+        self._metrics.set_state('routers', self._budgets.routers)
+        self._metrics.set_state('straight_way', self._paths.straight_works)
+        if catalogue is not None:
+            self._metrics.set_state('catalogue_version', catalogue.version)
+        return self._metrics.dump()
+
     def _list_relays(self) -> list[RelayPlace]:
         port = self._settings.relay_address[1]
         places = [
--- /dev/null
+++ b/packages/fleet/src/ibisport_fleet/serving.py
@@ -0,0 +1,257 @@
+"""The sends of one request, until some target has answered it whole."""
+
+import asyncio
+from dataclasses import dataclass
+
+from ibisport_fleet.budgets import Budgets
+from ibisport_fleet.calls import Call, draw_pause
+from ibisport_fleet.catalogue import RouteKind
+from ibisport_fleet.choice import Candidate, choose_engine, choose_plain
+from ibisport_fleet.errors import ConnectionBroken
+from ibisport_fleet.fleetview import CatalogueView, TargetView
+from ibisport_fleet.recording import Recorder
+from ibisport_fleet.replies import Replies
+from ibisport_fleet.retries import RetryBudget
+from ibisport_fleet.sending import (
+    FIRST_FAILURE_STATUS,
+    Answered,
+    Broken,
+    NotRun,
+    NotSent,
+    Sender,
+)
+from ibisport_fleet.settings import HostSettings
+from ibisport_fleet.sse import EventCutter
+from ibisport_fleet.terms import Dialect, find_shared_part
+
+STATUS_BAD_GATEWAY = 502
+STATUS_UNAVAILABLE = 503
+# Targets that reject or can't be reached before a request is given up: beyond
+# these few the service is full, and asking on only adds to its load.
+MOST_REJECTIONS = 3
+# A full service frees a slot within some 100 ms; the caller is told so.
+FULL_PAUSE_S = 0.25
+AWAY_PAUSE_S = 0.5
+
+
+class GivenUp(Exception):
+    """A request gets its final answer from this router.
+
+    Attributes:
+        status: The HTTP status; 503 only where the request has not run.
+        reason: A word for logs and callers.
+        pause: When to come back, seconds; None says nothing.
+    """
+
+    def __init__(self, status: int, reason: str, pause: float | None = None) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+        self.pause = pause
+
+
+@dataclass(frozen=True, slots=True)
+class Parts:
+    """What the handling of a request needs.
+
+    Attributes:
+        settings: Who this router is.
+        dialect: Translates headers.
+        catalogue: What operators say.
+        targets: What there is to send to.
+        sender: Sends to a target.
+        budgets: What workspaces may still spend.
+        recorder: Where decisions are written down.
+    """
+
+    settings: HostSettings
+    dialect: Dialect
+    catalogue: CatalogueView
+    targets: TargetView
+    sender: Sender
+    budgets: Budgets
+    recorder: Recorder
+
+
+class Serving:
+    """The sends of one request, one after the other, until it has its answer."""
+
+    def __init__(
+        self,
+        parts: Parts,
+        retries: RetryBudget,
+        call: Call,
+        replies: Replies,
+    ) -> None:
+        self._parts = parts
+        self._call = call
+        self._replies = replies
+        self._retries = retries
+        self._cutter = EventCutter(call.terms.last_event_id)
+        self._rejections = 0
+
+    @property
+    def events(self) -> int:
+        """Whole events of the answer that were passed on."""
+        return self._cutter.events
+
+    async def run(self) -> None:
+        """Send until some target has answered whole.
+
+        Raises:
+            GivenUp: No target will.
+        """
+        self._retries.note_request(_now())
+        while True:
+            candidate = self._choose()
+            candidate.health.running += 1
+            try:
+                if await self._try(candidate):
+                    return
+            finally:
+                candidate.health.running -= 1
+
+    def count_tokens(self) -> int:
+        """Return the tokens that the request has cost.
+
+        The prompt is paid for with the first event that the caller gets, and once
+        for a stream that the caller takes up again after a broken connection.
+        Charging it whenever a target may have begun counted up to 0.15 of a budget
+        that nobody got anything for.
+        """
+        terms = self._call.terms
+        events = self._cutter.events
+        if not events:
+            return 0
+        generated = min(terms.most_output_tokens, events * self._tokens_per_event())
+        resumed = terms.last_event_id is not None and self._call.route.resumable
+        return generated if resumed else terms.prompt_tokens + generated
+
+    def _tokens_per_event(self) -> int:
+        catalogue = self._parts.catalogue.current
+        if catalogue is None:
+            return 1
+        service = catalogue.services.get(self._call.service)
+        if service is None or service.engine is None:
+            return 1
+        return service.engine.tokens_per_event
+
+    def _choose(self) -> Candidate:
+        call = self._call
+        targets = self._parts.targets
+        candidates = [
+            one
+            for one in targets.list_candidates(call.service)
+            if one.entry.incarnation not in call.tried
+        ]
+        if call.route.kind is RouteKind.stream:
+            shared = find_shared_part(call.terms.parts)
+            chosen = choose_engine(candidates, shared, _now())
+        else:
+            domain = self._parts.settings.domain
+            chosen = choose_plain(candidates, domain, _now())
+        if chosen is None:
+            raise self._refuse('no_target', AWAY_PAUSE_S)
+        return chosen
+
+    async def _try(self, candidate: Candidate) -> bool:
+        call = self._call
+        call.tried.add(candidate.entry.incarnation)
+        call.sends += 1
+        self._parts.recorder.note_sent(call, candidate)
+        call.may_have_run = True
+        sent = await self._parts.sender.send(call, candidate, self._cutter.last_id)
+        match sent:
+            case Answered():
+                return await self._pass_on(sent)
+            case NotSent() | NotRun():
+                self._note_rejection(sent)
+            case Broken(reason=reason):
+                self._note_break(reason)
+        return False
+
+    def _note_rejection(self, sent: NotSent | NotRun) -> None:
+        call = self._call
+        call.sends -= 1
+        call.may_have_run = call.sends > 0
+        self._rejections += 1
+        if self._rejections >= MOST_REJECTIONS:
+            raise self._refuse('full', FULL_PAUSE_S)
+        if isinstance(sent, NotRun) and not self._take_retry():
+            raise self._refuse('full', FULL_PAUSE_S)
+
+    def _note_break(self, reason: str) -> None:
+        call = self._call
+        if not call.route.repeatable:
+            raise GivenUp(STATUS_BAD_GATEWAY, reason)
+        if call.sends >= call.route.most_targets or not self._take_retry():
+            raise GivenUp(STATUS_BAD_GATEWAY, reason)
+        self._parts.recorder.note_resumed(call, reason, self._cutter.last_id)
+
+    def _take_retry(self) -> bool:
+        return self._retries.take(_now(), self._parts.budgets.routers)
+
+    def _refuse(self, reason: str, pause: float) -> GivenUp:
+        if self._call.may_have_run:
+            return GivenUp(STATUS_BAD_GATEWAY, reason)
+        return GivenUp(STATUS_UNAVAILABLE, reason, draw_pause(pause))
+
+    async def _pass_on(self, answered: Answered) -> bool:
+        try:
+            if answered.succeeded and self._call.route.kind is RouteKind.stream:
+                await self._pass_stream(answered)
+            else:
+                return await self._pass_whole(answered)
+        except ConnectionBroken as error:
+            answered.health.note_failure(_now())
+            self._cutter.drop_piece()
+            self._note_break(repr(error))
+            return False
+        finally:
+            # Whatever was not read to its end must not run on.
+            if not answered.exchange.clean:
+                answered.exchange.close()
+        return True
+
+    async def _pass_whole(self, answered: Answered) -> bool:
+        body = await answered.exchange.read_rest()
+        self._parts.sender.finish(answered)
+        call = self._call
+        failed = answered.head.status >= FIRST_FAILURE_STATUS
+        if failed and call.route.repeatable and self._may_send_again():
+            return False
+        if not failed:
+            answered.health.note_success()
+        self._replies.pass_whole(answered.head, body)
+        self._parts.recorder.note_served(
+            self._call, answered.head.status, self._cutter.events
+        )
+        return True
+
+    def _may_send_again(self) -> bool:
+        call = self._call
+        if call.sends >= call.route.most_targets:
+            return False
+        return self._take_retry()
+
+    async def _pass_stream(self, answered: Answered) -> None:
+        if not self._replies.begun:
+            self._replies.begin_stream(answered.head)
+            self._parts.recorder.note_first(self._call)
+        exchange = answered.exchange
+        while (part := await exchange.read_part()) is not None:
+            whole = self._cutter.feed(part)
+            if whole:
+                await self._replies.pass_chunk(whole)
+        if self._cutter.holds_piece:
+            raise ConnectionBroken('the stream ended within an event')
+        self._replies.end_stream()
+        self._parts.sender.finish(answered)
+        answered.health.note_success()
+        self._parts.recorder.note_served(
+            self._call, answered.head.status, self._cutter.events
+        )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
