--- a/features/steps/docs_steps.py
+++ b/features/steps/docs_steps.py
@@ -7,6 +7,7 @@
 
 from ibisport_core import errors
 from ibisport_core.events import Event
+from ibisport_fleet.eventlog import Event as FleetEvent
 
 DOCS = Path(__file__).parents[2] / 'docs'
 # They pass between processes only, or answer a caller who has gone.
@@ -17,7 +18,8 @@
 def check_events(context):
     page = (DOCS / 'EVENTS.md').read_text()
     listed = re.findall(r'^\| (\d+) \| `(\w+)` \|', page, re.MULTILINE)
-    assert listed == [(str(int(one)), one.name) for one in Event], listed
+    events = [*Event, *FleetEvent]
+    assert listed == [(str(int(one)), one.name) for one in events], listed
 
 
 @then('docs/CALLERS.md names the code and status of each refusal')
--- a/packages/fleet/src/ibisport_fleet/eventlog.py
+++ b/packages/fleet/src/ibisport_fleet/eventlog.py
@@ -30,8 +30,6 @@
     target_draining = 2302
     target_gone = 2303
     target_lapsed = 2304
-    target_suspected = 2305
-    target_trusted = 2306
     request_refused = 2401
     request_sent = 2402
     request_served = 2403
@@ -39,9 +37,7 @@
     request_left = 2405
     request_resumed = 2406
     budget_opened = 2501
-    budget_drawn = 2502
-    budget_conflict = 2503
-    budget_unknown = 2504
+    budget_unknown = 2502
     lines_dropped = 2901
 
 
