Choose the engine that probably gives its first token first

Change: the choice weighs unread prompts of this router, running requests, and the shared parts that the engine hasn't cached; a part's home counts as having it.

--- a/packages/fleet/src/ibisport_fleet/choice.py
+++ b/packages/fleet/src/ibisport_fleet/choice.py
@@ -1,16 +1,21 @@
 """Chooses the target of a request from what is known of their load and health."""
 
+from collections import OrderedDict
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import xxhash
 
 from ibisport_fleet.targets import TargetEntry
-from ibisport_fleet.terms import TargetLoad
-
-# A home may be this much busier than the mean, as a share of its slots, before a
-# request goes elsewhere; measured against 0 and 0.3 on heavy days of six engines.
-HOME_SLACK = 0.08
+from ibisport_fleet.terms import PromptPart, TargetLoad
+
+# What a running request costs the next one, in tokens of prompt: it slows each step
+# by a thousandth, and stands for prompts that other routers have sent.
+TOKENS_PER_RUNNING = 60
+# A part counts as cached where this router sent it within this time; engines hold
+# some thirty of the largest parts.
+CACHED_SECONDS = 10.0
+MOST_CACHED_PARTS = 64
 # A report older than this says nothing of a target whose requests last 0.1 to 2 s.
 REPORT_SECONDS = 2.0
 # After a failure a target is avoided so long; doubled with each further one.
@@ -32,6 +37,7 @@
         failures: Failures in a row.
         avoided_until: Loop time up to which it is avoided.
         replaced: Another incarnation answered at its address.
+        unread: Tokens of prompts on their way there that it has yet to read.
     """
 
     running: int = 0
@@ -41,6 +47,27 @@
     failures: int = 0
     avoided_until: float = 0.0
     replaced: bool = False
+    unread: int = 0
+    _cached: OrderedDict[str, float] = field(default_factory=OrderedDict)
+
+    def count_uncached(self, parts: Sequence[PromptPart], now: float) -> int:
+        """Return the tokens of a prompt that it probably hasn't cached."""
+        return sum(
+            part.tokens for part in parts if not self.has_cached(part.part_id, now)
+        )
+
+    def has_cached(self, part_id: str, now: float) -> bool:
+        """Whether a part was sent there lately."""
+        sent = self._cached.get(part_id)
+        return sent is not None and now - sent < CACHED_SECONDS
+
+    def note_parts(self, parts: Sequence[PromptPart], now: float) -> None:
+        """Note that it reads a prompt's shared parts."""
+        for part in parts[:-1]:
+            self._cached[part.part_id] = now
+            self._cached.move_to_end(part.part_id)
+        while len(self._cached) > MOST_CACHED_PARTS:
+            self._cached.popitem(last=False)
 
     def note_load(self, load: TargetLoad, now: float) -> None:
         """Keep what the target told of its load."""
@@ -80,27 +107,51 @@
 
 
 def choose_engine(
-    candidates: Sequence[Candidate], shared_part: str | None, now: float
+    candidates: Sequence[Candidate], parts: Sequence[PromptPart], now: float
 ) -> Candidate | None:
-    """Choose a model engine: its cache first, its load second.
+    """Choose the model engine that probably gives its first token first.
+
+    An engine reads prompts at a fixed pace, so the wait is about the tokens that it
+    has yet to read: those of prompts on their way there, and those of this one that
+    it hasn't cached. A part's home is the engine that all routers send it to first.
 
     Args:
         candidates: Targets that may be chosen.
-        shared_part: Id of the prompt's longest shared chain, or None.
+        parts: The prompt in order; the last part is the request's own.
         now: Loop time.
     """
     trusted = _keep_trusted(candidates, now)
     if not trusted:
         return None
-    shares = {id(one): _share(one, now) for one in trusted}
-    if shared_part is None:
-        return min(trusted, key=lambda one: shares[id(one)])
-    bound = sum(shares.values()) / len(trusted) + HOME_SLACK
-    homes = sorted(trusted, key=lambda one: _rank_home(one, shared_part), reverse=True)
-    for home in homes:
-        if shares[id(home)] <= bound:
-            return home
-    return min(trusted, key=lambda one: shares[id(one)])
+    shared = parts[:-1]
+    home = _find_home(trusted, shared)
+    return min(
+        trusted,
+        key=lambda one: (_weigh_engine(one, home, shared, now), one is not home),
+    )
+
+
+def _find_home(
+    candidates: Sequence[Candidate], shared: Sequence[PromptPart]
+) -> Candidate | None:
+    if not shared:
+        return None
+    part_id = shared[-1].part_id
+    return max(candidates, key=lambda one: _rank_home(one, part_id))
+
+
+def _weigh_engine(
+    candidate: Candidate,
+    home: Candidate | None,
+    shared: Sequence[PromptPart],
+    now: float,
+) -> float:
+    """Return the tokens that an engine reads before this request's own part."""
+    health = candidate.health
+    waiting = health.unread + TOKENS_PER_RUNNING * health.estimate_load(now)
+    if candidate is home:
+        return waiting
+    return waiting + health.count_uncached(shared, now)
 
 
 def choose_plain(
--- a/packages/fleet/src/ibisport_fleet/serving.py
+++ b/packages/fleet/src/ibisport_fleet/serving.py
@@ -6,7 +6,12 @@
 from ibisport_fleet.budgets import Budgets
 from ibisport_fleet.calls import Call, draw_pause
 from ibisport_fleet.catalogue import RouteKind
-from ibisport_fleet.choice import Candidate, choose_engine, choose_plain
+from ibisport_fleet.choice import (
+    Candidate,
+    TargetHealth,
+    choose_engine,
+    choose_plain,
+)
 from ibisport_fleet.errors import ConnectionBroken
 from ibisport_fleet.fleetview import CatalogueView, TargetView
 from ibisport_fleet.recording import Recorder
@@ -22,7 +27,7 @@
 )
 from ibisport_fleet.settings import HostSettings
 from ibisport_fleet.sse import EventCutter
-from ibisport_fleet.terms import Dialect, find_shared_part
+from ibisport_fleet.terms import Dialect
 
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
@@ -89,6 +94,8 @@
         self._retries = retries
         self._cutter = EventCutter(call.terms.last_event_id)
         self._rejections = 0
+        self._unread = 0
+        self._reader: TargetHealth | None = None
 
     @property
     def events(self) -> int:
@@ -105,11 +112,13 @@
         while True:
             candidate = self._choose()
             candidate.health.running += 1
+            self._begin_reading(candidate.health)
             try:
                 if await self._try(candidate):
                     return
             finally:
                 candidate.health.running -= 1
+                self._end_reading()
 
     def count_tokens(self) -> int:
         """Return the tokens that the request has cost.
@@ -127,6 +136,20 @@
         resumed = terms.last_event_id is not None and self._call.route.resumable
         return generated if resumed else terms.prompt_tokens + generated
 
+    def _begin_reading(self, health: TargetHealth) -> None:
+        """Count the prompt as unread at its target."""
+        parts = self._call.terms.parts
+        self._unread = health.count_uncached(parts, _now())
+        self._reader = health
+        health.unread += self._unread
+        health.note_parts(parts, _now())
+
+    def _end_reading(self) -> None:
+        """Count the prompt as read: its first event has come, or none will."""
+        if self._reader is not None:
+            self._reader.unread -= self._unread
+            self._reader = None
+
     def _tokens_per_event(self) -> int:
         catalogue = self._parts.catalogue.current
         if catalogue is None:
@@ -145,8 +168,7 @@
             if one.entry.incarnation not in call.tried
         ]
         if call.route.kind is RouteKind.stream:
-            shared = find_shared_part(call.terms.parts)
-            chosen = choose_engine(candidates, shared, _now())
+            chosen = choose_engine(candidates, call.terms.parts, _now())
         else:
             domain = self._parts.settings.domain
             chosen = choose_plain(candidates, domain, _now())
@@ -242,6 +264,7 @@
         while (part := await exchange.read_part()) is not None:
             whole = self._cutter.feed(part)
             if whole:
+                self._end_reading()
                 await self._replies.pass_chunk(whole)
         if self._cutter.holds_piece:
             raise ConnectionBroken('the stream ended within an event')
--- a/packages/fleet/src/ibisport_fleet/terms.py
+++ b/packages/fleet/src/ibisport_fleet/terms.py
@@ -4,7 +4,6 @@
 never reads a header's name.
 """
 
-from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -125,9 +124,3 @@
         self, request_id: str | None, retry_after: float | None
     ) -> Headers:
         """Return the headers of an answer of our own."""
-
-
-def find_shared_part(parts: Sequence[PromptPart]) -> str | None:
-    """Return the id of the longest chain of parts that other requests share."""
-    shared = parts[:-1]
-    return shared[-1].part_id if shared else None
