Give each connection its task in one place; measure budgets at 5 and 31 routers

Three listeners kept the same set of tasks each; an unreadable answer of the store or a spoilt record ended the budgets' task, now it counts as a failure; SIGHUP takes the changed figures.

--- /dev/null
+++ b/packages/bench/src/ibisport_bench/experiments/budgets.py
@@ -0,0 +1,133 @@
+"""What budgets over many routers refuse, strand and cost, scene by scene.
+
+The ledger, the page and the keeper are the shipped ones; time is virtual and all is
+seeded. ``python -m ibisport_bench.experiments.budgets`` prints the table.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ibisport_bench.budgetworld import BudgetWorld
+from ibisport_bench.virtualtime import run_virtually
+from ibisport_fleet.budgetkeeper import PAGE_KEY
+from ibisport_fleet.budgetpage import load_page
+
+BUDGET = 4_000_000
+# Mean tokens of a request; sizes are drawn from these.
+SIZES = (500, 1_000, 2_000, 9_000)
+PER_SECOND = 30
+CALM_SECONDS = 20
+SCENE_SECONDS = 9
+RECOVERY_SECONDS = 12
+SEEDS = (1, 2, 3)
+
+
+@dataclass(frozen=True, slots=True)
+class Scene:
+    """Something that happens while callers go on."""
+
+    name: str
+    begin: Callable[[BudgetWorld, int], None]
+
+
+def _do_nothing(world: BudgetWorld, hosts: int) -> None:
+    """Leave all as it is."""
+
+
+def _cut_all(world: BudgetWorld, hosts: int) -> None:
+    world.service.faults.cut = set(world.names)
+
+
+def _kill_all(world: BudgetWorld, hosts: int) -> None:
+    for number in range(hosts):
+        world.kill(number)
+
+
+def _slow_down(world: BudgetWorld, hosts: int) -> None:
+    world.service.faults.slow = 60.0
+
+
+def _lose_answers(world: BudgetWorld, hosts: int) -> None:
+    world.service.faults.lose = 0.35
+    world.service.faults.second_way = True
+
+
+SCENES = (
+    Scene('calm', _do_nothing),
+    Scene('all cut off 9 s', _cut_all),
+    Scene('all killed', _kill_all),
+    Scene('store 60 times slower 9 s', _slow_down),
+    Scene('a third of the answers lost 9 s', _lose_answers),
+)
+
+
+async def _press(world: BudgetWorld, seconds: float, rng: random.Random) -> None:
+    hosts = len(world.names)
+    for _ in range(int(seconds * PER_SECOND)):
+        tokens = rng.choice(SIZES)
+        world.ask(rng.randrange(hosts), tokens, 0.9, rng.uniform(0.1, 1.5))
+        await asyncio.sleep(1 / PER_SECOND)
+
+
+async def _play(scene: Scene, hosts: int, seed: int) -> dict[str, float]:
+    random.seed(seed)
+    rng = random.Random(seed)
+    world = BudgetWorld(hosts, BUDGET, seed)
+    world.start_all()
+    await asyncio.sleep(1.0)
+    await _press(world, CALM_SECONDS, rng)
+    world.outcomes.clear()
+    calls = world.service.calls
+    scene.begin(world, hosts)
+    await _press(world, SCENE_SECONDS, rng)
+    faults = world.service.faults
+    faults.cut, faults.slow, faults.lose = set(), 1.0, 0.0
+    refused = world.outcomes['short'] + world.outcomes['spent']
+    asked = max(1, world.outcomes.total())
+    spent = (world.service.calls - calls) / asked
+    await asyncio.sleep(RECOVERY_SECONDS)
+    page = load_page(world.service.items[PAGE_KEY].content)
+    stranded = max(0, page.find('acme').closed - world.delivered)
+    return {
+        'overspent': float(max(0, world.delivered - BUDGET)),
+        'refused': refused / asked,
+        'stranded': stranded / BUDGET,
+        'calls': spent,
+    }
+
+
+def measure(scene: Scene, hosts: int) -> dict[str, float]:
+    """Return the means of a scene over all seeds.
+
+    Args:
+        scene: What happens.
+        hosts: How many routers share the budget.
+
+    Returns:
+        Tokens overspent, shares of requests refused and of the budget stranded,
+        and steps of store calls for each request.
+    """
+    runs = [run_virtually(_play(scene, hosts, seed)) for seed in SEEDS]
+    return {key: sum(run[key] for run in runs) / len(runs) for key in runs[0]}
+
+
+def main() -> None:
+    """Print the table."""
+    print('| scene | routers | overspent | refused | stranded | store steps |')
+    print('| --- | --- | --- | --- | --- | --- |')
+    for hosts in (5, 31):
+        for scene in SCENES:
+            found = measure(scene, hosts)
+            cells = [
+                f'{found["overspent"]:.0f}',
+                f'{found["refused"]:.4f}',
+                f'{found["stranded"]:.4f}',
+                f'{found["calls"]:.2f}',
+            ]
+            print(f'| {scene.name} | {hosts} |', ' | '.join(cells), '|')
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/fleet/src/ibisport_fleet/budgets.py
+++ b/packages/fleet/src/ibisport_fleet/budgets.py
@@ -9,7 +9,7 @@
 from ibisport_fleet.calls import draw_pause
 from ibisport_fleet.catalogue import Workspace
 from ibisport_fleet.clocks import SYSTEM_CLOCKS, Clocks
-from ibisport_fleet.errors import StoreError
+from ibisport_fleet.errors import FleetError, RecordInvalid, StoreError
 from ibisport_fleet.eventlog import Event, EventLog
 from ibisport_fleet.fleetview import CatalogueView
 from ibisport_fleet.ledger import Reservation
@@ -102,7 +102,7 @@
         while True:
             try:
                 await self._keeper.renew_proof()
-            except StoreError as error:
+            except (StoreError, RecordInvalid) as error:
                 self._note_failure(error)
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
@@ -114,7 +114,7 @@
         while True:
             try:
                 await self._keeper.write()
-            except StoreError as error:
+            except (StoreError, RecordInvalid) as error:
                 self._note_failure(error)
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
@@ -128,7 +128,7 @@
         while self._keeper.opened:
             try:
                 return await self._keeper.close()
-            except StoreError as error:
+            except (StoreError, RecordInvalid) as error:
                 self._note_failure(error)
                 await asyncio.sleep(RETRY_PAUSE_S)
 
@@ -201,7 +201,7 @@
                 await self._wake.wait()
         self._wake.clear()
 
-    def _note_failure(self, error: StoreError) -> None:
+    def _note_failure(self, error: FleetError) -> None:
         if not self._failing:
             self._failing = True
             self._log.write(Event.budget_unknown, reason=repr(error))
--- a/packages/fleet/src/ibisport_fleet/callers.py
+++ b/packages/fleet/src/ibisport_fleet/callers.py
@@ -1,12 +1,12 @@
 """Serves one caller's connection after the other request."""
 
 import asyncio
-from functools import partial
 
 from ibisport_fleet.catalogue import Limits
 from ibisport_fleet.channel import Channel
+from ibisport_fleet.connections import ConnectionTasks
 from ibisport_fleet.errors import ConnectionBroken, RequestInvalid
-from ibisport_fleet.eventlog import Event, EventLog
+from ibisport_fleet.eventlog import EventLog
 from ibisport_fleet.fleetview import CatalogueView
 from ibisport_fleet.handling import CallHandler
 from ibisport_fleet.replies import Replies
@@ -22,6 +22,7 @@
 
     Attributes:
         leaving: The process ends: answers close their connections.
+        connections: The connections of callers.
     """
 
     def __init__(
@@ -35,40 +36,15 @@
         self._handler = handler
         self._catalogue = catalogue
         self._dialect = dialect
-        self._log = log
-        self._tasks: set[asyncio.Task[None]] = set()
+        self.connections = ConnectionTasks(self._serve, 'caller', log)
         self._idle: set[Channel] = set()
 
-    @property
-    def connections(self) -> int:
-        """Connections that are open now."""
-        return len(self._tasks)
-
-    def accept(self) -> Channel:
-        """Return the protocol of a new connection."""
-        return Channel(self._start)
-
     def close_idle(self) -> None:
         """Close the connections on which no request is on its way."""
         for channel in tuple(self._idle):
             if not channel.has_unread:
                 channel.close()
 
-    def _start(self, channel: Channel) -> None:
-        task = asyncio.get_running_loop().create_task(self._serve(channel))
-        # The loop itself keeps no reference to a task.
-        self._tasks.add(task)
-        task.add_done_callback(self._finish)
-        channel.on_lost = partial(_cancel, task)
-
-    def _finish(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if task.cancelled():
-            return
-        failure = task.exception()
-        if failure is not None:
-            self._log.write(Event.task_failed, task='caller', reason=repr(failure))
-
     async def _serve(self, channel: Channel) -> None:
         limits = self._limits()
         reader = RequestReader(channel, limits)
@@ -82,8 +58,6 @@
         except ConnectionBroken:
             # The caller is gone, and with it whoever could be told.
             return
-        finally:
-            channel.close()
 
     async def _serve_next(
         self, reader: RequestReader, channel: Channel, limits: Limits
@@ -106,7 +80,3 @@
     def _limits(self) -> Limits:
         current = self._catalogue.current
         return Limits() if current is None else current.limits
-
-
-def _cancel(task: asyncio.Task[None]) -> None:
-    task.cancel()
--- /dev/null
+++ b/packages/fleet/src/ibisport_fleet/connections.py
@@ -0,0 +1,64 @@
+"""One task for each connection that peers open to us."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from functools import partial
+
+from ibisport_fleet.channel import Channel
+from ibisport_fleet.eventlog import Event, EventLog
+
+
+class ConnectionTasks:
+    """The tasks of all connections to one listener.
+
+    A task is cancelled as soon as its peer has gone, so that nothing is done for
+    nobody.
+    """
+
+    def __init__(
+        self, serve: Callable[[Channel], Awaitable[None]], name: str, log: EventLog
+    ) -> None:
+        """Begin with no connection.
+
+        Args:
+            serve: What a task does with its connection.
+            name: What the log calls these connections.
+            log: Where a failure of a task is written.
+        """
+        self._serve = serve
+        self._name = name
+        self._log = log
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def __len__(self) -> int:
+        return len(self._tasks)
+
+    def accept(self) -> Channel:
+        """Return the protocol of a new connection."""
+        return Channel(self._start)
+
+    def _start(self, channel: Channel) -> None:
+        task = asyncio.get_running_loop().create_task(self._run(channel))
+        # The loop itself keeps no reference to a task.
+        self._tasks.add(task)
+        task.add_done_callback(self._finish)
+        channel.on_lost = partial(_cancel, task)
+
+    async def _run(self, channel: Channel) -> None:
+        try:
+            await self._serve(channel)
+        finally:
+            channel.close()
+
+    def _finish(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        failure = task.exception()
+        if failure is not None:
+            reason = repr(failure)
+            self._log.write(Event.task_failed, task=self._name, reason=reason)
+
+
+def _cancel(task: asyncio.Task[None]) -> None:
+    task.cancel()
--- a/packages/fleet/src/ibisport_fleet/handling.py
+++ b/packages/fleet/src/ibisport_fleet/handling.py
@@ -11,6 +11,7 @@
 from ibisport_fleet.replies import Replies
 from ibisport_fleet.retries import RetryBudget
 from ibisport_fleet.serving import GivenUp, Parts, Serving
+from ibisport_fleet.settings import Bounds
 
 STATUS_PAYMENT_REQUIRED = 402
 STATUS_UNAVAILABLE = 503
@@ -22,6 +23,7 @@
 
     def __init__(self, parts: Parts) -> None:
         self._parts = parts
+        self._bounds = parts.settings.bounds
         self._retries: dict[str, RetryBudget] = {}
         self._started = asyncio.get_running_loop().time()
         self.in_flight = 0
@@ -95,11 +97,18 @@
             request_id, refused.status, refused.reason, version
         )
 
+    def take_bounds(self, bounds: Bounds) -> None:
+        """Take changed figures; budgets of second sends begin with a new window."""
+        if bounds != self._bounds:
+            self._bounds = bounds
+            self._started = asyncio.get_running_loop().time()
+            self._retries.clear()
+
     def find_retries(self, service: str) -> RetryBudget:
         """Return the budget of second sends to a service."""
         found = self._retries.get(service)
         if found is None:
-            bounds = self._parts.settings.bounds
+            bounds = self._bounds
             found = RetryBudget(
                 bounds.retry_ratio,
                 bounds.retry_slack,
--- a/packages/fleet/src/ibisport_fleet/relay.py
+++ b/packages/fleet/src/ibisport_fleet/relay.py
@@ -6,12 +6,12 @@
 """
 
 import asyncio
-from functools import partial
 
 from ibisport_fleet.catalogue import Limits
 from ibisport_fleet.channel import Channel
+from ibisport_fleet.connections import ConnectionTasks
 from ibisport_fleet.errors import FleetError
-from ibisport_fleet.eventlog import Event, EventLog
+from ibisport_fleet.eventlog import EventLog
 from ibisport_fleet.exchange import Address, Exchange, open_exchange
 from ibisport_fleet.messages import Request, drop_connection_headers, dump_head
 from ibisport_fleet.requestreader import RequestReader
@@ -25,29 +25,16 @@
 
 
 class Relay:
-    """Accepts routers' connections and sends their calls on to the store."""
+    """Accepts routers' connections and sends their calls on to the store.
+
+    Attributes:
+        connections: The connections of routers.
+    """
 
     def __init__(self, store_address: Address, log: EventLog) -> None:
         self._store_address = store_address
-        self._log = log
         self._idle: list[Exchange] = []
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    def accept(self) -> Channel:
-        """Return the protocol of a new connection."""
-        return Channel(self._start)
-
-    def _start(self, channel: Channel) -> None:
-        task = asyncio.get_running_loop().create_task(self._serve(channel))
-        self._tasks.add(task)
-        task.add_done_callback(self._finish)
-        channel.on_lost = partial(_cancel, task)
-
-    def _finish(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            reason = repr(task.exception())
-            self._log.write(Event.task_failed, task='relay', reason=reason)
+        self.connections = ConnectionTasks(self._serve, 'relay', log)
 
     async def _serve(self, channel: Channel) -> None:
         reader = RequestReader(channel, RELAY_LIMITS)
@@ -57,8 +44,6 @@
         except (FleetError, TimeoutError):
             # The router sees its connection end: the call may have been executed.
             channel.abort()
-        finally:
-            channel.close()
 
     async def _pass_on(self, request: Request, channel: Channel) -> None:
         deadline = asyncio.get_running_loop().time() + MOST_CALL_SECONDS
@@ -87,7 +72,3 @@
                 return exchange
             exchange.close()
         return await open_exchange(self._store_address, deadline)
-
-
-def _cancel(task: asyncio.Task[None]) -> None:
-    task.cancel()
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -103,7 +103,7 @@
         self._callers = CallerServer(
             self._handler, self._catalogue, adapters.dialect, log
         )
-        self._readiness = ReadinessServer(self.is_ready, self._dump_metrics)
+        self._readiness = ReadinessServer(self.is_ready, self._dump_metrics, log)
 
     def is_ready(self) -> bool:
         """Whether new connections may come."""
@@ -112,7 +112,7 @@
 
     def accept_caller(self) -> Channel:
         """Return the protocol of a caller's new connection."""
-        return self._callers.accept()
+        return self._callers.connections.accept()
 
     async def run(self) -> None:
         """Serve until ``stop`` was called and the last answer is given."""
@@ -143,9 +143,11 @@
         callers = self._settings.callers_address
         if readiness is None or callers is None:
             raise RecordInvalid('a router needs addresses for callers and readiness')
+        asked = self._readiness.connections.accept
         for address in (readiness, self._settings.metrics_address):
-            await loop.create_server(self._readiness.accept, *address, backlog=BACKLOG)
-        return await loop.create_server(self._callers.accept, *callers, backlog=BACKLOG)
+            await loop.create_server(asked, *address, backlog=BACKLOG)
+        accept = self._callers.connections.accept
+        return await loop.create_server(accept, *callers, backlog=BACKLOG)
 
     def stop(self) -> None:
         """Begin to leave: no new connections, and an end to the old ones."""
@@ -161,7 +163,16 @@
         self._stopped.set()
 
     def reload(self) -> None:
-        """Take changed settings; nothing that runs is cut off."""
+        """Take changed settings; nothing that runs is cut off.
+
+        Addresses stay as they are until the process starts again.
+        """
+        try:
+            self._settings = self._adapters.load_settings()
+        except RecordInvalid as error:
+            self._log.write(Event.record_refused, reason=str(error))
+            return
+        self._handler.take_bounds(self._settings.bounds)
         self._log.write(Event.settings_reloaded, host=self._settings.host)
 
     async def _probe_straight(self) -> None:
@@ -175,7 +186,7 @@
         catalogue = self._catalogue.current
         self._metrics.set_state('targets', len(self._targets.targets))
         self._metrics.set_state('in_flight', self._handler.in_flight)
-        self._metrics.set_state('connections', self._callers.connections)
+        self._metrics.set_state('connections', len(self._callers.connections))
         self._metrics.set_state('routers', self._budgets.routers)
         self._metrics.set_state('straight_way', self._paths.straight_works)
         if catalogue is not None:
