--- a/packages/bench/src/ibisport_bench/experiments/budgets.py
+++ b/packages/bench/src/ibisport_bench/experiments/budgets.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -110,7 +111,10 @@
         and steps of store calls for each request.
     """
     runs = [run_virtually(_play(scene, hosts, seed)) for seed in SEEDS]
-    return {key: sum(run[key] for run in runs) / len(runs) for key in runs[0]}
+    totals = Counter[str]()
+    for run in runs:
+        totals.update(run)
+    return {key: total / len(runs) for key, total in totals.items()}
 
 
 def main() -> None:
