--- a/features/budgets.feature
+++ b/features/budgets.feature
@@ -26,3 +26,8 @@
     Given 5 routers that have spent a third of a budget
     When the store takes 60 times as long for 5 seconds
     Then fewer than 1 in 20 requests of these seconds are refused
+
+  Scenario: A process that dies in contact never spent more than its record says
+    Given 5 routers that have spent a third of a budget
+    When 40 requests come at once to one of them and it is killed 2 ms later
+    Then the dead process is charged at least what its callers may have got
--- a/features/steps/budgets_steps.py
+++ b/features/steps/budgets_steps.py
@@ -15,6 +15,7 @@
 BUDGET = 1_000_000
 REQUEST_TOKENS = 2_000
 QUIET_SECONDS = 12.0
+KILL_SECONDS = 0.002
 
 FAULTS = strategies.sampled_from(
     ('kill', 'kill all', 'stop', 'cut', 'cut all', 'down', 'slow', 'lose', 'late')
@@ -231,3 +232,22 @@
     outcomes = context.world.outcomes
     refused = outcomes['short'] + outcomes['spent']
     assert refused * 20 < outcomes.total(), outcomes
+
+
+@when('{count:d} requests come at once to one of them and it is killed 2 ms later')
+def burst_and_kill(context, count):
+    async def run():
+        world = await context.prepare()
+        for _ in range(count):
+            world.ask(0, REQUEST_TOKENS, 1.0, 5.0)
+        await asyncio.sleep(KILL_SECONDS)
+        world.kill(0)
+        await asyncio.sleep(QUIET_SECONDS)
+        return world
+
+    context.world = run_virtually(run())
+
+
+@then('the dead process is charged at least what its callers may have got')
+def check_charged(context):
+    assert _measure_stranded(context.world, ['host-0']) >= 0
