Leave a target alone that owes answers and has fallen silent

Ruled out: breaking a silent stream off sooner (it may still answer). Change: a target that owes bytes and has sent none on any connection for 0.8 s is not chosen; a scenario fails without it.

--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -60,3 +60,8 @@
   Scenario: A budget page survives its way through the store
     When 100 generated pages are written and read
     Then each is the same as before
+
+  Scenario: A target that falls silent gets nothing more while it owes answers
+    Given two engines of which one has fallen silent with a request on its way
+    When an engine is chosen 0.5 and 1 seconds later
+    Then the silent one is its prompt's home at first, and left alone then
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -23,6 +23,7 @@
     load_page,
 )
 from ibisport_fleet.catalogue import Catalogue
+from ibisport_fleet.choice import Candidate, TargetHealth, choose_engine
 from ibisport_fleet.contact import StoreContact
 from ibisport_fleet.errors import RequestInvalid
 from ibisport_fleet.eventlog import Event, EventLog
@@ -34,6 +35,7 @@
 from ibisport_fleet.storecalls import StoreCall, StoreCaller
 from ibisport_fleet.storepaths import RelayPlace, StorePaths
 from ibisport_fleet.targets import TargetEntry
+from ibisport_fleet.terms import PromptPart
 from ibisport_platform.headers import PlatformDialect
 
 KEY = 'servers/i-0'
@@ -427,3 +429,31 @@
 @then('each is the same as before')
 def check_turned(context):
     assert context.turned >= 100, context.turned
+
+
+def _build_candidate(number):
+    address = ('10.0.0.1', number)
+    entry = TargetEntry(f'i-{number}', 'svc', address, 'd', 64, False, 1)
+    return Candidate(entry, TargetHealth())
+
+
+@given('two engines of which one has fallen silent with a request on its way')
+def make_engines(context):
+    context.engines = [_build_candidate(number) for number in range(2)]
+    context.parts = (PromptPart('shared', 6_000), PromptPart('own', 10))
+    home = choose_engine(context.engines, context.parts, 0.0)
+    home.health.begin(0.0)
+    context.home = home
+
+
+@when('an engine is chosen 0.5 and 1 seconds later')
+def choose_later(context):
+    context.chosen = [
+        choose_engine(context.engines, context.parts, later) for later in (0.5, 1.0)
+    ]
+
+
+@then("the silent one is its prompt's home at first, and left alone then")
+def check_left(context):
+    assert context.chosen[0] is context.home
+    assert context.chosen[1] is not context.home
--- a/packages/fleet/src/ibisport_fleet/choice.py
+++ b/packages/fleet/src/ibisport_fleet/choice.py
@@ -9,6 +9,10 @@
 from ibisport_fleet.targets import TargetEntry
 from ibisport_fleet.terms import PromptPart, TargetLoad
 
+# A target that owes bytes and sends none on any connection for so long has fallen
+# silent: kept connections to it would swallow requests for seconds. Engines send an
+# event each 25 ms and plain services answer within 450 ms.
+SILENT_SECONDS = 0.8
 # What a running request costs the next one, in tokens of prompt: it slows each step
 # by a thousandth, and stands for prompts that other routers have sent.
 TOKENS_PER_RUNNING = 60
@@ -38,6 +42,7 @@
         avoided_until: Loop time up to which it is avoided.
         replaced: Another incarnation answered at its address.
         unread: Tokens of prompts on their way there that it has yet to read.
+        heard_at: Loop time at which it last sent something, or was first asked.
     """
 
     running: int = 0
@@ -48,6 +53,7 @@
     avoided_until: float = 0.0
     replaced: bool = False
     unread: int = 0
+    heard_at: float = 0.0
     _cached: OrderedDict[str, float] = field(default_factory=OrderedDict)
 
     def count_uncached(self, parts: Sequence[PromptPart], now: float) -> int:
@@ -86,6 +92,20 @@
         self.failures = min(self.failures + 1, 8)
         self.avoided_until = now + min(pause, LONGEST_AVOIDANCE_S)
 
+    def begin(self, now: float) -> None:
+        """Count a request that is sent there."""
+        if not self.running:
+            self.heard_at = now
+        self.running += 1
+
+    def end(self) -> None:
+        """Count a request that has ended there."""
+        self.running -= 1
+
+    def is_silent(self, now: float) -> bool:
+        """Whether it owes answers and has sent nothing for a while."""
+        return self.running > 0 and now - self.heard_at > SILENT_SECONDS
+
     def note_replaced(self) -> None:
         """Give the incarnation up: another one has its address."""
         self.replaced = True
@@ -181,7 +201,11 @@
 
 
 def _keep_trusted(candidates: Sequence[Candidate], now: float) -> list[Candidate]:
-    trusted = [one for one in candidates if one.health.avoided_until <= now]
+    trusted = [
+        one
+        for one in candidates
+        if one.health.avoided_until <= now and not one.health.is_silent(now)
+    ]
     # With none left that is trusted, one that failed lately is better than none.
     return trusted or list(candidates)
 
--- a/packages/fleet/src/ibisport_fleet/sending.py
+++ b/packages/fleet/src/ibisport_fleet/sending.py
@@ -138,6 +138,7 @@
     async def _read(self, exchange: Exchange, call: Call, health: TargetHealth) -> Sent:
         for _ in range(MOST_STRAY_ANSWERS):
             head = await exchange.read_head()
+            health.heard_at = asyncio.get_running_loop().time()
             terms = self._dialect.read_answer(head)
             if terms.request_id in (None, call.terms.request_id):
                 return await self._judge(exchange, head, terms, health)
--- a/packages/fleet/src/ibisport_fleet/serving.py
+++ b/packages/fleet/src/ibisport_fleet/serving.py
@@ -111,13 +111,13 @@
         self._retries.note_request(_now())
         while True:
             candidate = self._choose()
-            candidate.health.running += 1
+            candidate.health.begin(_now())
             self._begin_reading(candidate.health)
             try:
                 if await self._try(candidate):
                     return
             finally:
-                candidate.health.running -= 1
+                candidate.health.end()
                 self._end_reading()
 
     def count_tokens(self) -> int:
@@ -262,6 +262,7 @@
             self._parts.recorder.note_first(self._call)
         exchange = answered.exchange
         while (part := await exchange.read_part()) is not None:
+            answered.health.heard_at = _now()
             whole = self._cutter.feed(part)
             if whole:
                 self._end_reading()
