--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -154,7 +154,7 @@
         callers_address=('127.0.0.1', 0),
         readiness_address=('127.0.0.1', 0),
         store_address=('127.0.0.1', 1),
-        bounds=Bounds(1.0, 100.0, 0.0, 8.0, 1.5),
+        bounds=Bounds(1.0, 100.0, 0.0, 8.0),
     )
 
 
--- a/packages/fleet/src/ibisport_fleet/calls.py
+++ b/packages/fleet/src/ibisport_fleet/calls.py
@@ -21,7 +21,6 @@
         route: The route that takes it.
         service: The service that was drawn for it.
         workspace: The customer, or None on a public route.
-        caller_until: Loop time until which the caller waits.
         until: Loop time at which it gets its final answer at the latest.
         sends: Targets that may have run it.
         tried: Incarnations that it was sent to, or that can't be reached.
@@ -33,7 +32,6 @@
     route: Route
     service: str
     workspace: Workspace | None
-    caller_until: float
     until: float
     sends: int = 0
     tried: set[str] = field(default_factory=set)
--- a/packages/fleet/src/ibisport_fleet/fleetview.py
+++ b/packages/fleet/src/ibisport_fleet/fleetview.py
@@ -25,7 +25,6 @@
         log: EventLog,
     ) -> None:
         self.current: Catalogue | None = None
-        self.on_change: Callable[[Catalogue], None] | None = None
         self._key = key
         self._decode = decode
         self._log = log
@@ -58,8 +57,6 @@
             revision=found.revision,
             routes=len(found.routes),
         )
-        if self.on_change is not None:
-            self.on_change(found)
 
 
 class TargetView:
@@ -72,7 +69,6 @@
         log: EventLog,
     ) -> None:
         self.targets = TargetList()
-        self.on_gone: Callable[[TargetEntry], None] | None = None
         self._decode = decode
         self._name_incarnation = name_incarnation
         self._log = log
--- a/packages/fleet/src/ibisport_fleet/intake.py
+++ b/packages/fleet/src/ibisport_fleet/intake.py
@@ -56,7 +56,6 @@
         route=route,
         service=draw_service(route),
         workspace=workspace,
-        caller_until=request.received + asked,
         until=request.received + min(limit, asked),
     )
 
--- a/packages/fleet/src/ibisport_fleet/pool.py
+++ b/packages/fleet/src/ibisport_fleet/pool.py
@@ -50,8 +50,3 @@
         now = asyncio.get_running_loop().time()
         exchange.idle_until = now + max(0.0, stated - IDLE_MARGIN_S)
         self._idle.setdefault(exchange.address, deque()).append(exchange)
-
-    def forget(self, address: Address) -> None:
-        """Close the idle connections to a target that is gone."""
-        for exchange in self._idle.pop(address, ()):
-            exchange.close()
--- a/packages/fleet/src/ibisport_fleet/requestreader.py
+++ b/packages/fleet/src/ibisport_fleet/requestreader.py
@@ -32,11 +32,6 @@
         self._refusal: RequestInvalid | None = None
         self._reset_message()
 
-    @property
-    def idle(self) -> bool:
-        """Whether no byte of a next request has come."""
-        return not (self._started or self._ready or self._channel.has_unread)
-
     async def read(self) -> Request | None:
         """Return the next request, or None when the caller has closed.
 
--- a/packages/fleet/src/ibisport_fleet/settings.py
+++ b/packages/fleet/src/ibisport_fleet/settings.py
@@ -15,14 +15,12 @@
         retry_window: Sliding window of both, seconds.
         stop_grace: Time from the signal to stop until the process is killed,
             seconds.
-        settle_seconds: How long a request that ended may still count as open.
     """
 
     retry_ratio: float
     retry_slack: float
     retry_window: float
     stop_grace: float
-    settle_seconds: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/fleet/src/ibisport_fleet/targets.py
+++ b/packages/fleet/src/ibisport_fleet/targets.py
@@ -63,11 +63,6 @@
             if entry.service == service and not entry.draining
         ]
 
-    def is_serving(self, incarnation: str) -> bool:
-        """Whether an incarnation takes new work."""
-        entry = self._entries.get(incarnation)
-        return entry is not None and not entry.draining
-
     def put(self, entry: TargetEntry) -> None:
         """Take an entry that is in the store."""
         self._lapsed.pop(entry.incarnation, None)
