Keep one alias of an address, and one check before a second send

Cause: Address stood in three modules, and the check whether a request may be sent again stood twice in serving. Change: addresses.py holds the alias, _note_break asks _may_send_again; the order of its conditions and its effects are the same.

--- /dev/null
+++ b/packages/fleet/src/ibisport_fleet/addresses.py
@@ -0,0 +1,4 @@
+"""Where a peer listens."""
+
+# IP number and port.
+Address = tuple[str, int]
--- a/packages/fleet/src/ibisport_fleet/exchange.py
+++ b/packages/fleet/src/ibisport_fleet/exchange.py
@@ -6,12 +6,11 @@
 
 import httptools
 
+from ibisport_fleet.addresses import Address
 from ibisport_fleet.channel import Channel, open_channel
 from ibisport_fleet.errors import AnswerInvalid
 from ibisport_fleet.messages import Answer, AnswerHead, Headers, dump_head
 
-Address = tuple[str, int]
-
 FIRST_FINAL_STATUS = 200
 # Answers that have no body, whatever their headers say (RFC 9112, section 6.3).
 BODILESS = frozenset((204, 304))
--- a/packages/fleet/src/ibisport_fleet/pool.py
+++ b/packages/fleet/src/ibisport_fleet/pool.py
@@ -3,7 +3,8 @@
 import asyncio
 from collections import deque
 
-from ibisport_fleet.exchange import Address, Exchange, open_exchange
+from ibisport_fleet.addresses import Address
+from ibisport_fleet.exchange import Exchange, open_exchange
 
 # Below the idle time-outs that targets state in whole seconds, less a second for
 # the way and the rounding.
--- a/packages/fleet/src/ibisport_fleet/relay.py
+++ b/packages/fleet/src/ibisport_fleet/relay.py
@@ -7,12 +7,13 @@
 
 import asyncio
 
+from ibisport_fleet.addresses import Address
 from ibisport_fleet.catalogue import Limits
 from ibisport_fleet.channel import Channel
 from ibisport_fleet.connections import ConnectionTasks
 from ibisport_fleet.errors import FleetError
 from ibisport_fleet.eventlog import EventLog
-from ibisport_fleet.exchange import Address, Exchange, open_exchange
+from ibisport_fleet.exchange import Exchange, open_exchange
 from ibisport_fleet.messages import Request, drop_connection_headers, dump_head
 from ibisport_fleet.requestreader import RequestReader
 
--- a/packages/fleet/src/ibisport_fleet/serving.py
+++ b/packages/fleet/src/ibisport_fleet/serving.py
@@ -204,9 +204,7 @@
 
     def _note_break(self, reason: str) -> None:
         call = self._call
-        if not call.route.repeatable:
-            raise GivenUp(STATUS_BAD_GATEWAY, reason)
-        if call.sends >= call.route.most_targets or not self._take_retry():
+        if not (call.route.repeatable and self._may_send_again()):
             raise GivenUp(STATUS_BAD_GATEWAY, reason)
         self._parts.recorder.note_resumed(call, reason, self._cutter.last_id)
 
--- a/packages/fleet/src/ibisport_fleet/settings.py
+++ b/packages/fleet/src/ibisport_fleet/settings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-Address = tuple[str, int]
+from ibisport_fleet.addresses import Address
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/fleet/src/ibisport_fleet/storecalls.py
+++ b/packages/fleet/src/ibisport_fleet/storecalls.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from ibisport_fleet.addresses import Address
 from ibisport_fleet.errors import (
     ConnectionBroken,
     ConnectionFailed,
@@ -14,7 +15,6 @@
 from ibisport_fleet.exchange import Exchange, open_exchange
 from ibisport_fleet.messages import Answer, Headers
 from ibisport_fleet.storepaths import StorePaths
-from ibisport_fleet.targets import Address
 
 # Connecting takes 3 ms; a path that drops packets never answers.
 CONNECT_SECONDS = 0.15
--- a/packages/fleet/src/ibisport_fleet/storepaths.py
+++ b/packages/fleet/src/ibisport_fleet/storepaths.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from ibisport_fleet.targets import Address
+from ibisport_fleet.addresses import Address
 
 # A way that failed is tried last for so long.
 AVOID_SECONDS = 2.0
--- a/packages/fleet/src/ibisport_fleet/targets.py
+++ b/packages/fleet/src/ibisport_fleet/targets.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
-Address = tuple[str, int]
+from ibisport_fleet.addresses import Address
 
 # Entries that lapsed while the service was away are back within two seconds of
 # its return; the platform's pages give the figure. A bit more is for the way.
