Learn of peers by their greeting, and keep moved agents in the session's record

Cause 1 (membership, 'cut off from the store'): a router that is cut off before it has read its peer's session knows no peer (describe: peers 1), so it asks nobody for catalogue news until the cut ends. Traced by polling both routers' state. Ruled out: slow steps of the peers' way (an answer comes within 10 ms once the peer is known). Change: whoever accepts a router's greeting counts its sender as a peer for 10 s.

Cause 2 (once, 'home of a key changes'): an agent that moves to another address greets on a new link, and the end of the old link then marks the same incarnation as gone; the record drops it and all its work is refused for half a second (polling: connected but not usable for 0.5 s at every target). Ruled out: a missing wait in the exchange. Change: what a link reaches now isn't taken off.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -32,3 +32,8 @@
     And as many fresh routers are started
     Then within 20 seconds no session of a dead router is left
     And the account has paid what the engines finished and holds nothing else
+
+  Scenario: An agent that moves to another address stays in use
+    Given a running site
+    When every agent is reached at another address
+    Then for 3 seconds no connected agent is kept from paid work
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -20,6 +20,7 @@
 SLOW = {'token_ms': 40}
 WORDS = 50
 BUSY_SECONDS = 0.8
+LISTING_SECONDS = 0.25
 
 
 @given('a running site')
@@ -174,6 +175,38 @@
     assert account.closed_spent == finished, (account, runs)
 
 
+@when('every agent is reached at another address')
+def move_agents(context):
+    for target in context.site.targets.values():
+        relay = Relay(target.agent.address)
+        context.add_cleanup(relay.close)
+        context.site.put_target(target, agent_address=relay.address)
+
+
+@then('for {seconds:d} seconds no connected agent is kept from paid work')
+def check_usable(context, seconds):
+    deadline = time.monotonic() + seconds
+    kept_since = {}
+    while time.monotonic() < deadline:
+        now = time.monotonic()
+        kept = _list_kept(context.site)
+        kept_since = {one: kept_since.get(one, now) for one in kept}
+        # A new link is listed within one write to the store.
+        assert all(now - since < LISTING_SECONDS for since in kept_since.values()), kept
+        time.sleep(0.02)
+
+
+def _list_kept(site):
+    """Return router and target of each link that stands and may not be used."""
+    states = [(router.url, site.read_state(router)) for router in site.routers]
+    return {
+        (url, name)
+        for url, state in states
+        for name, target in state['targets'].items()
+        if target['connected'] and not target['usable']
+    }
+
+
 def _ask_many(context, count, stream):
     context.answers = {}
     context.callers = []
--- a/packages/router/src/ibisport_router/internal/keeper.py
+++ b/packages/router/src/ibisport_router/internal/keeper.py
@@ -137,19 +137,28 @@
             log_event(Event.session_opened, session=self.session.name)
         links = self._router.targets.list_links()
         connected = [link.listed for link in links if link.is_connected]
-        removable = self._choose_removable()
+        in_use = frozenset(agent.incarnation for agent in connected)
+        removable = self._choose_removable(in_use)
         self.session.list_agents(connected, removable)
         with self._lock:
-            for incarnation in removable:
+            for incarnation in removable | in_use:
                 self._gone.pop(incarnation, None)
 
-    def _choose_removable(self) -> frozenset[str]:
-        """Return agents out of use that no unsettled charge can concern."""
+    def _choose_removable(self, in_use: frozenset[str]) -> frozenset[str]:
+        """Return agents out of use that no unsettled charge can concern.
+
+        An agent that has moved to another address is gone for its former link only:
+        taking it off the record refused all its work for half a second.
+
+        Args:
+            in_use: Incarnations that a link reaches now.
+        """
         with self._lock:
             return frozenset(
                 incarnation
                 for incarnation, charges in self._gone.items()
-                if all(ledger.has_settled(number) for ledger, number in charges)
+                if incarnation not in in_use
+                and all(ledger.has_settled(number) for ledger, number in charges)
             )
 
     def _settle_once(self) -> None:
--- a/packages/router/src/ibisport_router/internal/peers.py
+++ b/packages/router/src/ibisport_router/internal/peers.py
@@ -13,6 +13,7 @@
 import threading
 import time
 from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from ibisport_core.errors import (
@@ -46,6 +47,10 @@
 _RECALL_SECONDS = 1.5
 _STANDING_PEERS = 4
 _MOST_RECALLED = 8
+_ROUTER = 'router'
+# A peer asks its standing peers for news once a second: one that has not greeted
+# for so long has gone or has chosen others.
+_GREETING_SECONDS = 10.0
 
 
 class PeerListener:
@@ -96,14 +101,16 @@
 
     def _serve_link(self, link: Link) -> None:
         hello = link.receive()
-        if not self._is_welcome(hello):
+        if not (isinstance(hello, Hello) and self._is_welcome(hello)):
             log_event(Event.link_refused, peer=link.peer)
             return
         router = self._router
+        if hello.role == _ROUTER:
+            router.peers.note_greeting(hello.session, hello.address)
         link.send(
             Welcome(
                 SCHEMA_VERSION,
-                'router',
+                _ROUTER,
                 router.session.name,
                 router.settings.failure_domain,
                 '',
@@ -115,8 +122,8 @@
             if answer is not None:
                 link.send(answer)
 
-    def _is_welcome(self, hello: Message) -> bool:
-        if not isinstance(hello, Hello) or hello.schema_version != SCHEMA_VERSION:
+    def _is_welcome(self, hello: Hello) -> bool:
+        if hello.schema_version != SCHEMA_VERSION:
             return False
         secret = self._router.settings.link_secret
         return hmac.compare_digest(hello.secret.encode(), secret.encode())
@@ -139,6 +146,19 @@
             return 0
 
 
+@dataclass(frozen=True, slots=True)
+class _Greeting:
+    """A peer that has connected here.
+
+    Attributes:
+        address: Where it listens.
+        until: Monotonic time up to which it counts as a peer, seconds.
+    """
+
+    address: str
+    until: float
+
+
 class Peers:
     """The other routers, as the store's session records name them."""
 
@@ -147,6 +167,7 @@
         self._router = router
         self._lock = threading.Lock()
         self._addresses: dict[str, str] = {}
+        self._greeted: dict[str, _Greeting] = {}
         self._calls = itertools.count(1)
 
     def note_sessions(self, addresses: dict[str, str]) -> None:
@@ -158,6 +179,20 @@
         with self._lock:
             self._addresses = addresses
 
+    def note_greeting(self, session: str, address: str) -> None:
+        """Remember a peer that has connected here.
+
+        A router that is cut off from the store before it has read its peer's session
+        learns of the peer in no other way, and got no news until the cut ended.
+
+        Args:
+            session: The peer's session.
+            address: Where the peer listens.
+        """
+        greeting = _Greeting(address, time.monotonic() + _GREETING_SECONDS)
+        with self._lock:
+            self._greeted[session] = greeting
+
     def count(self) -> int:
         """Return how many routers are known, this one included."""
         with self._lock:
@@ -254,7 +289,13 @@
 
     def _choose_standing(self) -> list[str]:
         own = self._router.session.name
+        now = time.monotonic()
         with self._lock:
-            others = {name for name in self._addresses if name != own}
-            ordered = order_targets(others, own.encode())[:_STANDING_PEERS]
-            return [self._addresses[name] for name in ordered]
+            self._greeted = {
+                name: one for name, one in self._greeted.items() if one.until > now
+            }
+            known = {name: one.address for name, one in self._greeted.items()}
+            known |= self._addresses
+        others = set(known) - {own}
+        ordered = order_targets(others, own.encode())[:_STANDING_PEERS]
+        return [known[name] for name in ordered]
