Go by the start of a target, and read any record without losing others

Starts are told apart by id and birth: leaving for ever, health, cached parts and sends tried belong to one start; an older start's late word is ignored. An entry that lacks a field, holds another type, an unknown state, no address or unreadable bytes names no target, is logged once and costs no other its place; a known target whose entry turns unreadable gets nothing until it can be read again (it was kept as it was before). Loans of negative or absurd counts are refused at the border.

--- a/packages/fleet/src/ibisport_fleet/budgetpage.py
+++ b/packages/fleet/src/ibisport_fleet/budgetpage.py
@@ -16,6 +16,16 @@
 
 from ibisport_fleet.errors import RecordInvalid
 
+_UNREADABLE = (
+    msgspec.MsgspecError,
+    AttributeError,
+    KeyError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+
 
 @dataclass(frozen=True, slots=True)
 class Share:
@@ -140,7 +150,7 @@
     try:
         document = msgspec.json.decode(content)
         return _build_page(document)
-    except (KeyError, TypeError, ValueError) as error:
+    except _UNREADABLE as error:
         raise RecordInvalid(f'budget page: {error!r}') from error
 
 
--- a/packages/fleet/src/ibisport_fleet/calls.py
+++ b/packages/fleet/src/ibisport_fleet/calls.py
@@ -23,7 +23,7 @@
         workspace: The customer, or None on a public route.
         until: Loop time at which it gets its final answer at the latest.
         sends: Targets that may have run it.
-        tried: Incarnations that it was sent to, or that can't be reached.
+        tried: Starts of targets that it was sent to, or that can't be reached.
         may_have_run: Some target may have run it.
     """
 
@@ -34,7 +34,7 @@
     workspace: Workspace | None
     until: float
     sends: int = 0
-    tried: set[str] = field(default_factory=set)
+    tried: set[tuple[str, int]] = field(default_factory=set)
     may_have_run: bool = False
 
     @property
--- a/packages/fleet/src/ibisport_fleet/fleetview.py
+++ b/packages/fleet/src/ibisport_fleet/fleetview.py
@@ -72,7 +72,10 @@
         self._decode = decode
         self._name_incarnation = name_incarnation
         self._log = log
-        self._health: dict[str, TargetHealth] = {}
+        self._health: dict[tuple[str, int], TargetHealth] = {}
+        # The last content of each key that could not be read, so that one that is
+        # written again and again is logged once.
+        self._unreadable: dict[str, bytes] = {}
 
     def take_listing(self, listing: Listing, doubtful_until: float) -> None:
         """Take all entries; those that are missing may only have lapsed."""
@@ -81,6 +84,7 @@
         self._log.write(
             Event.target_added, targets=len(entries), revision=listing.revision
         )
+        self._drop_former_starts()
 
     def take_change(self, change: Change, doubtful_until: float) -> None:
         """Take one entry that was written or removed."""
@@ -90,19 +94,19 @@
             case Removal(key=key, revision=revision):
                 self._remove(self._name_incarnation(key), revision, doubtful_until)
 
-    def health(self, incarnation: str) -> TargetHealth:
-        """Return what is known of an incarnation's load and failures."""
-        found = self._health.get(incarnation)
+    def health(self, start: tuple[str, int]) -> TargetHealth:
+        """Return what is known of the load and failures of one start of a target."""
+        found = self._health.get(start)
         if found is None:
             found = TargetHealth()
-            self._health[incarnation] = found
+            self._health[start] = found
         return found
 
     def list_candidates(self, service: str) -> list[Candidate]:
         """Return the targets of a service that take new work."""
         self._drop_lapsed()
         candidates = [
-            Candidate(entry, self.health(entry.incarnation))
+            Candidate(entry, self.health(entry.start))
             for entry in self.targets.list_serving(service)
         ]
         return [one for one in candidates if not one.health.replaced]
@@ -110,20 +114,37 @@
     def _drop_lapsed(self) -> None:
         for incarnation in self.targets.drop_lapsed(asyncio.get_running_loop().time()):
             self._log.write(Event.target_gone, target=incarnation, reason='lapsed')
-            self._health.pop(incarnation, None)
+            self._drop_former_starts()
+
+    def _drop_former_starts(self) -> None:
+        """Forget the health of starts that are no longer listed."""
+        listed = {entry.start for entry in self.targets.entries}
+        for start in self._health.keys() - listed:
+            self._health.pop(start)
 
     def _read(self, item: Item) -> TargetEntry | None:
+        """Return an entry, or None if it names no target that could be used.
+
+        Whoever wrote it, it costs no other entry its place; a known target whose
+        entry turns unreadable gets nothing more until it can be read again.
+        """
         try:
-            return self._decode(item)
+            entry = self._decode(item)
         except RecordInvalid as error:
-            self._log.write(Event.record_refused, reason=str(error)[:200])
+            if self._unreadable.get(item.key) != item.content:
+                self._log.write(Event.record_refused, reason=str(error)[:200])
+            self._unreadable[item.key] = item.content
+            self.targets.set_aside(self._name_incarnation(item.key))
             return None
+        self._unreadable.pop(item.key, None)
+        return entry
 
     def _put(self, item: Item) -> None:
         entry = self._read(item)
         if entry is None:
             return
         self.targets.put(entry)
+        self._drop_former_starts()
         event = Event.target_draining if entry.draining else Event.target_added
         self._log.write(
             event,
@@ -139,5 +160,5 @@
             self._log.write(Event.target_lapsed, target=incarnation, revision=revision)
             return
         self.targets.remove(incarnation)
-        self._health.pop(incarnation, None)
+        self._drop_former_starts()
         self._log.write(Event.target_gone, target=incarnation, revision=revision)
--- a/packages/fleet/src/ibisport_fleet/hostrecord.py
+++ b/packages/fleet/src/ibisport_fleet/hostrecord.py
@@ -54,5 +54,5 @@
     """
     try:
         return _DECODER.decode(content)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise RecordInvalid(f'host record: {error!r}') from error
--- a/packages/fleet/src/ibisport_fleet/loans.py
+++ b/packages/fleet/src/ibisport_fleet/loans.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Protocol, TypeVar
+from typing import Annotated, Protocol, TypeVar
 
 import msgspec
 
@@ -38,6 +38,10 @@
 POOLED_SECONDS = 20.0
 # Connecting takes under 5 ms between failure domains.
 CONNECT_SECONDS = 0.1
+# The largest whole number that JSON carries exactly everywhere.
+# A negative count would create tokens at the lender.
+MOST_TOKENS = 2**53
+_Tokens = Annotated[int, msgspec.Meta(ge=0, le=MOST_TOKENS)]
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,8 +57,8 @@
 
     lender: str
     workspace: str
-    tokens: int
-    repaid: int = 0
+    tokens: _Tokens
+    repaid: _Tokens = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,8 +72,8 @@
             any sooner.
     """
 
-    tokens: int
-    used: int
+    tokens: _Tokens
+    used: _Tokens
     certain: bool
 
 
@@ -153,5 +157,5 @@
 def _decode(content: bytes, kind: type[_Message]) -> _Message:
     try:
         return msgspec.json.decode(content, type=kind)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise PeerUnavailable(f'unreadable message: {error!r}') from error
--- a/packages/fleet/src/ibisport_fleet/membership.py
+++ b/packages/fleet/src/ibisport_fleet/membership.py
@@ -88,7 +88,7 @@
         while True:
             try:
                 await self._refresh()
-            except (StoreError, RecordInvalid) as error:
+            except StoreError as error:
                 self._log.write(Event.members_unknown, reason=repr(error))
             await asyncio.sleep(PERIOD_S)
 
@@ -96,7 +96,16 @@
         if self.may_lend:
             await self._keep_entry()
         listing = await self._store.scan(MEMBER_PREFIX, stale=True)
-        self._take([_load_member(item) for item in listing.items])
+        members = [member for item in listing.items if (member := self._read(item))]
+        self._take(members)
+
+    def _read(self, item: Item) -> Member | None:
+        """Return a router's entry; one that can't be read costs no other its place."""
+        try:
+            return load_member(item)
+        except RecordInvalid as error:
+            self._log.write(Event.record_refused, reason=str(error)[:200])
+            return None
 
     async def _keep_entry(self) -> None:
         if not (self._lease and await self._store.renew_lease(self._lease)):
@@ -124,8 +133,13 @@
         self.listed = True
 
 
-def _load_member(item: Item) -> Member:
+def load_member(item: Item) -> Member:
+    """Return the router that an entry tells of.
+
+    Raises:
+        RecordInvalid: The entry can't be read.
+    """
     try:
         return _DECODER.decode(item.content)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise RecordInvalid(f'{item.key}: {error!r}') from error
--- a/packages/fleet/src/ibisport_fleet/serving.py
+++ b/packages/fleet/src/ibisport_fleet/serving.py
@@ -161,7 +161,7 @@
         candidates = [
             one
             for one in targets.list_candidates(call.service)
-            if one.entry.incarnation not in call.tried
+            if one.entry.start not in call.tried
         ]
         if call.route.kind is RouteKind.stream:
             chosen = choose_engine(candidates, call.terms.parts, _now())
@@ -174,7 +174,7 @@
 
     async def _try(self, candidate: Candidate) -> bool:
         call = self._call
-        call.tried.add(candidate.entry.incarnation)
+        call.tried.add(candidate.entry.start)
         call.sends += 1
         self._parts.recorder.note_sent(call, candidate)
         call.may_have_run = True
--- a/packages/fleet/src/ibisport_fleet/targets.py
+++ b/packages/fleet/src/ibisport_fleet/targets.py
@@ -15,13 +15,14 @@
     """One incarnation of a target, as it registered itself.
 
     Attributes:
-        incarnation: Its id, new at each start.
+        incarnation: Its id, which it may keep when it starts again.
         service: The service that it belongs to.
         address: IP number and port; used again by others once it is gone.
         domain: Its failure domain.
         slots: Requests that it runs at once.
         draining: It takes no new work.
         revision: The store's revision of the entry.
+        born: Unix time of its start in milliseconds; 0 if it doesn't say.
     """
 
     incarnation: str
@@ -31,20 +32,27 @@
     slots: int
     draining: bool
     revision: int
+    born: int = 0
+
+    @property
+    def start(self) -> tuple[str, int]:
+        """One start of a target: what is known of another start doesn't hold."""
+        return self.incarnation, self.born
 
 
 class TargetList:
     """All targets that are known.
 
-    An incarnation that drains never comes back, and one that vanished while the
-    store was away is kept until a moment after the store's return: its entry may
-    only have lapsed.
+    One that drains never comes back, unless it starts again under its id, and one that
+    vanished while the store was away is kept until a moment after the store's return:
+    its entry may only have lapsed.
     """
 
     def __init__(self) -> None:
         self._entries: dict[str, TargetEntry] = {}
         self._lapsed: dict[str, TargetEntry] = {}
-        self._left: set[str] = set()
+        # The newest start of each id that has left.
+        self._left: dict[str, int] = {}
         self._lapsed_until = 0.0
 
     def __len__(self) -> int:
@@ -64,17 +72,29 @@
         ]
 
     def put(self, entry: TargetEntry) -> None:
-        """Take an entry that is in the store."""
+        """Take an entry that is in the store.
+
+        What a former start wrote may be done after the words of the present one.
+        """
+        known = self._entries.get(entry.incarnation)
+        if known is not None and entry.born < known.born:
+            return
         self._lapsed.pop(entry.incarnation, None)
         if entry.draining:
-            self._left.add(entry.incarnation)
-        elif entry.incarnation in self._left:
+            self._note_left(entry)
+        elif entry.born <= self._left.get(entry.incarnation, -1):
             entry = replace(entry, draining=True)
         self._entries[entry.incarnation] = entry
 
     def remove(self, incarnation: str) -> None:
         """Forget an entry that the store removed while it was at hand."""
-        self._left.add(incarnation)
+        entry = self._entries.get(incarnation)
+        if entry is not None:
+            self._note_left(entry)
+        self.set_aside(incarnation)
+
+    def set_aside(self, incarnation: str) -> None:
+        """Use a target no more until it can be read again."""
         self._entries.pop(incarnation, None)
         self._lapsed.pop(incarnation, None)
 
@@ -99,6 +119,10 @@
         for incarnation in set(self._entries) - listed:
             self.lapse(incarnation, until)
 
+    def _note_left(self, entry: TargetEntry) -> None:
+        newest = self._left.get(entry.incarnation, -1)
+        self._left[entry.incarnation] = max(newest, entry.born)
+
     def drop_lapsed(self, now: float) -> list[str]:
         """Forget lapsed entries whose time has run out, and return them."""
         if not self._lapsed or now < self._lapsed_until:
