Prove by the boot clock that a process ended in contact, however late it is read

Ruled out: relays (they work from 10 s on), conflicts at the opening. Change: a host's record tells up to which boot-clock time its process keeps to its contact caps. A successor in the same run of the machine that began before then knows that the former never lived on its caps. A machine that started again proves nothing by it.

--- a/features/budgets.feature
+++ b/features/budgets.feature
@@ -17,6 +17,16 @@
     When all of them are killed at once and start again
     Then less than 5 % of the budget is stranded
 
+  Scenario: A lender that dies as the store goes away strands hardly anything
+    Given 5 routers that have spent a third of a budget
+    When the store goes down, the lender is killed 0.2 s later and the store is back after 6 s
+    Then less than 5 % of the budget is stranded
+
+  Scenario: What a machine's former run wrote proves nothing
+    Given 5 routers that have spent a third of a budget
+    When the store goes down, the lender's machine starts again and the store is back after 6 s
+    Then what the lender held counts as spent
+
   Scenario: A router that leaves gives back all that it holds
     Given 5 routers that have spent a third of a budget
     When one of them is stopped while the store is slow
--- a/features/steps/budgets_steps.py
+++ b/features/steps/budgets_steps.py
@@ -216,6 +216,44 @@
     context.world = run_virtually(run())
 
 
+async def _kill_in_outage(context, power):
+    world = await context.prepare()
+    lender = rank_lenders(world.names, 'acme')[0]
+    world.service.faults.down = True
+    await asyncio.sleep(0.2)
+    page = load_page(world.service.items[PAGE_KEY].content)
+    context.cap = page.find('acme').shares[lender].cap
+    if power:
+        world.find_host(lender).boots += 1
+    world.kill(world.names.index(lender))
+    await asyncio.sleep(6.0)
+    world.service.faults.down = False
+    await asyncio.sleep(QUIET_SECONDS)
+    return world
+
+
+@when(
+    'the store goes down, the lender is killed 0.2 s later '
+    'and the store is back after 6 s'
+)
+def kill_lender(context):
+    context.world = run_virtually(_kill_in_outage(context, power=False))
+
+
+@when(
+    "the store goes down, the lender's machine starts again "
+    'and the store is back after 6 s'
+)
+def restart_machine(context):
+    context.world = run_virtually(_kill_in_outage(context, power=True))
+
+
+@then('what the lender held counts as spent')
+def check_counted(context):
+    page = load_page(context.world.service.items[PAGE_KEY].content)
+    assert page.find('acme').closed >= context.cap > 0
+
+
 @when('one of them is stopped while the store is slow')
 def stop_slowly(context):
     async def run():
--- a/packages/bench/src/ibisport_bench/budgetworld.py
+++ b/packages/bench/src/ibisport_bench/budgetworld.py
@@ -25,9 +25,17 @@
 
 @dataclass(slots=True)
 class Host:
-    """One host and the process that runs on it now."""
+    """One host and the process that runs on it now.
+
+    Attributes:
+        name: Its name.
+        boots: How often its machine was started again.
+        budgets: What the process knows, or None while none runs.
+        tasks: What the process does.
+    """
 
     name: str
+    boots: int = 0
     budgets: Budgets | None = None
     tasks: set[asyncio.Task[Any]] = field(default_factory=set)
 
@@ -120,7 +128,7 @@
             self._view,
             self._log,
             _Links(self, host.name),
-            Clocks(boot=time, wall=time),
+            Clocks(boot=time, wall=time, boot_id=f'{host.name} {host.boots}'),
         )
         self._spawn(host, members.run())
         self._spawn(host, host.budgets.run())
--- a/packages/fleet/src/ibisport_fleet/budgetkeeper.py
+++ b/packages/fleet/src/ibisport_fleet/budgetkeeper.py
@@ -38,7 +38,12 @@
 from ibisport_fleet.clocks import Clocks
 from ibisport_fleet.eventlog import Event, EventLog
 from ibisport_fleet.fleetview import CatalogueView
-from ibisport_fleet.formersession import PROOF_SECONDS, Remains, bound_spent
+from ibisport_fleet.formersession import (
+    PROOF_SECONDS,
+    Remains,
+    Successor,
+    bound_spent,
+)
 from ibisport_fleet.hostrecord import (
     HostRecord,
     dump_record,
@@ -132,6 +137,7 @@
         self.lapses_at = 0.0
         self.page_at = 0.0
         self._clocks = clocks
+        self._started_at = clocks.boot()
         self._host = member.host
         self._lends = lends
         self._store = store
@@ -226,7 +232,7 @@
         """End the session that this host's process had before."""
         before = self._page.sessions.get(self._host)
         remains = await self._read_remains(before)
-        spent = bound_spent(before, remains, self._clocks.wall(), self._log)
+        spent = bound_spent(before, remains, self._describe_successor(), self._log)
         # Nothing is held without a session. A first write of a process that died
         # before its answer came may still be done: it spent nothing of it.
         self.opened = before is None
@@ -240,7 +246,9 @@
             # A proof that the write relies on may have run out meanwhile.
             if not self.opened and (changed or plan.conditions):
                 remains = await self._read_remains(before)
-                spent = bound_spent(before, remains, self._clocks.wall(), self._log)
+                spent = bound_spent(
+                    before, remains, self._describe_successor(), self._log
+                )
         self._log.write(
             Event.budget_opened,
             revision=self._page_revision,
@@ -248,6 +256,10 @@
             bounded=bool(spent),
         )
 
+    def _describe_successor(self) -> Successor:
+        clocks = self._clocks
+        return Successor(clocks.boot_id, self._started_at, clocks.wall())
+
     def _plan_opening(self, spent: dict[str, int], proof: Item | None) -> _Plan:
         session = Session(self._incarnation, self._next())
         closed = self._page.close_session(self._host, spent)
@@ -255,7 +267,7 @@
         if spent and proof is not None:
             conditions = (Condition(proof.key, proof.revision),)
         return _Plan(
-            HostRecord(self._incarnation, session.sequence),
+            self._build_contact_record(session.sequence, {}, None),
             closed.with_shares(self._host, session, {}),
             conditions=conditions,
         )
@@ -287,11 +299,13 @@
         sequence = self._next()
         if not self._is_page_due(shares, demands, now):
             caps = {name: self.ledger.find(name).cap for name in demands}
-            return _Plan(self._build_record(sequence, caps, demands), proof=proof)
+            record = self._build_record(sequence, caps, demands, proof)
+            return _Plan(record, proof=proof)
         caps = {name: share.cap for name, share in shares.items()}
         session = Session(self._incarnation, sequence)
         page = self._page.with_shares(self._host, session, shares)
-        return _Plan(self._build_record(sequence, caps, demands), page, caps, proof)
+        record = self._build_record(sequence, caps, demands, proof)
+        return _Plan(record, page, caps, proof)
 
     def _is_page_due(
         self, shares: dict[str, Share], demands: dict[str, Demand], now: float
@@ -331,13 +345,31 @@
         )
 
     def _build_record(
-        self, sequence: int, caps: dict[str, int], demands: dict[str, Demand]
+        self,
+        sequence: int,
+        caps: dict[str, int],
+        demands: dict[str, Demand],
+        proof: _Proof | None,
     ) -> HostRecord:
         contact_caps = {
             name: plan_contact_cap(cap, demands[name], self._latency)
             for name, cap in caps.items()
         }
-        return HostRecord(self._incarnation, sequence, caps=contact_caps)
+        return self._build_contact_record(sequence, contact_caps, proof)
+
+    def _build_contact_record(
+        self, sequence: int, caps: dict[str, int], proof: _Proof | None
+    ) -> HostRecord:
+        # A proof that goes with the write binds the process before it is answered.
+        proof_until = 0.0 if proof is None else proof.lapses_at
+        return HostRecord(
+            self._incarnation,
+            sequence,
+            caps=caps,
+            boot_id=self._clocks.boot_id,
+            written_at=self._clocks.boot(),
+            bound_until=max(self.lapses_at, proof_until),
+        )
 
     async def _put(self, plan: _Plan) -> bool:
         """Try a write; False on a conflict, after which the page is up to date."""
--- a/packages/fleet/src/ibisport_fleet/formersession.py
+++ b/packages/fleet/src/ibisport_fleet/formersession.py
@@ -7,7 +7,7 @@
 from ibisport_fleet.budgetpage import Session
 from ibisport_fleet.errors import RecordInvalid
 from ibisport_fleet.eventlog import Event, EventLog
-from ibisport_fleet.hostrecord import load_record
+from ibisport_fleet.hostrecord import HostRecord, load_record
 from ibisport_fleet.store import Item
 
 # A crash of all routers is over within 1.2 s and half a second of starting; the
@@ -36,15 +36,30 @@
         return 0 if self.record is None else self.record.revision
 
 
+@dataclass(frozen=True, slots=True)
+class Successor:
+    """The process that comes after it on the same host.
+
+    Attributes:
+        boot_id: The machine's run, empty if unknown.
+        started_at: Boot-clock time at which it surely ran, and the former no more.
+        wall: The time of day now, seconds.
+    """
+
+    boot_id: str
+    started_at: float
+    wall: float
+
+
 def bound_spent(
-    before: Session | None, remains: Remains, wall: float, log: EventLog
+    before: Session | None, remains: Remains, after: Successor, log: EventLog
 ) -> dict[str, int]:
     """Return bounds of what a process has spent, by workspace; empty if unknown.
 
     Args:
         before: The process, as the page tells it.
         remains: What it left.
-        wall: The time of day, seconds.
+        after: The process that asks.
         log: Where a record that can't be read is written.
     """
     if before is None or remains.record is None:
@@ -56,11 +71,24 @@
         return {}
     if record.incarnation != before.incarnation:
         return {}
-    if record.final or _proves(remains.proof, before, wall, log):
+    if record.final or _ended_in_contact(record, after):
+        return record.caps
+    if _proves(remains.proof, before, after.wall, log):
         return record.caps
     return {}
 
 
+def _ended_in_contact(record: HostRecord, after: Successor) -> bool:
+    """Whether a process ended before its caps could hold instead of its contact caps.
+
+    Its successor on the same machine runs only after it. So the proof need not be read
+    in time: a lender killed as the store went away for six seconds stranded its whole
+    reserve, a third of the unspent budgets.
+    """
+    same_run = bool(record.boot_id) and record.boot_id == after.boot_id
+    return same_run and record.written_at <= after.started_at <= record.bound_until
+
+
 def _proves(proof: Item | None, before: Session, wall: float, log: EventLog) -> bool:
     """Whether a proof of contact shows that the process kept to its record."""
     if proof is None:
--- a/packages/fleet/src/ibisport_fleet/hostrecord.py
+++ b/packages/fleet/src/ibisport_fleet/hostrecord.py
@@ -25,12 +25,18 @@
         final: The process serves no more: the caps are what it spent.
         caps: Bounds of what it spends while its proof of contact lives, by
             workspace, in tokens.
+        boot_id: The machine's run in which the next two times are counted.
+        written_at: Boot-clock time of the write.
+        bound_until: Boot-clock time up to which it keeps to these caps at the least.
     """
 
     incarnation: str
     sequence: int = 0
     final: bool = False
     caps: dict[str, int] = field(default_factory=dict)
+    boot_id: str = ''
+    written_at: float = 0.0
+    bound_until: float = 0.0
 
 
 _DECODER = msgspec.json.Decoder(HostRecord)
