--- /dev/null
+++ b/features/explain.feature
@@ -0,0 +1,26 @@
+Feature: Why requests failed, from the routers' own log lines
+
+  Scenario Outline: Each kind of line has its cause
+    Given a log line of event <event> with <fields>
+    When the log is explained
+    Then its cause is <cause>
+
+    Examples:
+      | event | fields                                                      | cause          |
+      | 2401  | status=402 reason=budget used=9                             | budget_spent   |
+      | 2401  | status=503 reason=budget used=9                             | lender_refused |
+      | 2401  | status=503 reason=budget own_used=0 own_cap=0               | no_lender      |
+      | 2401  | status=503 reason=budget own_used=1 own_cap=1 isolated=true | own_cap        |
+      | 2401  | status=503 reason=no_catalogue                              | no_catalogue   |
+      | 2401  | status=404 reason=no_route                                  | not_allowed    |
+      | 2404  | status=504 reason=timeout                                   | timeout        |
+      | 2404  | status=503 reason=full                                      | full           |
+      | 2404  | status=503 reason=no_target                                 | no_target      |
+      | 2404  | status=502 reason=ConnectionBroken                          | broken         |
+      | 2403  | status=500                                                  | target_failed  |
+      | 2405  | events=3                                                    | caller_left    |
+
+  Scenario: Lines that tell of no failure, and lines that are none, are counted apart
+    Given the lines of a router that served 3 requests, left 7 lines out and wrote 2 more
+    When the log is explained
+    Then 3 are served, 7 are left out, 2 are no events and no cause is found
--- /dev/null
+++ b/features/steps/explain_steps.py
@@ -0,0 +1,62 @@
+"""Steps on what routers' log lines tell of failed requests."""
+
+import json
+
+from behave import given, then, when
+
+from ibisport_fleet.eventlog import Event
+from ibisport_fleet.explain import Cause, explain
+
+ROUTE = 'r-1'
+AT = 1_790_000_000.25
+
+
+def _write(event, **fields):
+    line = {'timestamp': AT, 'clock': 1.5, 'event': int(event), 'route': ROUTE}
+    return json.dumps({**line, **fields})
+
+
+@given('a log line of event {event:d} with {fields}')
+def write_line(context, event, fields):
+    pairs = [one.split('=') for one in fields.split()]
+    known = {'true': True}
+    found = {
+        name: known.get(text, int(text) if text.isdigit() else text)
+        for name, text in pairs
+    }
+    context.lines = [f'  0.25 host-1 {_write(event, **found)}\n']
+
+
+@given(
+    'the lines of a router that served {served:d} requests, left {dropped:d} lines out '
+    'and wrote {others:d} more'
+)
+def write_lines(context, served, dropped, others):
+    context.lines = [_write(Event.request_served, status=200) for _ in range(served)]
+    context.lines.append(_write(Event.lines_dropped, lines=dropped))
+    context.lines.append(_write(Event.request_sent, status=0))
+    context.lines += ['Traceback (most recent call last):' for _ in range(others)]
+
+
+@when('the log is explained')
+def explain_lines(context):
+    context.explanation = explain(context.lines)
+
+
+@then('its cause is {name}')
+def check_cause(context, name):
+    cause = Cause[name]
+    assert dict(context.explanation.by_route) == {(ROUTE, cause): 1}
+    assert dict(context.explanation.by_second) == {(int(AT), cause): 1}
+    assert cause.value in context.explanation.format()
+
+
+@then(
+    '{served:d} are served, {dropped:d} are left out, {others:d} are no events '
+    'and no cause is found'
+)
+def check_rest(context, served, dropped, others):
+    found = context.explanation
+    assert (found.served, found.dropped, found.unreadable) == (served, dropped, others)
+    assert not found.by_route
+    assert not found.by_second
--- /dev/null
+++ b/packages/fleet/src/ibisport_fleet/explain.py
@@ -0,0 +1,160 @@
+"""Tells from routers' log lines which requests failed, when and why.
+
+``python -m ibisport_fleet.explain < lines`` prints two tables: causes by route, and
+causes by second. Lines of several routers may be mixed; whatever stands before a line's
+first brace is left out.
+"""
+
+import sys
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+import msgspec
+
+from ibisport_fleet.eventlog import Event
+
+FIRST_FAILURE = 500
+
+
+class Cause(Enum):
+    """Why a request was not served, as its router saw it."""
+
+    budget_spent = 'the budget is spent'
+    lender_refused = 'a lender had no tokens at hand'
+    no_lender = 'no lender answered, and the own share was short'
+    own_cap = 'cut off from the store, and the own cap was used up'
+    no_catalogue = 'the router had no catalogue yet'
+    not_allowed = 'no such route or key'
+    full = 'targets rejected it or could not be reached'
+    no_target = 'no target was known'
+    timeout = 'the time limit ran out'
+    target_failed = 'the target answered with a failure'
+    broken = 'the answer broke off or could not be used'
+    caller_left = 'the caller left first'
+
+
+class _Line(msgspec.Struct):
+    """The fields of a line that matter here; others are passed over."""
+
+    timestamp: float
+    event: int
+    status: int = 0
+    reason: str = ''
+    route: str = ''
+    own_cap: int | None = None
+    isolated: bool = False
+    lines: int = 0
+
+
+_DECODER = msgspec.json.Decoder(_Line)
+
+
+@dataclass
+class Explanation:
+    """What the lines of a span of time tell.
+
+    Attributes:
+        served: Requests that were answered with success.
+        by_route: How often each cause struck each route.
+        by_second: How often each cause struck in each second of the time of day.
+        unreadable: Lines that are no events.
+        dropped: Lines that the routers left out themselves.
+    """
+
+    served: int = 0
+    by_route: Counter[tuple[str, Cause]] = field(default_factory=Counter)
+    by_second: Counter[tuple[int, Cause]] = field(default_factory=Counter)
+    unreadable: int = 0
+    dropped: int = 0
+
+    def add(self, text: str) -> None:
+        """Take one line."""
+        start = text.find('{')
+        try:
+            line = _DECODER.decode(text[start:] if start >= 0 else text)
+        except (msgspec.MsgspecError, ValueError):
+            self.unreadable += 1
+            return
+        self._take(line)
+
+    def _take(self, line: _Line) -> None:
+        if line.event == Event.lines_dropped:
+            self.dropped += line.lines
+        cause = find_cause(line)
+        if cause is not None:
+            self.by_route[line.route, cause] += 1
+            self.by_second[int(line.timestamp), cause] += 1
+        elif line.event == Event.request_served:
+            self.served += 1
+
+    def format(self) -> str:
+        """Return both tables as text."""
+        rows = [f'served: {self.served}', '', 'by route:']
+        for (route, cause), count in self.by_route.most_common():
+            rows.append(f'{count:7} {route or "-":16} {cause.value}')
+        rows += ['', 'by second:']
+        # Within a second the most frequent cause comes first.
+        by_second = sorted(self.by_second.most_common(), key=_read_second)
+        for (second, cause), count in by_second:
+            rows.append(f'{second:11} {count:6} {cause.value}')
+        rows += ['', f'lines left out by routers: {self.dropped}']
+        rows.append(f'lines that are no events: {self.unreadable}')
+        return '\n'.join(rows)
+
+
+def find_cause(line: _Line) -> Cause | None:
+    """Return why a line's request was not served; None if the line tells of none."""
+    match line.event:
+        case Event.request_refused:
+            return _explain_refusal(line)
+        case Event.request_failed:
+            return _explain_failure(line)
+        case Event.request_left:
+            return Cause.caller_left
+        case Event.request_served if line.status >= FIRST_FAILURE:
+            return Cause.target_failed
+    return None
+
+
+def explain(lines: Iterable[str]) -> Explanation:
+    """Return what log lines tell."""
+    found = Explanation()
+    for line in lines:
+        found.add(line)
+    return found
+
+
+def _explain_refusal(line: _Line) -> Cause:
+    match line:
+        case _Line(reason='no_catalogue'):
+            return Cause.no_catalogue
+        case _Line(reason='budget', status=402):
+            return Cause.budget_spent
+        case _Line(reason='budget', own_cap=None):
+            return Cause.lender_refused
+        case _Line(reason='budget', isolated=True):
+            return Cause.own_cap
+        case _Line(reason='budget'):
+            return Cause.no_lender
+    return Cause.not_allowed
+
+
+def _explain_failure(line: _Line) -> Cause:
+    match line:
+        case _Line(reason='timeout'):
+            return Cause.timeout
+        case _Line(reason='full'):
+            return Cause.full
+        case _Line(reason='no_target'):
+            return Cause.no_target
+    return Cause.broken
+
+
+def _read_second(row: tuple[tuple[int, Cause], int]) -> int:
+    return row[0][0]
+
+
+if __name__ == '__main__':
+    print(explain(sys.stdin).format())
