Check all shares of readers for each of the hundred fleets again

Read in the whole change: the new scenario drew one share for each fleet, so the even split over domains at three quarters was checked for a quarter of the hundred fleets that it was checked for before. Each fleet is now listed at every share; the scenario passes. Listed as open, read from the code: an entry that turns unreadable makes the list forget the target's start.

--- a/features/steps/placing_steps.py
+++ b/features/steps/placing_steps.py
@@ -77,14 +77,13 @@
             entry = TargetEntry(name, 'svc', ('10.0.0.1', number), domain, 8, False, 1)
             engines.append(Candidate(entry, TargetHealth()))
         shuffled = rng.sample(engines, len(engines))
-        share = rng.choice(SHARES)
-        listed = list_readers(engines, share), list_readers(shuffled, share)
-        context.listed.append((engines, share, *listed))
+        for share in SHARES:
+            listed = list_readers(engines, share), list_readers(shuffled, share)
+            context.listed.append((engines, share, *listed))
 
 
 @then('the engines for long prompts are the same, as many as their share')
 def check_same(context):
-    assert {share for _, share, _, _ in context.listed} == set(SHARES)
     for engines, share, listed, shuffled in context.listed:
         assert listed == shuffled
         # One of each kind stays, however small its share.
