--- a/features/explain.feature
+++ b/features/explain.feature
@@ -19,6 +19,7 @@
       | 2404  | status=502 reason=ConnectionBroken                          | broken         |
       | 2403  | status=500                                                  | target_failed  |
       | 2405  | events=3                                                    | caller_left    |
+      | 2407  | events=3 since_stop=3.1                                     | process_ended  |
 
   Scenario: Lines that tell of no failure, and lines that are none, are counted apart
     Given the lines of a router that served 3 requests, left 7 lines out and wrote 2 more
--- a/packages/fleet/src/ibisport_fleet/eventlog.py
+++ b/packages/fleet/src/ibisport_fleet/eventlog.py
@@ -20,6 +20,7 @@
     process_stopped = 2003
     settings_reloaded = 2004
     task_failed = 2005
+    listener_closed = 2006
     store_lost = 2101
     store_regained = 2102
     watch_lost = 2103
@@ -38,6 +39,7 @@
     request_failed = 2404
     request_left = 2405
     request_resumed = 2406
+    request_cut = 2407
     budget_opened = 2501
     budget_unknown = 2502
     lender_lost = 2503
--- a/packages/fleet/src/ibisport_fleet/explain.py
+++ b/packages/fleet/src/ibisport_fleet/explain.py
@@ -33,6 +33,7 @@
     target_failed = 'the target answered with a failure'
     broken = 'the answer broke off or could not be used'
     caller_left = 'the caller left first'
+    process_ended = 'the process ended before the answer did'
 
 
 class _Line(msgspec.Struct):
@@ -113,6 +114,8 @@
             return _explain_failure(line)
         case Event.request_left:
             return Cause.caller_left
+        case Event.request_cut:
+            return Cause.process_ended
         case Event.request_served if line.status >= FIRST_FAILURE:
             return Cause.target_failed
     return None
--- a/packages/fleet/src/ibisport_fleet/handling.py
+++ b/packages/fleet/src/ibisport_fleet/handling.py
@@ -20,7 +20,13 @@
 
 
 class CallHandler:
-    """Serves requests of callers, one call of ``handle`` each."""
+    """Serves requests of callers, one call of ``handle`` each.
+
+    Attributes:
+        in_flight: Requests that have come and have no final answer yet.
+        stopping_at: Loop time at which the process was asked to stop, or None.
+        ended: The process ends now, whatever is still served.
+    """
 
     def __init__(self, parts: Parts) -> None:
         self._parts = parts
@@ -29,6 +35,8 @@
         self._mixes: dict[str, PromptMix] = {}
         self._started = asyncio.get_running_loop().time()
         self.in_flight = 0
+        self.stopping_at: float | None = None
+        self.ended = False
 
     async def handle(self, request: Request, replies: Replies) -> None:
         """Answer one request; the answer is written before this returns."""
@@ -82,7 +90,7 @@
         except GivenUp as given_up:
             self._give_up(call, replies, given_up)
         except asyncio.CancelledError:
-            self._parts.recorder.note_left(call, serving.events)
+            self._note_ended(call, serving.events)
             raise
         finally:
             reservation.spent = serving.count_tokens()
@@ -99,6 +107,14 @@
             given_up.status, given_up.reason, call.terms.request_id, given_up.pause
         )
 
+    def _note_ended(self, call: Call, events: int) -> None:
+        """Tell a caller that left from a process that ended under its request."""
+        recorder = self._parts.recorder
+        if self.ended and self.stopping_at is not None:
+            recorder.note_cut(call, events, self.stopping_at)
+        else:
+            recorder.note_left(call, events)
+
     def _note_refused(self, request_id: str, refused: Refused) -> None:
         catalogue = self._parts.catalogue.current
         version = None if catalogue is None else catalogue.version
--- a/packages/fleet/src/ibisport_fleet/recording.py
+++ b/packages/fleet/src/ibisport_fleet/recording.py
@@ -10,6 +10,7 @@
 
 SERVED = 'served'
 LEFT = 'caller_left'
+CUT = 'process_ended'
 
 
 class Recorder:
@@ -124,6 +125,27 @@
         )
         self._metrics.count_request(_name_workspace(call), call.route.name, LEFT)
 
+    def note_cut(self, call: Call, events: int, stopping_at: float) -> None:
+        """Note a request that was still served when the process ended.
+
+        Args:
+            call: The request.
+            events: Whole events of the answer that were passed on.
+            stopping_at: Loop time at which the process was asked to stop.
+        """
+        now = asyncio.get_running_loop().time()
+        received = call.request.received
+        self._log.write(
+            Event.request_cut,
+            request=call.terms.request_id,
+            route=call.route.name,
+            seconds=round(now - received, 4),
+            since_stop=round(received - stopping_at, 4),
+            may_have_run=call.may_have_run,
+            events=events,
+        )
+        self._metrics.count_request(_name_workspace(call), call.route.name, CUT)
+
     def note_charged(self, call: Call, tokens: int) -> None:
         """Note what a request has cost."""
         self._metrics.count_tokens(_name_workspace(call), tokens)
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -150,7 +150,13 @@
         keeping.cancel()
         proving.cancel()
         await self._close_budgets(killed_at - CLOSE_MARGIN_S)
-        self._log.write(Event.process_stopped, host=self._settings.host)
+        self._handler.ended = True
+        self._log.write(
+            Event.process_stopped,
+            host=self._settings.host,
+            cut=self.in_flight,
+            grace_left=round(killed_at - loop.time(), 3),
+        )
 
     async def _listen(self) -> asyncio.Server:
         """Open all listeners; return the one for callers."""
@@ -177,6 +183,7 @@
             in_flight=self.in_flight,
         )
         self.leaving = True
+        self._handler.stopping_at = asyncio.get_running_loop().time()
         self._callers.leaving = True
         self._budgets.leave()
         self._stopped.set()
@@ -254,6 +261,12 @@
         loop = asyncio.get_running_loop()
         await asyncio.sleep(LEAVE_NOTICE_S)
         listener.close()
+        self._log.write(
+            Event.listener_closed,
+            host=self._settings.host,
+            in_flight=self.in_flight,
+            connections=len(self._callers.connections),
+        )
         while loop.time() < latest:
             self._callers.close_idle()
             if not self.in_flight:
