Add a network in memory for whole processes in virtual time

Cause: what a router does while it leaves could only be tried on sockets in wall-clock time; serving.feature stands in with a second listener and never lets the process end. Change: VirtualNet, a VirtualLoop whose servers and connections are MemoryTransports with a delay, a rate and a bounded room of the systems. Ends belong to hosts by a context variable, so a process can end (or be killed) and take its unsent bytes with it while its peers go on.

--- /dev/null
+++ b/features/steps/virtualnet_steps.py
@@ -0,0 +1,169 @@
+"""Steps on the network in memory itself."""
+
+import asyncio
+
+from behave import given, then, when
+
+from ibisport_bench.memorytransport import Link
+from ibisport_bench.virtualnet import run_on_net
+
+PLACE = ('10.0.0.1', 80)
+
+
+class Recorder(asyncio.Protocol):
+    """Keeps what comes, and when the writer is stopped."""
+
+    def __init__(self):
+        self.got = b''
+        self.ended = self.lost = self.failure = None
+        self.stops = 0
+
+    def connection_made(self, transport):
+        """Keep the transport."""
+        self.transport = transport
+
+    def data_received(self, data):
+        """Keep the bytes and their time."""
+        self.got += data
+        self.heard_at = asyncio.get_running_loop().time()
+
+    def eof_received(self):
+        """Note the end."""
+        self.ended = True
+
+    def connection_lost(self, exc):
+        """Note how the connection ended."""
+        self.lost, self.failure = True, exc
+
+    def pause_writing(self):
+        """Count how often the writer is stopped."""
+        self.stops += 1
+
+
+def _play(context, link, act):
+    async def play(net):
+        net.links['server', ''] = link
+        accepted = []
+
+        async def serve():
+            def accept():
+                accepted.append(Recorder())
+                return accepted[-1]
+
+            context.listener = await net.create_server(accept, *PLACE)
+
+        await net.start_on('server', serve())
+        context.reader = Recorder()
+        await net.create_connection(lambda: context.reader, *PLACE)
+        context.sender = accepted[0]
+        await act(net)
+
+    run_on_net(play)
+
+
+@given('a link with a delay of {delay:g} s and {rate:g} bytes a second')
+def keep_slow_link(context, delay, rate):
+    context.link = Link(delay, rate)
+
+
+@given('a link that holds {room:d} bytes')
+def keep_small_link(context, room):
+    context.link = Link(room=room)
+
+
+@when('{size:d} bytes are sent over it and the connection is closed')
+def send_and_close(context, size):
+    async def act(net):
+        context.sender.transport.write(bytes(size))
+        context.sender.transport.close()
+        await asyncio.sleep(10.0)
+
+    _play(context, context.link, act)
+
+
+@then('they are whole {seconds:g} s after the call to connect, and then the end comes')
+def check_times(context, seconds):
+    reader = context.reader
+    # 0.5 s until the connection stands, 2 s of bytes, 0.5 s on the way; the other
+    # direction has the usual delay.
+    assert round(reader.heard_at, 2) == round(seconds, 2), reader.heard_at
+    assert len(reader.got) == 2_000 and reader.ended and reader.failure is None
+
+
+@when('{size:d} bytes are sent to a reader that reads nothing for {seconds:g} s')
+def send_to_slow(context, size, seconds):
+    async def act(net):
+        context.reader.transport.pause_reading()
+        context.sender.transport.write(bytes(size))
+        await asyncio.sleep(seconds)
+        context.before = len(context.reader.got)
+        context.held = context.sender.transport.get_write_buffer_size()
+        context.reader.transport.resume_reading()
+        await asyncio.sleep(1.0)
+
+    _play(context, context.link, act)
+
+
+@then('the sender was made to wait, and the reader got all')
+def check_wait(context):
+    assert context.before == 0 and context.sender.stops == 1
+    assert context.held == 200_000 - context.link.room, context.held
+    assert len(context.reader.got) == 200_000, len(context.reader.got)
+    assert context.sender.transport.get_write_buffer_size() == 0
+
+
+@when('a process writes {size:d} bytes and ends before the reader reads')
+def write_and_end(context, size):
+    async def act(net):
+        context.reader.transport.pause_reading()
+        context.sender.transport.write(bytes(size))
+        net.kill('server')
+        await asyncio.sleep(1.0)
+        context.reader.transport.resume_reading()
+        await asyncio.sleep(1.0)
+
+    _play(context, context.link, act)
+
+
+@then('the reader gets {size:d} bytes and the end')
+def check_part(context, size):
+    reader = context.reader
+    assert len(reader.got) == size and reader.ended, len(reader.got)
+    assert not context.listener.is_serving()
+
+
+@when("a process closes a connection whose bytes it hasn't read")
+def close_unread(context):
+    async def act(net):
+        context.sender.transport.pause_reading()
+        context.reader.transport.write(b'unread')
+        await asyncio.sleep(1.0)
+        context.sender.transport.close()
+        await asyncio.sleep(1.0)
+
+    _play(context, Link(), act)
+
+
+@then('the peer sees a reset')
+def check_reset(context):
+    assert isinstance(context.reader.failure, ConnectionResetError)
+
+
+@when('a listener with one connection is closed')
+def close_listener(context):
+    async def act(net):
+        context.listener.close()
+        context.sender.transport.write(b'still there')
+        try:
+            await net.create_connection(Recorder, *PLACE)
+        except ConnectionRefusedError as error:
+            context.refusal = error
+        await asyncio.sleep(1.0)
+
+    _play(context, Link(), act)
+
+
+@then('the connection still carries bytes, and a new one is refused')
+def check_refusal(context):
+    assert context.reader.got == b'still there', context.reader.got
+    assert context.refusal is not None
