Reproduce answers that a leaving router cuts off, in virtual time

Cause: a router that was told to stop takes requests for 3.2 s and ends 7 s after the signal, whatever still runs, waits for tokens or lies in the buffers to callers. Ruled out: a slow store or target (both answered at once where streams are cut), a kill (the process ended by itself, at 7.1 s), a fault of the network: short answers at 1 s are whole.

--- /dev/null
+++ b/features/stopping.feature
@@ -0,0 +1,63 @@
+Feature: A router that is told to stop
+
+  Callers got 200 and the first events of a stream, and then their connection was
+  closed in the middle of the answer.
+
+  The order of events, in seconds after the signal to stop, from the router's log and
+  the callers' records of one such request: 3.03 a caller sends it on a new connection;
+  3.14 it is sent on, and its target runs it; 7.015 the process closes the caller's
+  connection and ends. The grace time was 8 s. Routers were stopped one each quarter
+  of a second, so that the balancer had to use leaving ones.
+
+  The cause: the listener stayed open for 3.2 s after the signal and what came was
+  served like any other request, but the process ended at 7 s, whatever was still
+  running, waiting or in the buffers to callers. A stream that came at 3.1 s had
+  3.9 s. So had one on a kept connection, and a request behind a late stream less.
+
+  The evidence: played in virtual time, a stream of 4.2 s that came at 3.1 s got 200
+  with "Connection: close" and 666 bytes, and was cut at 7.10 s without the last chunk,
+  on a new and on a kept connection alike; the same stream that came at 1 s and took
+  1.5 s was whole.
+
+  Scenario: A long stream comes on a new connection when the balancer should know
+    Given a running router whose target takes 4.2 or 6 s for a stream
+    When the router is told to stop, and the stream is asked for 3.1 s later on a new connection
+    Then the caller gets the whole answer, or 503 at once with a time to come back and the target saw nothing
+
+  Scenario: A long stream comes on a kept connection when the balancer should know
+    Given a running router whose target takes 4.2 or 6 s for a stream
+    When the router is told to stop, and the stream is asked for 3.1 s later on a kept connection
+    Then the caller gets the whole answer, or 503 at once with a time to come back and the target saw nothing
+
+  Scenario: A request follows at once on the connection of a stream that ended late
+    Given a running router whose target takes 3 s for a stream
+    When the router is told to stop, and an earlier stream ends 6.5 s later with another one asked for right after it
+    Then the earlier stream is whole
+    And the later one is whole, or was refused or not taken and the target saw nothing
+
+  Scenario: A request that waits for tokens when the process ends is refused in words
+    Given a running router whose callers prepay
+    When the router is told to stop, the store grows slow, and requests for tokens come each 0.1 s from 5 s on until the grace time ends
+    Then each that the router has read is answered with 503, and the target saw none
+
+  Scenario: A request whose target is silent when the process ends gets a status
+    Given a running router whose target never gives a byte
+    When requests of each kind are sent on, and the router is told to stop
+    Then each gets a final status that does not say that it did not run
+
+  Scenario: An answer that a slow link still carries is whole before the process ends
+    Given a running router, a slow link to its callers, and large answers
+    When the router is told to stop, and the answers are written 0.5 s later
+    Then the callers get every byte
+
+  Scenario: A stream begun before the signal ends late within the grace time
+    Given a running router
+    When the router is told to stop, and a stream begun before it ends 7.3 s later
+    Then the earlier stream is whole
+    And the process has ended by itself within the grace time
+
+  Scenario: Short answers begun soon after the signal are whole and close their connections
+    Given a running router whose target takes 1.5 s for a stream
+    When the router is told to stop, and a stream and a plain request are asked for 1 s later
+    Then both answers are whole and say that the connection closes
+    And the process has ended by itself within the grace time
