--- a/features/stopping.feature
+++ b/features/stopping.feature
@@ -3,8 +3,8 @@
   Callers got 200 and the first events of a stream, and then their connection was
   closed in the middle of the answer.
 
-  The order of events, in seconds after the signal to stop, from the router's log and
-  the callers' records of one such request: 3.03 a caller sends it on a new connection;
+  The order of events, in seconds after the signal to stop, from the record of one such
+  request (whether its connection was new isn't told): 3.03 a caller sends it;
   3.14 it is sent on, and its target runs it; 7.015 the process closes the caller's
   connection and ends. The grace time was 8 s. Routers were stopped one each quarter
   of a second, so that the balancer had to use leaving ones.
