Let a relay end only after the answers to the calls that it passed on

Cause: at SIGTERM the relay's process returned at once. A call that it had passed on to the store got no answer, so that its router had a write of unknown outcome; answers still buffered were lost as the loop closed.

Change: the relay stops listening, closes the connections on which nothing is asked, answers and flushes what is in flight, bounded by the longest time of a call and by the grace, and then ends. A call that becomes whole after the signal isn't passed on: 503 and the end of the connection, so that its router takes another way at once. Its log tells how many were in flight, as the router's does.

--- /dev/null
+++ b/features/departures.feature
@@ -0,0 +1,22 @@
+Feature: What a process that ends owes to whoever waits for it
+
+  Scenario: A relay that stops lets the calls end that it has passed on
+    Given a store that keeps its answers back, and a relay in front of it
+    When the relay has passed a call on and is told to stop
+    And the store answers with 8000000 bytes, which the router reads late
+    Then the router gets all of it, and then the end of the connection
+    And the relay has told of 1 call in flight and ends with code 0
+
+  Scenario: A relay that stops closes the connections on which nothing is asked
+    Given a store that keeps its answers back, and a relay in front of it
+    When another router's connection waits for nothing
+    And the relay has passed a call on and is told to stop
+    Then the other router's connection ends while the call is on its way
+
+  Scenario: A call that reaches a relay too late is refused truly
+    Given a store that keeps its answers back, and a relay in front of it
+    When another router has sent half of a call
+    And the relay has passed a call on and is told to stop
+    And the other router sends the other half
+    Then the other router gets 503 and the end of the connection
+    And the store has got 1 call
--- /dev/null
+++ b/features/steps/departures_steps.py
@@ -0,0 +1,214 @@
+"""Steps on the end of processes: what is on its way when they are told to stop."""
+
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+from pathlib import Path
+
+from behave import fixture, given, then, use_fixture, when
+
+from ibisport_fleet.eventlog import Event
+
+# Nothing is expected to take so long; it ends a test that would hang.
+PATIENCE_S = 20.0
+SMALL_BUFFER = 4_096
+READ_LATE_S = 1.0
+CALL = b'GET /kv-key?key=k HTTP/1.1\r\nhost: store\r\n\r\n'
+ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n'
+SETTINGS = """
+node = "host-0"
+ip = "127.0.0.1"
+zone = "d-0"
+portRange = [{peer}, {last}]
+platform = {{ address = "127.0.0.1:{store}" }}
+"""
+
+
+class WaitingStore:
+    """A store that answers when it is told to.
+
+    Attributes:
+        calls: What it has got.
+        got: Set at each call.
+        answering: Set when answers may go.
+        body: What it answers with.
+    """
+
+    def __init__(self):
+        self.calls = []
+        self.got = threading.Event()
+        self.answering = threading.Event()
+        self.body = b'kept'
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        self.port = self._listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self):
+        """Listen no more."""
+        self._listener.close()
+
+    def _accept(self):
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock):
+        while call := sock.recv(65_536):
+            self.calls.append(call)
+            self.got.set()
+            self.answering.wait(PATIENCE_S)
+            sock.sendall(ANSWER % len(self.body) + self.body)
+
+
+def pick_port():
+    """Return a port that was free a moment ago."""
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        return listener.getsockname()[1]
+
+
+def connect(port):
+    """Return a connection that takes little before it is read."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+    sock.settimeout(PATIENCE_S)
+    sock.connect(('127.0.0.1', port))
+    return sock
+
+
+def read_all(sock):
+    """Return all bytes until the connection ends, and how it ended."""
+    parts = []
+    try:
+        while data := sock.recv(SMALL_BUFFER):
+            parts.append(data)
+    except OSError as error:
+        return b''.join(parts), repr(error)
+    return b''.join(parts), 'closed'
+
+
+def read_event(process, event):
+    """Return the next log line of an event; None if the process ends before."""
+    for line in process.stdout:
+        record = json.loads(line)
+        if record['event'] == event:
+            return record
+    return None
+
+
+@fixture
+def run_store(context):
+    """Run a store that keeps its answers back."""
+    context.store = WaitingStore()
+    yield context.store
+    context.store.answering.set()
+    context.store.close()
+
+
+@fixture
+def run_program(context, program, store_port):
+    """Run one of the platform's programs until the scenario's end."""
+    context.port = pick_port()
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / 'settings.toml'
+        path.write_text(
+            SETTINGS.format(peer=context.port, last=pick_port(), store=store_port)
+        )
+        context.process = subprocess.Popen(
+            [sys.executable, '-m', 'ibisport_platform', program],
+            env={**os.environ, 'IBISPORT_NODE_FILE': str(path)},
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        yield context.process
+        context.process.kill()
+        context.process.wait()
+        context.process.stdout.close()
+
+
+@given('a store that keeps its answers back, and a relay in front of it')
+def start_relay(context):
+    use_fixture(run_store, context)
+    use_fixture(run_program, context, 'relay', context.store.port)
+    assert read_event(context.process, Event.process_started)
+
+
+@when("another router's connection waits for nothing")
+def connect_idly(context):
+    context.other = connect(context.port)
+    context.add_cleanup(context.other.close)
+
+
+@when('another router has sent half of a call')
+def send_half(context):
+    connect_idly(context)
+    context.other.sendall(CALL[:10])
+
+
+@when('the relay has passed a call on and is told to stop')
+def stop_relay(context):
+    context.sock = connect(context.port)
+    context.add_cleanup(context.sock.close)
+    context.sock.sendall(CALL)
+    assert context.store.got.wait(PATIENCE_S)
+    context.process.send_signal(signal.SIGTERM)
+    context.stopping = read_event(context.process, Event.process_stopping)
+
+
+@when('the store answers with {size:d} bytes, which the router reads late')
+def answer_at_length(context, size):
+    context.store.body = b'x' * size
+    context.store.answering.set()
+    # A process that doesn't wait for its reader ends now, and loses what it buffers.
+    with contextlib.suppress(subprocess.TimeoutExpired):
+        context.process.wait(READ_LATE_S)
+    context.answer = read_all(context.sock)
+
+
+@when('the other router sends the other half')
+def send_rest(context):
+    context.other.sendall(CALL[10:])
+
+
+@then('the router gets all of it, and then the end of the connection')
+def check_whole(context):
+    content, ending = context.answer
+    head, _, body = content.partition(b'\r\n\r\n')
+    assert body == context.store.body, (head, len(body), ending)
+    assert b'connection: close' in head and ending == 'closed', (head, ending)
+
+
+@then('the relay has told of {count:d} call in flight and ends with code {code:d}')
+def check_told(context, count, code):
+    assert context.stopping, 'it said nothing before its end'
+    assert context.stopping['in_flight'] == count, context.stopping
+    assert context.process.wait(PATIENCE_S) == code
+
+
+@then("the other router's connection ends while the call is on its way")
+def check_idle_closed(context):
+    assert read_all(context.other) == (b'', 'closed')
+    assert context.process.poll() is None
+    context.store.answering.set()
+    content, _ = read_all(context.sock)
+    assert content.endswith(context.store.body), content
+
+
+@then('the other router gets {status:d} and the end of the connection')
+def check_refused(context, status):
+    content, ending = read_all(context.other)
+    assert content.startswith(b'HTTP/1.1 %d ' % status), (content, ending)
+    assert ending == 'closed', ending
+
+
+@then('the store has got {count:d} call')
+def check_calls(context, count):
+    assert len(context.store.calls) == count, context.store.calls
--- a/packages/fleet/src/ibisport_fleet/process.py
+++ b/packages/fleet/src/ibisport_fleet/process.py
@@ -7,7 +7,7 @@
 import uvloop
 
 from ibisport_fleet.eventlog import Event, EventLog
-from ibisport_fleet.relay import Relay
+from ibisport_fleet.relay import LEAVE_MARGIN_S, Relay
 from ibisport_fleet.router import Adapters, Router
 from ibisport_fleet.settings import HostSettings
 
@@ -43,9 +43,14 @@
         loop.add_signal_handler(number, stopped.set)
     # A relay has nothing to reload.
     loop.add_signal_handler(signal.SIGHUP, int)
-    await loop.create_server(relay.connections.accept, *settings.peer_address)
+    accept = relay.connections.accept
+    listener = await loop.create_server(accept, *settings.peer_address)
     log.write(Event.process_started, host=settings.host, domain=settings.domain)
     await stopped.wait()
+    killed_at = loop.time() + settings.bounds.stop_grace
+    log.write(Event.process_stopping, host=settings.host, in_flight=relay.in_flight)
+    listener.close()
+    await relay.leave(killed_at - LEAVE_MARGIN_S)
     log.write(Event.process_stopped, host=settings.host)
 
 
--- a/packages/fleet/src/ibisport_fleet/relay.py
+++ b/packages/fleet/src/ibisport_fleet/relay.py
@@ -14,13 +14,29 @@
 from ibisport_fleet.errors import FleetError
 from ibisport_fleet.eventlog import EventLog
 from ibisport_fleet.exchange import Exchange, open_exchange
-from ibisport_fleet.messages import Request, drop_connection_headers, dump_head
+from ibisport_fleet.messages import (
+    Headers,
+    Request,
+    drop_connection_headers,
+    dump_head,
+)
 from ibisport_fleet.requestreader import RequestReader
 
 # A call that waits for changes takes up to 1.5 s; no caller waits beyond this.
 MOST_CALL_SECONDS = 3.0
 # Routers keep their connections; one that was silent for so long is dropped.
 IDLE_SECONDS = 60.0
+# Kept back of the grace, for the end of the process itself.
+LEAVE_MARGIN_S = 0.5
+# How often a leaving relay looks whether its last answers are sent: an answer takes
+# 4 ms, and nobody waits for the process to end.
+LEAVE_CHECK_S = 0.02
+# The store has not seen the call: the router takes another way at once.
+REFUSAL = (
+    b'HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n'
+    b'connection: close\r\n\r\n'
+)
+CLOSE: Headers = ((b'connection', b'close'),)
 # The largest value of the store, encoded, and its frame.
 RELAY_LIMITS = Limits(most_body_bytes=2_097_152, idle_seconds=IDLE_SECONDS)
 
@@ -30,22 +46,65 @@
 
     Attributes:
         connections: The connections of routers.
+        in_flight: Calls that were passed on and have no answer yet.
     """
 
     def __init__(self, store_address: Address, log: EventLog) -> None:
         self._store_address = store_address
         self._idle: list[Exchange] = []
+        self._leaving = False
+        # Connections on which no call is passed on, with what they read.
+        self._waiting: dict[Channel, RequestReader] = {}
         self.connections = ConnectionTasks(self._serve, 'relay', log)
+        self.in_flight = 0
+
+    async def leave(self, until: float) -> None:
+        """Take no new calls, and wait for the answers of those passed on.
+
+        A call that is cut off is one of unknown outcome: its router has to find out
+        whether a write of a budget was done.
+
+        Args:
+            until: Loop time by which the answers must be out.
+        """
+        loop = asyncio.get_running_loop()
+        until = min(until, loop.time() + MOST_CALL_SECONDS)
+        self._leaving = True
+        for channel, reader in tuple(self._waiting.items()):
+            if not (reader.begun or channel.has_unread):
+                channel.close()
+        while len(self.connections) and loop.time() < until:
+            await asyncio.sleep(LEAVE_CHECK_S)
 
     async def _serve(self, channel: Channel) -> None:
         reader = RequestReader(channel, RELAY_LIMITS)
         try:
-            while (request := await reader.read()) is not None:
-                await self._pass_on(request, channel)
+            await self._serve_calls(reader, channel)
         except (FleetError, TimeoutError):
             # The router sees its connection end: the call may have been executed.
             channel.abort()
 
+    async def _serve_calls(self, reader: RequestReader, channel: Channel) -> None:
+        while not self._leaving:
+            self._waiting[channel] = reader
+            try:
+                request = await reader.read()
+            finally:
+                self._waiting.pop(channel, None)
+            if request is None:
+                return
+            if self._leaving:
+                channel.write(REFUSAL)
+                break
+            self.in_flight += 1
+            try:
+                await self._pass_on(request, channel)
+            finally:
+                self.in_flight -= 1
+        # What is still buffered when the process ends is lost.
+        while not (channel.flushed or channel.ended):
+            await asyncio.sleep(LEAVE_CHECK_S)
+
     async def _pass_on(self, request: Request, channel: Channel) -> None:
         deadline = asyncio.get_running_loop().time() + MOST_CALL_SECONDS
         exchange = await self._take(deadline)
@@ -62,7 +121,8 @@
         else:
             exchange.close()
         length = (b'content-length', b'%d' % len(answer.body))
-        kept = (*drop_connection_headers(answer.head.headers), length)
+        ending = CLOSE if self._leaving else ()
+        kept = (*drop_connection_headers(answer.head.headers), length, *ending)
         first = b'HTTP/1.1 %d Relayed' % answer.head.status
         channel.write(dump_head(first, kept) + answer.body)
 
