Give borrowed tokens back before a router ends

Cause: borrowed tokens that requests didn't need go back every half second. A router that ended between two turns, or while a loan was on its way for a caller that had left, kept them; the lender counts them as spent for ever.

Ruled out: that the closing write gives them back. It says what the router spent of its own share, and borrowed tokens are the lender's.

Change: closing the budgets also waits for loans that are on their way and repays once more, beside the closing write and within the same bound, so that a silent lender doesn't keep the write from being made.

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -26,3 +26,13 @@
     When the lender is told to stop and ends 4 seconds later
     Then 2 seconds after it was told no other router takes it for a lender
     And within 8 seconds the shared page is written at most 100 times
+
+  Scenario: A router that ends gives back what its last requests didn't need
+    Given 5 routers whose requests borrow from one lender
+    When another one ends just after 20 requests that needed a tenth of their tokens
+    Then the lender counts no more as spent than callers got
+
+  Scenario: A router that ends with a loan on its way gives it back
+    Given 5 routers whose requests borrow from one lender
+    When another one ends while a loan is on its way for a caller that left
+    Then the lender counts no more as spent than callers got
--- a/features/steps/departures_steps.py
+++ b/features/steps/departures_steps.py
@@ -15,7 +15,7 @@
 
 from behave import fixture, given, then, use_fixture, when
 
-from ibisport_bench.budgetworld import BudgetWorld
+from ibisport_bench.budgetworld import LINK_SECONDS, BudgetWorld
 from ibisport_bench.virtualtime import run_virtually
 from ibisport_fleet.budgetkeeper import PAGE_KEY
 from ibisport_fleet.eventlog import Event
@@ -269,3 +269,53 @@
 @then('within 8 seconds the shared page is written at most {most:d} times')
 def check_page_writes(context, most):
     assert context.page_writes <= most, (context.page_writes, context.outcomes)
+
+
+async def start_world(context):
+    """Return a world whose routers have found their lender, and another router."""
+    world = BudgetWorld(hosts=context.count, budget=BUDGET, seed=1)
+    world.start_all()
+    await asyncio.sleep(SETTLING_S)
+    lender = world.list_lenders(0)[0]
+    other = next(one for one, name in enumerate(world.names) if name != lender)
+    return world, other
+
+
+async def end_process(context, world, other):
+    """End a process, and note what counts as spent when all is quiet."""
+    await world.stop(other)
+    await asyncio.sleep(1.0)
+    context.used, context.delivered = world.count_used(), world.delivered
+    context.outcomes = world.outcomes
+
+
+@when(
+    'another one ends just after {count:d} requests that needed a tenth of their tokens'
+)
+def end_after_requests(context, count):
+    async def play():
+        world, other = await start_world(context)
+        for _ in range(count):
+            world.ask(other, REQUEST_TOKENS, 0.1, 0.3)
+        while world.outcomes['served'] < count:
+            await asyncio.sleep(0.001)
+        await end_process(context, world, other)
+
+    run_virtually(play())
+
+
+@when('another one ends while a loan is on its way for a caller that left')
+def end_under_loan(context):
+    async def play():
+        world, other = await start_world(context)
+        caller = asyncio.create_task(world.borrow(other, REQUEST_TOKENS))
+        await asyncio.sleep(LINK_SECONDS * 1.5)
+        caller.cancel()
+        await end_process(context, world, other)
+
+    run_virtually(play())
+
+
+@then('the lender counts no more as spent than callers got')
+def check_given_back(context):
+    assert context.used == context.delivered, (context.used, context.outcomes)
--- a/packages/bench/src/ibisport_bench/budgetworld.py
+++ b/packages/bench/src/ibisport_bench/budgetworld.py
@@ -194,6 +194,12 @@
         if host.budgets is not None:
             self._spawn(host, self._serve(host, tokens, share, seconds))
 
+    async def borrow(self, number: int, tokens: int) -> None:
+        """Reserve tokens for a request at a host, and never run it."""
+        budgets = self._hosts[number % len(self._hosts)].budgets
+        if budgets is not None:
+            await budgets.reserve(self.workspace, tokens)
+
     async def _serve(
         self, host: Host, tokens: int, share: float, seconds: float
     ) -> None:
--- a/packages/fleet/src/ibisport_fleet/borrowing.py
+++ b/packages/fleet/src/ibisport_fleet/borrowing.py
@@ -63,6 +63,16 @@
             for workspace in tuple(self._lenders):
                 await self._repay_one(workspace)
 
+    async def repay_all(self) -> None:
+        """Give all borrowed tokens back that no request needs.
+
+        The process ends after it: what its last requests didn't need would count as
+        spent at the lender for ever.
+        """
+        # A loan whose caller left may still be on its way.
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*(self._repay_one(name) for name in self._lenders))
+
     async def _ask_lenders(
         self, workspace: str, tokens: int
     ) -> Reservation | Loan | None:
--- a/packages/fleet/src/ibisport_fleet/budgets.py
+++ b/packages/fleet/src/ibisport_fleet/budgets.py
@@ -202,6 +202,13 @@
             await self._wait()
 
     async def close(self) -> None:
+        """Say what was spent in the end, and give back what was borrowed.
+
+        One doesn't wait for the other: either may find nobody who answers.
+        """
+        await asyncio.gather(self._borrower.repay_all(), self._close_session())
+
+    async def _close_session(self) -> None:
         """Say what was spent in the end, however often it takes."""
         while self._keeper.opened:
             try:
