Hold news of changed settings back until a starting process can take them

Cause: SIGHUP has its default action, the end of the process, until the handler stands. Loading the programs takes 0.3 s here, more on a busy host; routers and relays were ended in that time. A signal between the reading of the settings and the handler would also have been forgotten had it been ignored.

Ruled out: ignoring it at the start, which loses the change. Holding SIGTERM back the same way: a process that hasn't begun to serve owes nothing, and would start for nothing.

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -36,3 +36,13 @@
     Given 5 routers whose requests borrow from one lender
     When another one ends while a loan is on its way for a caller that left
     Then the lender counts no more as spent than callers got
+
+  Scenario Outline: News of changed settings doesn't end a process that starts
+    Given a <program> that is reading its settings at its start
+    When it is told that its settings have changed
+    Then the <program> starts, and reads them again if it uses them later
+
+    Examples:
+      | program |
+      | router  |
+      | relay   |
--- a/features/steps/departures_steps.py
+++ b/features/steps/departures_steps.py
@@ -36,6 +36,7 @@
 zone = "d-0"
 portRange = [{peer}, {last}]
 platform = {{ address = "127.0.0.1:{store}" }}
+listen = {{ front = "127.0.0.1:{front}", ready = "127.0.0.1:{ready}" }}
 """
 
 
@@ -84,6 +85,12 @@
         return listener.getsockname()[1]
 
 
+def make_settings(peer, store):
+    """Return the text of a settings file."""
+    ports = {name: pick_port() for name in ('last', 'front', 'ready')}
+    return SETTINGS.format(peer=peer, store=store, **ports)
+
+
 def connect(port):
     """Return a connection that takes little before it is read."""
     sock = socket.socket()
@@ -123,14 +130,19 @@
 
 
 @fixture
-def run_program(context, program, store_port):
-    """Run one of the platform's programs until the scenario's end."""
+def run_program(context, program, store_port, prepare=None):
+    """Run one of the platform's programs until the scenario's end.
+
+    Its settings lie in a file, or in whatever ``prepare`` makes of the path.
+    """
     context.port = pick_port()
+    context.settings = make_settings(context.port, store_port)
     with tempfile.TemporaryDirectory() as folder:
-        path = Path(folder) / 'settings.toml'
-        path.write_text(
-            SETTINGS.format(peer=context.port, last=pick_port(), store=store_port)
-        )
+        context.path = path = Path(folder) / 'settings.toml'
+        if prepare is None:
+            path.write_text(context.settings)
+        else:
+            prepare(path)
         context.process = subprocess.Popen(
             [sys.executable, '-m', 'ibisport_platform', program],
             env={**os.environ, 'IBISPORT_NODE_FILE': str(path)},
@@ -319,3 +331,30 @@
 @then('the lender counts no more as spent than callers got')
 def check_given_back(context):
     assert context.used == context.delivered, (context.used, context.outcomes)
+
+
+@given('a {program} that is reading its settings at its start')
+def start_reading(context, program):
+    use_fixture(run_store, context)
+    use_fixture(run_program, context, program, context.store.port, prepare=os.mkfifo)
+    # Opens when the process opens the other end, and waits for what comes.
+    context.pipe = context.path.open('w')
+
+
+@when('it is told that its settings have changed')
+def send_hangup(context):
+    context.process.send_signal(signal.SIGHUP)
+    with context.pipe, contextlib.suppress(BrokenPipeError):
+        context.pipe.write(context.settings)
+
+
+@then('the {program} starts, and reads them again if it uses them later')
+def check_started(context, program):
+    if program == 'relay':
+        assert read_event(context.process, Event.process_started)
+        return
+    # A process that has ended opens no end of it; the thread waits in vain then.
+    threading.Thread(
+        target=context.path.write_text, args=(context.settings,), daemon=True
+    ).start()
+    assert read_event(context.process, Event.settings_reloaded)
--- a/packages/fleet/src/ibisport_fleet/process.py
+++ b/packages/fleet/src/ibisport_fleet/process.py
@@ -43,6 +43,7 @@
         loop.add_signal_handler(number, stopped.set)
     # A relay has nothing to reload.
     loop.add_signal_handler(signal.SIGHUP, int)
+    _let_hangups_through()
     accept = relay.connections.accept
     listener = await loop.create_server(accept, *settings.peer_address)
     log.write(Event.process_started, host=settings.host, domain=settings.domain)
@@ -60,4 +61,10 @@
     loop.add_signal_handler(signal.SIGTERM, router.stop)
     loop.add_signal_handler(signal.SIGINT, router.stop)
     loop.add_signal_handler(signal.SIGHUP, router.reload)
+    _let_hangups_through()
     await router.run()
+
+
+def _let_hangups_through() -> None:
+    """Take SIGHUP, which the program held back until its handler stood."""
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGHUP,))
