Let the scenario of changed settings write each text once for each reading

Cause: the scenario's process reads its settings twice, and both texts went through one pipe. On a busy machine the second came before the first reading had seen its end; the process read a file with all fields twice, refused it and ended. Seen once, beside five other features; the program itself was in order.

Change: the first reading gets the pipe, later ones an ordinary file that takes its place as soon as the process has opened the pipe. The scenario asks for the same as before.

--- a/features/steps/departures_steps.py
+++ b/features/steps/departures_steps.py
@@ -337,14 +337,18 @@
 def start_reading(context, program):
     use_fixture(run_store, context)
     use_fixture(run_program, context, program, context.store.port, prepare=os.mkfifo)
-    # Opens when the process opens the other end, and waits for what comes.
+    # Opens when the process opens the other end, which then waits for what comes.
     context.pipe = context.path.open('w')
+    # What it reads later lies in a file.
+    changed = context.path.with_suffix('.new')
+    changed.write_text(context.settings)
+    changed.replace(context.path)
 
 
 @when('it is told that its settings have changed')
 def send_hangup(context):
     context.process.send_signal(signal.SIGHUP)
-    with context.pipe, contextlib.suppress(BrokenPipeError):
+    with contextlib.suppress(BrokenPipeError), context.pipe:
         context.pipe.write(context.settings)
 
 
@@ -353,8 +357,4 @@
     if program == 'relay':
         assert read_event(context.process, Event.process_started)
         return
-    # A process that has ended opens no end of it; the thread waits in vain then.
-    threading.Thread(
-        target=context.path.write_text, args=(context.settings,), daemon=True
-    ).start()
     assert read_event(context.process, Event.settings_reloaded)
