--- a/packages/bench/src/ibisport_bench/budgetworld.py
+++ b/packages/bench/src/ibisport_bench/budgetworld.py
@@ -160,6 +160,27 @@
         loop = asyncio.get_running_loop()
         loop.call_later(RESTART_SECONDS, self.start, number)
 
+    async def leave(self, number: int, seconds: float) -> None:
+        """Tell a host's process to stop; it ends so many seconds later.
+
+        No other one is started there.
+        """
+        host = self._hosts[number % len(self._hosts)]
+        budgets = host.budgets
+        if budgets is None:
+            return
+        budgets.leave()
+        await asyncio.sleep(seconds)
+        host.budgets = None
+        for task in tuple(host.tasks):
+            task.cancel()
+        await budgets.close()
+
+    def list_lenders(self, number: int) -> list[str]:
+        """Return the lenders in a host's newest list, the first one first."""
+        budgets = self._hosts[number % len(self._hosts)].budgets
+        return [] if budgets is None else budgets.list_lenders(self.workspace.name)
+
     def ask(self, number: int, tokens: int, share: float, seconds: float) -> None:
         """Let a caller send a request to a host.
 
@@ -173,6 +194,12 @@
         if host.budgets is not None:
             self._spawn(host, self._serve(host, tokens, share, seconds))
 
+    async def borrow(self, number: int, tokens: int) -> None:
+        """Reserve tokens for a request at a host, and never run it."""
+        budgets = self._hosts[number % len(self._hosts)].budgets
+        if budgets is not None:
+            await budgets.reserve(self.workspace, tokens)
+
     async def _serve(
         self, host: Host, tokens: int, share: float, seconds: float
     ) -> None:
--- a/packages/fleet/src/ibisport_fleet/budgets.py
+++ b/packages/fleet/src/ibisport_fleet/budgets.py
@@ -87,9 +87,14 @@
         """Return what counts as spent or reserved at this router, in tokens."""
         return self._ledger.find(workspace).used
 
+    def list_lenders(self, workspace: str) -> list[str]:
+        """Return the hosts that lend a workspace's tokens, the first one first."""
+        return rank_lenders(self._members.current, workspace)
+
     def leave(self) -> None:
         """Lend nothing more; what is held goes back."""
         self._leaving = True
+        self._members.leave()
         self._wake.set()
 
     async def lend(self, request: LoanRequest) -> Loan:
@@ -197,6 +202,13 @@
             await self._wait()
 
     async def close(self) -> None:
+        """Say what was spent in the end, and give back what was borrowed.
+
+        One doesn't wait for the other: either may find nobody who answers.
+        """
+        await asyncio.gather(self._borrower.repay_all(), self._close_session())
+
+    async def _close_session(self) -> None:
         """Say what was spent in the end, however often it takes."""
         while self._keeper.opened:
             try:
