--- a/features/steps/runningrouter.py
+++ b/features/steps/runningrouter.py
@@ -225,6 +225,7 @@
         self.killed = False
         self._catalogue = catalogue
         self._router = None
+        self._store = self.service.open_store(ROUTER)
 
     @property
     def now(self):
@@ -250,6 +251,15 @@
         while not await self._ask_readiness():
             await asyncio.sleep(0.1)
 
+    @property
+    def failed(self):
+        """Whether the process says that a part of it failed."""
+        return self._router.failed
+
+    def fail_task(self):
+        """Let the task that lists the other routers fail at its next turn."""
+        self._store.scan = mock.AsyncMock(side_effect=RuntimeError('a fault of ours'))
+
     def call(self, work):
         """Start a caller's work on the callers' host."""
         return self.net.start_on(CALLER, work)
@@ -270,10 +280,9 @@
             self.ended_at = self.now
 
     async def _run_router(self):
-        service = self.service
         adapters = Adapters(
             dialect=PlatformDialect(),
-            open_store=lambda paths: service.open_store(ROUTER),
+            open_store=lambda paths: self._store,
             catalogue_key='op/config',
             catalogue_prefix='op/',
             target_prefix='servers/',
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -312,6 +312,22 @@
     assert seconds <= back_at + ROUND_TRIP_S < seconds + pause, new
 
 
+@when('one of its background tasks fails while a stream of {seconds:g} s runs')
+def fail_beside(context, seconds):
+    async def act(site):
+        await site.wait_until(-seconds)
+        asking = _ask(site, write_request('stream', 'early'))
+        site.fail_task()
+        return [await asking]
+
+    context.site, context.answers = play_stop([make_stream(seconds)], act)
+
+
+@then('the process has ended by itself and tells that it failed')
+def check_failed(context):
+    assert context.site.failed and not context.site.killed, context.site.ended_at
+
+
 @then('all answers are whole')
 def check_all(context):
     for answer in context.answers:
--- a/features/stopping.feature
+++ b/features/stopping.feature
@@ -76,3 +76,9 @@
     Given a running router
     When the router is told to stop, a stream begun before it ends 6 s later, and streams come 3.1 s later on a kept and 3.5 s later on a new connection
     Then the first may come back within 0.2 s, and the second when 5 s have passed since the signal
+
+  Scenario: A failed part ends the process without cutting answers off
+    Given a running router
+    When one of its background tasks fails while a stream of 3 s runs
+    Then all answers are whole
+    And the process has ended by itself and tells that it failed
--- a/packages/fleet/src/ibisport_fleet/process.py
+++ b/packages/fleet/src/ibisport_fleet/process.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import signal
+import sys
 
 import uvloop
 
@@ -11,6 +12,9 @@
 from ibisport_fleet.router import Adapters, Router
 from ibisport_fleet.settings import HostSettings
 
+# Exit code of a process that ended since a part of it failed.
+FAILURE_CODE = 1
+
 
 def run_router(settings: HostSettings, adapters: Adapters) -> None:
     """Serve until the process is told to stop.
@@ -21,7 +25,8 @@
     """
     # What was imported lives for ever; the collector needn't look at it again.
     gc.freeze()
-    uvloop.run(_run(settings, adapters))
+    if uvloop.run(_run(settings, adapters)):
+        sys.exit(FAILURE_CODE)
 
 
 def run_relay(settings: HostSettings) -> None:
@@ -55,7 +60,8 @@
     log.write(Event.process_stopped, host=settings.host)
 
 
-async def _run(settings: HostSettings, adapters: Adapters) -> None:
+async def _run(settings: HostSettings, adapters: Adapters) -> bool:
+    """Serve, and return whether a part of the router failed."""
     router = Router(settings, adapters, EventLog())
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, router.stop)
@@ -63,6 +69,7 @@
     loop.add_signal_handler(signal.SIGHUP, router.reload)
     _let_hangups_through()
     await router.run()
+    return router.failed
 
 
 def _let_hangups_through() -> None:
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -1,7 +1,6 @@
 """A router, put together in one place."""
 
 import asyncio
-import sys
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any
@@ -59,12 +58,14 @@
 
     Attributes:
         leaving: It was asked to stop and takes no new connections.
+        failed: It leaves since a background task ended; it should start again.
     """
 
     def __init__(
         self, settings: HostSettings, adapters: Adapters, log: EventLog
     ) -> None:
         self.leaving = False
+        self.failed = False
         self._settings = settings
         self._adapters = adapters
         self._log = log
@@ -248,11 +249,13 @@
         if task.cancelled() or self._stopped.done():
             return
         # A background task never ends by itself: without it the router would
-        # serve on with an old catalogue. Better a new process.
+        # serve on with an old catalogue. Better a new process, but not at the cost of
+        # the answers that are on their way.
         self._log.write(
             Event.task_failed, task=task.get_name(), reason=repr(task.exception())
         )
-        sys.exit(1)
+        self.failed = True
+        self.stop()
 
     async def _close_listener(
         self, listener: asyncio.Server, departure: Departure
