Close an agent's links only when the last bytes of answers are written

Cause: a leaving agent waits until no run is open and until its links' queues are empty, and closes them. The writer had taken the last batch out of the queue by then and was still writing it, and a run counted as ended just before its last message was put into the queue. Either cut an answer that was whole at the agent.

Ruled out: that work which comes late is lost without a word; a draining agent refuses it with did_not_run before it is counted.

Change: a link counts as drained when its writer has handed all over; a run counts as ended when its end has been sent on.

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -46,3 +46,13 @@
       | program |
       | router  |
       | relay   |
+
+  Scenario: A link is drained when its last bytes are handed over, not taken up
+    Given a link whose peer reads late
+    When 8 messages of 1000000 bytes are sent, and the link is drained and closed
+    Then the peer has got all 8 messages
+
+  Scenario: A run has ended when its end has been sent
+    Given a link that keeps a run's last message waiting
+    When the run ends
+    Then the run doesn't count as ended before that message is on its way
--- a/features/steps/departures_steps.py
+++ b/features/steps/departures_steps.py
@@ -11,12 +11,17 @@
 import sys
 import tempfile
 import threading
+import time
 from pathlib import Path
+from unittest import mock
 
 from behave import fixture, given, then, use_fixture, when
 
+from ibisport_agent.internal.feed import Feed
 from ibisport_bench.budgetworld import LINK_SECONDS, BudgetWorld
 from ibisport_bench.virtualtime import run_virtually
+from ibisport_core.link import Link
+from ibisport_core.messages import Accepted, Chunk, Finished
 from ibisport_fleet.budgetkeeper import PAGE_KEY
 from ibisport_fleet.eventlog import Event
 
@@ -358,3 +363,74 @@
         assert read_event(context.process, Event.process_started)
         return
     assert read_event(context.process, Event.settings_reloaded)
+
+
+def make_answer_piece(number, size):
+    """Return a piece of an answer as an agent sends it."""
+    return Chunk(bytes(16), 1, number * size, bytes(size))
+
+
+@given('a link whose peer reads late')
+def open_link(context):
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        context.peer = connect(listener.getsockname()[1])
+        context.link = Link(listener.accept()[0], PATIENCE_S)
+    context.add_cleanup(context.peer.close)
+    context.add_cleanup(context.link.close)
+
+
+@when(
+    '{count:d} messages of {size:d} bytes are sent, and the link is drained and closed'
+)
+def drain_link(context, count, size):
+    for number in range(count):
+        context.link.send(make_answer_piece(number, size))
+
+    def end():
+        context.link.drain(time.monotonic() + PATIENCE_S)
+        context.link.close()
+
+    ending = threading.Thread(target=end)
+    ending.start()
+    ending.join(READ_LATE_S)
+    context.size = count * size
+    context.answer = read_all(context.peer)
+    ending.join()
+
+
+@then('the peer has got all {count:d} messages')
+def check_messages(context, count):
+    content, ending = context.answer
+    assert len(content) > context.size and ending == 'closed', (len(content), ending)
+
+
+class HeldLink:
+    """A link whose sender looks at the run in the middle of its last message."""
+
+    def __init__(self):
+        self.feed = None
+        self.ended_before = None
+
+    def send(self, message):
+        """Note whether the run counts as ended while its end is not sent yet."""
+        if isinstance(message, Finished):
+            self.ended_before = bool(self.feed.ended_at)
+
+
+@given("a link that keeps a run's last message waiting")
+def make_feed(context):
+    context.link = HeldLink()
+    context.feed = context.link.feed = Feed(bytes(16))
+    submit = mock.Mock(attempt=1, offset=0)
+    context.feed.subscribe(context.link, submit, Accepted(bytes(16), 1, 's', 1))
+
+
+@when('the run ends')
+def end_run(context):
+    context.feed.finish(Finished(bytes(16), 1, 0, 0, 0, True, 0))
+
+
+@then("the run doesn't count as ended before that message is on its way")
+def check_run_end(context):
+    assert context.link.ended_before is False, context.link.ended_before
+    assert context.feed.ended_at
--- a/packages/agent/src/ibisport_agent/internal/feed.py
+++ b/packages/agent/src/ibisport_agent/internal/feed.py
@@ -107,8 +107,9 @@
         """Send how the run ended."""
         with self._lock:
             self.end = end
-            self.ended_at = time.time()
             self._send_all(end)
+            # A leaving agent closes its links once no run is open.
+            self.ended_at = time.time()
 
     def _send_known(self, subscriber: _Subscriber, offset: int) -> None:
         if self.head is not None:
--- a/packages/core/src/ibisport_core/link.py
+++ b/packages/core/src/ibisport_core/link.py
@@ -48,6 +48,7 @@
         self._queued_bytes = 0
         self._wake = threading.Condition()
         self._closed = False
+        self._writing = False
         self.heard_at = time.monotonic()
         self.peer = '{}:{}'.format(*sock.getpeername()[:2])
         self._writer = threading.Thread(
@@ -105,9 +106,17 @@
             raise LinkClosed(f'{self.peer}: {error}') from error
 
     def drain(self, deadline: float) -> None:
-        """Wait until the queue is written out, at most until a monotonic time."""
+        """Wait until all is handed to the system, at most until a monotonic time.
+
+        What the writer has taken from the queue counts until it is written: a link
+        closed before that cut the answer.
+        """
         with self._wake:
-            while self._queue and not self._closed and time.monotonic() < deadline:
+            while (
+                (self._queue or self._writing)
+                and not self._closed
+                and time.monotonic() < deadline
+            ):
                 self._wake.wait(deadline - time.monotonic())
 
     def close(self) -> None:
@@ -146,6 +155,8 @@
 
     def _take_batch(self) -> bytes | None:
         with self._wake:
+            self._writing = False
+            self._wake.notify_all()
             while not self._queue and not self._closed:
                 self._wake.wait(_KEEP_SECONDS)
             if self._closed:
@@ -156,7 +167,7 @@
                 frames.append(self._queue.popleft())
                 size += len(frames[-1])
             self._queued_bytes -= size
-            self._wake.notify_all()
+            self._writing = True
             return b''.join(frames)
 
 
