--- a/features/records.feature
+++ b/features/records.feature
@@ -35,3 +35,17 @@
     Given a router that lends
     When loans of absurd numbers of tokens are asked for
     Then nothing was lent and the asker knows that nobody answered
+
+  Scenario Outline: A settings file that can't be meant is refused as a whole
+    Given a settings file with <wrong>
+    When it is read
+    Then it is refused, and the reason is told
+
+    Examples:
+      | wrong                          |
+      | a grace time of -1             |
+      | a grace time of nan            |
+      | a grace time of inf            |
+      | a retry window of -0.5         |
+      | tables nested 5000 deep        |
+      | a grace time that is text      |
--- /dev/null
+++ b/features/steps/settings_steps.py
@@ -0,0 +1,53 @@
+"""Steps on the platform's settings file."""
+
+import shutil
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+
+from ibisport_fleet.errors import RecordInvalid
+from ibisport_platform.settings import load_settings
+
+SETTINGS = """
+node = "edge-1"
+ip = "127.0.0.1"
+zone = "d-0"
+portRange = [7200, 7215]
+[platform]
+address = "127.0.0.1:8742"
+[bounds]
+"""
+WRONG_LINES = {
+    'a grace time of -1': 'graceS = -1',
+    'a grace time of nan': 'graceS = nan',
+    'a grace time of inf': 'graceS = inf',
+    'a retry window of -0.5': 'retryWindowS = -0.5',
+    'tables nested 5000 deep': 'x = ' + '[' * 5_000 + ']' * 5_000,
+    'a grace time that is text': 'graceS = "8"',
+}
+
+
+@given('a settings file with {wrong}')
+def write_settings(context, wrong):
+    folder = tempfile.mkdtemp()
+    context.add_cleanup(shutil.rmtree, folder)
+    context.path = Path(folder) / 'settings.toml'
+    context.path.write_text(SETTINGS)
+    # Without the wrong line the file is good.
+    assert load_settings(context.path).host == 'edge-1'
+    context.path.write_text(SETTINGS + WRONG_LINES[wrong])
+
+
+@when('it is read')
+def read_settings(context):
+    context.refusal = None
+    try:
+        load_settings(context.path)
+    except RecordInvalid as error:
+        context.refusal = error
+
+
+@then('it is refused, and the reason is told')
+def check_refused_settings(context):
+    assert context.refusal is not None and 'settings' in str(context.refusal)
