End a stopping router only when no connection is left, and fit its moments to any grace

With graces under 3.6 s streams were cut before the last sixth of the grace. Change: the process waits until no connection is left; a first account that meets a slow store goes on until the end; after it nobody waits for tokens; moments shrink with a grace under 8 s; a leave in the middle of a renewal ends the entry at once (1.5 s before); waiting for loans at the end no longer cancels requests that wait for them.

--- a/features/stopping.feature
+++ b/features/stopping.feature
@@ -82,3 +82,35 @@
     When one of its background tasks fails while a stream of 3 s runs
     Then all answers are whole
     And the process has ended by itself and tells that it failed
+
+  Scenario: A request that becomes whole while the account is written gets an answer
+    Given a running router whose callers prepay
+    When the router is told to stop, writes take 0.25 s, and the last byte of a request comes at each 0.02 s from 6.9 to 7.6 s
+    Then each that the router has read is answered, and none is run and cut off
+
+  Scenario: A connection that lands as the last look is taken is served or refused
+    Given a running router whose callers prepay
+    When the router is told to stop, writes take 0.4 s, and the connection of a caller lands in the turn that comes 3.2 s after the signal
+    Then each that the router has read is answered, and none is run and cut off
+
+  Scenario Outline: The moments of a stop fit into any grace time
+    When a stop is planned with a grace time of <grace> s
+    Then its moments are in order, and last answers come within its last sixth
+
+    Examples:
+      | grace |
+      | 0     |
+      | 0.3   |
+      | 3     |
+      | 8     |
+      | 60    |
+
+  Scenario: A stop finds a request whose time has just run out
+    Given a running router whose target never gives a byte
+    When the router is told to stop with a grace time of 0.3 s as the time of a request runs out
+    Then each process has ended by itself
+
+  Scenario: A router that leaves while it renews its entry is off the list at once
+    Given a router in the list of routers
+    When it leaves in the middle of a renewal that takes 0.2 s
+    Then it is off the list 0.5 s later
--- a/packages/fleet/src/ibisport_fleet/borrowing.py
+++ b/packages/fleet/src/ibisport_fleet/borrowing.py
@@ -70,7 +70,9 @@
         spent at the lender for ever.
         """
         # A loan whose caller left may still be on its way.
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        # Waiting doesn't cancel it, and with it its request, if the time runs out.
+        if self._tasks:
+            await asyncio.wait(self._tasks)
         await asyncio.gather(*(self._repay_one(name) for name in self._lenders))
 
     async def _ask_lenders(
--- a/packages/fleet/src/ibisport_fleet/budgets.py
+++ b/packages/fleet/src/ibisport_fleet/budgets.py
@@ -77,6 +77,7 @@
         self._drawn = asyncio.Event()
         self._failing = False
         self._leaving = False
+        self._closing = False
 
     @property
     def routers(self) -> int:
@@ -206,6 +207,7 @@
 
         One doesn't wait for the other: either may find nobody who answers.
         """
+        self._closing = True
         await asyncio.gather(self._borrower.repay_all(), self._close_session())
 
     async def _close_session(self) -> None:
@@ -218,7 +220,8 @@
                 await asyncio.sleep(RETRY_PAUSE_S)
 
     async def _draw(self, workspace: Workspace, tokens: int) -> Reservation:
-        if self._is_hopeless(workspace, tokens):
+        # Once the account is written nothing brings tokens any more.
+        if self._closing or self._is_hopeless(workspace, tokens):
             raise self._explain(workspace, tokens)
         purse = self._ledger.find(workspace.name)
         purse.wanted += tokens
--- a/packages/fleet/src/ibisport_fleet/callers.py
+++ b/packages/fleet/src/ibisport_fleet/callers.py
@@ -56,24 +56,17 @@
         self.connections = ConnectionTasks(self._serve, 'caller', log)
         self._idle: dict[Channel, _Idle] = {}
 
-    def close_idle(self) -> bool:
+    def close_idle(self) -> None:
         """Close the connections on which no request is on its way.
 
         A long body takes its time on a slow link; cutting it off would lose the
         request without a word. So would closing a connection that has just come,
         whose first request is a round trip behind it.
-
-        Returns:
-            Whether no request is on its way on any connection.
         """
         latest = asyncio.get_running_loop().time() - FIRST_REQUEST_S
-        quiet = True
         for channel, idle in tuple(self._idle.items()):
-            if idle.reader.begun or channel.has_unread or idle.since > latest:
-                quiet = False
-            else:
+            if not (idle.reader.begun or channel.has_unread or idle.since > latest):
                 channel.close()
-        return quiet
 
     async def _serve(self, channel: Channel) -> None:
         limits = self._limits()
--- a/packages/fleet/src/ibisport_fleet/departure.py
+++ b/packages/fleet/src/ibisport_fleet/departure.py
@@ -17,9 +17,6 @@
 # The first of many routers that stopped together end so long after their signal: what
 # they had last taken takes two seconds. A start takes half a second more.
 BACK_S = 5.0
-# Shares of the grace that neither exceeds where the grace is short.
-WELCOME_SHARE = 0.35
-NOTICE_SHARE = 0.4
 # Before the kill: the first account of what was spent, which may meet a slow store.
 ACCOUNTS_MARGIN_S = 1.0
 # Before the kill: final answers, the last account (5 ms, 250 ms while the store is
@@ -27,6 +24,9 @@
 ANSWERS_MARGIN_S = 0.6
 # Before the kill: the end of the process itself.
 END_MARGIN_S = 0.25
+# The grace that these figures are made for; with a shorter one all of them shrink, so
+# that answers still run until its last sixth.
+WHOLE_GRACE_S = 8.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,14 +51,14 @@
     answers_until: float
     ends_at: float
 
-    def admits(self, now: float, until: float) -> bool:
+    def admits(self, received: float, until: float) -> bool:
         """Whether a request can be taken that has its answer by a given time.
 
         Args:
-            now: When the request came.
+            received: When the request came.
             until: When it has its final answer at the latest.
         """
-        return now <= self.welcome_until or until <= self.answers_until
+        return received <= self.welcome_until or until <= self.answers_until
 
 
 def plan_departure(begun_at: float, grace: float) -> Departure:
@@ -69,12 +69,13 @@
         grace: Seconds from the signal to the kill.
     """
     killed_at = begun_at + grace
+    scale = min(1.0, grace / WHOLE_GRACE_S)
     return Departure(
         begun_at=begun_at,
-        welcome_until=begun_at + min(WELCOME_S, grace * WELCOME_SHARE),
-        listening_until=begun_at + min(NOTICE_S, grace * NOTICE_SHARE),
-        back_at=begun_at + BACK_S,
-        accounts_at=killed_at - ACCOUNTS_MARGIN_S,
-        answers_until=killed_at - ANSWERS_MARGIN_S,
-        ends_at=killed_at - END_MARGIN_S,
+        welcome_until=begun_at + WELCOME_S * scale,
+        listening_until=begun_at + NOTICE_S * scale,
+        back_at=begun_at + BACK_S * scale,
+        accounts_at=killed_at - ACCOUNTS_MARGIN_S * scale,
+        answers_until=killed_at - ANSWERS_MARGIN_S * scale,
+        ends_at=killed_at - END_MARGIN_S * scale,
     )
--- a/packages/fleet/src/ibisport_fleet/handling.py
+++ b/packages/fleet/src/ibisport_fleet/handling.py
@@ -38,7 +38,7 @@
         self.in_flight = 0
         self.ended = False
         self._departure: Departure | None = None
-        self._timers: dict[asyncio.Timeout, float] = {}
+        self._received_by_timer: dict[asyncio.Timeout, float] = {}
 
     async def handle(self, request: Request, replies: Replies) -> None:
         """Answer one request; the answer is written before this returns."""
@@ -95,11 +95,11 @@
     async def _limit(self, call: Call) -> AsyncIterator[None]:
         """Bound a request's time; a departure may bring its end forward."""
         async with asyncio.timeout_at(call.until) as timer:
-            self._timers[timer] = call.request.received
+            self._received_by_timer[timer] = call.request.received
             try:
                 yield
             finally:
-                self._timers.pop(timer)
+                self._received_by_timer.pop(timer)
 
     def _explain_timeout(self, call: Call) -> GivenUp:
         status = STATUS_TIMEOUT if call.may_have_run else STATUS_UNAVAILABLE
@@ -156,15 +156,16 @@
             departure: When it ends.
         """
         self._departure = departure
-        for timer in self._timers:
+        now = asyncio.get_running_loop().time()
+        for timer in self._received_by_timer:
             when = timer.when()
             # One that has run out already can't be set any more.
-            if when is not None and when > departure.answers_until:
+            if when is not None and when > max(now, departure.answers_until):
                 timer.reschedule(departure.answers_until)
 
     def serves_any_from(self, moment: float) -> bool:
         """Whether a request still runs that came by a loop time."""
-        return any(received <= moment for received in self._timers.values())
+        return any(received <= moment for received in self._received_by_timer.values())
 
     def take_bounds(self, bounds: Bounds) -> None:
         """Take changed figures; budgets of second sends begin with a new window."""
--- a/packages/fleet/src/ibisport_fleet/intake.py
+++ b/packages/fleet/src/ibisport_fleet/intake.py
@@ -1,7 +1,5 @@
 """Decides at once which requests are taken, and under which route."""
 
-import asyncio
-
 from ibisport_fleet.calls import Call, draw_pause, draw_service
 from ibisport_fleet.catalogue import Catalogue, Route, Workspace
 from ibisport_fleet.departure import Departure
@@ -105,8 +103,3 @@
     if workspace is None and not route.public:
         raise Refused(STATUS_UNAUTHORIZED, 'unknown_key')
     return workspace
-
-
-def now() -> float:
-    """Return the loop's time, seconds."""
-    return asyncio.get_running_loop().time()
--- a/packages/fleet/src/ibisport_fleet/membership.py
+++ b/packages/fleet/src/ibisport_fleet/membership.py
@@ -99,9 +99,10 @@
         self._leaving.set()
 
     async def _wait(self) -> None:
-        """Wait for the next turn; the first one after ``leave`` comes at once."""
+        """Wait for the next turn; after ``leave`` it comes at once."""
         if self._leaving.is_set():
-            await asyncio.sleep(PERIOD_S)
+            # A leave in the middle of a turn has found its entry not yet ended.
+            await asyncio.sleep(0 if self._lease else PERIOD_S)
             return
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(PERIOD_S):
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -141,8 +141,9 @@
             domain=self._settings.domain,
         )
         departure = await self._stopped
-        await self._close_listener(listener, departure)
-        await self._await_answers(departure.accounts_at)
+        await self._stay_open(departure)
+        self._close(listener)
+        await self._await_callers(departure.accounts_at)
         keeping.cancel()
         proving.cancel()
         await self._end(departure)
@@ -257,18 +258,21 @@
         self.failed = True
         self.stop()
 
-    async def _close_listener(
-        self, listener: asyncio.Server, departure: Departure
-    ) -> None:
-        await _sleep_until(departure.listening_until)
-        # Long streams keep the process for seconds. Where all routers leave at once,
-        # callers have nobody else, so what can be answered in time is taken meanwhile.
+    async def _stay_open(self, departure: Departure) -> None:
+        """Take new connections for a while after the signal.
+
+        Long streams keep the process for seconds. Where all routers leave at once,
+        callers have nobody else, so what can be answered in time is taken meanwhile.
+        """
         loop = asyncio.get_running_loop()
+        await _sleep_until(departure.listening_until)
         while loop.time() < departure.accounts_at and self._handler.serves_any_from(
             departure.welcome_until
         ):
             self._callers.close_idle()
             await _sleep_until(loop.time() + POLL_SECONDS)
+
+    def _close(self, listener: asyncio.Server) -> None:
         listener.close()
         self._log.write(
             Event.listener_closed,
@@ -277,26 +281,28 @@
             connections=len(self._callers.connections),
         )
 
-    async def _await_answers(self, until: float) -> None:
-        """Wait until every request has its answer, until a loop time at most."""
+    async def _await_callers(self, until: float) -> None:
+        """Wait until all connections have ended, until a loop time at most.
+
+        A connection may just have come, or its request be half read: what is in
+        flight doesn't tell.
+        """
         loop = asyncio.get_running_loop()
-        while loop.time() < until:
-            if self._callers.close_idle() and not self.in_flight:
-                break
+        while len(self._callers.connections) and loop.time() < until:
+            self._callers.close_idle()
             await _sleep_until(min(until, loop.time() + POLL_SECONDS))
 
     async def _end(self, departure: Departure) -> None:
-        """Give the last answers and write down what was spent, twice if need be.
+        """Give the last answers, and write down what was spent.
 
         Streams may go on until shortly before the kill, when a slow store might leave
-        no time for the only account: all that the process held would be stranded.
+        no time for the only account: all that the process held would be stranded. So
+        one is written beside them, with what they may cost, and an exact one at last.
         """
-        if self.in_flight:
-            first = self._spawn(
-                self._close_budgets(departure.answers_until), 'accounts'
-            )
-            await self._await_answers(departure.ends_at)
-            await first
+        if len(self._callers.connections):
+            early = self._spawn(self._close_budgets(departure.ends_at), 'accounts')
+            await self._await_callers(departure.answers_until + POLL_SECONDS)
+            await early
         await self._close_budgets(departure.ends_at)
         await self._await_flush(departure.ends_at)
 
