Log what a session record lists, and each turn of a recovery

Cause: the logs of a failing scenario of the threaded path did not tell which step was missing. recovery_waits names an agent that can't be asked, but nothing said when an agent came into a session's record and left it, when a lease was missed, that a recovery was put off or a look broken off, nor that a thread had ended.

Change: agent_listed, agent_unlisted and agent_gone tell of the record; session_missed, recovery_put_off and recovery_failed of the recovery. A thread that ends by an error is told as unexpected_failure with its name. budget_short says how many holders there were and how many of them could be asked. link_opened is logged after the listing, so that the order of the two can be read.

--- a/packages/core/src/ibisport_core/events.py
+++ b/packages/core/src/ibisport_core/events.py
@@ -5,6 +5,7 @@
 """
 
 import sys
+import threading
 from enum import IntEnum
 
 import eliot
@@ -30,10 +31,16 @@
     session_closed = 1303
     grant_returned = 1305
     budget_short = 1306
+    agent_listed = 1307
+    agent_unlisted = 1308
+    agent_gone = 1309
     recovery_began = 1401
     recovery_waits = 1402
     recovery_done = 1403
     session_fenced = 1404
+    session_missed = 1405
+    recovery_put_off = 1406
+    recovery_failed = 1407
     request_retried = 1502
     request_unknown = 1504
     target_failed = 1601
@@ -43,6 +50,7 @@
 def start_log() -> None:
     """Write the log of this process to standard error."""
     eliot.to_file(sys.stderr)
+    threading.excepthook = _log_dead_thread
 
 
 def log_event(event: Event, **details: object) -> None:
@@ -53,3 +61,10 @@
         details: JSON-able facts about it; never keys, prompts or answers.
     """
     eliot.log_message(message_type=event.name, event=int(event), **details)
+
+
+def _log_dead_thread(fault: threading.ExceptHookArgs) -> None:
+    """Say which task of the process has ended: the others go on without it."""
+    name = fault.thread.name if fault.thread else ''
+    log_event(Event.unexpected_failure, task=name, detail=repr(fault.exc_value))
+    threading.__excepthook__(fault)
--- a/packages/router/src/ibisport_router/internal/agentlink.py
+++ b/packages/router/src/ibisport_router/internal/agentlink.py
@@ -234,8 +234,9 @@
             self._router.keeper.note_agent_gone(self._peer.incarnation)
             self._calls.end_all()
         self._peer = _Peer(welcome.session, welcome.draining, heard_at=time.time())
-        log_event(Event.link_opened, target=self.entry.name, agent=welcome.session)
         self._router.keeper.list_agent(self.listed)
+        # After the listing, so that the log shows which of the two came first.
+        log_event(Event.link_opened, target=self.entry.name, agent=welcome.session)
         link.send(self._router.catalogue.make_update(self.entry.name))
         link.send(self._router.keeper.make_settled())
         with self._lock:
--- a/packages/router/src/ibisport_router/internal/bank.py
+++ b/packages/router/src/ibisport_router/internal/bank.py
@@ -42,7 +42,7 @@
 _STORE_RETRY_SECONDS = 1.0
 _PATIENCE_SECONDS = 10.0
 
-Recaller = Callable[[str, str, frozenset[str]], int]
+Recaller = Callable[[str, str, frozenset[str]], tuple[int, int]]
 Decide = Callable[[Account, Grant], int | None]
 
 
@@ -263,8 +263,14 @@
         )
         others = holders - {self.session.name}
         if others:
-            returned = self._recall(ledger.workspace, ledger.budget, others)
-            log_event(Event.budget_short, workspace=ledger.workspace, returned=returned)
+            returned, asked = self._recall(ledger.workspace, ledger.budget, others)
+            log_event(
+                Event.budget_short,
+                workspace=ledger.workspace,
+                holders=len(others),
+                asked=asked,
+                returned=returned,
+            )
 
     def _make_refill(self, ledger: Ledger) -> Decide:
         def decide(account: Account, _: Grant) -> int:
--- a/packages/router/src/ibisport_router/internal/keeper.py
+++ b/packages/router/src/ibisport_router/internal/keeper.py
@@ -63,6 +63,7 @@
         open_charges = [(one, one.next_number) for one in bank.list_ledgers()]
         with self._lock:
             self._gone[incarnation] = open_charges
+        log_event(Event.agent_gone, agent=incarnation)
 
     def make_settled(self) -> Settled:
         """Return all settled floors, for an agent that has just been linked."""
--- a/packages/router/src/ibisport_router/internal/peers.py
+++ b/packages/router/src/ibisport_router/internal/peers.py
@@ -208,7 +208,9 @@
             if chosen:
                 self._ask_catalogue(chosen[turn % len(chosen)])
 
-    def recall(self, workspace: str, budget: str, sessions: Iterable[str]) -> int:
+    def recall(
+        self, workspace: str, budget: str, sessions: Iterable[str]
+    ) -> tuple[int, int]:
         """Ask sessions to give spare tokens of a budget back.
 
         Args:
@@ -217,7 +219,7 @@
             sessions: Who holds grants of it.
 
         Returns:
-            Tokens that were given back.
+            Tokens that were given back, and how many sessions could be asked.
         """
         addresses = self._find(sessions)[:_MOST_RECALLED]
         returned = [0 for _ in addresses]
@@ -234,7 +236,7 @@
             started.start()
         for waited in threads:
             waited.join(max(0, deadline - time.monotonic()))
-        return sum(returned)
+        return sum(returned), len(addresses)
 
     def answers(self, session: str, address: str) -> bool:
         """Whether a session's process answers at its address now."""
--- a/packages/router/src/ibisport_router/internal/recovery.py
+++ b/packages/router/src/ibisport_router/internal/recovery.py
@@ -139,7 +139,8 @@
         while not self._router.stopping.wait(pace):
             try:
                 self.look()
-            except (StoreError, SessionFenced):
+            except (StoreError, SessionFenced) as error:
+                log_event(Event.recovery_failed, detail=str(error))
                 # Time during which the store cannot be asked counts for
                 # nobody's death: after an outage all leases have lapsed.
                 self._missing_since.clear()
@@ -188,12 +189,15 @@
             self._missing_since.pop(session.name, None)
             return
         now = time.monotonic()
+        if session.name not in self._missing_since:
+            log_event(Event.session_missed, session=session.name)
         since = self._missing_since.setdefault(session.name, now)
         patience = self._router.settings.recover_after + self._rank(session, alive)
         if now - since < patience:
             return
         if self._router.peers.answers(session.name, session.record.address):
             self._missing_since[session.name] = now
+            log_event(Event.recovery_put_off, session=session.name)
             return
         self._fence(session)
 
--- a/packages/router/src/ibisport_router/internal/session.py
+++ b/packages/router/src/ibisport_router/internal/session.py
@@ -18,6 +18,7 @@
     SessionFenced,
     StoreOutcomeUnknown,
 )
+from ibisport_core.events import Event, log_event
 from ibisport_core.identity import make_session
 from ibisport_core.store import Commit, Delete, Put, StoreClient, Unchanged
 
@@ -256,9 +257,15 @@
         return True
 
     def _note_written(self, record: SessionRecord, revision: int) -> None:
+        before = self._stored.listed
+        listed = frozenset(one.incarnation for one in record.agents)
         self._stored.record = record
-        self._stored.listed = frozenset(one.incarnation for one in record.agents)
+        self._stored.listed = listed
         self._stored.revision = revision
+        for agent in listed - before:
+            log_event(Event.agent_listed, session=self.name, agent=agent)
+        for agent in before - listed:
+            log_event(Event.agent_unlisted, session=self.name, agent=agent)
 
     def _check_record(self) -> None:
         found = self._store.read(name_session(self.name))
