Keep an agent in the record while its former link ends and its next one opens

Cause, a fault of the product: an agent that moved has a former link, which ends, and a next one, which greets the same incarnation and finds it listed, so it writes nothing. A look of the keeper that fell between the greeting and the opening, or that had chosen whom to take off before the greeting, took the incarnation off the record. The link then stood, and its agent got no paid work until the next look, a quarter of a lease later.

Change: what any link has greeted last counts as in use, whether the link is open or not; a lock is held from that choice to the write of the record; a link names its new incarnation before it gives the former one up. A third shows that a replaced agent still leaves the record.

The scenario 'An agent that moves to another address stays in use' allowed 0.25 s of wall time, which a busy machine uses up without any fault and which a short loss passed. It now reads the routers' logs: after the move no agent may be unlisted while a link to it stands, no link may stand whose agent isn't listed and no session may be lost; each router must link to all agents there within a guard of 60 s. Stricter: a loss of any length fails.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -36,4 +36,24 @@
   Scenario: An agent that moves to another address stays in use
     Given a running site
     When every agent is reached at another address
-    Then for 3 seconds no connected agent is kept from paid work
+    Then each router links to all agents there, and its former links end
+    And for 3 seconds no agent is unlisted while a link to it stands
+    And every agent can get paid work
+
+  Scenario: An agent's former link ends while its next one opens
+    Given a router's keeper that lists an agent
+    When the agent has greeted on its next link, and its former one ends
+    And the keeper looks at its record
+    Then the agent may get paid work
+
+  Scenario: An agent's next link opens while the keeper looks at its record
+    Given a router's keeper that lists an agent
+    When the agent's former link has ended
+    And its next one opens while the keeper looks at its record
+    Then the agent may get paid work
+
+  Scenario: An agent that was replaced leaves the record
+    Given a router's keeper that lists an agent
+    When another incarnation of the agent has greeted
+    And the keeper looks at its record
+    Then only the other incarnation may get paid work
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -3,6 +3,7 @@
 import threading
 import time
 
+import orjson
 from behave import given, then, when
 from sites import (
     ask,
@@ -20,7 +21,8 @@
 SLOW = {'token_ms': 40}
 WORDS = 50
 BUSY_SECONDS = 0.8
-LISTING_SECONDS = 0.25
+# A guard against a hang, far above what the move takes; the order decides.
+GUARD_SECONDS = 60.0
 
 
 @given('a running site')
@@ -177,34 +179,82 @@
 
 @when('every agent is reached at another address')
 def move_agents(context):
+    context.relays = []
+    context.logged = {one.url: len(_read_log(one)) for one in context.site.routers}
     for target in context.site.targets.values():
         relay = Relay(target.agent.address)
         context.add_cleanup(relay.close)
+        context.relays.append(relay.address)
         context.site.put_target(target, agent_address=relay.address)
 
 
-@then('for {seconds:d} seconds no connected agent is kept from paid work')
-def check_usable(context, seconds):
-    deadline = time.monotonic() + seconds
-    kept_since = {}
-    while time.monotonic() < deadline:
-        now = time.monotonic()
-        kept = _list_kept(context.site)
-        kept_since = {one: kept_since.get(one, now) for one in kept}
-        # A new link is listed within one write to the store.
-        assert all(now - since < LISTING_SECONDS for since in kept_since.values()), kept
-        time.sleep(0.02)
-
-
-def _list_kept(site):
-    """Return router and target of each link that stands and may not be used."""
-    states = [(router.url, site.read_state(router)) for router in site.routers]
-    return {
-        (url, name)
-        for url, state in states
-        for name, target in state['targets'].items()
-        if target['connected'] and not target['usable']
-    }
+@then('each router links to all agents there, and its former links end')
+def check_moved(context):
+    def has_moved():
+        return all(_has_moved(context, router) for router in context.site.routers)
+
+    wait_until(has_moved, GUARD_SECONDS, 'the move')
+
+
+@then('for {seconds:d} seconds no agent is unlisted while a link to it stands')
+def check_listed(context, seconds):
+    # Several looks of each keeper; the order of the log's lines decides, not how
+    # long a link was kept from work: that depends on the machine.
+    time.sleep(seconds)
+    for router in context.site.routers:
+        breaches = _find_unlisted(_read_log(router), context.logged[router.url])
+        assert not breaches, (router.url, breaches)
+
+
+@then('every agent can get paid work')
+def check_usable(context):
+    context.site.wait_ready()
+
+
+def _has_moved(context, router):
+    """Whether the router's links to the former addresses have given way."""
+    events = _read_log(router)
+    opened = [one['address'] for one in events if one['message_type'] == 'link_opened']
+    gone = [one['agent'] for one in events if one['message_type'] == 'agent_gone']
+    return set(context.relays) <= set(opened) and len(gone) >= len(context.relays)
+
+
+def _find_unlisted(events, before):
+    """Return the later lines that show a standing link whose agent is not listed.
+
+    A link is logged as open after its agent's listing, and as lost before its agent
+    may be taken off. So each line must find the record as the links need it, but for
+    the first ones: before the session was open, nothing could be listed.
+    """
+    listed = set()
+    standing = set()
+    breaches = []
+    for number, event in enumerate(events):
+        _follow_listing(event, listed, standing)
+        unlisted = not {agent for agent, _ in standing} <= listed
+        if number >= before and (unlisted or event['message_type'] == 'session_lost'):
+            breaches.append(event)
+    return breaches
+
+
+def _follow_listing(event, listed, standing):
+    """Change who is listed and which links stand by one line of the log."""
+    match event['message_type']:
+        case 'agent_listed':
+            listed.add(event['agent'])
+        case 'agent_unlisted':
+            listed.discard(event['agent'])
+        case 'link_opened':
+            standing.add((event['agent'], event['address']))
+        case 'link_lost':
+            standing.discard((event['agent'], event['address']))
+
+
+def _read_log(router):
+    """Return the events that a router has logged, in order."""
+    lines = router.log_path.read_text().splitlines(keepends=True)
+    whole = [line for line in lines if line.startswith('{') and line.endswith('\n')]
+    return [orjson.loads(line) for line in whole]
 
 
 def _ask_many(context, count, stream):
--- a/packages/router/src/ibisport_router/internal/agentlink.py
+++ b/packages/router/src/ibisport_router/internal/agentlink.py
@@ -180,6 +180,16 @@
             'age_seconds': round(time.time() - self._peer.heard_at, 3),
         }
 
+    def _log(self, event: Event, **details: object) -> None:
+        """Log what became of the connection, with the ends that it has."""
+        log_event(
+            event,
+            target=self.entry.name,
+            address=self.entry.agent_address,
+            agent=self.incarnation,
+            **details,
+        )
+
     def _may_pay(self) -> bool:
         return self._router.keeper.may_pay(self._peer.incarnation)
 
@@ -197,9 +207,7 @@
             except (LinkClosed, FrameInvalid) as error:
                 if self._link is not None:
                     pause = _RETRY_SECONDS
-                    log_event(
-                        Event.link_lost, target=self.entry.name, detail=str(error)
-                    )
+                    self._log(Event.link_lost, detail=str(error))
             self._drop_link()
             self._give_up_unkeyed()
             self._closed.wait(pause)
@@ -230,13 +238,15 @@
             raise LinkClosed(f'{link.peer} is not the agent of {self.entry.name}')
 
     def _open(self, link: Link, welcome: Welcome) -> None:
-        if self._peer.incarnation not in {'', welcome.session}:
-            self._router.keeper.note_agent_gone(self._peer.incarnation)
-            self._calls.end_all()
+        former = self._peer.incarnation
         self._peer = _Peer(welcome.session, welcome.draining, heard_at=time.time())
+        if former not in {'', welcome.session}:
+            # Only now: what a link names as its agent's incarnation isn't gone.
+            self._router.keeper.note_agent_gone(former)
+            self._calls.end_all()
         self._router.keeper.list_agent(self.listed)
         # After the listing, so that the log shows which of the two came first.
-        log_event(Event.link_opened, target=self.entry.name, agent=welcome.session)
+        self._log(Event.link_opened)
         link.send(self._router.catalogue.make_update(self.entry.name))
         link.send(self._router.keeper.make_settled())
         with self._lock:
--- a/packages/router/src/ibisport_router/internal/keeper.py
+++ b/packages/router/src/ibisport_router/internal/keeper.py
@@ -35,6 +35,9 @@
         """
         self._router = router
         self._lock = threading.Lock()
+        # Held from the choice of who leaves the record to its write: a link that
+        # opened between the two stood, unlisted, until the next look.
+        self._record_lock = threading.Lock()
         self._random = random.Random()
         self._gone: dict[str, list[tuple[Ledger, int]]] = {}
         self._wake = threading.Event()
@@ -46,9 +49,13 @@
         return self.session.is_open and self.session.is_listed(incarnation)
 
     def list_agent(self, agent: ListedAgent) -> None:
-        """Write an agent into the session record; ``keep`` tries again."""
+        """Write an agent into the session record; ``keep`` tries again.
+
+        Args:
+            agent: The agent; its link names its incarnation by now.
+        """
         try:
-            self.session.list_agents([agent], frozenset())
+            self._write_agent(agent)
         except (StoreError, SessionFenced) as error:
             log_event(Event.store_failed, detail=str(error))
             self._wake.set()
@@ -136,9 +143,19 @@
         else:
             self.session.open()
             log_event(Event.session_opened, session=self.session.name)
+        with self._record_lock:
+            self._update_record()
+
+    def _write_agent(self, agent: ListedAgent) -> None:
+        with self._record_lock:
+            self.session.list_agents([agent], frozenset())
+
+    def _update_record(self) -> None:
+        """Write who is connected into the record, and take off who is gone."""
         links = self._router.targets.list_links()
         connected = [link.listed for link in links if link.is_connected]
-        in_use = frozenset(agent.incarnation for agent in connected)
+        # A link that has greeted and isn't open yet counts: its agent is listed.
+        in_use = frozenset(link.incarnation for link in links)
         removable = self._choose_removable(in_use)
         self.session.list_agents(connected, removable)
         with self._lock:
@@ -152,7 +169,7 @@
         taking it off the record refused all its work for half a second.
 
         Args:
-            in_use: Incarnations that a link reaches now.
+            in_use: Incarnations that a link has greeted last.
         """
         with self._lock:
             return frozenset(
