Tell a connection that is reset before its link is made as a closed link

Cause, a fault of the product: connect_link let the OSError through that getpeername raises when the peer resets the connection just after it was opened. A process that ends resets what stands in its listener's queue. The tasks of a link to an agent, of the recovery and of the catalogue's news go on after LinkClosed only: this error ended them for good. A router whose link's task has ended never links that target again, which wait_ready shows as SiteNotReady after 20 s, where agents are stopped and started at their address ('Every agent is replaced under load and no answer breaks').

Shown: the new scenario failed before (OSError 107) and passes now. Not shown: that the one failure that was seen was this one; its logs aren't kept.

Change: connect_link closes the socket and raises LinkClosed.

--- a/features/process.feature
+++ b/features/process.feature
@@ -19,3 +19,7 @@
     Given a listening agent
     When random frames, cut frames and a wrong secret are sent to it
     Then the agent still greets a peer that shows the right secret
+
+  Scenario: A connection that is reset before its link is made is a closed link
+    When a connection is reset between its opening and the making of its link
+    Then whoever connects is told that the link is closed
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -1,6 +1,7 @@
 """Steps on start-up, settings and what comes in on links."""
 
 import random
+import select
 import socket
 import struct
 import subprocess
@@ -13,6 +14,7 @@
 from ibisport_agent.agent import Agent
 from ibisport_core import announce
 from ibisport_core.codec import encode_message
+from ibisport_core.errors import LinkClosed
 from ibisport_core.link import connect_link
 from ibisport_core.messages import SCHEMA_VERSION, Hello, Welcome
 from ibisport_core.settings import AgentSettings
@@ -20,6 +22,9 @@
 SEED = 20261202
 HOSTILE_FRAMES = 60
 START_TIMEOUT = 30
+RESET_MILLISECONDS = 10_000
+# SO_LINGER on, for 0 s: closing resets the connection (socket(7)).
+CLOSE_BY_RESET = struct.pack('ii', 1, 0)
 VERBS = {'ibisport': 'route', 'ibisport-agent': 'serve'}
 
 
@@ -81,6 +86,34 @@
     link.close()
 
 
+@when('a connection is reset between its opening and the making of its link')
+def connect_reset(context):
+    with mock.patch.object(socket, 'create_connection', return_value=_reset_socket()):
+        try:
+            connect_link('127.0.0.1:1', 1.0, 1.0)
+        except (LinkClosed, OSError) as error:
+            context.told = error
+
+
+@then('whoever connects is told that the link is closed')
+def check_told(context):
+    # The tasks of links, peers and recovery go on after this error only.
+    assert isinstance(context.told, LinkClosed), repr(context.told)
+
+
+def _reset_socket():
+    """Return a connected socket whose other side has reset it."""
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        client = socket.create_connection(listener.getsockname())
+        accepted, _ = listener.accept()
+    accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, CLOSE_BY_RESET)
+    accepted.close()
+    poll = select.poll()
+    poll.register(client, select.POLLHUP)
+    assert poll.poll(RESET_MILLISECONDS), 'the reset did not come'
+    return client
+
+
 def _make_hello(secret):
     return Hello(SCHEMA_VERSION, 'router', 'a', 'local', '127.0.0.1:1', secret)
 
--- a/packages/core/src/ibisport_core/link.py
+++ b/packages/core/src/ibisport_core/link.py
@@ -179,7 +179,13 @@
         sock = socket.create_connection((host, int(port)), timeout=timeout)
     except OSError as error:
         raise LinkClosed(f'{address}: {error}') from error
-    return Link(sock, silence)
+    try:
+        return Link(sock, silence)
+    except OSError as error:
+        # A peer that ends resets what it had not accepted. Untold, this ended the
+        # task that keeps up the link, and the target was never linked again.
+        sock.close()
+        raise LinkClosed(f'{address}: {error}') from error
 
 
 def open_listener(address: str) -> socket.socket:
