--- a/features/standins.feature
+++ b/features/standins.feature
@@ -59,6 +59,16 @@
     Then the stream brings nothing more
     And a new connection through the relay brings a whole answer
 
+  Scenario: A start is given the time in which it waited for a processor
+    Given a program that is ready later than a start may take
+    When it is started on a machine that keeps it from a processor
+    Then the start succeeds
+
+  Scenario: A start that takes too long in its own time fails
+    Given a program that is ready later than a start may take
+    When it is started on a machine with processors to spare
+    Then the start fails and its program has ended
+
   Scenario: A program that was paused ends when told to
     Given a stand-in of the engine
     And an answer of 400 tokens that streams through a relay
--- a/features/steps/standins_steps.py
+++ b/features/steps/standins_steps.py
@@ -7,17 +7,26 @@
 import tempfile
 import time
 from pathlib import Path
+from unittest import mock
 
 import urllib3
 from behave import fixture, given, then, use_fixture, when
 
+from ibisport_bench import launcher
 from ibisport_bench.launcher import start_program
 from ibisport_bench.relay import Relay
+from ibisport_bench.standins.errors import ProgramNotReady
 
 TIMEOUT = 10
 SILENCE_TIMEOUT = 3
 LAPSE_TIMEOUT = 15
 PAUSE = 0.5
+SHORT_START = 0.3
+LATE_PROGRAM = (
+    'import time; time.sleep(1.5);'
+    'print("ready 127.0.0.1:1", flush=True); time.sleep(30)'
+)
+WAITED_LONG = 1000.0
 CONNECTION_LOST = urllib3.exceptions.ProtocolError
 
 
@@ -307,6 +316,48 @@
     assert pieces.endswith(b'data: [DONE]\n\n'), pieces
 
 
+@given('a program that is ready later than a start may take')
+def prepare_late(context):
+    context.late = [sys.executable, '-c', LATE_PROGRAM]
+
+
+@when('it is started on a machine that keeps it from a processor')
+def start_kept(context):
+    _start_late(context, WAITED_LONG)
+
+
+@when('it is started on a machine with processors to spare')
+def start_spared(context):
+    _start_late(context, 0)
+
+
+@then('the start succeeds')
+def check_started(context):
+    assert context.failure is None, context.failure
+
+
+@then('the start fails and its program has ended')
+def check_start_failed(context):
+    assert isinstance(context.failure, ProgramNotReady)
+    assert 'exit code None' in str(context.failure), context.failure
+
+
+def _start_late(context, waited):
+    """Start the late program; the system says how long it waited for a processor."""
+    context.failure = None
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        mock.patch.object(launcher, 'READY_TIMEOUT', SHORT_START),
+        mock.patch.object(launcher, 'read_waited', return_value=waited),
+    ):
+        try:
+            program = start_program(context.late, Path(folder) / 'log')
+        except ProgramNotReady as failure:
+            context.failure = failure
+        else:
+            program.kill()
+
+
 @when('the engine is paused and then stopped')
 def pause_and_stop(context):
     context.program.pause()
