Add a soak of the asyncio programs: planned stops and the check of lost requests

A router that got SIGTERM takes requests on open connections until it closes them as idle, sends them on, and cuts the answers off at the end of its grace time. The soak plays the platform's wire in front of the store stand-in, slow engines, plain targets and callers that keep their connections.

--- /dev/null
+++ b/packages/bench/src/ibisport_bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded faults against routers and relays as separate processes."""
--- /dev/null
+++ b/packages/bench/src/ibisport_bench/soak/callers.py
@@ -0,0 +1,210 @@
+"""Seeded callers that keep connections open until the process behind them is gone."""
+
+import asyncio
+import itertools
+import random
+from collections.abc import Callable, Coroutine, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from ibisport_bench.soak.evidence import Ask, Journal, Kind, read_clock
+from ibisport_bench.soak.processes import Host
+from ibisport_bench.soak.wire import MessageInvalid, dump_message, read_body, read_head
+from ibisport_platform.headers import HOST, SEAL
+from ibisport_platform.standinrecords import dump_call_headers
+
+SITE_HOST = 'soak.example'
+# Connections that are held open without a request, for each router.
+HELD_LINES = 24
+HOLD_PERIOD_S = 0.2
+MARK_PERIOD_S = 0.3
+CONNECT_SECONDS = 1.0
+# Four fifths of the time after which a router closes an idle connection.
+LONGEST_IDLE_S = 12.0
+CALLER_SECONDS = 25.0
+SHORTEST_STREAM_S = 0.2
+LONGEST_STREAM_S = 6.0
+EVENT_PAUSES_S = (0.05, 0.3)
+LONGEST_PROMPT = 400
+KINDS = (Kind.read, Kind.once, Kind.talk, Kind.resume)
+KIND_WEIGHTS = (2, 3, 5, 3)
+BROKEN = (
+    OSError,
+    EOFError,
+    asyncio.IncompleteReadError,
+    asyncio.LimitOverrunError,
+    MessageInvalid,
+    ValueError,
+)
+
+
+@dataclass(slots=True)
+class Line:
+    """One open connection to one start of a router."""
+
+    host: Host
+    start: int
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    used: float
+
+    @property
+    def usable(self) -> bool:
+        """Whether a request may be sent on it."""
+        idle = read_clock() - self.used
+        ended = self.reader.at_eof() or self.writer.is_closing()
+        return not ended and idle < LONGEST_IDLE_S
+
+
+class Callers:
+    """All callers of one run.
+
+    Attributes:
+        version: The newest version of the catalogue that the store has accepted.
+    """
+
+    def __init__(
+        self,
+        hosts: Sequence[Host],
+        keys: Sequence[tuple[str, str]],
+        journal: Journal,
+        seed: int,
+    ) -> None:
+        self.version = 0
+        self._hosts = hosts
+        self._keys = keys
+        self._journal = journal
+        self._random = random.Random(f'callers {seed}')
+        self._ids = itertools.count(1)
+        self._seed = seed
+        self._lines: dict[str, list[Line]] = {host.name: [] for host in hosts}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def press(self, rate: float, until: float) -> None:
+        """Send requests at a mean rate for each router until a clock time."""
+        works: list[Callable[[], Coroutine[Any, Any, None]]] = [self._hold, self._mark]
+        sides = [asyncio.ensure_future(work()) for work in works]
+        while read_clock() < until:
+            await asyncio.sleep(self._random.expovariate(rate * len(self._hosts)))
+            self._spawn(self._random.choice(self._hosts), self._draw())
+        for side in sides:
+            side.cancel()
+
+    async def finish(self) -> None:
+        """Wait for the answers that are still due, and close all connections."""
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=CALLER_SECONDS)
+        for line in itertools.chain.from_iterable(self._lines.values()):
+            line.writer.close()
+
+    def _draw(self) -> Ask:
+        kind = self._random.choices(KINDS, KIND_WEIGHTS)[0]
+        workspace = self._random.choice(self._keys)[0]
+        ask = Ask(self._make_id(), kind, '', workspace)
+        pause = round(self._random.uniform(*EVENT_PAUSES_S), 3)
+        if kind.streams:
+            lasts = self._random.uniform(SHORTEST_STREAM_S, LONGEST_STREAM_S)
+            ask.events = max(1, int(lasts / pause))
+            ask.prompt = self._random.randint(1, LONGEST_PROMPT)
+        ask.path = f'/{kind.value}/{ask.request_id}?events={ask.events}&pause={pause}'
+        return ask
+
+    def _make_id(self) -> str:
+        return f'{self._seed:04x}{next(self._ids):08x}'
+
+    def _spawn(self, host: Host, ask: Ask) -> None:
+        task = asyncio.ensure_future(self._send(host, ask))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _hold(self) -> None:
+        """Keep idle connections to each router as long as its listener stands."""
+        while True:
+            await asyncio.sleep(HOLD_PERIOD_S)
+            for host in self._hosts:
+                lines = self._lines[host.name]
+                for line in tuple(lines):
+                    if not line.usable:
+                        lines.remove(line)
+                        line.writer.close()
+                if len(lines) < HELD_LINES:
+                    await self._hold_one(host)
+
+    async def _hold_one(self, host: Host) -> None:
+        for _ in range(HELD_LINES - len(self._lines[host.name])):
+            line = await self._connect(host)
+            if line is None:
+                return
+            self._lines[host.name].append(line)
+
+    async def _mark(self) -> None:
+        """Ask every router for what only some version of the catalogue allows."""
+        while True:
+            await asyncio.sleep(MARK_PERIOD_S)
+            for host in self._hosts:
+                version = self._random.choice(list(self._journal.versions)[-2:])
+                ask = Ask(self._make_id(), Kind.mark, '', version=version)
+                ask.path = f'/mark/{version}/{ask.request_id}?pause=0'
+                self._spawn(host, ask)
+
+    async def _connect(self, host: Host) -> Line | None:
+        address = host.settings.callers_address
+        if address is None or not host.runs:
+            return None
+        start = host.start.number
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                reader, writer = await asyncio.open_connection(*address)
+        except (OSError, TimeoutError):
+            return None
+        return Line(host, start, reader, writer, read_clock())
+
+    async def _send(self, host: Host, ask: Ask) -> None:
+        line = await self._take(host)
+        if line is None:
+            return
+        ask.router, ask.start = host.name, line.start
+        key = dict(self._keys).get(ask.workspace)
+        tokens = (ask.prompt, ask.events) if ask.events else None
+        headers = dump_call_headers(ask.request_id, key, tokens, CALLER_SECONDS)
+        headers.append((HOST, SITE_HOST.encode()))
+        method = 'GET' if ask.kind is Kind.mark else 'POST'
+        line.writer.write(dump_message(f'{method} {ask.path} HTTP/1.1', headers, b'x'))
+        ask.sent = line.used = read_clock()
+        self._journal.asks.append(ask)
+        keeps = await self._receive(line, ask)
+        if keeps:
+            line.used = read_clock()
+            self._lines[host.name].append(line)
+        else:
+            line.writer.transport.abort()
+
+    async def _take(self, host: Host) -> Line | None:
+        lines = self._lines[host.name]
+        while lines:
+            line = lines.pop(self._random.randrange(len(lines)))
+            if line.usable:
+                return line
+            line.writer.close()
+        return await self._connect(host)
+
+    async def _receive(self, line: Line, ask: Ask) -> bool:
+        try:
+            async with asyncio.timeout(CALLER_SECONDS):
+                return await self._read(line, ask)
+        except TimeoutError:
+            return False
+        except BROKEN:
+            ask.cut = True
+            return False
+        finally:
+            ask.ended = read_clock()
+
+    async def _read(self, line: Line, ask: Ask) -> bool:
+        head = await read_head(line.reader)
+        ask.status = head.status
+        ask.seal = head.headers.get(SEAL, b'').decode()
+        async for piece in read_body(line.reader, head):
+            ask.body += piece
+        ask.whole = True
+        return head.keeps_open
--- /dev/null
+++ b/packages/bench/src/ibisport_bench/soak/processes.py
@@ -0,0 +1,113 @@
+"""The product's programs as processes of their own, and the signals to them."""
+
+import asyncio
+import os
+import signal
+import sys
+from dataclasses import replace
+from pathlib import Path
+
+from ibisport_bench.soak.evidence import Cause, Journal, Start, read_clock
+from ibisport_fleet.settings import HostSettings
+from ibisport_platform.settings import SETTINGS_VARIABLE
+from ibisport_platform.standinrecords import dump_settings
+
+PROGRAM = 'ibisport_platform'
+
+
+class Host:
+    """One host with its one process, which is started again and again.
+
+    Attributes:
+        settings: What its settings file says.
+        busy: Somebody ends its process just now.
+        start: The start that runs, or the last one.
+    """
+
+    def __init__(
+        self, role: str, settings: HostSettings, folder: Path, journal: Journal
+    ) -> None:
+        self.settings = settings
+        self.busy = False
+        self.start = Start(settings.host, 0, read_clock())
+        self._module = [PROGRAM, role]
+        self._journal = journal
+        self._log_path = folder / f'{settings.host}.log'
+        self._file = folder / f'{settings.host}.toml'
+        self._process: asyncio.subprocess.Process | None = None
+        self._watching: asyncio.Future[None] | None = None
+
+    @property
+    def name(self) -> str:
+        """Its name."""
+        return self.settings.host
+
+    @property
+    def runs(self) -> bool:
+        """Whether its process has not ended."""
+        return self._process is not None and self._process.returncode is None
+
+    def mutate(self, module: str, name: str) -> None:
+        """Run a module of the soak that changes the program in memory."""
+        self._module = [module, name, *self._module[1:]]
+
+    async def launch(self) -> None:
+        """Start the process."""
+        self._file.write_text(dump_settings(self.settings))
+        environment = {**os.environ, SETTINGS_VARIABLE: str(self._file)}
+        self.start = Start(self.name, self.start.number + 1, read_clock())
+        self._journal.starts.append(self.start)
+        with self._log_path.open('ab') as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                *self._module,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env=environment,
+            )
+        self._watching = asyncio.ensure_future(self._watch(self._process, self.start))
+
+    def tell(self, number: signal.Signals) -> None:
+        """Send a signal if the process has not ended."""
+        if self.runs and self._process is not None:
+            self._process.send_signal(number)
+
+    async def stop(self, patience: float) -> None:
+        """SIGTERM, and SIGKILL if it still runs after some seconds."""
+        fault = self._journal.begin(Cause.stop, self.name)
+        self.start.told = read_clock()
+        self.tell(signal.SIGTERM)
+        if not await self.wait(patience):
+            self.kill()
+            await self.wait(patience)
+        fault.ended = read_clock()
+
+    def kill(self) -> None:
+        """SIGKILL."""
+        self.start.killed = True
+        self.tell(signal.SIGKILL)
+
+    async def wait(self, seconds: float) -> bool:
+        """Wait for the end of the process; False if it still runs."""
+        if self._process is None:
+            return True
+        try:
+            await asyncio.wait_for(self._process.wait(), seconds)
+        except TimeoutError:
+            return False
+        return True
+
+    def reload(self, retry_slack: float) -> None:
+        """Change the settings file and send SIGHUP."""
+        bounds = replace(self.settings.bounds, retry_slack=retry_slack)
+        self.settings = replace(self.settings, bounds=bounds)
+        self._file.write_text(dump_settings(self.settings))
+        fault = self._journal.begin(Cause.reload, self.name, f'slack {retry_slack}')
+        self.tell(signal.SIGHUP)
+        fault.ended = read_clock()
+
+    async def _watch(self, process: asyncio.subprocess.Process, start: Start) -> None:
+        start.code = await process.wait()
+        start.ended = read_clock()
--- /dev/null
+++ b/packages/bench/src/ibisport_bench/soak/run.py
@@ -0,0 +1,116 @@
+"""One seeded run from its start to its verdict."""
+
+import asyncio
+import random
+from collections import Counter
+from dataclasses import dataclass
+from pathlib import Path
+
+from ibisport_bench.soak.callers import Callers
+from ibisport_bench.soak.checks import Violation, check_all
+from ibisport_bench.soak.evidence import Journal, read_clock
+from ibisport_bench.soak.plan import Plan
+from ibisport_bench.soak.processes import Host
+from ibisport_bench.soak.site import GRACE_S, Site
+
+READY_SECONDS = 20.0
+# Requests a second for each router, in the mean.
+RATE = 12.0
+# Tokens that the tight workspaces have for each second and router.
+TIGHT_TOKENS = 150
+AMPLE_TOKENS = 100_000_000
+# No process should need more than its grace; a slow machine gets as much again.
+END_SECONDS = GRACE_S * 2
+LAG_PERIOD_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What one seed showed."""
+
+    seed: int
+    journal: Journal
+    violations: list[Violation]
+
+    def __str__(self) -> str:
+        journal = self.journal
+        faults = Counter(one.cause.value for one in journal.faults)
+        kinds = Counter(one.kind.value for one in journal.asks)
+        statuses = Counter(one.status for one in journal.asks)
+        lines = [
+            f'seed {self.seed}: {len(journal.asks)} requests {dict(kinds)}, '
+            f'statuses {dict(statuses)}, {len(journal.runs)} runs, '
+            f'{len(journal.starts)} starts, held up {journal.lag:.2f} s',
+            f'  faults {dict(faults)}',
+            f'  violations: {len(self.violations)}',
+        ]
+        lines += [f'  {one.check}: {one.story}' for one in self.violations]
+        return '\n'.join(lines)
+
+
+async def run_seed(seed: int, seconds: float, routers: int, folder: Path) -> Verdict:
+    """Play one seed."""
+    journal = Journal()
+    source = random.Random(f'budgets {seed}')
+    tight = int(TIGHT_TOKENS * seconds * routers * source.uniform(0.5, 1.5))
+    journal.budgets = {'tight': tight, 'ample': AMPLE_TOKENS}
+    site = Site(routers, seed, folder, journal)
+    measuring = asyncio.ensure_future(measure_lag(journal))
+    try:
+        await play(site, journal, seed, seconds)
+    finally:
+        measuring.cancel()
+        for host in site.hosts:
+            host.kill()
+    return Verdict(seed, journal, check_all(journal))
+
+
+async def play(site: Site, journal: Journal, seed: int, seconds: float) -> None:
+    """Start all, play the faults, wait for the last answers and end all."""
+    await site.open()
+    await wait_until_ready(site)
+    callers = Callers(site.routers, site.keys, journal, seed)
+    until = read_clock() + seconds
+    await asyncio.gather(
+        callers.press(RATE, until), Plan(site, seed).play(until - GRACE_S)
+    )
+    await callers.finish()
+    await asyncio.gather(*(end_host(host) for host in site.hosts))
+
+
+async def end_host(host: Host) -> None:
+    """SIGTERM at the end of a run."""
+    await host.stop(END_SECONDS)
+
+
+async def wait_until_ready(site: Site) -> None:
+    """Wait until each router says that it takes new connections."""
+    until = read_clock() + READY_SECONDS
+    for host in site.routers:
+        while not await is_ready(host):
+            if read_clock() > until:
+                raise TimeoutError(f'{host.name} is not ready')
+            await asyncio.sleep(LAG_PERIOD_S)
+
+
+async def is_ready(host: Host) -> bool:
+    """Whether a router says that it takes new connections."""
+    address = host.settings.readiness_address
+    if address is None:
+        return False
+    try:
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(b'GET /ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n')
+        line = await reader.readline()
+    except OSError:
+        return False
+    writer.close()
+    return b' 200 ' in line
+
+
+async def measure_lag(journal: Journal) -> None:
+    """Note how long this process itself was held up at most."""
+    while True:
+        due = read_clock() + LAG_PERIOD_S
+        await asyncio.sleep(LAG_PERIOD_S)
+        journal.lag = max(journal.lag, read_clock() - due)
--- /dev/null
+++ b/packages/bench/src/ibisport_bench/soak/site.py
@@ -0,0 +1,210 @@
+"""One site on the loopback net: store, links, targets, routers and relays."""
+
+import asyncio
+import os
+import random
+import socket
+from dataclasses import replace
+from pathlib import Path
+
+from ibisport_bench.soak.callers import SITE_HOST
+from ibisport_bench.soak.evidence import Cause, Journal, Kind, read_clock
+from ibisport_bench.soak.links import Address, Link
+from ibisport_bench.soak.processes import Host
+from ibisport_bench.soak.targets import Target
+from ibisport_bench.standins.memorystore import MemoryService
+from ibisport_fleet.catalogue import (
+    Catalogue,
+    Engine,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+    Workspace,
+)
+from ibisport_fleet.eventlog import EventLog
+from ibisport_fleet.settings import Bounds, HostSettings
+from ibisport_fleet.targets import TargetEntry
+from ibisport_platform.records import CATALOGUE_KEY
+from ibisport_platform.standinrecords import dump_catalogue
+from ibisport_platform.storeserver import StoreServer
+
+GRACE_S = 8.0
+RELAYS = 2
+PLAIN_TARGETS = 3
+ENGINES = 4
+PLAIN, ENGINE = 'plain', 'engine'
+PLAIN_SLOTS, ENGINE_SLOTS = 64, 40
+ENGINE_MEMORY = 100_000
+DOMAINS = ('domain-1', 'domain-2', 'domain-3')
+ROUTE_SECONDS = 20.0
+MOST_TARGETS = 3
+# Ports of one host: callers, readiness, peers, metrics, link, target.
+PORTS = 6
+FIRST_PORTS = (20_000, 30_000)
+# Second octets of the loopback net; each run has its own.
+NETS = 250
+BOUNDS = Bounds(retry_ratio=0.1, retry_slack=20, retry_window=10, stop_grace=GRACE_S)
+ROUTE_KINDS = {
+    Kind.read: (RouteKind.idempotent, PLAIN),
+    Kind.once: (RouteKind.once, PLAIN),
+    Kind.talk: (RouteKind.stream, ENGINE),
+    Kind.resume: (RouteKind.stream, ENGINE),
+}
+
+
+class Site:
+    """All that one run needs.
+
+    Attributes:
+        service: The store behind its wire.
+        routers: Hosts of routers.
+        relays: Hosts of relays.
+        targets: Targets of both services.
+        store_links: The loopback proxy between each router and the store.
+        keys: Workspace and key, pair by pair.
+    """
+
+    def __init__(self, routers: int, seed: int, folder: Path, journal: Journal) -> None:
+        self._random = random.Random(f'site {seed}')
+        self._net = f'127.{2 + os.getpid() % NETS}'
+        self._port = find_ports(self._random, f'{self._net}.1.1')
+        self._folder = folder
+        self._journal = journal
+        self._version = 1
+        self.service = MemoryService(seed)
+        self._server = StoreServer(
+            self.service.open_store('all'), EventLog(os.open(os.devnull, os.O_WRONLY))
+        )
+        self.store_links: dict[str, Link] = {}
+        self.keys = [(name, f'key-{name}') for name in journal.budgets]
+        self.routers = [
+            self._make_host('router', f'{self._net}.1.{one + 1}', one)
+            for one in range(routers)
+        ]
+        self.relays = [
+            self._make_host('relay', f'{self._net}.2.{one + 1}', one)
+            for one in range(RELAYS)
+        ]
+        self.targets = [
+            self._make_target(one) for one in range(PLAIN_TARGETS + ENGINES)
+        ]
+
+    @property
+    def hosts(self) -> list[Host]:
+        """All hosts of processes."""
+        return [*self.routers, *self.relays]
+
+    async def open(self) -> None:
+        """Start everything."""
+        loop = asyncio.get_running_loop()
+        await loop.create_server(self._server.connections.accept, *self._store())
+        self.publish()
+        for link in self.store_links.values():
+            await link.open()
+        for target in self.targets:
+            await target.start()
+        for host in self.hosts:
+            await host.launch()
+
+    def publish(self) -> int:
+        """Write the next version of the catalogue, as an operator does."""
+        self._version += self._random.randint(1, 3)
+        content = dump_catalogue(self._make_catalogue(self._version))
+        self.service.put(CATALOGUE_KEY, content)
+        self._journal.versions[self._version] = read_clock()
+        fault = self._journal.begin(Cause.catalogue, 'all', f'{self._version}')
+        fault.ended = read_clock()
+        return self._version
+
+    def _store(self) -> Address:
+        return f'{self._net}.4.1', self._port
+
+    def _make_host(self, role: str, ip: str, number: int) -> Host:
+        port = self._port
+        link = Link(f'store of {role}-{number + 1}', (ip, port + 4), self._store())
+        routes = role == 'router'
+        settings = HostSettings(
+            host=f'{role}-{number + 1}',
+            domain=DOMAINS[number % len(DOMAINS)],
+            peer_address=(ip, port + 2),
+            metrics_address=(ip, port + 3),
+            callers_address=(ip, port) if routes else None,
+            readiness_address=(ip, port + 1) if routes else None,
+            store_address=link.front if routes else self._store(),
+            bounds=BOUNDS,
+        )
+        if routes:
+            self.store_links[settings.host] = link
+        return Host(role, settings, self._folder, self._journal)
+
+    def _make_target(self, number: int) -> Target:
+        ip = f'{self._net}.2.{number + 1}'
+        service = PLAIN if number < PLAIN_TARGETS else ENGINE
+        name = f'{service}-{number + 1}'
+        link = Link(f'link of {name}', (ip, self._port + 4), (ip, self._port + 5))
+        entry = TargetEntry(
+            incarnation=name,
+            service=service,
+            address=link.front,
+            domain=DOMAINS[number % len(DOMAINS)],
+            slots=PLAIN_SLOTS if service == PLAIN else ENGINE_SLOTS,
+            draining=False,
+            revision=0,
+        )
+        return Target(entry, link, self.service, self._journal)
+
+    def _make_catalogue(self, version: int) -> Catalogue:
+        routes = [
+            make_route(kind.value, f'/{kind.value}/', *what)
+            for kind, what in ROUTE_KINDS.items()
+        ]
+        routes = [
+            replace(one, resumable=one.name == Kind.resume.value) for one in routes
+        ]
+        mark = make_route('mark', f'/mark/{version}/', RouteKind.idempotent, PLAIN)
+        engine = Engine(ENGINE_SLOTS, ENGINE_MEMORY, 1)
+        return Catalogue(
+            version=version,
+            revision=0,
+            routes=(*routes, replace(mark, public=True)),
+            services={
+                PLAIN: Service(PLAIN, 0, None),
+                ENGINE: Service(ENGINE, 0, engine),
+            },
+            workspaces={
+                name: Workspace(name, None, budget)
+                for name, budget in self._journal.budgets.items()
+            },
+            keys={key: name for name, key in self.keys},
+            needs_keys=True,
+        )
+
+
+def make_route(name: str, prefix: str, kind: RouteKind, service: str) -> Route:
+    """Return a route of the site."""
+    return Route(
+        name=name,
+        host=SITE_HOST,
+        prefix=prefix,
+        kind=kind,
+        shares=(ServiceShare(service, 1.0),),
+        time_limit=ROUTE_SECONDS,
+        objective=1.0,
+        rank=1,
+        most_targets=MOST_TARGETS,
+        public=False,
+        resumable=False,
+    )
+
+
+def find_ports(random_source: random.Random, ip: str) -> int:
+    """Return the first of some ports in a row that nobody listens on."""
+    while True:
+        first = random_source.randrange(*FIRST_PORTS)
+        try:
+            for port in range(first, first + PORTS):
+                socket.create_server((ip, port)).close()
+        except OSError:
+            continue
+        return first
--- /dev/null
+++ b/packages/bench/src/ibisport_bench/soak/targets.py
@@ -0,0 +1,214 @@
+"""Targets that stream events slowly, or answer plainly, and log what they run."""
+
+import asyncio
+import itertools
+import random
+from dataclasses import dataclass, replace
+from urllib.parse import parse_qsl
+
+from ibisport_bench.soak.evidence import (
+    Cause,
+    Journal,
+    Run,
+    make_body,
+    make_event,
+    read_clock,
+)
+from ibisport_bench.soak.links import Link
+from ibisport_bench.soak.wire import (
+    HEAD_END,
+    Head,
+    MessageInvalid,
+    dump_message,
+    read_head,
+    skip_body,
+)
+from ibisport_bench.standins.memorystore import MemoryService
+from ibisport_fleet.targets import TargetEntry
+from ibisport_platform.headers import (
+    EXPECT_INSTANCE,
+    LAST_EVENT_ID,
+    NOT_EXECUTED,
+    REQUEST_ID,
+    SEAL,
+    WORKER_LOAD,
+)
+from ibisport_platform.standinrecords import dump_target
+
+POLL_SECONDS = 0.1
+# How long a target serves on after the store has accepted that it leaves, and a
+# little longer.
+SERVES_ON_S = (2.2, 5.0)
+ENDED = (ConnectionError, asyncio.IncompleteReadError, MessageInvalid, ValueError)
+
+
+@dataclass(slots=True)
+class Ills:
+    """What is wrong with a target now.
+
+    Attributes:
+        breaks: Share of the answers that it breaks off.
+        late: Seconds by which it begins later.
+    """
+
+    breaks: float = 0.0
+    late: float = 0.0
+
+
+class Target:
+    """One target behind its link; it starts again under a new id.
+
+    Attributes:
+        name: Name of its place; incarnations add a number.
+        entry: How it announces itself now.
+        link: The loopback proxy before it.
+        ills: What is wrong with it.
+    """
+
+    def __init__(
+        self, entry: TargetEntry, link: Link, service: MemoryService, journal: Journal
+    ) -> None:
+        self.name = entry.incarnation
+        self.entry = entry
+        self.link = link
+        self.ills = Ills()
+        self._service = service
+        self._journal = journal
+        self._random = random.Random(f'{entry.incarnation} {entry.born}')
+        self._numbers = itertools.count(1)
+        self._running = 0
+        self._seq = 0
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Listen and announce a new incarnation."""
+        number = next(self._numbers)
+        self.entry = replace(
+            self.entry, incarnation=f'{self.name}-{number}', draining=False
+        )
+        self._server = await asyncio.start_server(self._serve, *self.link.sink)
+        await self.link.open()
+        await self._announce()
+
+    async def leave(self) -> None:
+        """Drain, serve on for a while, and end; what still runs breaks off."""
+        self.entry = replace(self.entry, draining=True)
+        key = await self._announce()
+        self._journal.drains[self.entry.incarnation] = read_clock()
+        await asyncio.sleep(self._random.uniform(*SERVES_ON_S))
+        self.end()
+        await self._wait_for_store()
+        self._service.remove(key)
+
+    def end(self) -> None:
+        """Close the listener and all connections."""
+        self.link.close()
+        if self._server is not None:
+            self._server.close()
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    async def _announce(self) -> str:
+        await self._wait_for_store()
+        self._seq += 1
+        key, content = dump_target(self.entry, self._seq)
+        self._service.put(key, content)
+        return key
+
+    async def _wait_for_store(self) -> None:
+        while self._service.faults.down:
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        incarnation = self.entry.incarnation
+        try:
+            while incarnation == self.entry.incarnation:
+                head = await read_head(reader)
+                await skip_body(reader, head)
+                await self._answer(head, reader, writer)
+        except ENDED:
+            # The router closed or reset the connection.
+            return
+        finally:
+            self._writers.discard(writer)
+            writer.transport.abort()
+
+    async def _answer(
+        self, head: Head, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        request_id = head.headers.get(REQUEST_ID, b'').decode()
+        refusal = self._refuse(head)
+        if refusal:
+            marks = [*self._mark(request_id), (NOT_EXECUTED, b'1')]
+            writer.write(dump_message(f'HTTP/1.1 {refusal} -', marks, b''))
+            return
+        run = Run(request_id, self.entry.incarnation, read_clock(), '')
+        run.seal = f'{run.target}.{len(self._journal.runs)}'
+        run.after = int(head.headers.get(LAST_EVENT_ID, b'0'))
+        self._journal.runs.append(run)
+        self._running += 1
+        try:
+            await self._run(run, head, reader, writer)
+        finally:
+            self._running -= 1
+            run.ended = read_clock()
+
+    def _refuse(self, head: Head) -> int:
+        expected = head.headers.get(EXPECT_INSTANCE, b'').decode()
+        if expected and expected != self.entry.incarnation:
+            return 421
+        return 503 if self._running >= self.entry.slots else 0
+
+    def _mark(self, request_id: str) -> list[tuple[bytes, bytes]]:
+        load = b'%d,0,%d' % (self._running, self.entry.slots)
+        return [(REQUEST_ID, request_id.encode()), (WORKER_LOAD, load)]
+
+    async def _run(
+        self,
+        run: Run,
+        head: Head,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        query = head.start.split(b' ')[1].decode().partition('?')[2]
+        asked = dict(parse_qsl(query))
+        events = int(asked.get('events', '0'))
+        pause = float(asked.get('pause', '0'))
+        breaks_at = self._draw_break(events)
+        marks = [*self._mark(run.request_id), (SEAL, run.seal.encode())]
+        await asyncio.sleep(self.ills.late)
+        if not events:
+            await asyncio.sleep(pause)
+            if breaks_at == 0:
+                return self._break_off(run, writer)
+            body = make_body(run.request_id, 0)
+            writer.write(dump_message('HTTP/1.1 200 OK', marks, body))
+            run.complete = True
+            return None
+        marks.append((b'transfer-encoding', b'chunked'))
+        lines = b''.join(b'%b: %b\r\n' % pair for pair in marks)
+        writer.write(b'HTTP/1.1 200 OK\r\n' + lines + HEAD_END[2:])
+        for number in range(run.after + 1, events + 1):
+            await asyncio.sleep(pause)
+            if reader.at_eof() or writer.is_closing():
+                raise ConnectionResetError
+            if number == breaks_at:
+                return self._break_off(run, writer)
+            event = make_event(run.request_id, number)
+            writer.write(b'%x\r\n%b\r\n' % (len(event), event))
+        writer.write(b'0\r\n\r\n')
+        run.complete = True
+
+    def _draw_break(self, events: int) -> int:
+        if self._random.random() >= self.ills.breaks:
+            return -1
+        return self._random.randint(min(1, events), events)
+
+    def _break_off(self, run: Run, writer: asyncio.StreamWriter) -> None:
+        run.broken_off = True
+        self._journal.begin(Cause.target, run.target, 'broke off').ended = read_clock()
+        writer.transport.abort()
