Play unplanned faults in the soak, and check eight more promises

Kills, freezes, reloads, versions in quick succession, harmed links to the store and to targets, a store that loses answers, is slow, down, silent or ends leases, targets that drain, end, break off and begin late; checks of runs, refusals, whole answers, spending, leaving targets, the catalogue and the ends of processes.

--- a/packages/bench/src/ibisport_bench/soak/checks.py
+++ b/packages/bench/src/ibisport_bench/soak/checks.py
@@ -1,90 +1,25 @@
 """Judges what callers, targets and the store saw."""
 
 from collections import defaultdict
-from collections.abc import Iterator
-from dataclasses import dataclass
-from functools import cached_property
+from collections.abc import Callable, Iterator
 
-from ibisport_bench.soak.evidence import Ask, Cause, Fault, Journal, Run, Start
+from ibisport_bench.soak.configuration import check_back, check_late
+from ibisport_bench.soak.evidence import PROMISES, Ask, Journal, Kind, Run, make_body
 from ibisport_bench.soak.site import GRACE_S
+from ibisport_bench.soak.stories import CONTACT_S, Evidence, Violation
 
-# RULES of the platform: a disturbance is felt for so long.
-CONTACT_S = 3.0
 # A connection that ends later than this after a request was read it.
 LOSS_SLACK_S = 0.2
 # Streams that come so early may be cut in the last sixth of the grace time.
 EARLY_S = 3.0
 LAST_PART = 5 / 6
-
-
-@dataclass(frozen=True, slots=True)
-class Violation:
-    """A promise that didn't hold, and its story."""
-
-    check: str
-    story: str
-
-
-class Evidence:
-    """The journal, ordered for the checks."""
-
-    def __init__(self, journal: Journal) -> None:
-        self.journal = journal
-
-    @cached_property
-    def runs(self) -> dict[str, list[Run]]:
-        """The runs of each request."""
-        runs: dict[str, list[Run]] = defaultdict(list)
-        for run in self.journal.runs:
-            runs[run.request_id].append(run)
-        return runs
-
-    @cached_property
-    def starts(self) -> dict[tuple[str, int], Start]:
-        """The starts of processes by host and number."""
-        return {(one.host, one.number): one for one in self.journal.starts}
-
-    def find_faults(
-        self, subject: str, begun: float, ended: float, *, planned: bool
-    ) -> list[Fault]:
-        """Return what was done to a subject in a span."""
-        return [
-            fault
-            for fault in self.journal.faults
-            if fault.cause.planned is planned
-            and fault.subject in {subject, 'all'}
-            and fault.touches(begun, ended)
-        ]
-
-    def tell(self, ask: Ask) -> str:
-        """Return the story of a request, by the clock of its sending."""
-        start = self.starts[ask.router, ask.start]
-        lines = [
-            f'{ask.request_id} {ask.kind.value} at {ask.router} (start {ask.start}): '
-            f'status {ask.status}, whole {ask.whole}, cut {ask.cut}, '
-            f'{len(ask.body)} bytes, ended {ask.ended - ask.sent:+.3f} s'
-        ]
-        if start.told <= ask.ended:
-            lines.append(
-                f'SIGTERM {start.told - ask.sent:+.3f} s, so sent '
-                f'{ask.sent - start.told:.3f} s and cut '
-                f'{ask.ended - start.told:.3f} s after it'
-            )
-        lines += [
-            f'run at {run.target} {run.begun - ask.sent:+.3f} to '
-            f'{run.ended - ask.sent:+.3f} s, complete {run.complete}, '
-            f'broke off itself {run.broken_off}'
-            for run in self.runs[ask.request_id]
-        ]
-        near = self.find_faults(
-            ask.router, ask.sent - CONTACT_S, ask.ended, planned=True
-        )
-        lines += [
-            f'{fault.cause.value} {fault.detail} {fault.begun - ask.sent:+.3f} s'
-            for fault in near
-            if fault.cause is not Cause.stop
-        ]
-        return '\n      '.join(lines)
+# The platform's bound for new work at a target that leaves, and as much again for a
+# slow machine.
+DRAIN_S = 2.0 * 2
+STATUS_OK = 200
+# Answers of a router's own to requests that every catalogue allows.
+DENIALS = frozenset((400, 401, 403, 404, 413, 431))
+EVENT_END = b'\n\n'
 
 
 def check_lost(evidence: Evidence) -> Iterator[Violation]:
@@ -93,18 +28,17 @@
         runs = evidence.runs[ask.request_id]
         # Without a run, and cut at once, it crossed the close of its connection.
         was_read = bool(runs) or ask.ended - ask.sent > LOSS_SLACK_S
-        if ask.cut and was_read and not is_excused(evidence, ask, runs):
+        if not ask.whole and was_read and not is_excused(evidence, ask, runs):
             yield Violation('LOST', evidence.tell(ask))
 
 
 def is_excused(evidence: Evidence, ask: Ask, runs: list[Run]) -> bool:
     """Whether something unplanned, or a late end of the grace, may have cut it."""
     since = ask.sent - CONTACT_S
-    if evidence.find_faults(ask.router, since, ask.ended, planned=False):
+    if evidence.find_unplanned([ask.router], since, ask.ended):
         return True
     if any(
-        run.broken_off
-        or evidence.find_faults(run.target, ask.sent, ask.ended, planned=False)
+        run.broken_off or evidence.find_unplanned(name_target(run), ask.sent, ask.ended)
         for run in runs
     ):
         return True
@@ -113,7 +47,99 @@
     return early and ask.ended - told >= GRACE_S * LAST_PART
 
 
-CHECKS = {'lost': check_lost}
+def name_target(run: Run) -> list[str]:
+    """Return the subjects of faults at a run's target and its link."""
+    place = run.target.rpartition('-')[0]
+    return [run.target, f'link of {place}']
+
+
+def check_twice(evidence: Evidence) -> Iterator[Violation]:
+    """No request that may run once runs twice."""
+    for ask in evidence.journal.asks:
+        if not ask.kind.repeatable and len(evidence.runs[ask.request_id]) > 1:
+            yield Violation('TWICE', evidence.tell(ask))
+
+
+def check_refused(evidence: Evidence) -> Iterator[Violation]:
+    """A request whose answer promises that it never runs has never run."""
+    for ask in evidence.journal.asks:
+        if ask.status in PROMISES and evidence.runs[ask.request_id]:
+            yield Violation('REFUSED', evidence.tell(ask))
+
+
+def check_whole(evidence: Evidence) -> Iterator[Violation]:
+    """An answer is its target's, whole if it looks so, a beginning if not."""
+    for ask in evidence.journal.asks:
+        if ask.status == STATUS_OK:
+            true = is_true(ask, evidence.runs[ask.request_id])
+        else:
+            denied = ask.status in DENIALS and ask.kind is not Kind.mark
+            true = not (denied or ask.seal)
+        if not true:
+            yield Violation('WHOLE', evidence.tell(ask))
+
+
+def is_true(ask: Ask, runs: list[Run]) -> bool:
+    """Whether a success is what a target sent for this request."""
+    expected = make_body(ask.request_id, ask.events)
+    whole = ask.body == expected if ask.whole else expected.startswith(ask.body)
+    return whole and ask.seal in {run.seal for run in runs}
+
+
+def check_spend(evidence: Evidence) -> Iterator[Violation]:
+    """No workspace gets more than it has paid for."""
+    spent: dict[str, int] = defaultdict(int)
+    for ask in evidence.journal.asks:
+        events = ask.body.count(EVENT_END) if ask.events else 0
+        if ask.status == STATUS_OK and events:
+            spent[ask.workspace] += ask.prompt + events
+    for workspace, budget in evidence.journal.budgets.items():
+        if spent[workspace] > budget:
+            story = f'{workspace}: {spent[workspace]} tokens of {budget}'
+            yield Violation('SPEND', story)
+
+
+def check_drain(evidence: Evidence) -> Iterator[Violation]:
+    """No request reaches a target that has been leaving for long."""
+    asks = {ask.request_id: ask for ask in evidence.journal.asks}
+    for run in evidence.journal.runs:
+        drained = evidence.journal.drains.get(run.target, run.begun)
+        ask = asks[run.request_id]
+        late = run.begun > drained + DRAIN_S
+        held_up = evidence.find_unplanned(
+            name_target(run), run.begun - CONTACT_S, run.begun
+        )
+        if late and not held_up and evidence.in_touch(ask, drained, run.begun):
+            story = f'{run.begun - drained:.3f} s after the target began to leave'
+            yield Violation('DRAIN', f'{story}: {evidence.tell(ask)}')
+
+
+def check_ends(evidence: Evidence) -> Iterator[Violation]:
+    """Every process ends by itself, without a fault, when it is told to."""
+    last = {start.host: start for start in evidence.journal.starts}
+    for start in evidence.journal.starts:
+        name = f'{start.host} (start {start.number})'
+        if start.killed and start is last[start.host]:
+            yield Violation('ENDS', f'{name} had to be killed after the run')
+        elif not start.killed and start.code:
+            yield Violation(
+                'ENDS',
+                f'{name} ended with {start.code}, {start.ended - start.begun:.3f} s '
+                f'after its start, SIGTERM at {start.told - start.begun:.3f} s',
+            )
+
+
+CHECKS: dict[str, Callable[[Evidence], Iterator[Violation]]] = {
+    'LOST': check_lost,
+    'TWICE': check_twice,
+    'REFUSED': check_refused,
+    'WHOLE': check_whole,
+    'SPEND': check_spend,
+    'DRAIN': check_drain,
+    'LATE': check_late,
+    'BACK': check_back,
+    'ENDS': check_ends,
+}
 
 
 def check_all(journal: Journal) -> list[Violation]:
--- a/packages/bench/src/ibisport_bench/soak/evidence.py
+++ b/packages/bench/src/ibisport_bench/soak/evidence.py
@@ -3,6 +3,8 @@
 import hashlib
 import math
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -192,6 +194,15 @@
         self.faults.append(fault)
         return fault
 
+    @contextmanager
+    def note(self, cause: Cause, subject: str, detail: str = '') -> Iterator[None]:
+        """Note that something is done as long as the block runs."""
+        fault = self.begin(cause, subject, detail)
+        try:
+            yield
+        finally:
+            fault.ended = read_clock()
+
 
 def read_clock() -> float:
     """Return the clock by which all evidence is timed."""
--- a/packages/bench/src/ibisport_bench/soak/processes.py
+++ b/packages/bench/src/ibisport_bench/soak/processes.py
@@ -76,17 +76,16 @@
 
     async def stop(self, patience: float) -> None:
         """SIGTERM, and SIGKILL if it still runs after some seconds."""
-        fault = self._journal.begin(Cause.stop, self.name)
-        self.start.told = read_clock()
-        self.tell(signal.SIGTERM)
-        if not await self.wait(patience):
-            self.kill()
-            await self.wait(patience)
-        fault.ended = read_clock()
+        with self._journal.note(Cause.stop, self.name):
+            self.start.told = read_clock()
+            self.tell(signal.SIGTERM)
+            if not await self.wait(patience):
+                self.kill()
+                await self.wait(patience)
 
     def kill(self) -> None:
         """SIGKILL."""
-        self.start.killed = True
+        self.start.killed = self.start.killed or self.runs
         self.tell(signal.SIGKILL)
 
     async def wait(self, seconds: float) -> bool:
@@ -104,9 +103,8 @@
         bounds = replace(self.settings.bounds, retry_slack=retry_slack)
         self.settings = replace(self.settings, bounds=bounds)
         self._file.write_text(dump_settings(self.settings))
-        fault = self._journal.begin(Cause.reload, self.name, f'slack {retry_slack}')
-        self.tell(signal.SIGHUP)
-        fault.ended = read_clock()
+        with self._journal.note(Cause.reload, self.name, f'slack {retry_slack}'):
+            self.tell(signal.SIGHUP)
 
     async def _watch(self, process: asyncio.subprocess.Process, start: Start) -> None:
         start.code = await process.wait()
--- a/packages/bench/src/ibisport_bench/soak/run.py
+++ b/packages/bench/src/ibisport_bench/soak/run.py
@@ -7,11 +7,12 @@
 from pathlib import Path
 
 from ibisport_bench.soak.callers import Callers
-from ibisport_bench.soak.checks import Violation, check_all
+from ibisport_bench.soak.checks import check_all
 from ibisport_bench.soak.evidence import Journal, read_clock
 from ibisport_bench.soak.plan import Plan
 from ibisport_bench.soak.processes import Host
 from ibisport_bench.soak.site import GRACE_S, Site
+from ibisport_bench.soak.stories import Violation
 
 READY_SECONDS = 20.0
 # Requests a second for each router, in the mean.
@@ -72,7 +73,7 @@
     callers = Callers(site.routers, site.keys, journal, seed)
     until = read_clock() + seconds
     await asyncio.gather(
-        callers.press(RATE, until), Plan(site, seed).play(until - GRACE_S)
+        callers.press(RATE, until), Plan(site, journal, seed).play(until - GRACE_S)
     )
     await callers.finish()
     await asyncio.gather(*(end_host(host) for host in site.hosts))
--- a/packages/bench/src/ibisport_bench/soak/targets.py
+++ b/packages/bench/src/ibisport_bench/soak/targets.py
@@ -94,27 +94,32 @@
     async def leave(self) -> None:
         """Drain, serve on for a while, and end; what still runs breaks off."""
         self.entry = replace(self.entry, draining=True)
-        key = await self._announce()
+        await self._announce()
         self._journal.drains[self.entry.incarnation] = read_clock()
         await asyncio.sleep(self._random.uniform(*SERVES_ON_S))
         self.end()
+        await self.withdraw()
+
+    async def withdraw(self) -> None:
+        """Remove the entry."""
         await self._wait_for_store()
-        self._service.remove(key)
+        self._service.remove(dump_target(self.entry, self._seq)[0])
 
     def end(self) -> None:
         """Close the listener and all connections."""
+        incarnation = self.entry.incarnation
+        self._journal.begin(Cause.target, incarnation, 'ended').ended = read_clock()
         self.link.close()
         if self._server is not None:
             self._server.close()
         for writer in tuple(self._writers):
             writer.transport.abort()
 
-    async def _announce(self) -> str:
+    async def _announce(self) -> None:
         await self._wait_for_store()
         self._seq += 1
         key, content = dump_target(self.entry, self._seq)
         self._service.put(key, content)
-        return key
 
     async def _wait_for_store(self) -> None:
         while self._service.faults.down:
--- a/packages/bench/src/ibisport_bench/standins/memorystore.py
+++ b/packages/bench/src/ibisport_bench/standins/memorystore.py
@@ -96,11 +96,15 @@
     def renew(self, lease: int) -> bool:
         """Let a lease last as long again; False if it has ended."""
         now = asyncio.get_running_loop().time()
-        if self._leases[lease] <= now:
+        if self._leases.get(lease, 0.0) <= now:
             return False
         self._leases[lease] = now + self._terms[lease]
         return True
 
+    def end_leases(self) -> None:
+        """Let all leases run out now."""
+        self._leases = dict.fromkeys(self._leases, 0.0)
+
     def lapse(self) -> None:
         """Remove the keys whose leases have run out; none does in an outage."""
         now = asyncio.get_running_loop().time()
