Let one faulty router for each check of the soak show that the check catches it

A mutant is made in memory by a module of the soak that starts the router's program. Its run plays the one kind of fault that brings it out.

--- /dev/null
+++ b/features/soak.feature
@@ -0,0 +1,25 @@
+Feature: A short soak of routers and relays as separate processes
+
+  Scenario: Faults in series and overlapping break no promise
+    When the soak plays seed 2 for 30 seconds with 3 routers
+    Then no check finds anything
+
+  Scenario: Routers that leave several at once lose no request
+    When the soak plays only restarts of all routers with seed 3 for 30 seconds
+    Then no check finds anything
+
+  Scenario Outline: A faulty router is caught
+    When the soak plays seed 8 for 24 seconds against the mutant <mutant>
+    Then the mutant is caught
+
+    Examples:
+      | mutant            |
+      | cut-at-stop       |
+      | repeat-all        |
+      | promise-after-run |
+      | end-broken        |
+      | lend-without-end  |
+      | overlook-drains   |
+      | overlook-versions |
+      | go-back           |
+      | never-end         |
--- /dev/null
+++ b/packages/bench/src/ibisport_bench/soak/mutants.py
@@ -0,0 +1,153 @@
+"""Routers with one fault each, made in memory, that the checks must catch.
+
+``python -m ibisport_bench.soak.mutants NAME router`` runs such a router.
+"""
+
+import asyncio
+import importlib
+import math
+import sys
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, replace
+
+from ibisport_fleet.budgets import Budgets
+from ibisport_fleet.catalogue import Route, Workspace
+from ibisport_fleet.fleetview import CatalogueView
+from ibisport_fleet.ledger import Reservation
+from ibisport_fleet.replies import Replies
+from ibisport_fleet.router import Router
+from ibisport_fleet.serving import GivenUp, Serving
+from ibisport_fleet.store import Change, Item
+from ibisport_fleet.targets import TargetEntry
+from ibisport_platform.records import decode_target
+
+# The program as it is run without a patch.
+program = importlib.import_module('ibisport_platform.__main__')
+MODULE = 'ibisport_bench.soak.mutants'
+# When a router goes back to the version before, and when it takes the new one again.
+BACK_AFTER_S = 0.6
+FORTH_AFTER_S = 2.0
+UNAVAILABLE = 503
+
+
+@dataclass(frozen=True, slots=True)
+class Mutant:
+    """One fault of a router.
+
+    Attributes:
+        check: The check that must catch it.
+        play: The name of the faults of the site that bring it out.
+        patch: Changes the program in memory.
+    """
+
+    check: str
+    play: str
+    patch: Callable[[], None]
+
+
+def patch(owner: object, name: str, value: object) -> None:
+    """Put another value in the place of one."""
+    setattr(owner, name, value)
+
+
+def cut_at_stop() -> None:
+    """End at once, under the requests that still run."""
+
+    async def leave(self: Router, listener: asyncio.Server, latest: float) -> None:
+        listener.close()
+
+    patch(Router, '_leave', leave)
+
+
+def repeat_all() -> None:
+    """Send every request again that broke off."""
+    patch(Route, 'repeatable', property(lambda route: True))
+
+
+def promise_after_run() -> None:
+    """Answer that a request has not run when its target broke off."""
+
+    def note_break(self: Serving, reason: str) -> None:
+        raise GivenUp(UNAVAILABLE, reason)
+
+    patch(Serving, '_note_break', note_break)
+
+
+def end_broken() -> None:
+    """End a stream that broke off as if it were whole."""
+    patch(Replies, 'break_off', Replies.end_stream)
+
+
+def lend_without_end() -> None:
+    """Ask no budget."""
+
+    async def reserve(
+        self: Budgets, workspace: Workspace | None, tokens: int
+    ) -> Reservation:
+        return Reservation(None, tokens)
+
+    patch(Budgets, 'reserve', reserve)
+
+
+def overlook_drains() -> None:
+    """Send to targets that leave as long as they have an entry."""
+    patch(program, 'decode_target', decode_as_ready)
+
+
+def decode_as_ready(item: Item) -> TargetEntry:
+    """Return the entry of a target as if it never left."""
+    return replace(decode_target(item), draining=False)
+
+
+def overlook_versions() -> None:
+    """Keep the first version of the catalogue until the next listing."""
+    patch(CatalogueView, 'take_change', lambda view, change, until: None)
+
+
+def go_back() -> None:
+    """Go by the version before for a while."""
+    take = CatalogueView.take_change
+
+    def swing(self: CatalogueView, change: Change, doubtful_until: float) -> None:
+        before = self.current
+        take(self, change, doubtful_until)
+        if before is None or self.current is before:
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(BACK_AFTER_S, patch, self, 'current', before)
+        loop.call_later(FORTH_AFTER_S, patch, self, 'current', self.current)
+
+    patch(CatalogueView, 'take_change', swing)
+
+
+def never_end() -> None:
+    """Stay after the last answer."""
+
+    async def wait(self: Router, until: float) -> None:
+        await asyncio.sleep(math.inf)
+
+    patch(Router, '_close_budgets', wait)
+
+
+MUTANTS: Mapping[str, Mutant] = {
+    'cut-at-stop': Mutant('LOST', 'roll_all', cut_at_stop),
+    'repeat-all': Mutant('TWICE', 'harm_target', repeat_all),
+    'promise-after-run': Mutant('REFUSED', 'harm_target', promise_after_run),
+    'end-broken': Mutant('WHOLE', 'harm_target', end_broken),
+    'lend-without-end': Mutant('SPEND', 'reload', lend_without_end),
+    'overlook-drains': Mutant('DRAIN', 'drain', overlook_drains),
+    'overlook-versions': Mutant('LATE', 'publish', overlook_versions),
+    'go-back': Mutant('BACK', 'publish', go_back),
+    'never-end': Mutant('ENDS', 'roll_one', never_end),
+}
+
+
+def main() -> None:
+    """Patch the program and run it as it is run without a patch."""
+    name = sys.argv.pop(1)
+    MUTANTS[name].patch()
+    program.main()
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/bench/src/ibisport_bench/soak/processes.py
+++ b/packages/bench/src/ibisport_bench/soak/processes.py
@@ -49,7 +49,7 @@
 
     def mutate(self, module: str, name: str) -> None:
         """Run a module of the soak that changes the program in memory."""
-        self._module = [module, name, *self._module[1:]]
+        self._module = [module, name, self._module[-1]]
 
     async def launch(self) -> None:
         """Start the process."""
