--- a/features/steps/runningrouter.py
+++ b/features/steps/runningrouter.py
@@ -315,6 +315,11 @@
         return answer.startswith(b'HTTP/1.1 200 ')
 
 
+def ask_new(site, *words):
+    """Let a caller with a connection of its own ask; see ``Caller.ask``."""
+    return site.call(Caller(site).ask(*words))
+
+
 def play_stop(replies, act, catalogue=CATALOGUE, stands_still=0.0):
     """Run a router, let callers act, stop it, and return it and what ``act`` returns.
 
--- /dev/null
+++ b/features/steps/stopping_edges_steps.py
@@ -0,0 +1,217 @@
+"""Steps on the edges of a stop: odd moments, graces, faults of the process."""
+
+import asyncio
+import math
+import os
+from functools import partial
+from unittest import mock
+
+from behave import given, then, when
+from runningrouter import (
+    PREPAID,
+    ask_new,
+    make_plain,
+    make_silence,
+    make_stream,
+    play_stop,
+    write_request,
+)
+
+from ibisport_bench.memorytransport import Link
+from ibisport_bench.standins.memorystore import ANSWER_SECONDS, MemoryService
+from ibisport_bench.virtualtime import run_virtually
+from ibisport_fleet.departure import plan_departure
+from ibisport_fleet.eventlog import EventLog
+from ibisport_fleet.membership import MEMBER_PREFIX, Membership
+
+# Longer than a way there and back: a connection that ends later than this after a
+# request was sent had brought it to the router.
+ROUND_TRIP_S = 0.01
+BEFORE_S = -0.5
+LEFT_LIST_S = 0.5
+# What the virtual clock tells apart, s.
+TIME_STEP = math.ulp(20.0)
+LATE_DEADLINE = 'Deadline-Ms: 1500\r\n'
+
+
+@when('one of its background tasks fails while a stream of {seconds:g} s runs')
+def fail_beside(context, seconds):
+    async def act(site):
+        await site.wait_until(-seconds)
+        asking = ask_new(site, write_request('stream', 'early'))
+        site.fail_task()
+        return [await asking]
+
+    context.site, context.answers = play_stop([make_stream(seconds)], act)
+
+
+@then('the process has ended by itself and tells that it failed')
+def check_failed(context):
+    assert context.site.failed and not context.site.killed, context.site.ended_at
+
+
+def _list_moments(step, first, last):
+    count = round((last - first) / step)
+    return [first + step * number for number in range(count + 1)]
+
+
+@when(
+    'the router is told to stop, writes take {write:g} s, and the last byte of a '
+    'request comes at each {step:g} s from {first:g} to {last:g} s'
+)
+def end_beside_account(context, write, step, first, last):
+    async def act(site, moment):
+        await _spend_and_slow(site, write)
+        await site.wait_until(1.0)
+        request = write_request('once', 'late', 'Deadline-Ms: 250\r\n')
+        return await ask_new(site, request[:-1], request[-1:], moment)
+
+    context.plays = [
+        play_stop([make_plain(), make_silence()], partial(act, moment=moment), PREPAID)
+        for moment in _list_moments(step, first, last)
+    ]
+
+
+@when(
+    'the router is told to stop, writes take {write:g} s, and the connection of a '
+    'caller lands in the turn that comes {seconds:g} s after the signal'
+)
+def connect_beside_look(context, write, seconds):
+    async def act(site, moment):
+        await _spend_and_slow(site, write)
+        await site.wait_until(moment)
+        return await ask_new(site, write_request('once', 'late', LATE_DEADLINE))
+
+    context.plays = [
+        play_stop([make_plain(), make_silence()], partial(act, moment=moment), PREPAID)
+        for moment in _list_around(seconds - Link().delay)
+    ]
+
+
+def _list_around(moment):
+    """Return the numbers next to one: sums of times are rounded, one of them fits."""
+    return [moment + number * TIME_STEP for number in range(-8, 9)]
+
+
+async def _spend_and_slow(site, write):
+    """Let the router hold tokens, so that it has an account, and slow the store."""
+    await site.wait_until(-1.0)
+    await ask_new(site, write_request('once', 'early', 'Token-Usage: 90,10\r\n'))
+    await site.wait_until(0.0)
+    site.service.faults.slow = write / ANSWER_SECONDS
+
+
+@then('each that the router has read is answered, and none is run and cut off')
+def check_read(context):
+    wrong = [
+        (answer, site.ended_at)
+        for site, answer in context.plays
+        if not (answer.refused or answer.whole or _crossed(site, answer))
+    ]
+    assert not wrong, wrong
+
+
+@when(
+    'the signal finds the process standing still for {still:g} s, and another stream '
+    'is asked for {seconds:g} s after that'
+)
+def stop_while_still(context, still, seconds):
+    async def act(site):
+        await site.wait_until(BEFORE_S)
+        early = ask_new(site, write_request('stream', 'early'))
+        await site.wait_until(still + seconds)
+        return await early, await ask_new(site, write_request('stream', 'late'))
+
+    replies = [make_stream(context.lengths[0])]
+    context.site, context.answers = play_stop(replies, act, stands_still=still)
+
+
+@when('a stop is planned with a grace time of {grace:g} s')
+def plan(context, grace):
+    context.grace = grace
+    context.departure = plan_departure(100.0, grace)
+
+
+@then('its moments are in order, and last answers come within its last sixth')
+def check_moments(context):
+    one = context.departure
+    killed_at = one.begun_at + context.grace
+    moments = [
+        one.begun_at,
+        one.welcome_until,
+        one.listening_until,
+        one.accounts_at,
+        one.answers_until,
+        one.ends_at,
+        killed_at,
+    ]
+    assert moments == sorted(moments), moments
+    assert killed_at - one.answers_until <= context.grace / 6, one
+
+
+@when(
+    'the router is told to stop with a grace time of {grace:g} s as the time of a '
+    'request runs out'
+)
+def stop_beside_timeout(context, grace):
+    request = write_request('once', 'short', 'Deadline-Ms: 999\r\n')
+
+    async def act(site, moment):
+        # One millisecond on the way: its time is over in the turn of the signal.
+        await site.wait_until(moment)
+        return await ask_new(site, request)
+
+    with mock.patch('runningrouter.GRACE_S', grace):
+        context.plays = [
+            play_stop(context.replies, partial(act, moment=moment))
+            for moment in _list_around(-1.0)
+        ]
+
+
+@then('each process has ended by itself')
+def check_all_ended(context):
+    killed = [answer for site, answer in context.plays if site.killed]
+    assert not killed, killed
+
+
+@given('a router in the list of routers')
+def make_member(context):
+    context.service = MemoryService()
+
+
+@when('it leaves in the middle of a renewal that takes {seconds:g} s')
+def leave_while_renewing(context, seconds):
+    async def play():
+        loop = asyncio.get_running_loop()
+        log = EventLog(os.open(os.devnull, os.O_WRONLY))
+        store = context.service.open_store('a')
+        member = Membership('a', ('a', 0), store, log, loop.time)
+        member.may_lend = True
+        task = loop.create_task(member.run())
+        await asyncio.sleep(1.0)
+        assert _list_members(context.service)
+        context.service.faults.slow = seconds / ANSWER_SECONDS
+        # The next turn begins 1.5 s after the first one has ended.
+        await asyncio.sleep(0.6)
+        member.leave()
+        await asyncio.sleep(LEFT_LIST_S + seconds)
+        context.members = _list_members(context.service)
+        task.cancel()
+
+    run_virtually(play())
+
+
+@then('it is off the list {seconds:g} s later')
+def check_off_list(context, seconds):
+    assert seconds == LEFT_LIST_S
+    assert not context.members, context.members
+
+
+def _list_members(service):
+    return [key for key in service.items if key.startswith(MEMBER_PREFIX)]
+
+
+def _crossed(site, answer):
+    """Whether a request met a close on its way, so that nobody has read it."""
+    took = answer.ended_at - answer.sent_at
+    return took <= ROUND_TRIP_S and not site.has_got('late')
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -1,10 +1,6 @@
 """Steps on a router that is told to stop, in virtual time."""
 
 import asyncio
-import math
-import os
-from functools import partial
-from unittest import mock
 
 from behave import given, then, when
 from runningrouter import (
@@ -13,6 +9,7 @@
     PREPAID,
     ROUTER,
     Caller,
+    ask_new,
     make_burst,
     make_plain,
     make_silence,
@@ -22,11 +19,6 @@
 )
 
 from ibisport_bench.memorytransport import Link
-from ibisport_bench.standins.memorystore import ANSWER_SECONDS, MemoryService
-from ibisport_bench.virtualtime import run_virtually
-from ibisport_fleet.departure import plan_departure
-from ibisport_fleet.eventlog import EventLog
-from ibisport_fleet.membership import MEMBER_PREFIX, Membership
 
 # The longest that a refusal may take: it needs no answer from anyone.
 AT_ONCE_S = 0.5
@@ -34,9 +26,6 @@
 # request was sent had brought it to the router.
 ROUND_TRIP_S = 0.01
 BEFORE_S = -0.5
-LEFT_LIST_S = 0.5
-# What the virtual clock tells apart, s.
-TIME_STEP = math.ulp(20.0)
 LATE_DEADLINE = 'Deadline-Ms: 1500\r\n'
 # A target saw the request, so the answer can't say that it did not run.
 UNCERTAIN = frozenset((500, 502, 504))
@@ -127,8 +116,8 @@
 def ask_both(context, seconds):
     async def act(site):
         await site.wait_until(seconds)
-        stream = _ask(site, write_request('stream', 'stream'))
-        plain = _ask(site, write_request('once', 'plain'))
+        stream = ask_new(site, write_request('stream', 'stream'))
+        plain = ask_new(site, write_request('once', 'plain'))
         return await stream, await plain
 
     replies = [make_stream(context.lengths[0]), make_plain()]
@@ -164,7 +153,7 @@
     async def act(site):
         await site.wait_until(BEFORE_S)
         # The process has a reason to stay as long as a stream runs.
-        holding = _ask(site, write_request('stream', 'holding'))
+        holding = ask_new(site, write_request('stream', 'holding'))
         await asyncio.sleep(ROUND_TRIP_S)
         asking = [site.call(ask(site, moment)) for moment in moments]
         await site.wait_until(first - 1.0)
@@ -204,7 +193,7 @@
 
     async def act(site):
         await site.wait_until(BEFORE_S)
-        asking = [_ask(site, write_request(k, k)) for k in kinds]
+        asking = [ask_new(site, write_request(k, k)) for k in kinds]
         answers = await asyncio.gather(*asking)
         assert all(site.has_got(kind) for kind in kinds), site.target.requests
         return answers
@@ -232,7 +221,7 @@
         await site.wait_until(seconds)
         asking = []
         for kind in ('idempotent', 'stream'):
-            asking.append(_ask(site, write_request(kind, kind)))
+            asking.append(ask_new(site, write_request(kind, kind)))
             await asyncio.sleep(ROUND_TRIP_S)
         return await asyncio.gather(*asking)
 
@@ -253,7 +242,7 @@
 def ask_before(context, seconds):
     async def act(site):
         await site.wait_until(BEFORE_S)
-        return [await _ask(site, write_request('stream', 'early'))]
+        return [await ask_new(site, write_request('stream', 'early'))]
 
     replies = [make_stream(seconds - BEFORE_S)]
     context.site, context.answers = play_stop(replies, act)
@@ -266,11 +255,11 @@
 def ask_beside(context, seconds, first, second):
     async def act(site):
         await site.wait_until(BEFORE_S)
-        asking = [_ask(site, write_request('stream', 'early'))]
+        asking = [ask_new(site, write_request('stream', 'early'))]
         for moment in (first, second):
             await site.wait_until(moment)
             request = write_request('once', f'at-{moment}', LATE_DEADLINE)
-            asking.append(_ask(site, request))
+            asking.append(ask_new(site, request))
         return await asyncio.gather(*asking)
 
     replies = [make_stream(seconds - BEFORE_S), make_plain()]
@@ -284,10 +273,10 @@
 def ask_on_fresh(context, seconds, first, pause):
     async def act(site):
         await site.wait_until(BEFORE_S)
-        early = _ask(site, write_request('stream', 'early'))
+        early = ask_new(site, write_request('stream', 'early'))
         await site.wait_until(first)
         request = write_request('once', 'fresh', LATE_DEADLINE)
-        fresh = _ask(site, b'', request, first + pause)
+        fresh = ask_new(site, b'', request, first + pause)
         return await asyncio.gather(early, fresh)
 
     replies = [make_stream(seconds - BEFORE_S), make_plain()]
@@ -302,10 +291,10 @@
 def ask_late(context, seconds, first, second):
     async def act(site):
         await site.wait_until(BEFORE_S)
-        early = _ask(site, write_request('stream', 'early'))
-        kept = _ask(site, b'', write_request('stream', 'kept'), first)
+        early = ask_new(site, write_request('stream', 'early'))
+        kept = ask_new(site, b'', write_request('stream', 'kept'), first)
         await site.wait_until(second)
-        new = await _ask(site, write_request('stream', 'new'))
+        new = await ask_new(site, write_request('stream', 'new'))
         return await early, await kept, new
 
     context.site, context.answers = play_stop([make_stream(seconds - BEFORE_S)], act)
@@ -324,183 +313,6 @@
     assert least <= back_at + ROUND_TRIP_S < most + ROUND_TRIP_S * 2, new
 
 
-@when('one of its background tasks fails while a stream of {seconds:g} s runs')
-def fail_beside(context, seconds):
-    async def act(site):
-        await site.wait_until(-seconds)
-        asking = _ask(site, write_request('stream', 'early'))
-        site.fail_task()
-        return [await asking]
-
-    context.site, context.answers = play_stop([make_stream(seconds)], act)
-
-
-@then('the process has ended by itself and tells that it failed')
-def check_failed(context):
-    assert context.site.failed and not context.site.killed, context.site.ended_at
-
-
-def _list_moments(step, first, last):
-    count = round((last - first) / step)
-    return [first + step * number for number in range(count + 1)]
-
-
-@when(
-    'the router is told to stop, writes take {write:g} s, and the last byte of a '
-    'request comes at each {step:g} s from {first:g} to {last:g} s'
-)
-def end_beside_account(context, write, step, first, last):
-    async def act(site, moment):
-        await _spend_and_slow(site, write)
-        await site.wait_until(1.0)
-        request = write_request('once', 'late', 'Deadline-Ms: 250\r\n')
-        return await _ask(site, request[:-1], request[-1:], moment)
-
-    context.plays = [
-        play_stop([make_plain(), make_silence()], partial(act, moment=moment), PREPAID)
-        for moment in _list_moments(step, first, last)
-    ]
-
-
-@when(
-    'the router is told to stop, writes take {write:g} s, and the connection of a '
-    'caller lands in the turn that comes {seconds:g} s after the signal'
-)
-def connect_beside_look(context, write, seconds):
-    async def act(site, moment):
-        await _spend_and_slow(site, write)
-        await site.wait_until(moment)
-        return await _ask(site, write_request('once', 'late', LATE_DEADLINE))
-
-    context.plays = [
-        play_stop([make_plain(), make_silence()], partial(act, moment=moment), PREPAID)
-        for moment in _list_around(seconds - Link().delay)
-    ]
-
-
-def _list_around(moment):
-    """Return the numbers next to one: sums of times are rounded, one of them fits."""
-    return [moment + number * TIME_STEP for number in range(-8, 9)]
-
-
-async def _spend_and_slow(site, write):
-    """Let the router hold tokens, so that it has an account, and slow the store."""
-    await site.wait_until(-1.0)
-    await _ask(site, write_request('once', 'early', 'Token-Usage: 90,10\r\n'))
-    await site.wait_until(0.0)
-    site.service.faults.slow = write / ANSWER_SECONDS
-
-
-@then('each that the router has read is answered, and none is run and cut off')
-def check_read(context):
-    wrong = [
-        (answer, site.ended_at)
-        for site, answer in context.plays
-        if not (answer.refused or answer.whole or _crossed(site, answer))
-    ]
-    assert not wrong, wrong
-
-
-@when(
-    'the signal finds the process standing still for {still:g} s, and another stream '
-    'is asked for {seconds:g} s after that'
-)
-def stop_while_still(context, still, seconds):
-    async def act(site):
-        await site.wait_until(BEFORE_S)
-        early = _ask(site, write_request('stream', 'early'))
-        await site.wait_until(still + seconds)
-        return await early, await _ask(site, write_request('stream', 'late'))
-
-    replies = [make_stream(context.lengths[0])]
-    context.site, context.answers = play_stop(replies, act, stands_still=still)
-
-
-@when('a stop is planned with a grace time of {grace:g} s')
-def plan(context, grace):
-    context.grace = grace
-    context.departure = plan_departure(100.0, grace)
-
-
-@then('its moments are in order, and last answers come within its last sixth')
-def check_moments(context):
-    one = context.departure
-    killed_at = one.begun_at + context.grace
-    moments = [
-        one.begun_at,
-        one.welcome_until,
-        one.listening_until,
-        one.accounts_at,
-        one.answers_until,
-        one.ends_at,
-        killed_at,
-    ]
-    assert moments == sorted(moments), moments
-    assert killed_at - one.answers_until <= context.grace / 6, one
-
-
-@when(
-    'the router is told to stop with a grace time of {grace:g} s as the time of a '
-    'request runs out'
-)
-def stop_beside_timeout(context, grace):
-    request = write_request('once', 'short', 'Deadline-Ms: 999\r\n')
-
-    async def act(site, moment):
-        # One millisecond on the way: its time is over in the turn of the signal.
-        await site.wait_until(moment)
-        return await _ask(site, request)
-
-    with mock.patch('runningrouter.GRACE_S', grace):
-        context.plays = [
-            play_stop(context.replies, partial(act, moment=moment))
-            for moment in _list_around(-1.0)
-        ]
-
-
-@then('each process has ended by itself')
-def check_all_ended(context):
-    killed = [answer for site, answer in context.plays if site.killed]
-    assert not killed, killed
-
-
-@given('a router in the list of routers')
-def make_member(context):
-    context.service = MemoryService()
-
-
-@when('it leaves in the middle of a renewal that takes {seconds:g} s')
-def leave_while_renewing(context, seconds):
-    async def play():
-        loop = asyncio.get_running_loop()
-        log = EventLog(os.open(os.devnull, os.O_WRONLY))
-        store = context.service.open_store('a')
-        member = Membership('a', ('a', 0), store, log, loop.time)
-        member.may_lend = True
-        task = loop.create_task(member.run())
-        await asyncio.sleep(1.0)
-        assert _list_members(context.service)
-        context.service.faults.slow = seconds / ANSWER_SECONDS
-        # The next turn begins 1.5 s after the first one has ended.
-        await asyncio.sleep(0.6)
-        member.leave()
-        await asyncio.sleep(LEFT_LIST_S + seconds)
-        context.members = _list_members(context.service)
-        task.cancel()
-
-    run_virtually(play())
-
-
-@then('it is off the list {seconds:g} s later')
-def check_off_list(context, seconds):
-    assert seconds == LEFT_LIST_S
-    assert not context.members, context.members
-
-
-def _list_members(service):
-    return [key for key in service.items if key.startswith(MEMBER_PREFIX)]
-
-
 @then('all answers are whole')
 def check_all(context):
     for answer in context.answers:
@@ -512,17 +324,6 @@
     assert not context.site.killed, context.site.ended_at
 
 
-def _crossed(site, answer):
-    """Whether a request met a close on its way, so that nobody has read it."""
-    took = answer.ended_at - answer.sent_at
-    return took <= ROUND_TRIP_S and not site.has_got('late')
-
-
-def _ask(site, *words):
-    """Let a caller of its own ask."""
-    return site.call(Caller(site).ask(*words))
-
-
 def _check_refusal(site, answer, name):
     assert answer.whole and answer.status == 503, (answer, site.ended_at)
     assert float(answer.headers[b'retry-after']) > 0, answer
