--- a/packages/bench/src/ibisport_bench/budgetworld.py
+++ b/packages/bench/src/ibisport_bench/budgetworld.py
@@ -8,6 +8,8 @@
 
 from ibisport_bench.standins.memorystore import MemoryService
 from ibisport_fleet.addresses import Address
+from ibisport_fleet.budgetkeeper import PAGE_KEY
+from ibisport_fleet.budgetpage import load_page
 from ibisport_fleet.budgets import Budgets, Short
 from ibisport_fleet.catalogue import Catalogue, Workspace
 from ibisport_fleet.clocks import Clocks
@@ -19,6 +21,8 @@
 from ibisport_fleet.store import Item
 
 RESTART_SECONDS = 1.2
+# After a planned stop the next process is there sooner.
+ROLL_RESTART_SECONDS = 0.5
 # One way between two hosts.
 LINK_SECONDS = 0.001
 
@@ -68,7 +72,7 @@
 
 
 class BudgetWorld:
-    """Some hosts that spend one workspace's budget.
+    """Some hosts that spend the budgets of one workspace or several.
 
     Attributes:
         service: The store that they share, and its faults.
@@ -77,9 +81,18 @@
         outcomes: How often requests were served and refused, by reason.
         apart: Names of the hosts that reach no other host.
         lose_loans: Share of the loans whose answers are lost.
+        workspace: The first workspace.
     """
 
-    def __init__(self, hosts: int, budget: int, seed: int) -> None:
+    def __init__(self, hosts: int, budget: int, seed: int, workspaces: int = 1) -> None:
+        """Build the world; nothing runs yet.
+
+        Args:
+            hosts: How many hosts there are.
+            budget: Tokens paid for by each workspace.
+            seed: Of the store's faults and the links'.
+            workspaces: How many workspaces there are.
+        """
         self.service = MemoryService(seed)
         self.delivered = 0
         self.delivered_by: Counter[str] = Counter()
@@ -87,6 +100,11 @@
         self.apart: set[str] = set()
         self.lose_loans = 0.0
         self.workspace = Workspace('acme', None, budget)
+        self._workspaces = [
+            self.workspace,
+            *(Workspace(f'acme-{one}', None, budget) for one in range(1, workspaces)),
+        ]
+        self._spent: Counter[str] = Counter()
         self._log = EventLog(os.open(os.devnull, os.O_WRONLY))
         self._view = CatalogueView('', self._decode, self._log)
         self._view.current = self._build_catalogue()
@@ -109,6 +127,29 @@
             if host.budgets is not None
         )
 
+    @property
+    def overspent(self) -> int:
+        """Tokens that callers got, or may have got, beyond the budgets."""
+        return sum(
+            max(0, self._spent[one.name] - (one.budget or 0))
+            for one in self._workspaces
+        )
+
+    def count_stranded(self) -> int:
+        """Return what counts as spent in the page or at a host, and was not."""
+        page = load_page(self.service.items[PAGE_KEY].content)
+        counted = sum(account.closed for account in page.accounts.values())
+        for host in self._hosts:
+            if host.budgets is not None:
+                counted += sum(
+                    host.budgets.find_used(one.name) for one in self._workspaces
+                )
+        return counted - self.delivered
+
+    def takes(self, number: int) -> bool:
+        """Whether a process runs on a host."""
+        return self._hosts[number % len(self._hosts)].budgets is not None
+
     def start_all(self) -> None:
         """Start a process on each host."""
         for number in range(len(self._hosts)):
@@ -171,17 +212,33 @@
             return
         budgets.leave()
         await asyncio.sleep(seconds)
+        if host.budgets is not budgets:
+            # It was killed meanwhile.
+            return
         host.budgets = None
         for task in tuple(host.tasks):
             task.cancel()
         await budgets.close()
 
+    async def roll(self, number: int, seconds: float) -> None:
+        """Let a host's process leave; another starts a moment after its end."""
+        await self.leave(number, seconds)
+        await asyncio.sleep(ROLL_RESTART_SECONDS)
+        self.start(number)
+
     def list_lenders(self, number: int) -> list[str]:
         """Return the lenders in a host's newest list, the first one first."""
         budgets = self._hosts[number % len(self._hosts)].budgets
         return [] if budgets is None else budgets.list_lenders(self.workspace.name)
 
-    def ask(self, number: int, tokens: int, share: float, seconds: float) -> None:
+    def ask(
+        self,
+        number: int,
+        tokens: int,
+        share: float,
+        seconds: float,
+        payer: int = 0,
+    ) -> None:
         """Let a caller send a request to a host.
 
         Args:
@@ -189,10 +246,12 @@
             tokens: The most that it may cost.
             share: The part of it that it costs in the end.
             seconds: How long it runs.
+            payer: Which workspace pays.
         """
         host = self._hosts[number % len(self._hosts)]
+        workspace = self._workspaces[payer]
         if host.budgets is not None:
-            self._spawn(host, self._serve(host, tokens, share, seconds))
+            self._spawn(host, self._serve(host, workspace, tokens, share, seconds))
 
     async def borrow(self, number: int, tokens: int) -> None:
         """Reserve tokens for a request at a host, and never run it."""
@@ -201,26 +260,34 @@
             await budgets.reserve(self.workspace, tokens)
 
     async def _serve(
-        self, host: Host, tokens: int, share: float, seconds: float
+        self,
+        host: Host,
+        workspace: Workspace,
+        tokens: int,
+        share: float,
+        seconds: float,
     ) -> None:
         budgets = host.budgets
         if budgets is None:
             return
         try:
-            held = await budgets.reserve(self.workspace, tokens)
+            held = await budgets.reserve(workspace, tokens)
         except Short as short:
             self.outcomes['spent' if short.pause is None else 'short'] += 1
             return
         # Until it has ended nobody can tell how much of it was delivered.
-        self.delivered += tokens
-        self.delivered_by[host.name] += tokens
+        self._count(host, workspace, tokens)
         await asyncio.sleep(seconds)
         held.spent = int(tokens * share)
         budgets.settle(held)
-        self.delivered -= tokens - held.spent
-        self.delivered_by[host.name] -= tokens - held.spent
+        self._count(host, workspace, held.spent - tokens)
         self.outcomes['served'] += 1
 
+    def _count(self, host: Host, workspace: Workspace, tokens: int) -> None:
+        self.delivered += tokens
+        self.delivered_by[host.name] += tokens
+        self._spent[workspace.name] += tokens
+
     def _spawn(self, host: Host, work: Any) -> None:
         task = asyncio.get_running_loop().create_task(work)
         host.tasks.add(task)
@@ -230,5 +297,5 @@
         raise RecordInvalid(item.key)
 
     def _build_catalogue(self) -> Catalogue:
-        name = self.workspace.name
-        return Catalogue(1, 1, (), {}, {name: self.workspace}, {}, needs_keys=True)
+        workspaces = {one.name: one for one in self._workspaces}
+        return Catalogue(1, 1, (), {}, workspaces, {}, needs_keys=True)
--- a/packages/bench/src/ibisport_bench/standins/memorystore.py
+++ b/packages/bench/src/ibisport_bench/standins/memorystore.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
 from ibisport_fleet.errors import HistoryLost, StoreUnavailable, StoreUnknown
@@ -50,7 +50,19 @@
 
 
 class MemoryService:
-    """What all callers share: the keys, the leases and the history."""
+    """What all callers share: the keys, the leases and the history.
+
+    Attributes:
+        faults: What goes wrong now.
+        items: The keys.
+        revision: Of the newest write.
+        first_kept: The history before this revision is dropped.
+        history: All changes.
+        calls: Ways to and from the store, all callers together.
+        random: Draws the faults.
+        links: Bytes a second on callers' links, for conditional writes; a link that
+            isn't named carries them at once.
+    """
 
     def __init__(self, seed: int = 1) -> None:
         self.faults = Faults()
@@ -60,6 +72,7 @@
         self.history: list[Change] = []
         self.calls = 0
         self.random = random.Random(seed)
+        self.links: dict[str, float] = {}
         self._leases: dict[int, float] = {}
         self._terms: dict[int, float] = {}
         self._leased: dict[str, int] = {}
@@ -195,7 +208,7 @@
         """Write all keys if all conditions hold, with the faults of the time."""
         service = self._service
         try:
-            await self._travel()
+            await self._travel(puts)
         except asyncio.CancelledError:
             # The caller died; its call is on its way all the same.
             delay = service.random.uniform(0.0, LONGEST_DELAY_S)
@@ -213,7 +226,7 @@
                 await self._stay_silent()
             await asyncio.sleep(PATIENCE_SECONDS)
             outcome = service.commit(conditions, puts)
-        await self._travel()
+        await self._travel(outcome.items if isinstance(outcome, Conflict) else ())
         return outcome
 
     async def grant_lease(self, seconds: float) -> tuple[int, float]:
@@ -240,10 +253,14 @@
         """Whether the service answers."""
         return not self._service.faults.down
 
-    async def _travel(self) -> None:
+    async def _travel(self, carried: Iterable[Item | Put] = ()) -> None:
         faults = self._service.faults
         self._service.calls += 1
-        await asyncio.sleep(ANSWER_SECONDS / 2 * faults.slow)
+        seconds = ANSWER_SECONDS / 2 * faults.slow
+        link = self._service.links.get(self._caller)
+        if link is not None:
+            seconds += sum(len(one.content) for one in carried) / link
+        await asyncio.sleep(seconds)
         if self._caller in faults.cut:
             await self._stay_silent()
         if faults.down:
