Let a leaving lender lend on until others' lists leave it out

Cause: lists of routers differ by up to 1.5 s. Who left was off the list at once, so of 30 routers at times one to three were on it. Change: a router stays on the list up to 1.3 s after the signal and lends up to 3.0 s; one that is asked for a loan holds a reserve for 2 s more.

The scenario of a lender that leaves asked that 2 s after the signal nobody lists it, since it refused from the signal on. It lends until 3 s now; the scenario asks that nobody lists it then, and that no request of the 8 seconds is refused. The mixtures of faults have planned stops, of one router and of all in turn, as well.

--- a/features/budgets.feature
+++ b/features/budgets.feature
@@ -74,6 +74,12 @@
     When one of them is killed and the page changes every 8 ms
     Then its next process has accounted for it within 4 seconds
 
+  Scenario: Routers that are stopped one after another refuse hardly anything
+    Given budgets that are nearly whole, and 30 routers on narrow links
+    When all of them are stopped and started in turn, twice, with 3 seeds
+    Then at most 2 % of the requests are refused
+    And no budget is overspent and less than 0.1 % of all is stranded
+
   Scenario: What a host holds nothing of takes no place on the shared page
     Given 5 routers that have run for 6 seconds with 24 budgets
     Then the page tells of no share that holds nothing
--- a/features/departures.feature
+++ b/features/departures.feature
@@ -24,7 +24,8 @@
   Scenario: A lender that leaves is asked no more
     Given 5 routers whose requests borrow from one lender
     When the lender is told to stop and ends 4 seconds later
-    Then 2 seconds after it was told no other router takes it for a lender
+    Then 3 seconds after it was told no other router takes it for a lender
+    And none of the requests of these 8 seconds is refused
     And within 8 seconds the shared page is written at most 100 times
 
   Scenario: A router that ends gives back what its last requests didn't need
--- a/features/steps/budgets_steps.py
+++ b/features/steps/budgets_steps.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import random
+from statistics import mean
 
 from behave import given, then, when
 from hypothesis import HealthCheck, settings, strategies
 from hypothesis import given as forall
 
 from ibisport_bench.budgetworld import BudgetWorld
+from ibisport_bench.experiments.budgetrolls import play_rolls
 from ibisport_bench.virtualtime import run_virtually
 from ibisport_fleet.budgetkeeper import PAGE_KEY
 from ibisport_fleet.budgetpage import load_page
@@ -23,6 +25,8 @@
         'kill',
         'kill all',
         'stop',
+        'roll',
+        'roll all',
         'cut',
         'cut all',
         'apart',
@@ -44,6 +48,10 @@
 )
 
 
+# The loop keeps no reference to a task.
+ROLLS = set()
+
+
 async def _press(world, seconds, per_second, rng):
     """Send requests to all hosts for some seconds."""
     for _ in range(int(seconds * per_second)):
@@ -59,6 +67,18 @@
         await asyncio.sleep(1 / 30)
 
 
+def _roll(world, fault, number):
+    """Stop one host's process, or all in turn; they leave while callers go on."""
+
+    async def leave(turn, number):
+        await asyncio.sleep(0.25 * turn)
+        await world.roll(number, 3.3)
+
+    hosts = [number] if fault == 'roll' else range(5)
+    for turn, host in enumerate(hosts):
+        ROLLS.add(asyncio.get_running_loop().create_task(leave(turn, host)))
+
+
 async def _hurt(world, fault, number, seconds, rng):
     faults = world.service.faults
     match fault:
@@ -69,6 +89,8 @@
                 world.kill(host)
         case 'stop':
             await world.stop(number)
+        case 'roll' | 'roll all':
+            _roll(world, fault, number)
         case 'cut':
             faults.cut = {world.names[number]}
         case 'cut all':
@@ -433,6 +455,29 @@
     assert after.incarnation != before.incarnation
 
 
+@given('budgets that are nearly whole, and 30 routers on narrow links')
+def note_rolls(context):
+    context.play = play_rolls
+
+
+@when('all of them are stopped and started in turn, twice, with {count:d} seeds')
+def play_seeds(context, count):
+    context.reports = [context.play(seed) for seed in range(1, count + 1)]
+
+
+@then('at most {percent:d} % of the requests are refused')
+def check_rolled(context, percent):
+    refused = mean(report.refused for report in context.reports)
+    assert refused * 100 <= percent, context.reports
+
+
+@then('no budget is overspent and less than {percent:g} % of all is stranded')
+def check_rolled_budgets(context, percent):
+    for report in context.reports:
+        assert report.overspent == 0, report
+        assert 0 <= report.stranded * 100 < percent, report
+
+
 @given('5 routers that have run for {seconds:d} seconds with {count:d} budgets')
 def run_calmly(context, seconds, count):
     async def run():
--- a/features/steps/departures_steps.py
+++ b/features/steps/departures_steps.py
@@ -35,6 +35,7 @@
 REQUEST_TOKENS = 2_000
 REQUESTS_PER_SECOND = 60
 SETTLING_S = 10.0
+UNLISTED_S = 3
 SETTINGS = """
 node = "host-0"
 ip = "127.0.0.1"
@@ -264,9 +265,9 @@
         others = [one for one in hosts if one != number]
         leaving = asyncio.create_task(world.leave(number, seconds))
         revision = world.service.revision
-        await press(world, 2, others)
+        await press(world, UNLISTED_S, others)
         context.listed = [world.list_lenders(one) for one in others]
-        await press(world, 6, others)
+        await press(world, 8 - UNLISTED_S, others)
         await leaving
         context.page_writes = sum(
             change.key == PAGE_KEY and change.revision > revision
@@ -277,7 +278,13 @@
     run_virtually(play())
 
 
-@then('2 seconds after it was told no other router takes it for a lender')
+@then('none of the requests of these 8 seconds is refused')
+def check_none_refused(context):
+    assert not context.outcomes['short'] + context.outcomes['spent'], context.outcomes
+    assert context.outcomes['served'], context.outcomes
+
+
+@then('3 seconds after it was told no other router takes it for a lender')
 def check_unlisted(context):
     listing = [one for one in context.listed if context.lender in one]
     assert not listing, (context.lender, context.listed)
--- a/packages/fleet/src/ibisport_fleet/budgets.py
+++ b/packages/fleet/src/ibisport_fleet/budgets.py
@@ -14,6 +14,7 @@
 from ibisport_fleet.calls import draw_pause
 from ibisport_fleet.catalogue import Workspace
 from ibisport_fleet.clocks import SYSTEM_CLOCKS, Clocks
+from ibisport_fleet.departure import Departure
 from ibisport_fleet.errors import FleetError, RecordInvalid, StoreError
 from ibisport_fleet.eventlog import Event, EventLog
 from ibisport_fleet.fleetview import CatalogueView
@@ -31,6 +32,12 @@
 DRAW_SECONDS = 0.6
 # The same while calls fail: sooner with another router than waiting here.
 FAILING_DRAW_SECONDS = 0.1
+# A router that is asked for a loan holds a reserve for so long, whatever its own list
+# says: borrowers ask by theirs, and the two differ by up to 1.5 s. Without it each such
+# loan was a write of the page, and of 30 routers that stopped one after another 0.024
+# instead of 0.007 of the requests were refused in the model. Borrowers leave a lender
+# alone for as long.
+ASKED_SECONDS = 2.0
 # Another router may have tokens left of the same budget, and a retry reaches
 # another one.
 SHORT_PAUSE_S = 0.15
@@ -76,7 +83,8 @@
         self._wake = asyncio.Event()
         self._drawn = asyncio.Event()
         self._failing = False
-        self._leaving = False
+        self._departure: Departure | None = None
+        self._asked_until: dict[str, float] = {}
         self._closing = False
 
     @property
@@ -92,11 +100,16 @@
         """Return the hosts that lend a workspace's tokens, the first one first."""
         return rank_lenders(self._members.current, workspace)
 
-    def leave(self) -> None:
-        """Lend nothing more; what is held goes back."""
-        self._leaving = True
-        self._members.leave()
-        self._wake.set()
+    def leave(self, departure: Departure) -> None:
+        """Leave the list of lenders, and then lend nothing more; the rest goes back.
+
+        Args:
+            departure: When.
+        """
+        self._departure = departure
+        loop = asyncio.get_running_loop()
+        loop.call_at(departure.listed_until, self._members.leave)
+        loop.call_at(departure.lends_until, self._wake.set)
 
     async def lend(self, request: LoanRequest) -> Loan:
         """Lend tokens to another router, which counts as spending them.
@@ -112,8 +125,9 @@
             self._ledger.find(workspace.name).note_asked(
                 -request.repaid, self._clocks.boot()
             )
-        if self._leaving or not request.tokens:
+        if self._lent_last or not request.tokens:
             return Loan(0, 0, certain=False)
+        self._asked_until[workspace.name] = self._clocks.boot() + ASKED_SECONDS
         try:
             held = await self._reserve_own(workspace, request.tokens)
         except Short as short:
@@ -196,7 +210,7 @@
                 self._note_failure(error)
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
-            self._members.may_lend = self._keeper.settled and not self._leaving
+            self._members.may_lend = self._keeper.settled and self._departure is None
             drawn, self._drawn = self._drawn, asyncio.Event()
             drawn.set()
             self._failing = False
@@ -249,10 +263,19 @@
                 return held
         raise self._explain(workspace, tokens)
 
+    @property
+    def _lent_last(self) -> bool:
+        """Whether the router leaves and lends nothing any more."""
+        if self._departure is None:
+            return False
+        return asyncio.get_running_loop().time() >= self._departure.lends_until
+
     def _lends(self, workspace: str) -> bool:
-        ranked = rank_lenders(self._members.current, workspace)
-        known = self._members.listed and not self._leaving
-        return known and ranked[0] == self._host
+        if self._lent_last or not self._members.listed:
+            return False
+        if self._clocks.boot() < self._asked_until.get(workspace, 0.0):
+            return True
+        return rank_lenders(self._members.current, workspace)[0] == self._host
 
     def _find_workspace(self, name: str) -> Workspace | None:
         current = self._catalogue.current
--- a/packages/fleet/src/ibisport_fleet/departure.py
+++ b/packages/fleet/src/ibisport_fleet/departure.py
@@ -14,6 +14,12 @@
 # since too many routers leave at once, is taken only if the answer is due before the
 # end: streams of 4 s that came 3 s after the signal were cut off.
 WELCOME_S = 2.8
+# The others' lists are up to 1.5 s old. A lender that leaves stays on them at first, so
+# that among 30 routers that stop one after another few are missing, and lends as long
+# as it may still be asked: refused in the model 0.007 of the requests, and 0.026 if it
+# was taken off at once.
+LISTED_S = 1.3
+LENDING_S = 3.0
 # The first of many routers that stopped together end so long after their signal: what
 # they had last taken takes two seconds. A start takes half a second more.
 BACK_S = 5.0
@@ -35,6 +41,8 @@
 
     Attributes:
         begun_at: The process was told to stop.
+        listed_until: It is on the list of lenders.
+        lends_until: It lends to other routers.
         welcome_until: Requests are taken however long they may last.
         listening_until: New connections are accepted.
         back_at: The first routers that were told to stop at the same time start again.
@@ -44,6 +52,8 @@
     """
 
     begun_at: float
+    listed_until: float
+    lends_until: float
     welcome_until: float
     listening_until: float
     back_at: float
@@ -72,6 +82,8 @@
     scale = min(1.0, grace / WHOLE_GRACE_S)
     return Departure(
         begun_at=begun_at,
+        listed_until=begun_at + LISTED_S * scale,
+        lends_until=begun_at + LENDING_S * scale,
         welcome_until=begun_at + WELCOME_S * scale,
         listening_until=begun_at + NOTICE_S * scale,
         back_at=begun_at + BACK_S * scale,
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -184,7 +184,7 @@
         departure = plan_departure(now, self._settings.bounds.stop_grace)
         self._handler.leave(departure)
         self._callers.leaving = True
-        self._budgets.leave()
+        self._budgets.leave(departure)
         self._stopped.set_result(departure)
 
     def reload(self) -> None:
