--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -188,7 +188,7 @@
         departure = plan_departure(self._find_signal(), grace)
         self._handler.leave(departure)
         self._callers.leaving = True
-        self._budgets.leave()
+        self._budgets.leave(departure)
         self._stopped.set_result(departure)
 
     def _find_signal(self) -> float:
