Tell a stand-in store's revision as of its answer, not as of the answer's arrival

The stand-in collected a watch's changes, let the answer travel, and then told the store's newest revision: a change in these 2 ms was in no answer. The listing had the same. Change: the revision is taken with the changes.

--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -70,3 +70,8 @@
     Given two engines of which one has fallen silent with a request on its way
     When an engine is chosen 0.5 and 1 seconds later
     Then the silent one is its prompt's home at first, and left alone then
+
+  Scenario: What changes while a watch's answer is on its way comes with the next one
+    Given a store with a watch that is about to answer
+    When a second key changes while the answer is on its way
+    Then the next watch from the answer's revision brings it
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -11,7 +11,7 @@
 from hypothesis import HealthCheck, settings, strategies
 from hypothesis import given as forall
 
-from ibisport_bench.standins.memorystore import MemoryService
+from ibisport_bench.standins.memorystore import ANSWER_SECONDS, MemoryService
 from ibisport_bench.virtualtime import run_virtually
 from ibisport_fleet.allowance import Demand, plan_contact_cap, plan_share
 from ibisport_fleet.budgetpage import (
@@ -510,3 +510,31 @@
 def check_left(context):
     assert context.chosen[0] is context.home
     assert context.chosen[1] is not context.home
+
+
+@given('a store with a watch that is about to answer')
+def note_watch(context):
+    context.service = MemoryService()
+
+
+@when('a second key changes while the answer is on its way')
+def change_beside_answer(context):
+    async def play():
+        service = context.service
+        store = service.open_store('a')
+        watching = asyncio.create_task(store.watch('key/', service.revision, 5.0))
+        await asyncio.sleep(1.0)
+        service.put('key/1', b'')
+        # Half of the way of the answer.
+        await asyncio.sleep(ANSWER_SECONDS / 4)
+        service.put('key/2', b'')
+        first = await watching
+        second = await store.watch('key/', first.revision, 5.0)
+        context.seen = [[one.key for one in found.changes] for found in (first, second)]
+
+    run_virtually(play())
+
+
+@then("the next watch from the answer's revision brings it")
+def check_next_watch(context):
+    assert context.seen == [['key/1'], ['key/2']], context.seen
--- a/packages/bench/src/ibisport_bench/standins/memorystore.py
+++ b/packages/bench/src/ibisport_bench/standins/memorystore.py
@@ -188,8 +188,10 @@
         items = [
             item for key, item in self._service.items.items() if key.startswith(prefix)
         ]
+        # What changes while the answer is on its way is not in it.
+        revision = self._service.revision
         await self._carry(items)
-        return Listing(tuple(items), self._service.revision)
+        return Listing(tuple(items), revision)
 
     async def watch(self, prefix: str, after: int, wait: float) -> Changes:
         """Return what changed after a revision."""
@@ -202,9 +204,10 @@
             for one in self._service.history
             if one.revision > after and one.key.startswith(prefix)
         )
+        revision = self._service.revision
         await self._travel()
         await self._carry([one for one in changes if isinstance(one, Item)])
-        return Changes(changes, self._service.revision)
+        return Changes(changes, revision)
 
     async def write(
         self, conditions: Sequence[Condition], puts: Sequence[Put]
