--- a/features/steps/runningrouter.py
+++ b/features/steps/runningrouter.py
@@ -78,26 +78,27 @@
     return Reply([b''], pause=LONGEST_PLAY_S)
 
 
-def _route(kind, most_targets=1):
+def make_route(name, kind, most_targets=1, *, resumable=False, time_limit=TIME_LIMIT_S):
+    """Return a route to the only service, below the path of its name."""
     return Route(
-        name=kind.value,
+        name=name,
         host='h.example',
-        prefix=f'/{kind.value}/',
+        prefix=f'/{name}/',
         kind=kind,
         shares=(ServiceShare('svc', 1.0),),
-        time_limit=TIME_LIMIT_S,
+        time_limit=time_limit,
         objective=0.5,
         rank=1,
         most_targets=most_targets,
         public=False,
-        resumable=False,
+        resumable=resumable,
     )
 
 
 CATALOGUE = Catalogue(
     version=1,
     revision=2,
-    routes=tuple(_route(kind) for kind in RouteKind),
+    routes=tuple(make_route(kind.value, kind) for kind in RouteKind),
     services={'svc': Service('svc', 10, None)},
     workspaces={'acme': Workspace('acme', 1, None)},
     keys={KEY: 'acme'},
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -7,15 +7,14 @@
 from behave import given, then, when
 from hypothesis import HealthCheck, settings, strategies
 from hypothesis import given as forall
+from runningrouter import KEY, make_route
 
 from ibisport_bench.standins.memorystore import MemoryService
 from ibisport_bench.standins.scripted import Reply, ScriptedTarget
 from ibisport_fleet.catalogue import (
     Catalogue,
-    Route,
     RouteKind,
     Service,
-    ServiceShare,
     Workspace,
 )
 from ibisport_fleet.departure import NOTICE_S
@@ -65,22 +64,11 @@
     'unsigned': Reply([OK + b'Content-Length: 5\r\n\r\nwrong']),
     'silent': Reply([b''], pause=5.0),
 }
-KEY = 'key-of-acme'
 
 
 def _route(name, kind, most_targets, resumable=False, time_limit=6.0):
-    return Route(
-        name=name,
-        host='h.example',
-        prefix=f'/{name}/',
-        kind=kind,
-        shares=(ServiceShare('svc', 1.0),),
-        time_limit=time_limit,
-        objective=0.5,
-        rank=1,
-        most_targets=most_targets,
-        public=False,
-        resumable=resumable,
+    return make_route(
+        name, kind, most_targets, resumable=resumable, time_limit=time_limit
     )
 
 
