--- a/packages/bench/src/ibisport_bench/soak/mutants.py
+++ b/packages/bench/src/ibisport_bench/soak/mutants.py
@@ -21,8 +21,9 @@
 from ibisport_fleet.targets import TargetEntry
 from ibisport_platform.records import decode_target
 
-# The program as it is run without a patch.
-program = importlib.import_module('ibisport_platform.__main__')
+# What is run without a patch, and the module that it loads and that is patched.
+entry = importlib.import_module('ibisport_platform.__main__')
+program = importlib.import_module('ibisport_platform.programs')
 MODULE = 'ibisport_bench.soak.mutants'
 # When a router goes back to the version before, and when it takes the new one again.
 BACK_AFTER_S = 0.6
@@ -46,17 +47,23 @@
 
 
 def patch(owner: object, name: str, value: object) -> None:
-    """Put another value in the place of one."""
+    """Put another value in the place of one.
+
+    Raises:
+        AttributeError: There is none: the mutant would be the program itself.
+    """
+    getattr(owner, name)
     setattr(owner, name, value)
 
 
 def cut_at_stop() -> None:
     """End at once, under the requests that still run."""
 
-    async def leave(self: Router, listener: asyncio.Server, latest: float) -> None:
-        listener.close()
+    async def leave(self: Router, moment: object) -> None:
+        """Wait for nothing."""
 
-    patch(Router, '_leave', leave)
+    for step in ('_stay_open', '_await_callers', '_end'):
+        patch(Router, step, leave)
 
 
 def repeat_all() -> None:
@@ -146,7 +153,7 @@
     """Patch the program and run it as it is run without a patch."""
     name = sys.argv.pop(1)
     MUTANTS[name].patch()
-    program.main()
+    entry.main()
 
 
 if __name__ == '__main__':
