--- a/features/steps/runningrouter.py
+++ b/features/steps/runningrouter.py
@@ -39,6 +39,12 @@
 TIME_LIMIT_S = 15.0
 # A target's head and first event come so long after the request.
 FIRST_S = 0.1
+# Longer than a way there and back: a connection that ends later than this after a
+# request was sent had brought it to the router.
+ROUND_TRIP_S = 0.01
+# When what runs before the signal is sent, in seconds after it.
+BEFORE_S = -0.5
+LATE_DEADLINE = 'Deadline-Ms: 1500\r\n'
 
 OK = b'HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Seal: s\r\n'
 STREAM_HEAD = (
--- a/features/steps/stopping_edges_steps.py
+++ b/features/steps/stopping_edges_steps.py
@@ -8,7 +8,10 @@
 
 from behave import given, then, when
 from runningrouter import (
+    BEFORE_S,
+    LATE_DEADLINE,
     PREPAID,
+    ROUND_TRIP_S,
     ask_new,
     make_plain,
     make_silence,
@@ -24,14 +27,9 @@
 from ibisport_fleet.eventlog import EventLog
 from ibisport_fleet.membership import MEMBER_PREFIX, Membership
 
-# Longer than a way there and back: a connection that ends later than this after a
-# request was sent had brought it to the router.
-ROUND_TRIP_S = 0.01
-BEFORE_S = -0.5
 LEFT_LIST_S = 0.5
 # What the virtual clock tells apart, s.
 TIME_STEP = math.ulp(20.0)
-LATE_DEADLINE = 'Deadline-Ms: 1500\r\n'
 
 
 @when('one of its background tasks fails while a stream of {seconds:g} s runs')
--- a/features/steps/stopping_plays_steps.py
+++ b/features/steps/stopping_plays_steps.py
@@ -9,6 +9,7 @@
 from runningrouter import (
     CALLER,
     PREPAID,
+    ROUND_TRIP_S,
     ROUTER,
     TIME_LIMIT_S,
     Caller,
@@ -23,9 +24,6 @@
 GRACES = (4.0, 12.0)
 # Few requests leave moments in which the process waits for one of them only.
 SIZES = (2, 6, 40)
-# Longer than a way there and back: a connection that ends later than this after a
-# request was sent had brought it to the router.
-ROUND_TRIP_S = 0.01
 # Who was sent on so long after the signal and still runs near the end may be cut off.
 LATEST_SEND_S = 3.0
 LAST_SHARE = 1 / 6
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -4,9 +4,12 @@
 
 from behave import given, then, when
 from runningrouter import (
+    BEFORE_S,
     CALLER,
     GRACE_S,
+    LATE_DEADLINE,
     PREPAID,
+    ROUND_TRIP_S,
     ROUTER,
     Caller,
     ask_new,
@@ -22,11 +25,6 @@
 
 # The longest that a refusal may take: it needs no answer from anyone.
 AT_ONCE_S = 0.5
-# Longer than a way there and back: a connection that ends later than this after a
-# request was sent had brought it to the router.
-ROUND_TRIP_S = 0.01
-BEFORE_S = -0.5
-LATE_DEADLINE = 'Deadline-Ms: 1500\r\n'
 # A target saw the request, so the answer can't say that it did not run.
 UNCERTAIN = frozenset((500, 502, 504))
 # Calls of the store take 2 s each way: no request waits for so long.
