Bound the silence of a store call, not its length

A call had 0.9 s in all, and after 0.1 s a second way brought the same bytes beside the first.

Now an answer that has begun goes on while its bytes come (0.9 s of silence end it, and 10 s in all), no second way begins meanwhile, and changes that are longer than a listing and 256 KB are listed instead, by the length in the answer's head.

Ruled out: bounding a watch by time alone. Changes each 0.33 s would have been fetched version by version and never caught up with.

Tests failed first: a listing of 2 MB at 600 KB/s, and a router that follows a catalogue of 450 KB which changes 12 times in 4 s (the code before got no listing at all).

--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -32,7 +32,7 @@
 from ibisport_fleet.following import PrefixWatch
 from ibisport_fleet.messages import AnswerHead, Request
 from ibisport_fleet.retries import RetryBudget
-from ibisport_fleet.store import Item, Listing
+from ibisport_fleet.store import Item, Listing, WatchTerms
 from ibisport_fleet.storecalls import StoreCall, StoreCaller
 from ibisport_fleet.storepaths import RelayPlace, StorePaths
 from ibisport_fleet.targets import TargetEntry
@@ -276,7 +276,8 @@
         self.caller.ask_way = self.ask_way
         self.asked = []
 
-    async def ask_way(self, address, call, until):
+    async def ask_way(self, attempt, until):
+        address = attempt.address
         self.asked.append(address)
         if address == self.paths.straight:
             await asyncio.sleep(60)
@@ -522,14 +523,16 @@
     async def play():
         service = context.service
         store = service.open_store('a')
-        watching = asyncio.create_task(store.watch('key/', service.revision, 5.0))
+        watching = asyncio.create_task(
+            store.watch('key/', service.revision, WatchTerms(5.0))
+        )
         await asyncio.sleep(1.0)
         service.put('key/1', b'')
         # Half of the way of the answer.
         await asyncio.sleep(ANSWER_SECONDS / 4)
         service.put('key/2', b'')
         first = await watching
-        second = await store.watch('key/', first.revision, 5.0)
+        second = await store.watch('key/', first.revision, WatchTerms(5.0))
         context.seen = [[one.key for one in found.changes] for found in (first, second)]
 
     run_virtually(play())
--- /dev/null
+++ b/features/steps/storecalls_steps.py
@@ -0,0 +1,186 @@
+"""Steps on calls to the store over links that are slow or fall silent."""
+
+import asyncio
+import os
+
+from behave import given, then, when
+
+from ibisport_bench.memorytransport import Link
+from ibisport_bench.standins.memorystore import MemoryService
+from ibisport_bench.virtualnet import run_on_net
+from ibisport_fleet.connections import ConnectionTasks
+from ibisport_fleet.contact import StoreContact
+from ibisport_fleet.errors import StoreUnknown
+from ibisport_fleet.eventlog import EventLog
+from ibisport_fleet.following import PrefixWatch
+from ibisport_fleet.storepaths import RelayPlace, StorePaths
+from ibisport_platform.records import CATALOGUE_KEY, CATALOGUE_PREFIX
+from ibisport_platform.store import PlatformStore
+from ibisport_platform.storeserver import StoreServer
+
+STORE = ('10.0.0.1', 80)
+RELAY = ('10.0.0.2', 7200)
+DOMAIN = 'domain-1'
+# Longer than any call may take; it ends a test that would hang.
+LONGEST_S = 30.0
+PART_BYTES = 10_000
+HEAD = b'HTTP/1.1 200 OK\r\ncontent-length: 1000000\r\n\r\n'
+
+
+def open_log():
+    """Return a log that nobody reads."""
+    return EventLog(os.open(os.devnull, os.O_WRONLY))
+
+
+class NewestContent:
+    """Follows one key and keeps its newest content."""
+
+    def __init__(self):
+        self.content = b''
+
+    def take_listing(self, listing, doubtful_until):
+        """Take the key out of a listing."""
+        for item in listing.items:
+            self.content = item.content
+
+    def take_change(self, change, doubtful_until):
+        """Take a new version of the key."""
+        self.content = change.content
+
+
+def make_content(number, size):
+    """Return a version of a catalogue."""
+    return b'%d ' % number + bytes(size)
+
+
+def _play(context, use):
+    """Run a router's use of the store, which a relay beside it counts too."""
+    context.relayed = 0
+
+    async def count_relayed(channel):
+        context.relayed += 1
+        await asyncio.sleep(LONGEST_S)
+
+    async def listen(net, address, serve):
+        await net.create_server(serve.accept, *address)
+
+    async def play(net):
+        for link in context.links:
+            net.links['store', 'router'] = link
+        serving = context.serve()
+        await net.start_on('store', listen(net, STORE, serving))
+        relay = ConnectionTasks(count_relayed, 'relay', open_log())
+        await net.start_on('relay', listen(net, RELAY, relay))
+        places = [RelayPlace(RELAY, DOMAIN)]
+        paths = StorePaths(STORE, DOMAIN, lambda: places)
+        async with asyncio.timeout(LONGEST_S):
+            return await net.start_on('router', use(PlatformStore(paths)))
+
+    return run_on_net(play)
+
+
+@given('a store whose answers come to a router at {rate:d} bytes a second')
+def serve_slowly(context, rate):
+    context.links = [Link(rate=rate)]
+
+    def serve():
+        context.service = MemoryService()
+        return StoreServer(context.service.open_store('all'), open_log()).connections
+
+    context.serve = serve
+
+
+def _serve_parts(context, pause):
+    context.links = []
+
+    async def serve(channel):
+        await channel.read()
+        channel.write(HEAD)
+        context.heard_at = [asyncio.get_running_loop().time()]
+        for _ in range(1_000 if pause else 1):
+            await asyncio.sleep(pause)
+            channel.write(b'x')
+            if not pause:
+                context.heard_at.append(asyncio.get_running_loop().time())
+        await asyncio.sleep(LONGEST_S)
+
+    context.serve = lambda: ConnectionTasks(serve, 'store', open_log())
+
+
+@given('a store that stops in the middle of its answer')
+def stop_midway(context):
+    _serve_parts(context, 0.0)
+
+
+@given('a store that sends a byte of its answer each {pause:g} seconds')
+def trickle(context, pause):
+    _serve_parts(context, pause)
+
+
+@when('the router lists a catalogue of {size:d} bytes')
+def list_catalogue(context, size):
+    async def use(store):
+        context.service.put(CATALOGUE_KEY, make_content(1, size))
+        return await store.scan(CATALOGUE_PREFIX)
+
+    context.size = size
+    context.listing = _play(context, use)
+
+
+@then('the listing is whole')
+def check_whole(context):
+    contents = [item.content for item in context.listing.items]
+    assert contents == [make_content(1, context.size)], [len(one) for one in contents]
+
+
+@then('the relay that the router knows was asked nothing')
+def check_one_way(context):
+    assert context.relayed == 0, context.relayed
+
+
+@when('the router reads a key')
+def read_key(context):
+    async def use(store):
+        try:
+            await store.read('key')
+        except StoreUnknown:
+            return asyncio.get_running_loop().time()
+
+    context.failed_at = _play(context, use)
+
+
+@then('the call has failed within {seconds:g} second of the last byte')
+@then('the call has failed within {seconds:g} seconds of the first byte')
+def check_given_up(context, seconds):
+    passed = context.failed_at - context.heard_at[-1]
+    assert passed <= seconds, passed
+
+
+@when(
+    'the router follows a catalogue of {size:d} bytes that changes {count:d} times '
+    'in {seconds:g} seconds'
+)
+def follow_changes(context, size, count, seconds):
+    async def use(store):
+        service, view = context.service, NewestContent()
+        service.put(CATALOGUE_KEY, make_content(0, size))
+        contact = StoreContact(asyncio.get_running_loop().time())
+        watch = PrefixWatch(store, CATALOGUE_PREFIX, view, open_log(), contact)
+        listed = asyncio.Event()
+        task = asyncio.get_running_loop().create_task(watch.run(listed.set))
+        await listed.wait()
+        for number in range(1, count + 1):
+            await asyncio.sleep(seconds / count)
+            service.put(CATALOGUE_KEY, make_content(number, size))
+        await asyncio.sleep(3.0)
+        task.cancel()
+        return view.content
+
+    context.newest = make_content(count, size)
+    context.content = _play(context, use)
+
+
+@then('it has the newest catalogue 3 seconds after the last change')
+def check_newest(context):
+    found = context.content.partition(b' ')[0]
+    assert context.content == context.newest, found
--- a/packages/fleet/src/ibisport_fleet/errors.py
+++ b/packages/fleet/src/ibisport_fleet/errors.py
@@ -45,6 +45,10 @@
     """The service no longer has the changes that a watch asked for."""
 
 
+class ChangesTooLong(StoreError):
+    """The changes that a watch asked for are longer than a listing would be."""
+
+
 class RecordInvalid(FleetError):
     """A value in the store, or the settings file, can't be read."""
 
--- a/packages/fleet/src/ibisport_fleet/exchange.py
+++ b/packages/fleet/src/ibisport_fleet/exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import deque
 from dataclasses import dataclass
+from typing import Protocol
 
 import httptools
 
@@ -31,6 +32,16 @@
 _Piece = AnswerHead | _Part | _End
 
 
+class AnswerWatcher(Protocol):
+    """Follows how an answer comes."""
+
+    def take_head(self, head: AnswerHead) -> None:
+        """Note the head; what it raises ends the exchange."""
+
+    def note_bytes(self) -> None:
+        """Note that some of the body came."""
+
+
 class Exchange:
     """A connection of ours to a target or to the store.
 
@@ -99,9 +110,12 @@
             case AnswerHead():
                 raise AnswerInvalid('an answer begins within another')
 
-    async def read_rest(self) -> bytes:
+    async def read_rest(self, watcher: 'AnswerWatcher | None' = None) -> bytes:
         """Return the whole body that follows a head.
 
+        Args:
+            watcher: Is told of each part.
+
         Raises:
             AnswerInvalid: It ends early, or is longer than can be kept.
             ConnectionBroken: The connection was reset.
@@ -109,16 +123,33 @@
         parts = bytearray()
         while (part := await self.read_part()) is not None:
             parts += part
+            if watcher is not None:
+                watcher.note_bytes()
             if len(parts) > MOST_WHOLE_BODY:
                 raise AnswerInvalid('the body is too long')
         return bytes(parts)
 
-    async def ask(self, start: bytes, headers: Headers, body: bytes) -> Answer:
-        """Send one request and return its whole answer."""
+    async def ask(
+        self,
+        start: bytes,
+        headers: Headers,
+        body: bytes,
+        watcher: 'AnswerWatcher | None' = None,
+    ) -> Answer:
+        """Send one request and return its whole answer.
+
+        Args:
+            start: The request line.
+            headers: Its headers, but for the length.
+            body: Its body.
+            watcher: Is told of the answer's head and of each part.
+        """
         self.answered = False
         self.send(start, headers, body)
         head = await self.read_head()
-        content = await self.read_rest()
+        if watcher is not None:
+            watcher.take_head(head)
+        content = await self.read_rest(watcher)
         self.answered = head.keeps_open
         return Answer(head, content)
 
--- a/packages/fleet/src/ibisport_fleet/following.py
+++ b/packages/fleet/src/ibisport_fleet/following.py
@@ -5,18 +5,20 @@
 from typing import Protocol
 
 from ibisport_fleet.contact import StoreContact
-from ibisport_fleet.errors import HistoryLost, StoreError
+from ibisport_fleet.errors import ChangesTooLong, HistoryLost, StoreError
 from ibisport_fleet.eventlog import Event, EventLog
-from ibisport_fleet.store import Change, Listing, Store
+from ibisport_fleet.store import Change, Listing, Store, WatchTerms
 
 # A watch that waits longer could sit on a silent connection beyond the time in
 # which a change must be in force (2 s): wait and time-out together stay below
 # the 3 s that count as an outage.
 WATCH_WAIT_S = 1.5
 RETRY_PAUSE_S = 0.15
-# The pause doubles up to this one: a day with an outage of six seconds cost 30 routers
-# 10,000 calls more than a calm one, and the store counts each.
+# The pause doubles up to this one, so that an outage isn't filled with calls.
 LONGEST_RETRY_PAUSE_S = 0.6
+# Changes that are longer by so much than all keys together are listed instead: a watch
+# brings each version since, and a narrow link never catches up with large ones.
+MOST_EXCESS_BYTES = 262_144
 
 
 class Follower(Protocol):
@@ -48,6 +50,7 @@
         self._failing = False
         self._revision: int | None = None
         self._pause = RETRY_PAUSE_S
+        self._listed_bytes = 0
 
     async def run(self, on_first: Callable[[], None]) -> None:
         """Follow the prefix for ever; ``on_first`` is called at the first listing."""
@@ -57,11 +60,11 @@
             except HistoryLost:
                 self._log.write(Event.watch_lost, prefix=self._prefix)
                 self._revision = None
+            except ChangesTooLong:
+                self._revision = None
             except StoreError as error:
                 self._note_failure(error)
-                # A watch brings each version since, and a listing the newest alone:
-                # on a link of 10 Mbit/s thirty catalogues of 60 KB never came in time,
-                # and a router stayed on an old one for 19 s.
+                # A watch brings each version since, and a listing the newest alone.
                 self._revision = None
                 await asyncio.sleep(self._pause)
                 self._pause = min(2 * self._pause, LONGEST_RETRY_PAUSE_S)
@@ -72,9 +75,11 @@
             self._note_answer()
             self._follower.take_listing(listing, self._contact.doubtful_until)
             self._revision = listing.revision
+            self._listed_bytes = sum(len(item.content) for item in listing.items)
             on_first()
             return
-        changes = await self._store.watch(self._prefix, self._revision, WATCH_WAIT_S)
+        terms = WatchTerms(WATCH_WAIT_S, self._listed_bytes + MOST_EXCESS_BYTES)
+        changes = await self._store.watch(self._prefix, self._revision, terms)
         self._note_answer()
         for change in changes.changes:
             self._follower.take_change(change, self._contact.doubtful_until)
--- a/packages/fleet/src/ibisport_fleet/messages.py
+++ b/packages/fleet/src/ibisport_fleet/messages.py
@@ -60,6 +60,12 @@
         """Return the first value of a header, given in lower case."""
         return find_header(self.headers, name)
 
+    @property
+    def length(self) -> int:
+        """The stated length of the body in bytes; 0 if none is stated."""
+        stated = self.find(b'content-length') or b''
+        return int(stated) if stated.isdigit() else 0
+
 
 @dataclass(frozen=True, slots=True)
 class Answer:
--- a/packages/fleet/src/ibisport_fleet/store.py
+++ b/packages/fleet/src/ibisport_fleet/store.py
@@ -41,6 +41,19 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class WatchTerms:
+    """How a watch is asked for.
+
+    Attributes:
+        wait: Longest wait for a change, seconds.
+        most_bytes: Longest changes that are worth their way; 0 is without a bound.
+    """
+
+    wait: float
+    most_bytes: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Condition:
     """A write happens only if a key has this revision; 0: there is no such key."""
@@ -88,11 +101,12 @@
     async def scan(self, prefix: str, *, stale: bool = False) -> Listing:
         """Return all keys of a prefix; a stale listing is cheap and may be old."""
 
-    async def watch(self, prefix: str, after: int, wait: float) -> Changes:
-        """Return what changed after a revision, waiting up to ``wait`` seconds.
+    async def watch(self, prefix: str, after: int, terms: WatchTerms) -> Changes:
+        """Return what changed after a revision, or nothing once the wait is over.
 
         Raises:
             HistoryLost: The service no longer has these changes.
+            ChangesTooLong: The changes are longer.
         """
 
     async def write(
--- a/packages/fleet/src/ibisport_fleet/storecalls.py
+++ b/packages/fleet/src/ibisport_fleet/storecalls.py
@@ -6,6 +6,7 @@
 
 from ibisport_fleet.addresses import Address
 from ibisport_fleet.errors import (
+    ChangesTooLong,
     ConnectionBroken,
     ConnectionFailed,
     StoreError,
@@ -13,7 +14,7 @@
     StoreUnknown,
 )
 from ibisport_fleet.exchange import Exchange, open_exchange
-from ibisport_fleet.messages import Answer, Headers
+from ibisport_fleet.messages import Answer, AnswerHead, Headers
 from ibisport_fleet.storepaths import StorePaths
 
 # Connecting takes 3 ms; a path that drops packets never answers.
@@ -26,6 +27,11 @@
 LEAST_PATIENCE_S = 0.1
 PATIENCE_FACTOR = 2.5
 LATENCY_WEIGHT = 0.2
+# An answer that has begun may go on while its bytes come: a megabyte takes two seconds
+# on a narrow link, and is not there any sooner on a second way.
+LONGEST_SILENCE_S = 0.9
+# An answer whose bytes trickle is given up.
+LONGEST_ANSWER_S = 10.0
 # Two watches, a write, a lease and the list of routers are on their way at once. With
 # two connections kept, the others were opened anew for each call.
 MOST_IDLE = 6
@@ -39,9 +45,10 @@
         start: The request line.
         headers: Its headers, but for the length.
         body: Its body.
-        seconds: How long its answer may take in all.
+        seconds: How long it may take until its answer begins.
         waits: The store answers late on purpose, so that a late answer says
             nothing of the way.
+        most_bytes: Longest body of the answer; 0 is without a bound.
     """
 
     start: bytes
@@ -49,6 +56,63 @@
     body: bytes
     seconds: float
     waits: bool = False
+    most_bytes: int = 0
+
+
+class CallTry:
+    """One try of a call on one way, and how far its answer has come.
+
+    Attributes:
+        address: The way.
+        begun_at: Loop time at which it began.
+        heard_at: Loop time of the answer's last bytes; None before the first.
+        first_at: Loop time of its first bytes; None before them.
+    """
+
+    def __init__(self, address: Address, call: StoreCall, until: float) -> None:
+        """Begin a try.
+
+        Args:
+            address: The way.
+            call: The call.
+            until: Loop time by which the answer must begin.
+        """
+        self.address = address
+        self.call = call
+        self.begun_at = asyncio.get_running_loop().time()
+        self.heard_at: float | None = None
+        self.first_at: float | None = None
+        self._timer = asyncio.timeout_at(until)
+
+    @property
+    def timer(self) -> asyncio.Timeout:
+        """What ends the try when its answer falls silent."""
+        return self._timer
+
+    def take_head(self, head: AnswerHead) -> None:
+        """Note the answer's head.
+
+        Raises:
+            ChangesTooLong: Its body is longer than the call allows.
+        """
+        self.note_bytes()
+        most = self.call.most_bytes
+        if most and head.length > most:
+            raise ChangesTooLong(f'{head.length} bytes')
+
+    def note_bytes(self) -> None:
+        """Note that bytes came: the answer may take as long again."""
+        now = asyncio.get_running_loop().time()
+        self.heard_at = now
+        self.first_at = self.first_at or now
+        longest = self.first_at + LONGEST_ANSWER_S
+        self._timer.reschedule(min(now + LONGEST_SILENCE_S, longest))
+
+    def is_silent(self, seconds: float) -> bool:
+        """Whether nothing came for so long."""
+        if self.heard_at is None:
+            return True
+        return asyncio.get_running_loop().time() - self.heard_at >= seconds
 
 
 class StoreCaller:
@@ -77,7 +141,7 @@
         """Whether a call is answered on the straight way."""
         until = asyncio.get_running_loop().time() + call.seconds
         try:
-            await self.ask_way(self._paths.straight, call, until)
+            await self.ask_way(CallTry(self._paths.straight, call, until), until)
         except StoreError:
             return False
         return True
@@ -90,14 +154,20 @@
         """Note that another way answered first."""
         self._paths.note_failure(address, asyncio.get_running_loop().time())
 
-    async def ask_way(self, address: Address, call: StoreCall, until: float) -> Answer:
+    async def ask_way(self, attempt: CallTry, until: float) -> Answer:
         """Send a call on one way.
 
+        Args:
+            attempt: The call and the way.
+            until: Loop time by which the answer must begin.
+
         Raises:
             StoreUnavailable: Nothing was sent, or the store did nothing.
-            StoreUnknown: It was sent, and no answer came.
+            StoreUnknown: It was sent, and no whole answer came.
+            ChangesTooLong: Its answer is longer than the call allows.
         """
         loop = asyncio.get_running_loop()
+        address, call = attempt.address, attempt.call
         try:
             exchange = await self._take(address, until)
         except ConnectionFailed as error:
@@ -106,8 +176,10 @@
         begun = loop.time()
         self._waiting.add(exchange)
         try:
-            async with asyncio.timeout_at(until):
-                answer = await exchange.ask(call.start, call.headers, call.body)
+            async with attempt.timer:
+                answer = await exchange.ask(
+                    call.start, call.headers, call.body, attempt
+                )
         except (ConnectionBroken, TimeoutError) as error:
             self._paths.note_failure(address, loop.time())
             raise StoreUnknown(f'{call.start!r}: {error!r}') from error
@@ -118,7 +190,9 @@
             self._paths.note_failure(address, loop.time())
             raise StoreUnavailable(f'the store answered {answer.head.status}')
         if not call.waits:
-            self._latency += LATENCY_WEIGHT * (loop.time() - begun - self._latency)
+            # How long the answer is says nothing of the way.
+            first = (attempt.first_at or loop.time()) - begun
+            self._latency += LATENCY_WEIGHT * (first - self._latency)
         self._paths.note_answer(address)
         return answer
 
@@ -160,7 +234,7 @@
         self._call = call
         self._ways = list(ways)
         self._deadline = deadline
-        self._tries: dict[asyncio.Task[Answer], Address] = {}
+        self._tries: dict[asyncio.Task[Answer], CallTry] = {}
         self._failure: StoreError = StoreUnavailable('no way to the store')
 
     async def run(self) -> Answer:
@@ -176,15 +250,16 @@
 
     async def _step(self) -> Answer | None:
         loop = asyncio.get_running_loop()
-        if self._ways:
+        patience = self._caller.measure_patience()
+        # While bytes come no second way brings them any sooner: on a narrow link it
+        # would take half of what the first one needs.
+        silent = all(one.is_silent(patience) for one in self._tries.values())
+        if self._ways and silent and loop.time() < self._deadline:
             self._begin(self._ways.pop(0))
         if not self._tries:
             raise self._failure
-        wait = self._deadline - loop.time()
-        if wait <= 0:
-            raise StoreUnknown(f'{self._call.start!r}: no answer in time')
-        if self._ways and not self._call.waits:
-            wait = min(wait, self._caller.measure_patience())
+        # Each try ends by itself when its answer falls silent.
+        wait = patience if self._ways and not self._call.waits else None
         done, _ = await asyncio.wait(
             self._tries, timeout=wait, return_when=asyncio.FIRST_COMPLETED
         )
@@ -195,20 +270,18 @@
         return None
 
     def _begin(self, address: Address) -> None:
-        loop = asyncio.get_running_loop()
-        task = loop.create_task(
-            self._caller.ask_way(address, self._call, self._deadline)
-        )
-        self._tries[task] = address
+        attempt = CallTry(address, self._call, self._deadline)
+        work = self._caller.ask_way(attempt, self._deadline)
+        self._tries[asyncio.get_running_loop().create_task(work)] = attempt
 
     def _finish(self, task: asyncio.Task[Answer]) -> Answer | None:
         self._tries.pop(task)
         failure = task.exception()
         if failure is None:
-            for address in self._tries.values():
-                self._caller.note_slow(address)
+            for attempt in self._tries.values():
+                self._caller.note_slow(attempt.address)
             return task.result()
-        if not isinstance(failure, StoreError):
+        if not isinstance(failure, StoreError) or isinstance(failure, ChangesTooLong):
             raise failure
         if not isinstance(self._failure, StoreUnknown):
             self._failure = failure
