Let the routers of a domain share one watch of the store at a relay

A relay now watches a prefix once for all routers of its domain that ask it (watchcache.py); routers rank relays alike and fall back to the store by themselves (storepaths.py); watchpace.py decides who asks whom, and how often, from the deployment's bounds. Fewer than three routers a domain ask for themselves as before.

Beside it: calls are counted by kind and way on the metrics address; a conflict tells which keys are absent, so that none is read again; catalogue_changed tells the size.

Now a watch ends with its askers, and a relay is left only where another way worked.

Tests failed first where the behaviour is new (asked once for a domain, a router cut off from the store); switched off one by one, the silence bound, the rule for empty answers and the check of what is kept fail one scenario each.

--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -34,9 +34,10 @@
 from ibisport_fleet.retries import RetryBudget
 from ibisport_fleet.store import Item, Listing, WatchTerms
 from ibisport_fleet.storecalls import StoreCall, StoreCaller
-from ibisport_fleet.storepaths import RelayPlace, StorePaths
+from ibisport_fleet.storepaths import CallKind, RelayPlace, StorePaths
 from ibisport_fleet.targets import TargetEntry
 from ibisport_fleet.terms import PromptPart
+from ibisport_fleet.watchpace import plan_watch
 from ibisport_platform.headers import PlatformDialect
 
 KEY = 'servers/i-0'
@@ -67,7 +68,9 @@
     loop = asyncio.get_running_loop()
     contact = StoreContact(loop.time())
     store = service.open_store('router')
-    watch = PrefixWatch(store, prefix, view, _open_log(), contact)
+    watch = PrefixWatch(
+        store, prefix, view, _open_log(), contact, lambda: plan_watch(1, 1, 2.0)
+    )
     listed = asyncio.Event()
     task = loop.create_task(watch.run(listed.set))
     await listed.wait()
@@ -295,7 +298,7 @@
 def call_twice(context):
     async def run():
         context.ways = _Ways()
-        call = StoreCall(b'GET / HTTP/1.1', (), b'', 0.9)
+        call = StoreCall(CallKind.read, b'GET / HTTP/1.1', (), b'', 0.9)
         loop = asyncio.get_running_loop()
         times = []
         for _ in range(2):
--- /dev/null
+++ b/features/steps/sharing_steps.py
@@ -0,0 +1,374 @@
+"""Steps on watches that routers of a domain share at a relay."""
+
+import asyncio
+import itertools
+
+from behave import given, then, when
+from storecalls_steps import CHANGE_BOUND_S, open_log
+
+from ibisport_bench.memorytransport import Link
+from ibisport_bench.standins.memorystore import MemoryService, MemoryStore
+from ibisport_bench.virtualnet import run_on_net
+from ibisport_bench.virtualtime import run_virtually
+from ibisport_fleet.contact import StoreContact
+from ibisport_fleet.errors import StoreError
+from ibisport_fleet.following import PrefixWatch
+from ibisport_fleet.relay import Relay, RelayAdapters
+from ibisport_fleet.settings import Bounds, HostSettings
+from ibisport_fleet.storepaths import RelayPlace, StorePaths
+from ibisport_fleet.watchcache import WatchCache
+from ibisport_fleet.watchpace import plan_watch
+from ibisport_platform.records import TARGET_PREFIX
+from ibisport_platform.store import PlatformStore
+from ibisport_platform.storeserver import StoreServer
+from ibisport_platform.watchwire import PlatformWatches
+
+STORE = ('10.0.0.1', 80)
+PEER_PORT = 7200
+DOMAIN = 'domain-1'
+SILENT = Link(delay=1_000_000.0)
+SETTLING_S = 2.0
+# Longer than any play; it ends a test that would hang.
+LONGEST_S = 60.0
+FAILURE_S = 1
+
+
+class CountingStore(MemoryStore):
+    """Counts the watches that are asked for, with their times."""
+
+    def __init__(self, service, caller):
+        super().__init__(service, caller)
+        self.asked_at = []
+
+    async def watch(self, prefix, after, terms):
+        """Count a watch and wait for it."""
+        self.asked_at.append(asyncio.get_running_loop().time())
+        return await super().watch(prefix, after, terms)
+
+
+class Heard:
+    """What one router knows, and since when."""
+
+    def __init__(self):
+        self.since = {}
+
+    def take_listing(self, listing, doubtful_until):
+        """Take all keys."""
+        for item in listing.items:
+            self.take_change(item, doubtful_until)
+
+    def take_change(self, change, doubtful_until):
+        """Note when a key was heard of first."""
+        self.since.setdefault(change.key, asyncio.get_running_loop().time())
+
+
+class Domain:
+    """A failure domain: routers, relays, and the store outside of it."""
+
+    def __init__(self, net, routers, relays):
+        self.net = net
+        self.service = MemoryService()
+        self.store = CountingStore(self.service, 'all')
+        self.relays = {f'relay-{one}': f'10.0.1.{one}' for one in range(relays)}
+        self.routers = {f'router-{one}': Heard() for one in range(routers)}
+        self.written_at = {}
+        self._names = itertools.count()
+
+    @property
+    def now(self):
+        """The loop's time."""
+        return self.net.time()
+
+    async def open(self):
+        """Start all, and wait until each router follows."""
+        server = StoreServer(self.store, open_log())
+        await self._listen('store', STORE, server.connections.accept)
+        for host, address in self.relays.items():
+            relay = self._make_relay(host, address)
+            place = (address, PEER_PORT)
+            await self._listen(host, place, relay.connections.accept)
+        for host in self.routers:
+            self.start_router(host)
+        await asyncio.sleep(SETTLING_S)
+
+    def start_router(self, host):
+        """Let a router follow the prefix."""
+        self.net.start_on(host, self._follow(self.routers.setdefault(host, Heard())))
+
+    async def change(self, count, seconds):
+        """Write new keys, one after another."""
+        for _ in range(count):
+            key = f'{TARGET_PREFIX}{next(self._names)}'
+            self.service.put(key, b'x')
+            self.written_at[key] = self.now
+            await asyncio.sleep(seconds / count)
+
+    def silence(self, host, others):
+        """Let nothing pass any more between a host and others."""
+        for other in others:
+            self.net.links[host, other] = self.net.links[other, host] = SILENT
+
+    def mend(self):
+        """Let everything pass again."""
+        self.net.links.clear()
+
+    def find_asked(self):
+        """Return the relay that the routers ask first."""
+        ways = self._open_paths().list_shared_ways(TARGET_PREFIX, self.now)
+        return next(
+            host for host, address in self.relays.items() if address == ways[0][0]
+        )
+
+    def list_late(self):
+        """Return what was known too late or never, by router and key."""
+        return [
+            (host, key, heard.since.get(key, LONGEST_S) - written)
+            for host, heard in self.routers.items()
+            for key, written in self.written_at.items()
+            if heard.since.get(key, LONGEST_S) - written > CHANGE_BOUND_S
+        ]
+
+    async def _listen(self, host, address, accept):
+        async def listen():
+            await self.net.create_server(accept, *address)
+
+        await self.net.start_on(host, listen())
+
+    def _make_relay(self, host, address):
+        bounds = Bounds(0.2, 10, 10.0, 8.0, CHANGE_BOUND_S)
+        place = (address, PEER_PORT)
+        settings = HostSettings(host, DOMAIN, place, place, None, None, STORE, bounds)
+        store = PlatformStore(StorePaths(STORE, DOMAIN, tuple))
+        return Relay(settings, RelayAdapters(store, PlatformWatches()), open_log())
+
+    def _open_paths(self):
+        places = [
+            RelayPlace((address, PEER_PORT), DOMAIN) for address in self.relays.values()
+        ]
+        return StorePaths(STORE, DOMAIN, lambda: places)
+
+    async def _follow(self, heard):
+        contact = StoreContact(self.now)
+        watch = PrefixWatch(
+            PlatformStore(self._open_paths()),
+            TARGET_PREFIX,
+            heard,
+            open_log(),
+            contact,
+            lambda: plan_watch(len(self.routers), 1, CHANGE_BOUND_S),
+        )
+        await watch.run(int)
+
+
+def _play(context, act):
+    async def play(net):
+        context.domain = Domain(net, context.count, context.relays)
+        await context.domain.open()
+        context.settled_at = net.time()
+        async with asyncio.timeout(LONGEST_S):
+            await act(context.domain)
+            await asyncio.sleep(CHANGE_BOUND_S + 0.5)
+
+    run_on_net(play)
+
+
+@given('{routers:d} routers of a domain with {relays:d} relays')
+def plan_domain(context, routers, relays):
+    context.count, context.relays = routers, relays
+
+
+@when('{count:d} changes come within {seconds:d} seconds')
+def change(context, count, seconds):
+    async def act(domain):
+        if getattr(context, 'before', None):
+            await context.before(domain)
+        await domain.change(count, seconds)
+
+    _play(context, act)
+
+
+@when('nothing changes for {seconds:d} seconds')
+def wait(context, seconds):
+    _play(context, lambda domain: asyncio.sleep(seconds))
+
+
+def _list_hosts(domain):
+    return ['store', *domain.routers]
+
+
+def _fail(domain, fails):
+    asked, routers = domain.find_asked(), list(domain.routers)
+    match fails:
+        case 'dies':
+            domain.net.kill(asked)
+        case 'falls silent':
+            domain.silence(asked, _list_hosts(domain))
+        case 'is cut off from the store':
+            domain.silence(asked, ['store'])
+        case 'is cut off from half of the routers':
+            domain.silence(asked, routers[: len(routers) // 2])
+        case 'dies with all relays of its domain':
+            for host in domain.relays:
+                domain.net.kill(host)
+        case 'falls silent with all of its domain':
+            for host in domain.relays:
+                domain.silence(host, _list_hosts(domain))
+
+
+@when(
+    'the relay that they ask {fails} while {count:d} changes come '
+    'within {seconds:d} seconds'
+)
+def fail_while_changing(context, fails, count, seconds):
+    async def act(domain):
+        changing = asyncio.create_task(domain.change(count, seconds))
+        await asyncio.sleep(seconds / 4)
+        _fail(domain, fails)
+        await changing
+
+    _play(context, act)
+
+
+@when('the relay that they ask is cut off from the store for {seconds:d} seconds')
+def cut_for_a_while(context, seconds):
+    async def before(domain):
+        domain.silence(domain.find_asked(), ['store'])
+        domain.net.call_later(seconds, domain.mend)
+
+    context.before = before
+
+
+@when(
+    'one router is cut off from the store while {count:d} changes come '
+    'within {seconds:d} seconds'
+)
+def cut_router(context, count, seconds):
+    async def act(domain):
+        changing = asyncio.create_task(domain.change(count, seconds))
+        await asyncio.sleep(seconds / 4)
+        domain.silence('router-0', ['store'])
+        await changing
+
+    _play(context, act)
+
+
+@when('the store is away for {seconds:d} seconds and a router starts meanwhile')
+def start_in_outage(context, seconds):
+    async def act(domain):
+        domain.service.faults.down = True
+        await asyncio.sleep(seconds / 2)
+        domain.start_router('router-new')
+        await asyncio.sleep(seconds / 2)
+        domain.service.faults.down = False
+        await domain.change(1, 0.0)
+
+    _play(context, act)
+
+
+@then('each router knows each of them within 2 seconds')
+@then("each router knows the newest change 2 seconds after the store's return")
+def check_known(context):
+    late = context.domain.list_late()
+    assert context.domain.written_at
+    assert not late, (len(late), max(late, key=lambda one: one[-1]))
+
+
+@then('the store was asked for changes at most {most:d} times')
+def check_asked(context, most):
+    asked = [
+        when for when in context.domain.store.asked_at if when > context.settled_at
+    ]
+    assert len(asked) <= most, len(asked)
+
+
+@then(
+    'in the last {seconds:d} seconds the store was asked for changes '
+    'at most {most:d} times'
+)
+def check_asked_late(context, seconds, most):
+    asked = context.domain.store.asked_at
+    late = [when for when in asked if when > asked[-1] - seconds]
+    assert len(late) <= most, len(late)
+
+
+@given('a relay that watches a prefix')
+def plan_cache(context):
+    async def open_cache():
+        service = MemoryService()
+        service.put('op/a', b'1')
+        cache = WatchCache(service.open_store('relay'), CHANGE_BOUND_S, open_log())
+        first = service.revision
+        watch = cache.find('op/', first)
+        await asyncio.sleep(0.1)
+        return service, cache, watch, first
+
+    context.open_cache = open_cache
+
+
+@when('the store falls silent while a router asks')
+def silence_store(context):
+    async def play():
+        service, _, watch, first = await context.open_cache()
+        service.faults.cut = {'relay'}
+        begun = asyncio.get_running_loop().time()
+        try:
+            context.answer = await watch.ask(first, 0.1)
+        except StoreError as error:
+            context.answer = error
+        context.passed = asyncio.get_running_loop().time() - begun
+
+    run_virtually(play())
+
+
+@then('the router gets no answer without changes, but a failure within 1 second')
+def check_failure(context):
+    assert isinstance(context.answer, StoreError), context.answer
+    assert context.passed < FAILURE_S, context.passed
+
+
+@when("a router asks for changes from before the relay's watch")
+def ask_from_before(context):
+    async def play():
+        _, cache, _, first = await context.open_cache()
+        context.found = cache.find('op/', first - 1)
+
+    run_virtually(play())
+
+
+@then('the relay has no watch for it')
+def check_no_watch(context):
+    assert context.found is None
+
+
+@when("a router asks from a revision that the relay hasn't heard of")
+def ask_from_ahead(context):
+    async def play():
+        service, _, watch, _ = await context.open_cache()
+        service.put('op/a', b'2')
+        # The router has listed this change before the relay heard of it.
+        asking = asyncio.create_task(watch.ask(service.revision, 5.0))
+        await asyncio.sleep(1.0)
+        service.put('op/a', b'3')
+        context.changes = await asking
+
+    run_virtually(play())
+
+
+@then('it gets the next change, and no change twice')
+def check_next(context):
+    contents = [one.content for one in context.changes.changes]
+    assert contents == [b'3'], contents
+
+
+@then(
+    '{few:d} routers in {domains:d} domains ask for themselves, '
+    'and {many:d} in {fewer:d} share'
+)
+def check_plan(context, few, domains, many, fewer):
+    assert not plan_watch(few, domains, CHANGE_BOUND_S).shared
+    assert plan_watch(many, fewer, CHANGE_BOUND_S).shared
+
+
+@then("routers share while it isn't known how many there are")
+def check_unknown(context):
+    assert plan_watch(None, 4, CHANGE_BOUND_S).shared
--- a/features/steps/storecalls_steps.py
+++ b/features/steps/storecalls_steps.py
@@ -13,7 +13,9 @@
 from ibisport_fleet.errors import StoreError, StoreUnknown
 from ibisport_fleet.eventlog import EventLog
 from ibisport_fleet.following import PrefixWatch
+from ibisport_fleet.store import Condition, Put
 from ibisport_fleet.storepaths import RelayPlace, StorePaths
+from ibisport_fleet.watchpace import plan_watch
 from ibisport_platform.records import CATALOGUE_KEY, CATALOGUE_PREFIX
 from ibisport_platform.store import PlatformStore
 from ibisport_platform.storeserver import StoreServer
@@ -21,6 +23,7 @@
 STORE = ('10.0.0.1', 80)
 RELAY = ('10.0.0.2', 7200)
 DOMAIN = 'domain-1'
+CHANGE_BOUND_S = 2.0
 # Longer than any call may take; it ends a test that would hang.
 LONGEST_S = 30.0
 PART_BYTES = 10_000
@@ -48,6 +51,11 @@
         self.content = change.content
 
 
+def plan_alone():
+    """Return how a router without others watches."""
+    return plan_watch(1, 1, CHANGE_BOUND_S)
+
+
 def make_content(number, size):
     """Return a version of a catalogue."""
     return b'%d ' % number + bytes(size)
@@ -190,7 +198,9 @@
         service, view = context.service, NewestContent()
         service.put(CATALOGUE_KEY, make_content(0, size))
         contact = StoreContact(asyncio.get_running_loop().time())
-        watch = PrefixWatch(store, CATALOGUE_PREFIX, view, open_log(), contact)
+        watch = PrefixWatch(
+            store, CATALOGUE_PREFIX, view, open_log(), contact, plan_alone
+        )
         listed = asyncio.Event()
         task = asyncio.get_running_loop().create_task(watch.run(listed.set))
         await listed.wait()
@@ -209,3 +219,21 @@
 def check_newest(context):
     found = context.content.partition(b' ')[0]
     assert context.content == context.newest, found
+
+
+@when(
+    'the router writes on condition of a key that was changed and of one that is absent'
+)
+def write_in_conflict(context):
+    async def use(store):
+        context.service.put('changed', b'new')
+        conditions = [Condition('changed', 1), Condition('absent', 0)]
+        return await store.write(conditions, [Put('absent', b'own')])
+
+    context.conflict = _play(context, use)
+
+
+@then('the conflict brings the changed key and names the absent one')
+def check_conflict(context):
+    assert context.conflict.find('changed').content == b'new'
+    assert context.conflict.absent == ('absent',), context.conflict
--- a/features/storecalls.feature
+++ b/features/storecalls.feature
@@ -27,3 +27,8 @@
     Given a store whose answers come to a router at 600000 bytes a second
     When the router follows a catalogue of 450000 bytes that changes 12 times in 4 seconds
     Then it has the newest catalogue 3 seconds after the last change
+
+  Scenario: A conflict tells which of the conditions' keys are absent
+    Given a store whose answers come to a router at 600000 bytes a second
+    When the router writes on condition of a key that was changed and of one that is absent
+    Then the conflict brings the changed key and names the absent one
--- a/packages/bench/src/ibisport_bench/standins/memorystore.py
+++ b/packages/bench/src/ibisport_bench/standins/memorystore.py
@@ -145,8 +145,11 @@
         for condition in conditions:
             item = self.items.get(condition.key)
             if (item.revision if item else 0) != condition.revision:
-                found = (self.items.get(one.key) for one in conditions)
-                return Conflict(tuple(one for one in found if one is not None))
+                keys = [one.key for one in conditions]
+                return Conflict(
+                    tuple(self.items[key] for key in keys if key in self.items),
+                    tuple(key for key in keys if key not in self.items),
+                )
         self.revision += 1
         for put in puts:
             self._set(put)
--- a/packages/fleet/src/ibisport_fleet/eventlog.py
+++ b/packages/fleet/src/ibisport_fleet/eventlog.py
@@ -27,6 +27,7 @@
     store_way_regained = 2104
     members_changed = 2105
     members_unknown = 2106
+    watch_shared = 2107
     catalogue_changed = 2201
     record_refused = 2202
     target_added = 2301
--- a/packages/fleet/src/ibisport_fleet/fleetview.py
+++ b/packages/fleet/src/ibisport_fleet/fleetview.py
@@ -56,6 +56,7 @@
             version=found.version,
             revision=found.revision,
             routes=len(found.routes),
+            size=len(item.content),
         )
 
 
--- a/packages/fleet/src/ibisport_fleet/following.py
+++ b/packages/fleet/src/ibisport_fleet/following.py
@@ -8,11 +8,8 @@
 from ibisport_fleet.errors import ChangesTooLong, HistoryLost, StoreError
 from ibisport_fleet.eventlog import Event, EventLog
 from ibisport_fleet.store import Change, Listing, Store, WatchTerms
+from ibisport_fleet.watchpace import WatchPace
 
-# A watch that waits longer could sit on a silent connection beyond the time in
-# which a change must be in force (2 s): wait and time-out together stay below
-# the 3 s that count as an outage.
-WATCH_WAIT_S = 1.5
 RETRY_PAUSE_S = 0.15
 # The pause doubles up to this one, so that an outage isn't filled with calls.
 LONGEST_RETRY_PAUSE_S = 0.6
@@ -41,7 +38,19 @@
         follower: Follower,
         log: EventLog,
         contact: StoreContact,
+        plan: Callable[[], WatchPace],
     ) -> None:
+        """Begin with nothing.
+
+        Args:
+            store: Where the prefix is.
+            prefix: What the keys begin with.
+            follower: Takes what is found.
+            log: Where outages are written.
+            contact: Is told of each answer.
+            plan: Tells how the next watch is to be made.
+        """
+        self._plan = plan
         self._store = store
         self._prefix = prefix
         self._follower = follower
@@ -78,12 +87,19 @@
             self._listed_bytes = sum(len(item.content) for item in listing.items)
             on_first()
             return
-        terms = WatchTerms(WATCH_WAIT_S, self._listed_bytes + MOST_EXCESS_BYTES)
+        pace = self._plan()
+        begun = asyncio.get_running_loop().time()
+        most_bytes = self._listed_bytes + MOST_EXCESS_BYTES
+        terms = WatchTerms(pace.wait, most_bytes, pace.shared)
         changes = await self._store.watch(self._prefix, self._revision, terms)
         self._note_answer()
         for change in changes.changes:
             self._follower.take_change(change, self._contact.doubtful_until)
         self._revision = max(self._revision, changes.revision)
+        if changes.changes:
+            # Changes that follow each other closely come together.
+            now = asyncio.get_running_loop().time()
+            await asyncio.sleep(begun + pace.gap - now)
 
     def _note_answer(self) -> None:
         away = self._contact.note_answer(asyncio.get_running_loop().time())
--- a/packages/fleet/src/ibisport_fleet/metrics.py
+++ b/packages/fleet/src/ibisport_fleet/metrics.py
@@ -24,6 +24,9 @@
         self._whole = _build_histogram(
             'ibisport_request_seconds', 'Time to the last byte.', registry
         )
+        self._store_calls = Gauge(
+            'ibisport_store_calls', 'Calls sent to the store.', registry=registry
+        )
         self._state = Gauge(
             'ibisport_state', 'What the router believes now.', registry=registry
         )
@@ -61,6 +64,10 @@
         """Set one figure of what the router believes."""
         self._state.set({'name': name}, level)
 
+    def set_store_calls(self, kind: str, way: str, calls: int) -> None:
+        """Set how many calls of a kind were sent to the store on one way."""
+        self._store_calls.set({'kind': kind, 'way': way}, calls)
+
     def dump(self) -> bytes:
         """Return all figures as text."""
         content, _ = render(self._registry, ['text/plain'])
--- a/packages/fleet/src/ibisport_fleet/process.py
+++ b/packages/fleet/src/ibisport_fleet/process.py
@@ -8,7 +8,7 @@
 import uvloop
 
 from ibisport_fleet.eventlog import Event, EventLog
-from ibisport_fleet.relay import LEAVE_MARGIN_S, Relay
+from ibisport_fleet.relay import LEAVE_MARGIN_S, Relay, RelayAdapters
 from ibisport_fleet.router import Adapters, Router
 from ibisport_fleet.settings import HostSettings
 
@@ -29,19 +29,20 @@
         sys.exit(FAILURE_CODE)
 
 
-def run_relay(settings: HostSettings) -> None:
+def run_relay(settings: HostSettings, adapters: RelayAdapters) -> None:
     """Pass store calls on until the process is told to stop.
 
     Args:
         settings: Who this process is.
+        adapters: The platform's adapter.
     """
     gc.freeze()
-    uvloop.run(_run_relay(settings))
+    uvloop.run(_run_relay(settings, adapters))
 
 
-async def _run_relay(settings: HostSettings) -> None:
+async def _run_relay(settings: HostSettings, adapters: RelayAdapters) -> None:
     log = EventLog()
-    relay = Relay(settings.store_address, log)
+    relay = Relay(settings, adapters, log)
     loop = asyncio.get_running_loop()
     stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/packages/fleet/src/ibisport_fleet/relay.py
+++ b/packages/fleet/src/ibisport_fleet/relay.py
@@ -2,16 +2,20 @@
 
 A router that is cut off from the store, or that the store turns away, still
 reaches the hosts of its targets, and these may still reach the store. A relay
-keeps nothing and decides nothing: it sends a call on and its answer back.
+sends a call on and its answer back.
+
+Watches are not sent on one by one: routers of a failure domain ask the same relay for
+the changes of a prefix, and it asks the store once for all of them.
 """
 
 import asyncio
+from dataclasses import dataclass
+from typing import Protocol
 
-from ibisport_fleet.addresses import Address
 from ibisport_fleet.catalogue import Limits
 from ibisport_fleet.channel import Channel
 from ibisport_fleet.connections import ConnectionTasks
-from ibisport_fleet.errors import FleetError
+from ibisport_fleet.errors import FleetError, StoreError
 from ibisport_fleet.eventlog import EventLog
 from ibisport_fleet.exchange import Exchange, open_exchange
 from ibisport_fleet.messages import (
@@ -21,6 +25,9 @@
     dump_head,
 )
 from ibisport_fleet.requestreader import RequestReader
+from ibisport_fleet.settings import HostSettings
+from ibisport_fleet.store import Changes, Store
+from ibisport_fleet.watchcache import WatchCache
 
 # A call that waits for changes takes up to 1.5 s; no caller waits beyond this.
 MOST_CALL_SECONDS = 3.0
@@ -36,11 +43,51 @@
     b'HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n'
     b'connection: close\r\n\r\n'
 )
+# The store doesn't answer; the connection can be kept.
+UNAVAILABLE = b'HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n'
 CLOSE: Headers = ((b'connection', b'close'),)
 # The largest value of the store, encoded, and its frame.
 RELAY_LIMITS = Limits(most_body_bytes=2_097_152, idle_seconds=IDLE_SECONDS)
 
 
+@dataclass(frozen=True, slots=True)
+class WatchCall:
+    """What a watch asks for.
+
+    Attributes:
+        prefix: What the keys begin with.
+        after: Revision after which changes are wanted.
+        wait: Longest wait for a change, seconds.
+    """
+
+    prefix: str
+    after: int
+    wait: float
+
+
+class WatchWire(Protocol):
+    """How a platform's watch calls go over a connection."""
+
+    def read(self, request: Request) -> WatchCall | None:
+        """Return what a watch call asks for; None if it is another call."""
+
+    def dump(self, changes: Changes) -> bytes:
+        """Return the whole answer to a watch call."""
+
+
+@dataclass(frozen=True, slots=True)
+class RelayAdapters:
+    """What a platform's adapter provides.
+
+    Attributes:
+        store: The store, straight.
+        watches: The wire of watch calls.
+    """
+
+    store: Store
+    watches: WatchWire
+
+
 class Relay:
     """Accepts routers' connections and sends their calls on to the store.
 
@@ -49,8 +96,12 @@
         in_flight: Calls that were passed on and have no answer yet.
     """
 
-    def __init__(self, store_address: Address, log: EventLog) -> None:
-        self._store_address = store_address
+    def __init__(
+        self, settings: HostSettings, adapters: RelayAdapters, log: EventLog
+    ) -> None:
+        self._store_address = settings.store_address
+        self._wire = adapters.watches
+        self._watches = WatchCache(adapters.store, settings.bounds.change_bound, log)
         self._idle: list[Exchange] = []
         self._leaving = False
         # Connections on which no call is passed on, with what they read.
@@ -98,13 +149,26 @@
                 break
             self.in_flight += 1
             try:
-                await self._pass_on(request, channel)
+                await self._answer(request, channel)
             finally:
                 self.in_flight -= 1
         # What is still buffered when the process ends is lost.
         while not (channel.flushed or channel.ended):
             await asyncio.sleep(LEAVE_CHECK_S)
 
+    async def _answer(self, request: Request, channel: Channel) -> None:
+        asked = self._wire.read(request)
+        watch = None if asked is None else self._watches.find(asked.prefix, asked.after)
+        if asked is None or watch is None:
+            await self._pass_on(request, channel)
+            return
+        try:
+            changes = await watch.ask(asked.after, asked.wait)
+        except StoreError:
+            channel.write(UNAVAILABLE)
+            return
+        channel.write(self._wire.dump(changes))
+
     async def _pass_on(self, request: Request, channel: Channel) -> None:
         deadline = asyncio.get_running_loop().time() + MOST_CALL_SECONDS
         exchange = await self._take(deadline)
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -30,6 +30,7 @@
 from ibisport_fleet.storepaths import RelayPlace, StorePaths
 from ibisport_fleet.targets import TargetEntry
 from ibisport_fleet.terms import Dialect
+from ibisport_fleet.watchpace import WatchPace, plan_watch
 
 # Waiting connections that the system keeps before it drops new ones.
 BACKLOG = 1_024
@@ -231,6 +232,9 @@
         self._metrics.set_state('straight_way', self._paths.straight_works)
         if catalogue is not None:
             self._metrics.set_state('catalogue_version', catalogue.version)
+        for (kind, straight), calls in self._paths.sent.items():
+            way = 'straight' if straight else 'relay'
+            self._metrics.set_store_calls(kind.value, way, calls)
         return self._metrics.dump()
 
     def _list_relays(self) -> list[RelayPlace]:
@@ -242,9 +246,17 @@
         return places
 
     def _watch(self, prefix: str, follower: CatalogueView | TargetView) -> None:
-        watch = PrefixWatch(self._store, prefix, follower, self._log, self._contact)
+        watch = PrefixWatch(
+            self._store, prefix, follower, self._log, self._contact, self._plan_watch
+        )
         self._spawn(watch.run(lambda: self._listed.add(prefix)), prefix)
 
+    def _plan_watch(self) -> WatchPace:
+        domains = {entry.domain for entry in self._targets.targets.entries}
+        bound = self._settings.bounds.change_bound
+        routers = self._members.count if self._members.listed else None
+        return plan_watch(routers, len(domains), bound)
+
     async def _close_budgets(self, until: float) -> None:
         try:
             async with asyncio.timeout_at(until):
--- a/packages/fleet/src/ibisport_fleet/settings.py
+++ b/packages/fleet/src/ibisport_fleet/settings.py
@@ -15,12 +15,15 @@
         retry_window: Sliding window of both, seconds.
         stop_grace: Time from the signal to stop until the process is killed,
             seconds.
+        change_bound: Longest time after which a change of the catalogue or of the
+            targets must be in force, seconds.
     """
 
     retry_ratio: float
     retry_slack: float
     retry_window: float
     stop_grace: float
+    change_bound: float = 2.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/fleet/src/ibisport_fleet/store.py
+++ b/packages/fleet/src/ibisport_fleet/store.py
@@ -48,10 +48,12 @@
     Attributes:
         wait: Longest wait for a change, seconds.
         most_bytes: Longest changes that are worth their way; 0 is without a bound.
+        shared: A relay that watches for several routers is asked first.
     """
 
     wait: float
     most_bytes: int = 0
+    shared: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,12 +82,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Conflict:
-    """A write didn't happen; ``items`` are the conditions' keys as they are now."""
+    """A write didn't happen.
+
+    Attributes:
+        items: The conditions' keys as they are now.
+        absent: Those of them that don't exist now.
+    """
 
     items: tuple[Item, ...]
+    absent: tuple[str, ...] = ()
 
     def find(self, key: str) -> Item | None:
-        """Return a key as it is now, or None if it isn't told."""
+        """Return a key as it is now, or None if it is absent or isn't told."""
         for item in self.items:
             if item.key == key:
                 return item
--- a/packages/fleet/src/ibisport_fleet/storecalls.py
+++ b/packages/fleet/src/ibisport_fleet/storecalls.py
@@ -15,7 +15,7 @@
 )
 from ibisport_fleet.exchange import Exchange, open_exchange
 from ibisport_fleet.messages import Answer, AnswerHead, Headers
-from ibisport_fleet.storepaths import StorePaths
+from ibisport_fleet.storepaths import CallKind, StorePaths
 
 # Connecting takes 3 ms; a path that drops packets never answers.
 CONNECT_SECONDS = 0.15
@@ -42,6 +42,7 @@
     """One call as it goes over a connection.
 
     Attributes:
+        kind: What it asks.
         start: The request line.
         headers: Its headers, but for the length.
         body: Its body.
@@ -49,14 +50,18 @@
         waits: The store answers late on purpose, so that a late answer says
             nothing of the way.
         most_bytes: Longest body of the answer; 0 is without a bound.
+        shared_prefix: Routers share this watch of a prefix, so a relay is asked first;
+            empty: each asks for itself.
     """
 
+    kind: CallKind
     start: bytes
     headers: Headers
     body: bytes
     seconds: float
     waits: bool = False
     most_bytes: int = 0
+    shared_prefix: str = ''
 
 
 class CallTry:
@@ -133,9 +138,17 @@
             StoreUnknown: No answer came, and the call may have been executed.
         """
         loop = asyncio.get_running_loop()
-        ways = self._paths.list_ways(loop.time())
+        if call.shared_prefix:
+            ways = self._paths.list_shared_ways(call.shared_prefix, loop.time())
+        else:
+            ways = self._paths.list_ways(loop.time())
         deadline = loop.time() + call.seconds
-        return await _Race(self, call, ways, deadline).run()
+        race = _Race(self, call, ways, deadline)
+        answer = await race.run()
+        if call.shared_prefix and ways[0] in race.failed:
+            # While the store is away all ways fail alike, and the relay is no worse.
+            self._paths.note_unshared(ways[0], loop.time())
+        return answer
 
     async def probe(self, call: StoreCall) -> bool:
         """Whether a call is answered on the straight way."""
@@ -174,6 +187,7 @@
             self._note_failure(address)
             raise StoreUnavailable(repr(error)) from error
         begun = loop.time()
+        self._paths.note_sent(call.kind, address)
         self._waiting[exchange] = attempt
         try:
             async with attempt.timer:
@@ -241,7 +255,11 @@
 
 
 class _Race:
-    """The tries of one call: the next begins when one fails or takes long."""
+    """The tries of one call: the next begins when one fails or takes long.
+
+    Attributes:
+        failed: The ways on which it failed.
+    """
 
     def __init__(
         self,
@@ -254,6 +272,7 @@
         self._call = call
         self._ways = list(ways)
         self._deadline = deadline
+        self.failed: set[Address] = set()
         self._tries: dict[asyncio.Task[Answer], CallTry] = {}
         self._failure: StoreError = StoreUnavailable('no way to the store')
 
@@ -274,8 +293,13 @@
         # While bytes come no second way brings them any sooner: on a narrow link it
         # would take half of what the first one needs.
         silent = all(one.is_silent(patience) for one in self._tries.values())
-        if self._ways and silent and loop.time() < self._deadline:
-            self._begin(self._ways.pop(0))
+        until = self._deadline
+        if self._call.shared_prefix:
+            # A relay may have taken its time. The next way has as much, or a sound way
+            # would look broken.
+            until = loop.time() + self._call.seconds
+        if self._ways and silent and loop.time() < until:
+            self._begin(self._ways.pop(0), until)
         if not self._tries:
             raise self._failure
         # Each try ends by itself when its answer falls silent.
@@ -289,20 +313,21 @@
                 return answer
         return None
 
-    def _begin(self, address: Address) -> None:
-        attempt = CallTry(address, self._call, self._deadline)
-        work = self._caller.ask_way(attempt, self._deadline)
+    def _begin(self, address: Address, until: float) -> None:
+        attempt = CallTry(address, self._call, until)
+        work = self._caller.ask_way(attempt, until)
         self._tries[asyncio.get_running_loop().create_task(work)] = attempt
 
     def _finish(self, task: asyncio.Task[Answer]) -> Answer | None:
-        self._tries.pop(task)
+        attempt = self._tries.pop(task)
         failure = task.exception()
         if failure is None:
-            for attempt in self._tries.values():
-                self._caller.note_slow(attempt.address)
+            for other in self._tries.values():
+                self._caller.note_slow(other.address)
             return task.result()
         if not isinstance(failure, StoreError) or isinstance(failure, ChangesTooLong):
             raise failure
+        self.failed.add(attempt.address)
         if not isinstance(self._failure, StoreUnknown):
             self._failure = failure
         return None
--- a/packages/fleet/src/ibisport_fleet/storepaths.py
+++ b/packages/fleet/src/ibisport_fleet/storepaths.py
@@ -1,17 +1,38 @@
 """Which way a store call takes: straight, or through a relay."""
 
 import random
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from enum import Enum
+
+import xxhash
 
 from ibisport_fleet.addresses import Address
 
 # A way that failed is tried last for so long.
 AVOID_SECONDS = 2.0
+# A relay that failed isn't asked for shared watches for so long: while it is silent,
+# each costs its whole time-out.
+UNSHARED_SECONDS = 10.0
 # Ways that one call may take before it is given up.
 MOST_WAYS = 3
 
 
+class CallKind(Enum):
+    """What a call asks of the store; the store counts them, some for less."""
+
+    read = 'read'
+    list_all = 'list'
+    list_stale = 'list stale'
+    watch = 'watch'
+    write = 'write'
+    grant = 'grant lease'
+    renew = 'renew lease'
+    end = 'end lease'
+    probe = 'probe'
+
+
 @dataclass(frozen=True, slots=True)
 class RelayPlace:
     """Where a relay may listen; whether one does shows when it is tried."""
@@ -30,6 +51,8 @@
     Attributes:
         straight: The store's own address.
         straight_works: The last call on the straight way was answered.
+        on_straight_lost: Called when the straight way stops to work, if set.
+        sent: Tries of calls by kind, and whether they went straight.
     """
 
     def __init__(
@@ -41,11 +64,35 @@
         self.straight = straight
         self.straight_works = True
         self.on_straight_lost: Callable[[], None] | None = None
+        self.sent: Counter[tuple[CallKind, bool]] = Counter()
         self._domain = domain
         self._list_relays = list_relays
         self._avoided_until: dict[Address, float] = {}
+        self._unshared_until: dict[Address, float] = {}
         self._working: Address | None = None
 
+    def list_shared_ways(self, prefix: str, now: float) -> list[Address]:
+        """Return the addresses to try for a watch that routers share, best first.
+
+        All routers of a domain rank its relays alike, so they ask the same one. Where
+        they don't, the store is asked once more.
+
+        Args:
+            prefix: What is watched; prefixes lie at different relays.
+            now: Loop time.
+        """
+        usable = [
+            place.address
+            for place in self._list_relays()
+            if place.domain == self._domain
+            and self._unshared_until.get(place.address, 0.0) <= now
+        ]
+        usual = self.list_ways(now)
+        if not usable:
+            return usual
+        first = min(usable, key=lambda one: _draw(f'{prefix}|{one}'))
+        return [first, *(one for one in usual if one != first)][:MOST_WAYS]
+
     def list_ways(self, now: float) -> list[Address]:
         """Return the addresses to try for one call, best first."""
         relays = self._rank_relays(now)
@@ -54,6 +101,10 @@
         # A last try straight, in case the relays are what is broken.
         return [*relays[: MOST_WAYS - 1], self.straight]
 
+    def note_sent(self, kind: CallKind, address: Address) -> None:
+        """Count a try of a call on a way."""
+        self.sent[kind, address == self.straight] += 1
+
     def note_answer(self, address: Address) -> None:
         """Note that a call was answered on a way."""
         self._avoided_until.pop(address, None)
@@ -62,6 +113,10 @@
         else:
             self._working = address
 
+    def note_unshared(self, address: Address, now: float) -> None:
+        """Note that a shared watch failed on a way, and then not on another one."""
+        self._unshared_until[address] = now + UNSHARED_SECONDS
+
     def note_failure(self, address: Address, now: float) -> None:
         """Note that a call failed on a way."""
         self._avoided_until[address] = now + AVOID_SECONDS
@@ -80,3 +135,7 @@
     def _weigh(self, address: Address, domain: str, now: float) -> tuple[bool, ...]:
         avoided = self._avoided_until.get(address, 0) > now
         return (avoided, address != self._working, domain != self._domain)
+
+
+def _draw(text: str) -> int:
+    return xxhash.xxh3_64_intdigest(text.encode())
--- /dev/null
+++ b/packages/fleet/src/ibisport_fleet/watchcache.py
@@ -0,0 +1,159 @@
+"""One watch of the store for all who ask a relay for the changes of a prefix.
+
+Routers of a failure domain ask the same relay, so the store is asked as often as
+something changes, and not as often as that for each router.
+"""
+
+import asyncio
+import contextlib
+from collections import deque
+
+from ibisport_fleet.errors import StoreError, StoreUnavailable
+from ibisport_fleet.eventlog import Event, EventLog
+from ibisport_fleet.store import Change, Changes, Item, Store, WatchTerms
+from ibisport_fleet.watchpace import plan_upstream
+
+# What is kept for routers that lag; who lags further is passed on to the store.
+MOST_KEPT_BYTES = 4_194_304
+MOST_KEPT_CHANGES = 2_000
+
+
+class SharedWatch:
+    """One prefix: its changes since a revision, and who waits for the next ones."""
+
+    def __init__(
+        self, store: Store, prefix: str, after: int, change_bound: float
+    ) -> None:
+        """Begin to watch.
+
+        Args:
+            store: Where the changes come from.
+            prefix: What the keys begin with.
+            after: The revision from which on all changes are kept.
+            change_bound: Longest time after which a change must be in force, seconds.
+        """
+        loop = asyncio.get_running_loop()
+        self._store = store
+        self._prefix = prefix
+        self._pace = plan_upstream(change_bound)
+        self._kept: deque[Change] = deque()
+        self._kept_bytes = 0
+        self._kept_after = after
+        self._head = after
+        self._heard_at = loop.time()
+        self._asked_at = loop.time()
+        self._failure: StoreError | None = None
+        self._news = asyncio.Event()
+        self._task = loop.create_task(self._run())
+
+    @property
+    def ended(self) -> bool:
+        """Whether nothing new will come."""
+        return self._failure is not None
+
+    def covers(self, after: int) -> bool:
+        """Whether all changes after a revision are kept."""
+        return after >= self._kept_after
+
+    async def ask(self, after: int, wait: float) -> Changes:
+        """Return the changes after a revision, as the store's own watch does.
+
+        An answer without changes is given only if the store has answered meanwhile:
+        who asks takes it for a sign that the store can be reached.
+
+        Raises:
+            StoreUnavailable: The store doesn't answer.
+        """
+        loop = asyncio.get_running_loop()
+        asked_at = loop.time()
+        self._asked_at = asked_at
+        until = asked_at + wait
+        while True:
+            changes = tuple(one for one in self._kept if one.revision > after)
+            if changes:
+                return Changes(changes, max(after, self._head))
+            if self._failure is not None:
+                raise StoreUnavailable(repr(self._failure))
+            due = loop.time() >= until
+            if due and self._heard_at >= asked_at:
+                return Changes((), max(after, self._head))
+            # The next answer of the store, or its failure, is bounded in time.
+            await self._wait_for_news(None if due else until)
+
+    async def _wait_for_news(self, until: float | None) -> None:
+        news = self._news
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(until):
+                await news.wait()
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            # A prefix that nobody asks for any more isn't watched.
+            while loop.time() < self._asked_at + self._pace.silent_after:
+                await self._take_next()
+            self._failure = StoreUnavailable('nobody asked')
+        except (StoreError, TimeoutError) as error:
+            self._failure = StoreUnavailable(repr(error))
+        finally:
+            # Whatever ended it, nobody may wait for what doesn't come.
+            self._failure = self._failure or StoreUnavailable('the watch has ended')
+            self._tell()
+
+    async def _take_next(self) -> None:
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        async with asyncio.timeout_at(begun + self._pace.silent_after):
+            found = await self._store.watch(
+                self._prefix, self._head, WatchTerms(self._pace.wait)
+            )
+        for change in found.changes:
+            self._keep(change)
+        self._head = max(self._head, found.revision)
+        self._heard_at = loop.time()
+        self._tell()
+        if found.changes:
+            # Changes that follow each other closely come together.
+            await asyncio.sleep(begun + self._pace.gap - loop.time())
+
+    def _keep(self, change: Change) -> None:
+        self._kept.append(change)
+        self._kept_bytes += _measure(change)
+        while self._kept_bytes > MOST_KEPT_BYTES or len(self._kept) > MOST_KEPT_CHANGES:
+            dropped = self._kept.popleft()
+            self._kept_bytes -= _measure(dropped)
+            self._kept_after = max(self._kept_after, dropped.revision)
+
+    def _tell(self) -> None:
+        news, self._news = self._news, asyncio.Event()
+        news.set()
+
+
+class WatchCache:
+    """The prefixes that a relay watches."""
+
+    def __init__(self, store: Store, change_bound: float, log: EventLog) -> None:
+        """Begin with none.
+
+        Args:
+            store: Where the changes come from.
+            change_bound: Longest time after which a change must be in force, seconds.
+            log: Where the begin of each watch is written.
+        """
+        self._store = store
+        self._change_bound = change_bound
+        self._log = log
+        self._watches: dict[str, SharedWatch] = {}
+
+    def find(self, prefix: str, after: int) -> SharedWatch | None:
+        """Return the watch of a prefix; None if it lacks changes after a revision."""
+        found = self._watches.get(prefix)
+        if found is None or found.ended:
+            found = SharedWatch(self._store, prefix, after, self._change_bound)
+            self._watches[prefix] = found
+            self._log.write(Event.watch_shared, prefix=prefix, revision=after)
+        return found if found.covers(after) else None
+
+
+def _measure(change: Change) -> int:
+    return len(change.content) if isinstance(change, Item) else 0
--- /dev/null
+++ b/packages/fleet/src/ibisport_fleet/watchpace.py
@@ -0,0 +1,69 @@
+"""How often the store is asked for changes, and by whom: decisions, without a network.
+
+With few routers in a failure domain each asks the store itself. With more they ask a
+relay of their domain, which asks once for all of them.
+"""
+
+from dataclasses import dataclass
+
+# A relay asks the store so often within the time after which a change must be in
+# force; it is given up when an answer is late by half as much. So a relay that is cut
+# off is noticed before half of that time has passed.
+WAITS_A_BOUND = 4
+SILENCE_FACTOR = 1.25
+# Changes that follow within this part of the bound come together, at a relay and at a
+# router.
+RELAY_GAP_PART = 1 / 16
+ROUTER_GAP_PART = 1 / 8
+# With fewer routers a domain a relay would ask the store more often than they do.
+LEAST_SHARERS = 3
+# A watch that waits longer could sit on a silent connection beyond the time in
+# which a change must be in force (2 s): wait and time-out together stay below
+# the 3 s that count as an outage.
+STRAIGHT_WAIT_S = 1.5
+
+
+@dataclass(frozen=True, slots=True)
+class WatchPace:
+    """How a prefix is watched.
+
+    Attributes:
+        wait: Longest wait for a change, seconds.
+        gap: Least time from one watch that brought changes to the next, seconds.
+        silent_after: Seconds after which a watch without an answer is given up.
+        shared: A relay of the domain is asked before the store.
+    """
+
+    wait: float
+    gap: float
+    silent_after: float
+    shared: bool = False
+
+
+def plan_upstream(change_bound: float) -> WatchPace:
+    """Return how a relay watches for the routers that ask it.
+
+    Args:
+        change_bound: Longest time after which a change must be in force, seconds.
+    """
+    wait = change_bound / WAITS_A_BOUND
+    return WatchPace(wait, RELAY_GAP_PART * change_bound, SILENCE_FACTOR * wait)
+
+
+def plan_watch(routers: int | None, domains: int, change_bound: float) -> WatchPace:
+    """Return how a router watches.
+
+    While it isn't known how many routers there are, many may be starting at once, and
+    all targets with them: relays are asked then too.
+
+    Args:
+        routers: How many there are in all domains; None: not known yet.
+        domains: Failure domains in which relays are known.
+        change_bound: Longest time after which a change must be in force, seconds.
+    """
+    gap = ROUTER_GAP_PART * change_bound
+    if routers is not None and routers < LEAST_SHARERS * max(domains, 1):
+        return WatchPace(STRAIGHT_WAIT_S, gap, STRAIGHT_WAIT_S)
+    # No relay may be known yet, so the gap holds here too.
+    wait = change_bound / WAITS_A_BOUND
+    return WatchPace(wait, gap, SILENCE_FACTOR * wait, shared=True)
