--- a/packages/fleet/src/ibisport_fleet/allowance.py
+++ b/packages/fleet/src/ibisport_fleet/allowance.py
@@ -5,16 +5,14 @@
 from ibisport_fleet.budgetpage import Account, Share
 
 # What a host may spend without asking while it is in contact covers half a second and
-# this many writes; more would be lost in a crash (two seconds and a half of demand
-# lost 0.08 of worth when all routers died). Two writes may pass before a request's
-# own need is written, and as many again before a conflict is settled.
+# this many writes; more would be lost in a crash. Two writes may pass before what a
+# request needs is written, and as many again before a conflict is settled.
 CONTACT_SECONDS = 0.5
 CONTACT_WRITES = 4
 # And at most this part of what the host holds.
 CONTACT_PART = 0.3
-# While the store can't be reached a lender lives on its cap. Outages last six to nine
-# seconds, but a lender that dies in one strands what is left: over six standard days a
-# reserve of 6 s gave a mean worth of 0.634, one of 12 s 0.629.
+# While the store can't be reached a lender lives on its cap. A longer reserve would
+# bridge longer outages, and a lender that dies in one strands what is left of it.
 ISOLATED_SECONDS = 6.0
 # And at most this share of the unspent rest: a lender that dies in an outage strands
 # what is left of it.
--- a/packages/fleet/src/ibisport_fleet/budgetkeeper.py
+++ b/packages/fleet/src/ibisport_fleet/budgetkeeper.py
@@ -65,13 +65,12 @@
 FRESH_SECONDS = 0.25
 # The store grows slow from one call to the next, so half of the newest counts.
 LATENCY_WEIGHT = 0.5
-# Spreads writers that collided: a write and its answer take about 5 ms.
+# Spreads writers that collided, by about the time of a write.
 CONFLICT_PAUSE_S = 0.004
-# With more writers than one in 5 ms the pause doubles, up to this one.
+# With more writers the pause doubles, up to this one.
 LONGEST_CONFLICT_PAUSE_S = 0.032
-# Whoever doesn't lend lets lenders go first, by so many times as long a pause. In a
-# fleet of 30 whose lender had died, all drew for themselves and gave back at once: 200
-# conditional writes a second, of which the lender's own 50 hardly ever succeeded.
+# Whoever doesn't lend lets lenders go first, by so many times as long a pause. Where a
+# lender has died all others draw for themselves, and the next one hardly gets a write.
 BORROWER_PATIENCE = 8
 
 
@@ -228,8 +227,8 @@
         """Whether the process before this one may have left tokens unspent.
 
         What it has spent to the last token can be closed with the first write that
-        is made anyway. When 30 routers started at once and each wrote the page, the
-        store turned most of these writes away and lenders opened 7 seconds late.
+        is made anyway: routers that start at once and all write the page keep the
+        lenders among them from opening.
         """
         shares = [one.shares.get(self._host) for one in self._page.accounts.values()]
         return any(share.cap > share.used for share in shares if share is not None)
@@ -245,8 +244,7 @@
         self.opened = before is None
         while not self.opened:
             # Only the page changes at every try, and a conflict brings it: with two
-            # more reads between them, writes of a busy lender kept one from opening
-            # for 17 seconds.
+            # more reads between them a busy lender's writes would come first each time.
             plan = self._plan_opening(spent, remains.proof)
             self.opened = await self._put(plan)
             changed = self._record_revision != remains.record_revision
@@ -315,8 +313,7 @@
         """Whether this write changes the shared page as well.
 
         What callers wait for comes first: if the host's own caps cover it, the
-        page waits. While the store was slow, eight balancing writes in a row met
-        conflicts and 87 requests were refused that the caps covered.
+        page waits, and with it the conflicts that its writes may meet.
         """
         purses = self.ledger.purses
         short = [
@@ -413,7 +410,7 @@
         """Let others go first, but not while the process is opening.
 
         An opening that comes after the former process's proof has run out strands
-        its whole reserve: on one day 1.1 s of pauses cost 0.07 of worth.
+        its whole reserve.
         """
         yields = self.has_lenders and not self.needs_proof
         patience = BORROWER_PATIENCE if yields else 1
--- a/packages/fleet/src/ibisport_fleet/budgets.py
+++ b/packages/fleet/src/ibisport_fleet/budgets.py
@@ -30,16 +30,15 @@
 # budgets of the host, and writes of the shared page keep each other out.
 LEAST_WRITE_GAP_S = 0.06
 RETRY_PAUSE_S = 0.2
-# Longest time that a request waits for tokens: a write takes 5 ms, and 250 ms
-# while the store is slow; conflicts may come before it.
+# Longest time that a request waits for tokens: a write of a slow store, and conflicts
+# before it.
 DRAW_SECONDS = 0.6
 # The same while calls fail: sooner with another router than waiting here.
 FAILING_DRAW_SECONDS = 0.1
 # A router that is asked for a loan holds a reserve for so long, whatever its own list
-# says: borrowers ask by theirs, and the two differ by up to 1.5 s. Without it each such
-# loan was a write of the page, and of 30 routers that stopped one after another 0.024
-# instead of 0.007 of the requests were refused in the model. Borrowers leave a lender
-# alone for as long.
+# says: borrowers ask by theirs, and the two differ by a period of the list. Without it
+# each such loan would be a write of the page. Borrowers leave a lender alone for as
+# long.
 ASKED_SECONDS = 2.0
 # Another router may have tokens left of the same budget, and a retry reaches
 # another one.
--- a/packages/fleet/src/ibisport_fleet/lenders.py
+++ b/packages/fleet/src/ibisport_fleet/lenders.py
@@ -10,9 +10,8 @@
 
 import xxhash
 
-# One lender for so many routers, so that three of 30 lend: a fleet that takes 120
-# requests a second then asks each for 40 loans, worked out. At least two, so that not
-# all budgets feel the loss of one router.
+# One lender for so many routers, so that each is asked for few loans. At least two, so
+# that not all budgets feel the loss of one router.
 ROUTERS_A_LENDER = 12
 LEAST_LENDERS = 2
 
--- a/packages/fleet/src/ibisport_fleet/membership.py
+++ b/packages/fleet/src/ibisport_fleet/membership.py
@@ -20,8 +20,7 @@
 PERIOD_S = 1.5
 # The same until the list holds this router: nobody lends or borrows well before.
 START_PERIOD_S = 0.3
-# Until a router that leaves tries again to end its entry: a store that refuses at once
-# was called some 500 times a second without a pause.
+# Until a router that leaves tries again to end its entry: a store may refuse at once.
 WITHDRAW_PAUSE_S = 0.1
 # An entry that lapsed while the store was away may belong to a living router: it
 # counts among those that share a budget of retries for so long.
@@ -139,9 +138,8 @@
     async def _withdraw(self) -> None:
         """End the entry: until it lapses others take this router for a lender.
 
-        They asked it for each loan, and whoever lent in its place wrote the page for
-        each: 790 store calls in eight seconds, of five routers that press 60 requests
-        a second; 160 without a leave.
+        They would ask it for each loan, and whoever lends in its place would write the
+        page for each.
         """
         if self._lease:
             await self._store.end_lease(self._lease)
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -37,8 +37,8 @@
 POLL_SECONDS = 0.1
 # Stale reads cost a tenth of a call.
 PROBE_PERIOD_S = 0.5
-# A timer of half a second that is later than this shows a process that stood still: a
-# busy loop turns within 0.3 s.
+# A timer of half a second that is later than this shows a process that stood still; a
+# busy loop turns sooner.
 LONGEST_TURN_S = 1.0
 
 
@@ -195,8 +195,8 @@
     def _find_signal(self) -> float:
         """Return the earliest loop time at which the signal may have come.
 
-        The grace runs from then on. A process that stood still for 3.5 s planned its
-        last answers for 3.1 s after the kill.
+        The grace runs from then on: a process that stood still would plan its last
+        answers for a time after the kill.
         """
         now = asyncio.get_running_loop().time()
         still = read_boot_clock() - self._alive_at
--- a/packages/fleet/src/ibisport_fleet/storecalls.py
+++ b/packages/fleet/src/ibisport_fleet/storecalls.py
@@ -17,13 +17,13 @@
 from ibisport_fleet.messages import Answer, AnswerHead, Headers
 from ibisport_fleet.storepaths import CallKind, StorePaths
 
-# Connecting takes 3 ms; a path that drops packets never answers.
+# Connecting takes a few milliseconds; a path that drops packets never answers.
 CONNECT_SECONDS = 0.15
 # The store did nothing: it is down, or turns this host away.
 REFUSALS = frozenset((429, 503))
-# A call that takes so much longer than usual is sent on a second way as well: in
-# a partition the second way answers in 10 ms, and a write that is done twice
-# shows, since each is conditional.
+# A call that takes so much longer than usual is sent on a second way as well, which
+# answers soon in a partition; a write that is done twice shows, since each is
+# conditional.
 LEAST_PATIENCE_S = 0.1
 PATIENCE_FACTOR = 2.5
 LATENCY_WEIGHT = 0.2
