Watch on at a relay while anybody waits, for a few prefixes

A relay's watch ended when nobody had begun to ask for a while, also with a router still waiting: one that waits 1.5 s, as routers of small domains do when they are cut off from the store, got 503 after 0.6 s each time. And a relay watched whatever prefixes it was asked for, each for good.

Two scenarios failed first.

--- a/features/sharing.feature
+++ b/features/sharing.feature
@@ -59,6 +59,16 @@
     When a router asks from a revision that the relay hasn't heard of
     Then it gets the next change, and no change twice
 
+  Scenario: A router may wait longer than the relay does
+    Given a relay that watches a prefix
+    When a router waits 3 seconds for changes, and none comes
+    Then it gets an answer without changes after 3 seconds
+
+  Scenario: Whoever asks for many prefixes doesn't make a relay watch them all
+    Given a relay that watches a prefix
+    When 100 other prefixes are asked for
+    Then the relay watches at most 8 of them, and passes the rest on
+
   Scenario: With few routers in a domain each asks for itself
     Then 5 routers in 4 domains ask for themselves, and 30 in 3 share
     And routers share while it isn't known how many there are
--- a/features/steps/sharing_steps.py
+++ b/features/steps/sharing_steps.py
@@ -326,6 +326,38 @@
     assert context.passed < FAILURE_S, context.passed
 
 
+@when('a router waits {seconds:d} seconds for changes, and none comes')
+def wait_long(context, seconds):
+    async def play():
+        _, _, watch, first = await context.open_cache()
+        begun = asyncio.get_running_loop().time()
+        context.changes = await watch.ask(first, seconds)
+        context.passed = asyncio.get_running_loop().time() - begun
+
+    run_virtually(play())
+
+
+@then('it gets an answer without changes after {seconds:d} seconds')
+def check_long(context, seconds):
+    assert not context.changes.changes
+    assert seconds <= context.passed < seconds + FAILURE_S, context.passed
+
+
+@when('{count:d} other prefixes are asked for')
+def ask_for_many(context, count):
+    async def play():
+        _, cache, _, first = await context.open_cache()
+        found = [cache.find(f'other-{one}/', first) for one in range(count)]
+        context.watched = [one for one in found if one is not None]
+
+    run_virtually(play())
+
+
+@then('the relay watches at most {most:d} of them, and passes the rest on')
+def check_bounded(context, most):
+    assert 0 < len(context.watched) <= most, len(context.watched)
+
+
 @when("a router asks for changes from before the relay's watch")
 def ask_from_before(context):
     async def play():
--- a/packages/fleet/src/ibisport_fleet/watchcache.py
+++ b/packages/fleet/src/ibisport_fleet/watchcache.py
@@ -16,6 +16,8 @@
 # What is kept for routers that lag; who lags further is passed on to the store.
 MOST_KEPT_BYTES = 4_194_304
 MOST_KEPT_CHANGES = 2_000
+# Routers follow a few prefixes; what asks for more is no router.
+MOST_PREFIXES = 8
 
 
 class SharedWatch:
@@ -42,6 +44,7 @@
         self._head = after
         self._heard_at = loop.time()
         self._asked_at = loop.time()
+        self._waiting = 0
         self._failure: StoreError | None = None
         self._news = asyncio.Event()
         self._task = loop.create_task(self._run())
@@ -51,6 +54,11 @@
         """Whether nothing new will come."""
         return self._failure is not None
 
+    @property
+    def _idle_at(self) -> float:
+        """Loop time from which nobody seems to ask any more."""
+        return self._asked_at + self._pace.silent_after
+
     def covers(self, after: int) -> bool:
         """Whether all changes after a revision are kept."""
         return after >= self._kept_after
@@ -64,9 +72,15 @@
         Raises:
             StoreUnavailable: The store doesn't answer.
         """
+        self._asked_at = asyncio.get_running_loop().time()
+        self._waiting += 1
+        try:
+            return await self._find_next(after, self._asked_at, wait)
+        finally:
+            self._waiting -= 1
+
+    async def _find_next(self, after: int, asked_at: float, wait: float) -> Changes:
         loop = asyncio.get_running_loop()
-        asked_at = loop.time()
-        self._asked_at = asked_at
         until = asked_at + wait
         while True:
             changes = tuple(one for one in self._kept if one.revision > after)
@@ -90,7 +104,7 @@
         loop = asyncio.get_running_loop()
         try:
             # A prefix that nobody asks for any more isn't watched.
-            while loop.time() < self._asked_at + self._pace.silent_after:
+            while self._waiting or loop.time() < self._idle_at:
                 await self._take_next()
             self._failure = StoreUnavailable('nobody asked')
         except (StoreError, TimeoutError) as error:
@@ -146,9 +160,17 @@
         self._watches: dict[str, SharedWatch] = {}
 
     def find(self, prefix: str, after: int) -> SharedWatch | None:
-        """Return the watch of a prefix; None if it lacks changes after a revision."""
+        """Return the watch of a prefix.
+
+        None if it lacks changes after a revision, or if too many are watched.
+        """
+        self._watches = {
+            name: watch for name, watch in self._watches.items() if not watch.ended
+        }
         found = self._watches.get(prefix)
-        if found is None or found.ended:
+        if found is None:
+            if len(self._watches) >= MOST_PREFIXES:
+                return None
             found = SharedWatch(self._store, prefix, after, self._change_bound)
             self._watches[prefix] = found
             self._log.write(Event.watch_shared, prefix=prefix, revision=after)
