--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -17,10 +17,10 @@
     Service,
     Workspace,
 )
-from ibisport_fleet.departure import NOTICE_S
 from ibisport_fleet.eventlog import EventLog
 from ibisport_fleet.router import Adapters, Router
 from ibisport_fleet.settings import Bounds, HostSettings
+from ibisport_fleet.shutdown import NOTICE_S
 from ibisport_fleet.targets import TargetEntry
 from ibisport_platform.headers import PlatformDialect
 
--- a/features/steps/stopping_edges_steps.py
+++ b/features/steps/stopping_edges_steps.py
@@ -23,9 +23,9 @@
 from ibisport_bench.memorytransport import Link
 from ibisport_bench.standins.memorystore import ANSWER_SECONDS, MemoryService
 from ibisport_bench.virtualtime import run_virtually
-from ibisport_fleet.departure import plan_departure
 from ibisport_fleet.eventlog import EventLog
 from ibisport_fleet.membership import MEMBER_PREFIX, Membership
+from ibisport_fleet.shutdown import plan_shutdown
 
 LEFT_LIST_S = 0.5
 # What the virtual clock tells apart, s.
@@ -127,16 +127,16 @@
 @when('a stop is planned with a grace time of {grace:g} s')
 def plan(context, grace):
     context.grace = grace
-    context.departure = plan_departure(100.0, grace)
+    context.shutdown = plan_shutdown(100.0, grace)
 
 
 @then('its moments are in order, and last answers come within its last sixth')
 def check_moments(context):
-    one = context.departure
+    one = context.shutdown
     killed_at = one.begun_at + context.grace
     moments = [
         one.begun_at,
-        one.welcome_until,
+        one.accepts_until,
         one.listening_until,
         one.accounts_at,
         one.answers_until,
--- a/packages/bench/src/ibisport_bench/budgetworld.py
+++ b/packages/bench/src/ibisport_bench/budgetworld.py
@@ -13,12 +13,12 @@
 from ibisport_fleet.budgets import Budgets, Short
 from ibisport_fleet.catalogue import Catalogue, Workspace
 from ibisport_fleet.clocks import Clocks
-from ibisport_fleet.departure import WHOLE_GRACE_S, plan_departure
 from ibisport_fleet.errors import PeerUnavailable, RecordInvalid
 from ibisport_fleet.eventlog import EventLog
 from ibisport_fleet.fleetview import CatalogueView
 from ibisport_fleet.loans import Loan, LoanRequest
 from ibisport_fleet.membership import Membership
+from ibisport_fleet.shutdown import WHOLE_GRACE_S, plan_shutdown
 from ibisport_fleet.store import Item
 
 RESTART_SECONDS = 1.2
@@ -212,7 +212,7 @@
         if budgets is None:
             return
         now = asyncio.get_running_loop().time()
-        budgets.leave(plan_departure(now, WHOLE_GRACE_S))
+        budgets.leave(plan_shutdown(now, WHOLE_GRACE_S))
         await asyncio.sleep(seconds)
         if host.budgets is not budgets:
             # It was killed meanwhile.
--- a/packages/fleet/src/ibisport_fleet/budgets.py
+++ b/packages/fleet/src/ibisport_fleet/budgets.py
@@ -14,7 +14,6 @@
 from ibisport_fleet.calls import draw_pause
 from ibisport_fleet.catalogue import Workspace
 from ibisport_fleet.clocks import SYSTEM_CLOCKS, Clocks
-from ibisport_fleet.departure import Departure
 from ibisport_fleet.errors import FleetError, RecordInvalid, StoreError
 from ibisport_fleet.eventlog import Event, EventLog
 from ibisport_fleet.fleetview import CatalogueView
@@ -22,6 +21,7 @@
 from ibisport_fleet.lenders import rank_lenders
 from ibisport_fleet.loans import Loan, LoanPeer, LoanRequest
 from ibisport_fleet.membership import Membership
+from ibisport_fleet.shutdown import Shutdown
 from ibisport_fleet.store import Store
 
 PROOF_PERIOD_S = 0.7
@@ -85,7 +85,7 @@
         self._wake = asyncio.Event()
         self._drawn = asyncio.Event()
         self._failing = False
-        self._departure: Departure | None = None
+        self._shutdown: Shutdown | None = None
         self._asked_until: dict[str, float] = {}
         self._closing = False
 
@@ -102,16 +102,16 @@
         """Return the hosts that lend a workspace's tokens, the first one first."""
         return rank_lenders(self._members.current, workspace)
 
-    def leave(self, departure: Departure) -> None:
+    def leave(self, shutdown: Shutdown) -> None:
         """Leave the list of lenders, and then lend nothing more; the rest goes back.
 
         Args:
-            departure: When.
+            shutdown: When.
         """
-        self._departure = departure
+        self._shutdown = shutdown
         loop = asyncio.get_running_loop()
-        loop.call_at(departure.listed_until, self._members.leave)
-        loop.call_at(departure.lends_until, self._wake.set)
+        loop.call_at(shutdown.listed_until, self._members.leave)
+        loop.call_at(shutdown.lends_until, self._wake.set)
 
     async def lend(self, request: LoanRequest) -> Loan:
         """Lend tokens to another router, which counts as spending them.
@@ -215,7 +215,7 @@
                 self._note_failure(error)
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
-            self._members.may_lend = self._keeper.settled and self._departure is None
+            self._members.may_lend = self._keeper.settled and self._shutdown is None
             drawn, self._drawn = self._drawn, asyncio.Event()
             drawn.set()
             self._failing = False
@@ -272,9 +272,9 @@
     @property
     def _lent_last(self) -> bool:
         """Whether the router leaves and lends nothing any more."""
-        if self._departure is None:
+        if self._shutdown is None:
             return False
-        return asyncio.get_running_loop().time() >= self._departure.lends_until
+        return asyncio.get_running_loop().time() >= self._shutdown.lends_until
 
     def _lends(self, workspace: str) -> bool:
         if self._lent_last or not self._members.listed:
--- a/packages/fleet/src/ibisport_fleet/handling.py
+++ b/packages/fleet/src/ibisport_fleet/handling.py
@@ -6,7 +6,6 @@
 
 from ibisport_fleet.budgets import Short
 from ibisport_fleet.calls import Call, draw_pause
-from ibisport_fleet.departure import Departure
 from ibisport_fleet.errors import RequestInvalid
 from ibisport_fleet.intake import LEAVING_PAUSE_S, Refused, admit
 from ibisport_fleet.messages import Request
@@ -15,6 +14,7 @@
 from ibisport_fleet.retries import RetryBudget
 from ibisport_fleet.serving import GivenUp, Parts, Serving
 from ibisport_fleet.settings import Bounds
+from ibisport_fleet.shutdown import Shutdown
 
 STATUS_PAYMENT_REQUIRED = 402
 STATUS_UNAVAILABLE = 503
@@ -37,7 +37,7 @@
         self._started = asyncio.get_running_loop().time()
         self.in_flight = 0
         self.ended = False
-        self._departure: Departure | None = None
+        self._shutdown: Shutdown | None = None
         self._received_by_timer: dict[asyncio.Timeout, float] = {}
 
     async def handle(self, request: Request, replies: Replies) -> None:
@@ -57,7 +57,7 @@
             replies.refuse(error.status, 'invalid', None, None)
             return
         try:
-            call = admit(request, terms, parts.catalogue.current, self._departure)
+            call = admit(request, terms, parts.catalogue.current, self._shutdown)
         except Refused as refused:
             self._note_refused(terms.request_id, refused)
             replies.refuse(
@@ -93,7 +93,7 @@
 
     @contextlib.asynccontextmanager
     async def _limit(self, call: Call) -> AsyncIterator[None]:
-        """Bound a request's time; a departure may bring its end forward."""
+        """Bound a request's time; a shutdown may bring its end forward."""
         async with asyncio.timeout_at(call.until) as timer:
             self._received_by_timer[timer] = call.request.received
             try:
@@ -103,9 +103,9 @@
 
     def _explain_timeout(self, call: Call) -> GivenUp:
         status = STATUS_TIMEOUT if call.may_have_run else STATUS_UNAVAILABLE
-        departure = self._departure
+        shutdown = self._shutdown
         now = asyncio.get_running_loop().time()
-        if departure is None or now < departure.answers_until:
+        if shutdown is None or now < shutdown.answers_until:
             return GivenUp(status, 'timeout')
         pause = None if call.may_have_run else draw_pause(LEAVING_PAUSE_S)
         return GivenUp(status, 'leaving', pause)
@@ -137,8 +137,8 @@
     def _note_ended(self, call: Call, events: int) -> None:
         """Tell a caller that left from a process that ended under its request."""
         recorder = self._parts.recorder
-        if self.ended and self._departure is not None:
-            recorder.note_cut(call, events, self._departure.begun_at)
+        if self.ended and self._shutdown is not None:
+            recorder.note_cut(call, events, self._shutdown.begun_at)
         else:
             recorder.note_left(call, events)
 
@@ -149,19 +149,19 @@
             request_id, refused.status, refused.reason, version
         )
 
-    def leave(self, departure: Departure) -> None:
+    def leave(self, shutdown: Shutdown) -> None:
         """Answer everything in time before the process ends.
 
         Args:
-            departure: When it ends.
+            shutdown: When it ends.
         """
-        self._departure = departure
+        self._shutdown = shutdown
         now = asyncio.get_running_loop().time()
         for timer in self._received_by_timer:
             when = timer.when()
             # One that has run out already can't be set any more.
-            if when is not None and when > max(now, departure.answers_until):
-                timer.reschedule(departure.answers_until)
+            if when is not None and when > max(now, shutdown.answers_until):
+                timer.reschedule(shutdown.answers_until)
 
     def serves_any_from(self, moment: float) -> bool:
         """Whether a request still runs that came by a loop time."""
--- a/packages/fleet/src/ibisport_fleet/intake.py
+++ b/packages/fleet/src/ibisport_fleet/intake.py
@@ -2,8 +2,8 @@
 
 from ibisport_fleet.calls import Call, draw_pause, draw_service
 from ibisport_fleet.catalogue import Catalogue, Route, Workspace
-from ibisport_fleet.departure import Departure
 from ibisport_fleet.messages import Request
+from ibisport_fleet.shutdown import Shutdown
 from ibisport_fleet.terms import CallTerms
 
 STATUS_UNAUTHORIZED = 401
@@ -38,7 +38,7 @@
     request: Request,
     terms: CallTerms,
     catalogue: Catalogue | None,
-    departure: Departure | None,
+    shutdown: Shutdown | None,
 ) -> Call:
     """Return the request with its route, service and workspace.
 
@@ -46,7 +46,7 @@
         request: As it came.
         terms: What it says of itself.
         catalogue: The newest catalogue, or None before the first.
-        departure: When this process ends, or None while it stays.
+        shutdown: When this process ends, or None while it stays.
 
     Raises:
         Refused: No catalogue is known, it doesn't allow the request, or the process
@@ -60,12 +60,12 @@
         raise Refused(STATUS_NOT_FOUND, 'no_route')
     workspace = _find_workspace(catalogue, route, terms.key)
     until = _find_end(request, terms, route)
-    if departure is not None:
-        if not departure.admits(request.received, until):
+    if shutdown is not None:
+        if not shutdown.admits(request.received, until):
             raise Refused(
-                STATUS_UNAVAILABLE, 'leaving', _draw_return(request, departure)
+                STATUS_UNAVAILABLE, 'leaving', _draw_return(request, shutdown)
             )
-        until = min(until, departure.answers_until)
+        until = min(until, shutdown.answers_until)
     return Call(
         request=request,
         terms=terms,
@@ -76,14 +76,14 @@
     )
 
 
-def _draw_return(request: Request, departure: Departure) -> float:
+def _draw_return(request: Request, shutdown: Shutdown) -> float:
     """Return when a caller that this process can't serve any more should come back."""
-    if request.connected <= departure.welcome_until:
+    if request.connected <= shutdown.accepts_until:
         return draw_pause(LEAVING_PAUSE_S)
     # The balancer has nobody else: all routers leave at once, and coming back at once
     # finds the next one that does. On days in which all five routers of a site stop
     # twice, 0.08 of all requests stay unserved, and 0.13 if they come back at once.
-    wait = max(LEAST_RETURN_S, departure.back_at - request.received)
+    wait = max(LEAST_RETURN_S, shutdown.restarts_at - request.received)
     return wait + draw_pause(LEAST_RETURN_S)
 
 
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -11,7 +11,6 @@
 from ibisport_fleet.channel import Channel
 from ibisport_fleet.clocks import read_boot_clock
 from ibisport_fleet.contact import StoreContact
-from ibisport_fleet.departure import Departure, plan_departure
 from ibisport_fleet.errors import RecordInvalid
 from ibisport_fleet.eventlog import Event, EventLog
 from ibisport_fleet.fleetview import CatalogueView, TargetView
@@ -26,6 +25,7 @@
 from ibisport_fleet.sending import Sender
 from ibisport_fleet.serving import Parts
 from ibisport_fleet.settings import HostSettings
+from ibisport_fleet.shutdown import Shutdown, plan_shutdown
 from ibisport_fleet.store import Item, Store
 from ibisport_fleet.storepaths import RelayPlace, StorePaths
 from ibisport_fleet.targets import TargetEntry
@@ -74,7 +74,7 @@
         self._adapters = adapters
         self._log = log
         self._alive_at = read_boot_clock()
-        self._stopped: asyncio.Future[Departure] = (
+        self._stopped: asyncio.Future[Shutdown] = (
             asyncio.get_running_loop().create_future()
         )
         self._tasks: set[asyncio.Task[None]] = set()
@@ -145,19 +145,19 @@
             host=self._settings.host,
             domain=self._settings.domain,
         )
-        departure = await self._stopped
-        await self._stay_open(departure)
+        shutdown = await self._stopped
+        await self._stay_open(shutdown)
         self._close(listener)
-        await self._await_callers(departure.accounts_at)
+        await self._await_callers(shutdown.accounts_at)
         keeping.cancel()
         proving.cancel()
-        await self._end(departure)
+        await self._end(shutdown)
         self._handler.ended = True
         self._log.write(
             Event.process_stopped,
             host=self._settings.host,
             cut=self.in_flight,
-            end_after=round(loop.time() - departure.begun_at, 3),
+            end_after=round(loop.time() - shutdown.begun_at, 3),
         )
 
     async def _listen(self) -> asyncio.Server:
@@ -186,11 +186,11 @@
         )
         self.leaving = True
         grace = self._settings.bounds.stop_grace
-        departure = plan_departure(self._find_signal(), grace)
-        self._handler.leave(departure)
+        shutdown = plan_shutdown(self._find_signal(), grace)
+        self._handler.leave(shutdown)
         self._callers.leaving = True
-        self._budgets.leave(departure)
-        self._stopped.set_result(departure)
+        self._budgets.leave(shutdown)
+        self._stopped.set_result(shutdown)
 
     def _find_signal(self) -> float:
         """Return the earliest loop time at which the signal may have come.
@@ -285,16 +285,16 @@
         self.failed = True
         self.stop()
 
-    async def _stay_open(self, departure: Departure) -> None:
+    async def _stay_open(self, shutdown: Shutdown) -> None:
         """Take new connections for a while after the signal.
 
         Long streams keep the process for seconds. Where all routers leave at once,
         callers have nobody else, so what can be answered in time is taken meanwhile.
         """
         loop = asyncio.get_running_loop()
-        await _sleep_until(departure.listening_until)
-        while loop.time() < departure.accounts_at and self._handler.serves_any_from(
-            departure.welcome_until
+        await _sleep_until(shutdown.listening_until)
+        while loop.time() < shutdown.accounts_at and self._handler.serves_any_from(
+            shutdown.accepts_until
         ):
             self._callers.close_idle()
             await _sleep_until(loop.time() + POLL_SECONDS)
@@ -319,7 +319,7 @@
             self._callers.close_idle()
             await _sleep_until(min(until, loop.time() + POLL_SECONDS))
 
-    async def _end(self, departure: Departure) -> None:
+    async def _end(self, shutdown: Shutdown) -> None:
         """Give the last answers, and write down what was spent.
 
         Streams may go on until shortly before the kill, when a slow store might leave
@@ -327,11 +327,11 @@
         one is written beside them, with what they may cost, and an exact one at last.
         """
         if len(self._callers.connections):
-            early = self._spawn(self._close_budgets(departure.ends_at), 'accounts')
-            await self._await_callers(departure.answers_until + POLL_SECONDS)
+            early = self._spawn(self._close_budgets(shutdown.ends_at), 'accounts')
+            await self._await_callers(shutdown.answers_until + POLL_SECONDS)
             await early
-        await self._close_budgets(departure.ends_at)
-        await self._await_flush(departure.ends_at)
+        await self._close_budgets(shutdown.ends_at)
+        await self._await_flush(shutdown.ends_at)
 
     async def _await_flush(self, until: float) -> None:
         """Wait until slow links have taken what was written, until a loop time."""
--- a/packages/fleet/src/ibisport_fleet/departure.py
+++ b/packages/fleet/src/ibisport_fleet/shutdown.py
@@ -12,21 +12,19 @@
 NOTICE_S = 3.2
 # The balancer has had its two misses by then. Who comes later, on an open connection or
 # since too many routers leave at once, is taken only if the answer is due before the
-# end: streams of 4 s that came 3 s after the signal were cut off.
-WELCOME_S = 2.8
+# end.
+ACCEPT_S = 2.8
 # The others' lists are up to 1.5 s old. A lender that leaves stays on them at first, so
-# that among 30 routers that stop one after another few are missing, and lends as long
-# as it may still be asked: refused in the model 0.007 of the requests, and 0.026 if it
-# was taken off at once.
+# that of many routers that stop one after another few are missing, and lends as long as
+# it may still be asked.
 LISTED_S = 1.3
 LENDING_S = 3.0
-# The first of many routers that stopped together end so long after their signal: what
-# they had last taken takes two seconds. A start takes half a second more.
-BACK_S = 5.0
+# The first of many routers that stopped together have ended by then, with what they had
+# taken last, and started again.
+RESTART_S = 5.0
 # Before the kill: the first account of what was spent, which may meet a slow store.
 ACCOUNTS_MARGIN_S = 1.0
-# Before the kill: final answers, the last account (5 ms, 250 ms while the store is
-# slow) and what slow links still carry.
+# Before the kill: final answers, the last account and what slow links still carry.
 ANSWERS_MARGIN_S = 0.6
 # Before the kill: the end of the process itself.
 END_MARGIN_S = 0.25
@@ -36,16 +34,16 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Departure:
+class Shutdown:
     """The moments of a planned stop, all of them loop times.
 
     Attributes:
         begun_at: The process was told to stop.
         listed_until: It is on the list of lenders.
         lends_until: It lends to other routers.
-        welcome_until: Requests are taken however long they may last.
+        accepts_until: Requests are taken however long they may last.
         listening_until: New connections are accepted.
-        back_at: The first routers that were told to stop at the same time start again.
+        restarts_at: The first routers that were told to stop together start again.
         accounts_at: What was spent is written for the first time.
         answers_until: What still runs gets its final answer.
         ends_at: The process ends.
@@ -54,9 +52,9 @@
     begun_at: float
     listed_until: float
     lends_until: float
-    welcome_until: float
+    accepts_until: float
     listening_until: float
-    back_at: float
+    restarts_at: float
     accounts_at: float
     answers_until: float
     ends_at: float
@@ -68,10 +66,10 @@
             received: When the request came.
             until: When it has its final answer at the latest.
         """
-        return received <= self.welcome_until or until <= self.answers_until
+        return received <= self.accepts_until or until <= self.answers_until
 
 
-def plan_departure(begun_at: float, grace: float) -> Departure:
+def plan_shutdown(begun_at: float, grace: float) -> Shutdown:
     """Return the moments of a stop.
 
     Args:
@@ -80,13 +78,13 @@
     """
     killed_at = begun_at + grace
     scale = min(1.0, grace / WHOLE_GRACE_S)
-    return Departure(
+    return Shutdown(
         begun_at=begun_at,
         listed_until=begun_at + LISTED_S * scale,
         lends_until=begun_at + LENDING_S * scale,
-        welcome_until=begun_at + WELCOME_S * scale,
+        accepts_until=begun_at + ACCEPT_S * scale,
         listening_until=begun_at + NOTICE_S * scale,
-        back_at=begun_at + BACK_S * scale,
+        restarts_at=begun_at + RESTART_S * scale,
         accounts_at=killed_at - ACCOUNTS_MARGIN_S * scale,
         answers_until=killed_at - ANSWERS_MARGIN_S * scale,
         ends_at=killed_at - END_MARGIN_S * scale,
