--- a/packages/fleet/src/ibisport_fleet/storecalls.py
+++ b/packages/fleet/src/ibisport_fleet/storecalls.py
@@ -69,7 +69,7 @@
 
     Attributes:
         address: The way.
-        begun_at: Loop time at which it began.
+        call: The call.
         heard_at: Loop time of the answer's last bytes; None before the first.
         first_at: Loop time of its first bytes; None before them.
     """
@@ -84,7 +84,6 @@
         """
         self.address = address
         self.call = call
-        self.begun_at = asyncio.get_running_loop().time()
         self.heard_at: float | None = None
         self.first_at: float | None = None
         self._timer = asyncio.timeout_at(until)
