--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -8,6 +8,7 @@
 
 import msgspec
 from behave import given, then, when
+from followers import NewestContent, open_log
 from hypothesis import HealthCheck, settings, strategies
 from hypothesis import given as forall
 
@@ -52,10 +53,6 @@
 AT_ONCE_SECONDS = 0.05
 
 
-def _open_log():
-    return EventLog(os.open(os.devnull, os.O_WRONLY))
-
-
 def _decode_target(item):
     state = item.content.decode()
     address = ('10.0.0.1', 80)
@@ -69,7 +66,7 @@
     contact = StoreContact(loop.time())
     store = service.open_store('router')
     watch = PrefixWatch(
-        store, prefix, view, _open_log(), contact, lambda: plan_watch(1, 1, 2.0)
+        store, prefix, view, open_log(), contact, lambda: plan_watch(1, 1, 2.0)
     )
     listed = asyncio.Event()
     task = loop.create_task(watch.run(listed.set))
@@ -83,7 +80,7 @@
         service = MemoryService()
         service.put(KEY, b'ready')
         view = TargetView(
-            _decode_target, lambda key: key.removeprefix('servers/'), _open_log()
+            _decode_target, lambda key: key.removeprefix('servers/'), open_log()
         )
         task = await _follow(service, view)
         await asyncio.sleep(2.0)
@@ -173,7 +170,7 @@
     def decode(item):
         return Catalogue(int(item.content), item.revision, (), {}, {}, {}, False)
 
-    context.view = CatalogueView('op/config', decode, _open_log())
+    context.view = CatalogueView('op/config', decode, open_log())
     item = Item('op/config', b'%d' % version, 9)
     context.view.take_listing(Listing((item,), 9), 0.0)
 
@@ -189,20 +186,6 @@
     assert context.view.current.version == version
 
 
-class _Newest:
-    """Follows one key and keeps its newest content."""
-
-    def __init__(self):
-        self.content = b''
-
-    def take_listing(self, listing, doubtful_until):
-        for item in listing.items:
-            self.content = item.content
-
-    def take_change(self, change, doubtful_until):
-        self.content = change.content
-
-
 @given(
     'a router that follows a catalogue of {size:d} bytes over {rate:d} bytes a second'
 )
@@ -217,7 +200,7 @@
         service = MemoryService()
         service.put('op/config', _number(0, context.size))
         service.faults.bytes_per_second = context.rate
-        view = _Newest()
+        view = NewestContent()
         task = await _follow(service, view, 'op/')
         service.faults.cut = {'router'}
         for number in range(1, count + 1):
--- a/features/steps/sharing_steps.py
+++ b/features/steps/sharing_steps.py
@@ -4,7 +4,7 @@
 import itertools
 
 from behave import given, then, when
-from storecalls_steps import CHANGE_BOUND_S, open_log
+from followers import open_log
 
 from ibisport_bench.memorytransport import Link
 from ibisport_bench.standins.memorystore import MemoryService, MemoryStore
@@ -26,6 +26,7 @@
 STORE = ('10.0.0.1', 80)
 PEER_PORT = 7200
 DOMAIN = 'domain-1'
+CHANGE_BOUND_S = 2.0
 SILENT = Link(delay=1_000_000.0)
 SETTLING_S = 2.0
 # Longer than any play; it ends a test that would hang.
--- a/features/steps/storecalls_steps.py
+++ b/features/steps/storecalls_steps.py
@@ -1,9 +1,9 @@
 """Steps on calls to the store over links that are slow or fall silent."""
 
 import asyncio
-import os
 
 from behave import given, then, when
+from followers import NewestContent, open_log
 
 from ibisport_bench.memorytransport import Link
 from ibisport_bench.standins.memorystore import MemoryService
@@ -11,7 +11,6 @@
 from ibisport_fleet.connections import ConnectionTasks
 from ibisport_fleet.contact import StoreContact
 from ibisport_fleet.errors import StoreError, StoreUnknown
-from ibisport_fleet.eventlog import EventLog
 from ibisport_fleet.following import PrefixWatch
 from ibisport_fleet.store import Condition, Put
 from ibisport_fleet.storepaths import RelayPlace, StorePaths
@@ -30,27 +29,6 @@
 HEAD = b'HTTP/1.1 200 OK\r\ncontent-length: 1000000\r\n\r\n'
 
 
-def open_log():
-    """Return a log that nobody reads."""
-    return EventLog(os.open(os.devnull, os.O_WRONLY))
-
-
-class NewestContent:
-    """Follows one key and keeps its newest content."""
-
-    def __init__(self):
-        self.content = b''
-
-    def take_listing(self, listing, doubtful_until):
-        """Take the key out of a listing."""
-        for item in listing.items:
-            self.content = item.content
-
-    def take_change(self, change, doubtful_until):
-        """Take a new version of the key."""
-        self.content = change.content
-
-
 def plan_alone():
     """Return how a router without others watches."""
     return plan_watch(1, 1, CHANGE_BOUND_S)
