--- a/packages/fleet/src/ibisport_fleet/exchange.py
+++ b/packages/fleet/src/ibisport_fleet/exchange.py
@@ -110,7 +110,7 @@
             case AnswerHead():
                 raise AnswerInvalid('an answer begins within another')
 
-    async def read_rest(self, watcher: 'AnswerWatcher | None' = None) -> bytes:
+    async def read_rest(self, watcher: AnswerWatcher | None = None) -> bytes:
         """Return the whole body that follows a head.
 
         Args:
@@ -134,7 +134,7 @@
         start: bytes,
         headers: Headers,
         body: bytes,
-        watcher: 'AnswerWatcher | None' = None,
+        watcher: AnswerWatcher | None = None,
     ) -> Answer:
         """Send one request and return its whole answer.
 
--- a/packages/fleet/src/ibisport_fleet/watchpace.py
+++ b/packages/fleet/src/ibisport_fleet/watchpace.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass
 
 # A relay asks the store so often within the time after which a change must be in
-# force; it is given up when an answer is late by half as much. So a relay that is cut
-# off is noticed before half of that time has passed.
+# force; it is given up when an answer is late by a quarter of such a wait. So a relay
+# that is cut off is noticed before half of that time has passed.
 WAITS_A_BOUND = 4
 SILENCE_FACTOR = 1.25
 # Changes that follow within this part of the bound come together, at a relay and at a
@@ -30,15 +30,18 @@
     Attributes:
         wait: Longest wait for a change, seconds.
         gap: Least time from one watch that brought changes to the next, seconds.
-        silent_after: Seconds after which a watch without an answer is given up.
         shared: A relay of the domain is asked before the store.
     """
 
     wait: float
     gap: float
-    silent_after: float
     shared: bool = False
 
+    @property
+    def silent_after(self) -> float:
+        """Seconds after which a watch without an answer is given up."""
+        return SILENCE_FACTOR * self.wait
+
 
 def plan_upstream(change_bound: float) -> WatchPace:
     """Return how a relay watches for the routers that ask it.
@@ -46,8 +49,7 @@
     Args:
         change_bound: Longest time after which a change must be in force, seconds.
     """
-    wait = change_bound / WAITS_A_BOUND
-    return WatchPace(wait, RELAY_GAP_PART * change_bound, SILENCE_FACTOR * wait)
+    return WatchPace(change_bound / WAITS_A_BOUND, RELAY_GAP_PART * change_bound)
 
 
 def plan_watch(routers: int | None, domains: int, change_bound: float) -> WatchPace:
@@ -63,7 +65,6 @@
     """
     gap = ROUTER_GAP_PART * change_bound
     if routers is not None and routers < LEAST_SHARERS * max(domains, 1):
-        return WatchPace(STRAIGHT_WAIT_S, gap, STRAIGHT_WAIT_S)
+        return WatchPace(STRAIGHT_WAIT_S, gap)
     # No relay may be known yet, so the gap holds here too.
-    wait = change_bound / WAITS_A_BOUND
-    return WatchPace(wait, gap, SILENCE_FACTOR * wait, shared=True)
+    return WatchPace(change_bound / WAITS_A_BOUND, gap, shared=True)
