Log answers of the store that are cut or slow, and the version of each send

Change: events answer_cut and answer_slow with kind, way, bytes and seconds; version on request_sent; metric ibisport_unconfirmed_seconds by prefix. The tries of a call move to storetries.py. No decision changes.

--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -34,8 +34,9 @@
 from ibisport_fleet.messages import AnswerHead, Request
 from ibisport_fleet.retries import RetryBudget
 from ibisport_fleet.store import Item, Listing, WatchTerms
-from ibisport_fleet.storecalls import StoreCall, StoreCaller
+from ibisport_fleet.storecalls import StoreCaller
 from ibisport_fleet.storepaths import CallKind, RelayPlace, StorePaths
+from ibisport_fleet.storetries import StoreCall
 from ibisport_fleet.targets import TargetEntry
 from ibisport_fleet.terms import PromptPart
 from ibisport_fleet.watchpace import plan_watch
@@ -258,7 +259,7 @@
     def __init__(self):
         place = RelayPlace(('10.0.0.2', 7200), 'd')
         self.paths = StorePaths(('10.0.0.1', 80), 'd', lambda: [place])
-        self.caller = StoreCaller(self.paths)
+        self.caller = StoreCaller(self.paths, open_log())
         self.caller.ask_way = self.ask_way
         self.asked = []
 
--- a/features/steps/followers.py
+++ b/features/steps/followers.py
@@ -1,5 +1,6 @@
-"""What steps on watches of the store share: a log and a follower."""
+"""What steps on watches of the store share: logs and a follower."""
 
+import json
 import os
 
 from ibisport_fleet.eventlog import EventLog
@@ -10,6 +11,20 @@
     return EventLog(os.open(os.devnull, os.O_WRONLY))
 
 
+class KeptLog(EventLog):
+    """A log whose events can be read."""
+
+    def __init__(self):
+        self._file = os.memfd_create('log')
+        super().__init__(self._file)
+
+    def list_events(self, event):
+        """Return the details of all events of a kind."""
+        content = os.pread(self._file, os.fstat(self._file).st_size, 0)
+        records = [json.loads(line) for line in content.splitlines()]
+        return [one for one in records if one['event'] == event]
+
+
 class NewestContent:
     """Follows one key and keeps its newest content."""
 
--- a/features/steps/runningrouter.py
+++ b/features/steps/runningrouter.py
@@ -294,7 +294,7 @@
     async def _run_router(self):
         adapters = Adapters(
             dialect=PlatformDialect(),
-            open_store=lambda paths: self._store,
+            open_store=lambda paths, log: self._store,
             catalogue_key='op/config',
             catalogue_prefix='op/',
             target_prefix='servers/',
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -111,7 +111,7 @@
             service.faults.cut = {'router'}
         adapters = Adapters(
             dialect=PlatformDialect(),
-            open_store=lambda paths: service.open_store('router'),
+            open_store=lambda paths, log: service.open_store('router'),
             catalogue_key='op/config',
             catalogue_prefix='op/',
             target_prefix='servers/',
--- a/features/steps/sharing_steps.py
+++ b/features/steps/sharing_steps.py
@@ -139,8 +139,11 @@
         bounds = Bounds(0.2, 10, 10.0, 8.0, CHANGE_BOUND_S)
         place = (address, PEER_PORT)
         settings = HostSettings(host, DOMAIN, place, place, None, None, STORE, bounds)
-        store = PlatformStore(StorePaths(STORE, DOMAIN, tuple))
-        return Relay(settings, RelayAdapters(store, PlatformWatches()), open_log())
+        paths = StorePaths(STORE, DOMAIN, tuple)
+        adapters = RelayAdapters(
+            lambda log: PlatformStore(paths, log), PlatformWatches()
+        )
+        return Relay(settings, adapters, open_log())
 
     def _open_paths(self):
         places = [
@@ -151,7 +154,7 @@
     async def _follow(self, heard):
         contact = StoreContact(self.now)
         watch = PrefixWatch(
-            PlatformStore(self._open_paths()),
+            PlatformStore(self._open_paths(), open_log()),
             TARGET_PREFIX,
             heard,
             open_log(),
--- a/features/steps/storecalls_steps.py
+++ b/features/steps/storecalls_steps.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from behave import given, then, when
-from followers import NewestContent, open_log
+from followers import KeptLog, NewestContent, open_log
 
 from ibisport_bench.memorytransport import Link
 from ibisport_bench.standins.memorystore import MemoryService
@@ -11,6 +11,7 @@
 from ibisport_fleet.connections import ConnectionTasks
 from ibisport_fleet.contact import StoreContact
 from ibisport_fleet.errors import StoreError, StoreUnknown
+from ibisport_fleet.eventlog import Event
 from ibisport_fleet.following import PrefixWatch
 from ibisport_fleet.store import Condition, Put
 from ibisport_fleet.storepaths import RelayPlace, StorePaths
@@ -61,7 +62,9 @@
         places = [RelayPlace(RELAY, DOMAIN)]
         context.paths = StorePaths(STORE, DOMAIN, lambda: places)
         async with asyncio.timeout(LONGEST_S):
-            return await net.start_on('router', use(PlatformStore(context.paths)))
+            context.log = KeptLog()
+            store = PlatformStore(context.paths, context.log)
+            return await net.start_on('router', use(store))
 
     return run_on_net(play)
 
@@ -167,6 +170,22 @@
     assert passed <= seconds, passed
 
 
+@then('the log tells that {received:d} of {length:d} bytes had come')
+def check_cut_logged(context, received, length):
+    found = context.log.list_events(Event.answer_cut)
+    assert [(one['bytes'], one['of']) for one in found] == [(received, length)], found
+
+
+@then('the log tells by which way it came, and how long it took')
+def check_slow_logged(context):
+    slow = context.log.list_events(Event.answer_slow)
+    assert len(slow) == 1, slow
+    found = slow[0]
+    assert found['way'] == 'straight', found
+    assert found['bytes'] >= context.size, found
+    assert found['seconds'] >= context.size / context.links[0].rate, found
+
+
 @when(
     'the router follows a catalogue of {size:d} bytes that changes {count:d} times '
     'in {seconds:g} seconds'
--- a/features/storecalls.feature
+++ b/features/storecalls.feature
@@ -6,6 +6,7 @@
     When the router lists a catalogue of 1500000 bytes
     Then the listing is whole
     And the relay that the router knows was asked nothing
+    And the log tells by which way it came, and how long it took
 
   Scenario: A call that fails beside a long answer doesn't end it
     Given a store whose answers come to a router at 600000 bytes a second
@@ -17,6 +18,7 @@
     Given a store that stops in the middle of its answer
     When the router reads a key
     Then the call has failed within 1 second of the last byte
+    And the log tells that 1 of 1000000 bytes had come
 
   Scenario: An answer that trickles is given up
     Given a store that sends a byte of its answer each 0.5 seconds
--- a/packages/fleet/src/ibisport_fleet/calls.py
+++ b/packages/fleet/src/ibisport_fleet/calls.py
@@ -20,6 +20,7 @@
         terms: What it says of itself.
         route: The route that takes it.
         service: The service that was drawn for it.
+        version: Version of the catalogue that the route is from.
         workspace: The customer, or None on a public route.
         until: Loop time at which it gets its final answer at the latest.
         sends: Targets that may have run it.
@@ -31,6 +32,7 @@
     terms: CallTerms
     route: Route
     service: str
+    version: int
     workspace: Workspace | None
     until: float
     sends: int = 0
--- a/packages/fleet/src/ibisport_fleet/eventlog.py
+++ b/packages/fleet/src/ibisport_fleet/eventlog.py
@@ -28,6 +28,8 @@
     members_changed = 2105
     members_unknown = 2106
     watch_shared = 2107
+    answer_cut = 2108
+    answer_slow = 2109
     catalogue_changed = 2201
     record_refused = 2202
     target_added = 2301
--- a/packages/fleet/src/ibisport_fleet/exchange.py
+++ b/packages/fleet/src/ibisport_fleet/exchange.py
@@ -38,8 +38,8 @@
     def take_head(self, head: AnswerHead) -> None:
         """Note the head; what it raises ends the exchange."""
 
-    def note_bytes(self) -> None:
-        """Note that some of the body came."""
+    def note_bytes(self, size: int) -> None:
+        """Note that so many bytes of the body came."""
 
 
 class Exchange:
@@ -124,7 +124,7 @@
         while (part := await self.read_part()) is not None:
             parts += part
             if watcher is not None:
-                watcher.note_bytes()
+                watcher.note_bytes(len(part))
             if len(parts) > MOST_WHOLE_BODY:
                 raise AnswerInvalid('the body is too long')
         return bytes(parts)
--- a/packages/fleet/src/ibisport_fleet/following.py
+++ b/packages/fleet/src/ibisport_fleet/following.py
@@ -29,7 +29,11 @@
 
 
 class PrefixWatch:
-    """One task that follows one prefix."""
+    """One task that follows one prefix.
+
+    Attributes:
+        confirmed_at: Loop time of the last answer; what is known was the newest then.
+    """
 
     def __init__(
         self,
@@ -50,6 +54,7 @@
             contact: Is told of each answer.
             plan: Tells how the next watch is to be made.
         """
+        self.confirmed_at = asyncio.get_running_loop().time()
         self._plan = plan
         self._store = store
         self._prefix = prefix
@@ -102,7 +107,8 @@
             await asyncio.sleep(begun + pace.gap - now)
 
     def _note_answer(self) -> None:
-        away = self._contact.note_answer(asyncio.get_running_loop().time())
+        self.confirmed_at = asyncio.get_running_loop().time()
+        away = self._contact.note_answer(self.confirmed_at)
         self._pause = RETRY_PAUSE_S
         if self._failing:
             self._failing = False
--- a/packages/fleet/src/ibisport_fleet/intake.py
+++ b/packages/fleet/src/ibisport_fleet/intake.py
@@ -71,6 +71,7 @@
         terms=terms,
         route=route,
         service=draw_service(route),
+        version=catalogue.version,
         workspace=workspace,
         until=until,
     )
--- a/packages/fleet/src/ibisport_fleet/metrics.py
+++ b/packages/fleet/src/ibisport_fleet/metrics.py
@@ -27,6 +27,11 @@
         self._store_calls = Gauge(
             'ibisport_store_calls', 'Calls sent to the store.', registry=registry
         )
+        self._unconfirmed = Gauge(
+            'ibisport_unconfirmed_seconds',
+            'Since a watch was last answered: what is known was the newest then.',
+            registry=registry,
+        )
         self._state = Gauge(
             'ibisport_state', 'What the router believes now.', registry=registry
         )
@@ -64,6 +69,10 @@
         """Set one figure of what the router believes."""
         self._state.set({'name': name}, level)
 
+    def set_unconfirmed(self, prefix: str, seconds: float) -> None:
+        """Set how long ago the watch of a prefix was last answered."""
+        self._unconfirmed.set({'prefix': prefix}, seconds)
+
     def set_store_calls(self, kind: str, way: str, calls: int) -> None:
         """Set how many calls of a kind were sent to the store on one way."""
         self._store_calls.set({'kind': kind, 'way': way}, calls)
--- a/packages/fleet/src/ibisport_fleet/recording.py
+++ b/packages/fleet/src/ibisport_fleet/recording.py
@@ -57,6 +57,7 @@
             Event.request_sent,
             request=call.terms.request_id,
             route=call.route.name,
+            version=call.version,
             workspace=_name_workspace(call),
             target=candidate.entry.incarnation,
             target_revision=candidate.entry.revision,
--- a/packages/fleet/src/ibisport_fleet/relay.py
+++ b/packages/fleet/src/ibisport_fleet/relay.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -80,11 +81,11 @@
     """What a platform's adapter provides.
 
     Attributes:
-        store: The store, straight.
+        open_store: Opens the store, straight.
         watches: The wire of watch calls.
     """
 
-    store: Store
+    open_store: Callable[[EventLog], Store]
     watches: WatchWire
 
 
@@ -101,7 +102,8 @@
     ) -> None:
         self._store_address = settings.store_address
         self._wire = adapters.watches
-        self._watches = WatchCache(adapters.store, settings.bounds.change_bound, log)
+        store = adapters.open_store(log)
+        self._watches = WatchCache(store, settings.bounds.change_bound, log)
         self._idle: list[Exchange] = []
         self._leaving = False
         # Connections on which no call is passed on, with what they read.
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -47,7 +47,7 @@
     """What a platform's adapter provides."""
 
     dialect: Dialect
-    open_store: Callable[[StorePaths], Store]
+    open_store: Callable[[StorePaths, EventLog], Store]
     catalogue_key: str
     catalogue_prefix: str
     target_prefix: str
@@ -79,6 +79,7 @@
         )
         self._tasks: set[asyncio.Task[None]] = set()
         self._listed: set[str] = set()
+        self._watches: dict[str, PrefixWatch] = {}
         self._contact = StoreContact(asyncio.get_running_loop().time())
         self._catalogue = CatalogueView(
             adapters.catalogue_key, adapters.decode_catalogue, log
@@ -89,7 +90,7 @@
         self._paths = StorePaths(
             settings.store_address, settings.domain, self._list_relays
         )
-        self._store = adapters.open_store(self._paths)
+        self._store = adapters.open_store(self._paths, log)
         self._pool = ConnectionPool()
         self._metrics = Metrics()
         self._members = Membership(
@@ -232,6 +233,9 @@
         self._metrics.set_state('straight_way', self._paths.straight_works)
         if catalogue is not None:
             self._metrics.set_state('catalogue_version', catalogue.version)
+        now = asyncio.get_running_loop().time()
+        for prefix, watch in self._watches.items():
+            self._metrics.set_unconfirmed(prefix, now - watch.confirmed_at)
         for (kind, straight), calls in self._paths.sent.items():
             way = 'straight' if straight else 'relay'
             self._metrics.set_store_calls(kind.value, way, calls)
@@ -249,6 +253,7 @@
         watch = PrefixWatch(
             self._store, prefix, follower, self._log, self._contact, self._plan_watch
         )
+        self._watches[prefix] = watch
         self._spawn(watch.run(lambda: self._listed.add(prefix)), prefix)
 
     def _plan_watch(self) -> WatchPace:
--- a/packages/fleet/src/ibisport_fleet/storecalls.py
+++ b/packages/fleet/src/ibisport_fleet/storecalls.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Sequence
-from dataclasses import dataclass
 
 from ibisport_fleet.addresses import Address
 from ibisport_fleet.errors import (
@@ -13,9 +12,11 @@
     StoreUnavailable,
     StoreUnknown,
 )
+from ibisport_fleet.eventlog import Event, EventLog
 from ibisport_fleet.exchange import Exchange, open_exchange
-from ibisport_fleet.messages import Answer, AnswerHead, Headers
-from ibisport_fleet.storepaths import CallKind, StorePaths
+from ibisport_fleet.messages import Answer
+from ibisport_fleet.storepaths import StorePaths
+from ibisport_fleet.storetries import LONGEST_SILENCE_S, CallTry, StoreCall
 
 # Connecting takes a few milliseconds; a path that drops packets never answers.
 CONNECT_SECONDS = 0.15
@@ -27,103 +28,19 @@
 LEAST_PATIENCE_S = 0.1
 PATIENCE_FACTOR = 2.5
 LATENCY_WEIGHT = 0.2
-# An answer that has begun may go on while its bytes come: a megabyte takes two seconds
-# on a narrow link, and is not there any sooner on a second way.
-LONGEST_SILENCE_S = 0.9
-# An answer whose bytes trickle is given up.
-LONGEST_ANSWER_S = 10.0
 # Two watches, a write, a lease and the list of routers are on their way at once. With
 # two connections kept, the others were opened anew for each call.
 MOST_IDLE = 6
-
-
-@dataclass(frozen=True, slots=True)
-class StoreCall:
-    """One call as it goes over a connection.
-
-    Attributes:
-        kind: What it asks.
-        start: The request line.
-        headers: Its headers, but for the length.
-        body: Its body.
-        seconds: How long it may take until its answer begins.
-        waits: The store answers late on purpose, so that a late answer says
-            nothing of the way.
-        most_bytes: Longest body of the answer; 0 is without a bound.
-        shared_prefix: Routers share this watch of a prefix, so a relay is asked first;
-            empty: each asks for itself.
-    """
-
-    kind: CallKind
-    start: bytes
-    headers: Headers
-    body: bytes
-    seconds: float
-    waits: bool = False
-    most_bytes: int = 0
-    shared_prefix: str = ''
-
-
-class CallTry:
-    """One try of a call on one way, and how far its answer has come.
-
-    Attributes:
-        address: The way.
-        call: The call.
-        heard_at: Loop time of the answer's last bytes; None before the first.
-        first_at: Loop time of its first bytes; None before them.
-    """
-
-    def __init__(self, address: Address, call: StoreCall, until: float) -> None:
-        """Begin a try.
-
-        Args:
-            address: The way.
-            call: The call.
-            until: Loop time by which the answer must begin.
-        """
-        self.address = address
-        self.call = call
-        self.heard_at: float | None = None
-        self.first_at: float | None = None
-        self._timer = asyncio.timeout_at(until)
-
-    @property
-    def timer(self) -> asyncio.Timeout:
-        """What ends the try when its answer falls silent."""
-        return self._timer
-
-    def take_head(self, head: AnswerHead) -> None:
-        """Note the answer's head.
-
-        Raises:
-            ChangesTooLong: Its body is longer than the call allows.
-        """
-        self.note_bytes()
-        most = self.call.most_bytes
-        if most and head.length > most:
-            raise ChangesTooLong(f'{head.length} bytes')
-
-    def note_bytes(self) -> None:
-        """Note that bytes came: the answer may take as long again."""
-        now = asyncio.get_running_loop().time()
-        self.heard_at = now
-        self.first_at = self.first_at or now
-        longest = self.first_at + LONGEST_ANSWER_S
-        self._timer.reschedule(min(now + LONGEST_SILENCE_S, longest))
-
-    def is_silent(self, seconds: float) -> bool:
-        """Whether nothing came for so long."""
-        if self.heard_at is None:
-            return True
-        return asyncio.get_running_loop().time() - self.heard_at >= seconds
+# Answers that take longer from their first byte to their last are logged.
+SLOW_ANSWER_S = 0.5
 
 
 class StoreCaller:
     """Sends calls and remembers which ways work."""
 
-    def __init__(self, paths: StorePaths) -> None:
+    def __init__(self, paths: StorePaths, log: EventLog) -> None:
         self._paths = paths
+        self._log = log
         self._idle: dict[Address, list[Exchange]] = {}
         self._waiting: dict[Exchange, CallTry] = {}
         self._latency = 0.0
@@ -193,9 +110,13 @@
                 answer = await exchange.ask(
                     call.start, call.headers, call.body, attempt
                 )
+        except ChangesTooLong as error:
+            self._log_cut(attempt, error)
+            raise
         except (ConnectionBroken, TimeoutError) as error:
             self._waiting.pop(exchange)
             self._note_failure(address)
+            self._log_cut(attempt, error)
             raise StoreUnknown(f'{call.start!r}: {error!r}') from error
         finally:
             self._waiting.pop(exchange, None)
@@ -208,8 +129,30 @@
             first = (attempt.first_at or loop.time()) - begun
             self._latency += LATENCY_WEIGHT * (first - self._latency)
         self._paths.note_answer(address)
+        self._log_slow(attempt)
         return answer
 
+    def _log_cut(self, attempt: CallTry, error: Exception) -> None:
+        """Write down an answer that ended midway."""
+        if attempt.first_at is not None:
+            self._log.write(
+                Event.answer_cut, reason=repr(error), **self._describe(attempt)
+            )
+
+    def _log_slow(self, attempt: CallTry) -> None:
+        if attempt.seconds >= SLOW_ANSWER_S:
+            self._log.write(Event.answer_slow, **self._describe(attempt))
+
+    def _describe(self, attempt: CallTry) -> dict[str, object]:
+        straight = attempt.address == self._paths.straight
+        return {
+            'kind': attempt.call.kind.value,
+            'way': 'straight' if straight else attempt.address[0],
+            'bytes': attempt.received,
+            'of': attempt.length,
+            'seconds': round(attempt.seconds, 3),
+        }
+
     def _note_failure(self, address: Address) -> None:
         """Note that a call failed on a way, unless the way carries another answer.
 
--- /dev/null
+++ b/packages/fleet/src/ibisport_fleet/storetries.py
@@ -0,0 +1,114 @@
+"""One call to the store, and how far a try of it on one way has come."""
+
+import asyncio
+from dataclasses import dataclass
+
+from ibisport_fleet.addresses import Address
+from ibisport_fleet.errors import ChangesTooLong
+from ibisport_fleet.messages import AnswerHead, Headers
+from ibisport_fleet.storepaths import CallKind
+
+# An answer that has begun may go on while its bytes come: a megabyte takes two seconds
+# on a narrow link, and is not there any sooner on a second way.
+LONGEST_SILENCE_S = 0.9
+# An answer whose bytes trickle is given up.
+LONGEST_ANSWER_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class StoreCall:
+    """One call as it goes over a connection.
+
+    Attributes:
+        kind: What it asks.
+        start: The request line.
+        headers: Its headers, but for the length.
+        body: Its body.
+        seconds: How long it may take until its answer begins.
+        waits: The store answers late on purpose, so that a late answer says
+            nothing of the way.
+        most_bytes: Longest body of the answer; 0 is without a bound.
+        shared_prefix: Routers share this watch of a prefix, so a relay is asked first;
+            empty: each asks for itself.
+    """
+
+    kind: CallKind
+    start: bytes
+    headers: Headers
+    body: bytes
+    seconds: float
+    waits: bool = False
+    most_bytes: int = 0
+    shared_prefix: str = ''
+
+
+class CallTry:
+    """One try of a call on one way, and how far its answer has come.
+
+    Attributes:
+        address: The way.
+        call: The call.
+        heard_at: Loop time of the answer's last bytes; None before the first.
+        first_at: Loop time of its first bytes; None before them.
+        length: Bytes that its head says it has; 0 if it says nothing.
+        received: Bytes of its body that have come.
+    """
+
+    def __init__(self, address: Address, call: StoreCall, until: float) -> None:
+        """Begin a try.
+
+        Args:
+            address: The way.
+            call: The call.
+            until: Loop time by which the answer must begin.
+        """
+        self.address = address
+        self.call = call
+        self.heard_at: float | None = None
+        self.first_at: float | None = None
+        self.length = 0
+        self.received = 0
+        self._timer = asyncio.timeout_at(until)
+
+    @property
+    def timer(self) -> asyncio.Timeout:
+        """What ends the try when its answer falls silent."""
+        return self._timer
+
+    @property
+    def seconds(self) -> float:
+        """Seconds from the first bytes of the answer to the last ones so far."""
+        if self.heard_at is None or self.first_at is None:
+            return 0.0
+        return self.heard_at - self.first_at
+
+    def take_head(self, head: AnswerHead) -> None:
+        """Note the answer's head.
+
+        Raises:
+            ChangesTooLong: Its body is longer than the call allows.
+        """
+        self.length = head.length
+        self.note_bytes(0)
+        most = self.call.most_bytes
+        if most and head.length > most:
+            raise ChangesTooLong(f'{head.length} bytes')
+
+    def note_bytes(self, size: int) -> None:
+        """Note that bytes came: the answer may take as long again.
+
+        Args:
+            size: How many bytes of the body they are.
+        """
+        self.received += size
+        now = asyncio.get_running_loop().time()
+        self.heard_at = now
+        self.first_at = self.first_at or now
+        longest = self.first_at + LONGEST_ANSWER_S
+        self._timer.reschedule(min(now + LONGEST_SILENCE_S, longest))
+
+    def is_silent(self, seconds: float) -> bool:
+        """Whether nothing came for so long."""
+        if self.heard_at is None:
+            return True
+        return asyncio.get_running_loop().time() - self.heard_at >= seconds
