--- /dev/null
+++ b/features/steps/applying_steps.py
@@ -0,0 +1,186 @@
+"""Steps on large changes of the catalogue, and how soon they are in force."""
+
+import asyncio
+import json
+import random
+
+from behave import given, then, when
+from domains import LONGEST_S, Domain, Heard
+from followers import open_log
+
+from ibisport_bench.memorytransport import Link
+from ibisport_bench.virtualnet import run_on_net
+from ibisport_bench.virtualtime import run_virtually
+from ibisport_fleet.contact import StoreContact
+from ibisport_fleet.errors import HistoryLost
+from ibisport_fleet.following import PrefixWatch
+from ibisport_fleet.store import Item, Listing
+from ibisport_fleet.watchpace import plan_watch
+from ibisport_platform.records import CATALOGUE_KEY, CATALOGUE_PREFIX
+
+BOUND_S = 3.0
+LETTERS = 'abcdefghijklmnopqrstuvwxyz0123456789'
+# Revisions of a replica's listings, one after another.
+LAGGING = (9, 4, 4, 12)
+KINDS = ('idempotent', 'non_idempotent', 'streaming')
+
+
+def make_catalogue(version, routes):
+    """Return a version of a catalogue as long as one with so many routes is."""
+    rng = random.Random(version)
+
+    def draw():
+        return ''.join(rng.choices(LETTERS, k=7))
+
+    listed = [
+        {
+            'name': f'r-{draw()}',
+            'host': f'{draw()}.example',
+            'path': f'/{draw()}/',
+            'kind': rng.choice(KINDS),
+            'service': draw(),
+            'maxAttempts': 2,
+            'timeoutMs': rng.randrange(1_000, 9_000),
+            'targetLatencyMs': rng.randrange(100, 900),
+            'priority': 1,
+        }
+        for _ in range(routes)
+    ]
+    return json.dumps({'version': version, 'routes': listed}).encode()
+
+
+def _play(context, act):
+    async def play(net):
+        domain = Domain(net, 12, 2, CATALOGUE_PREFIX, BOUND_S)
+        context.domain = domain
+        domain.service.put(CATALOGUE_KEY, make_catalogue(1, context.routes))
+        await domain.open()
+        for ends, rate in context.rates.items():
+            source, destination = ends
+            asked = domain.find_asked()
+            net.links[_name(source, asked), _name(destination, asked)] = Link(rate=rate)
+        context.settled_at = net.time()
+        async with asyncio.timeout(LONGEST_S):
+            await act(domain)
+            await asyncio.sleep(2 * BOUND_S)
+
+    run_on_net(play)
+
+
+def _name(host, asked):
+    return asked if host == 'relay' else host
+
+
+@given('routers and relays that follow a catalogue of {routes:d} routes')
+def plan(context, routes):
+    context.routes, context.rates = routes, {}
+
+
+@given('the relay that they ask takes {rate:d} bytes a second from the store')
+def slow_relay(context, rate):
+    context.rates['store', 'relay'] = rate
+
+
+@given('one router gets {rate:d} bytes a second from the relay')
+def slow_router(context, rate):
+    context.rates['relay', 'router-0'] = rate
+
+
+@given('a new router gets {rate:d} bytes a second from the store')
+def slow_start(context, rate):
+    context.rates['store', 'router-new'] = rate
+
+
+@when('the catalogue changes')
+@when('it grows to {routes:d} routes')
+def change(context, routes=0):
+    async def act(domain):
+        content = make_catalogue(2, routes or context.routes)
+        domain.service.put(CATALOGUE_KEY, content)
+        context.changed_at = domain.now
+
+    _play(context, act)
+
+
+@when('the new router starts')
+def start(context):
+    async def act(domain):
+        context.changed_at = domain.now
+        domain.start_router('router-new')
+
+    _play(context, act)
+
+
+@then('each router has the newest catalogue within {bound:d} seconds')
+def check_in_time(context, bound):
+    newest = context.domain.service.items[CATALOGUE_KEY].revision
+    late = {
+        host: heard.find_time(newest) - context.changed_at
+        for host, heard in context.domain.routers.items()
+        if heard.find_time(newest) - context.changed_at > bound
+    }
+    assert not late, late
+
+
+@then('no router has listed it at the store')
+def check_listings(context):
+    listed = [
+        when for when in context.domain.store.listed_at if when > context.settled_at
+    ]
+    assert not listed, len(listed)
+
+
+class LaggingStore:
+    """A store that is read through a replica which falls behind."""
+
+    def __init__(self):
+        self._listings = iter(LAGGING)
+        self.listed = asyncio.Event()
+
+    async def scan(self, prefix):
+        """Return a listing; the second and the third are of an older revision."""
+        revision = next(self._listings, 0)
+        if not revision:
+            self.listed.set()
+            await asyncio.sleep(LONGEST_S)
+        return Listing((Item('op/key', b'%d' % revision, revision),), revision)
+
+    async def watch(self, prefix, after, terms):
+        """End each watch, so that all is listed anew."""
+        raise HistoryLost(prefix)
+
+
+@given('a store whose listings come from a replica that falls behind')
+def open_lagging(context):
+    context.open_store = LaggingStore
+
+
+@when('a router lists the catalogue again and again')
+def list_again(context):
+    async def play():
+        store, context.heard = context.open_store(), Heard()
+        contact = StoreContact(0.0)
+        watch = PrefixWatch(
+            store,
+            CATALOGUE_PREFIX,
+            context.heard,
+            open_log(),
+            contact,
+            lambda: plan_watch(1, 1, BOUND_S),
+        )
+        task = asyncio.create_task(watch.run(int))
+        await store.listed.wait()
+        task.cancel()
+
+    run_virtually(play())
+
+
+@then('it never takes an older revision than it had')
+def check_order(context):
+    taken = [revision for _, revision in context.heard.revisions]
+    assert taken == sorted(taken), taken
+
+
+@then('it takes the newer one')
+def check_newest(context):
+    assert context.heard.revisions[-1][1] == max(LAGGING), context.heard.revisions
--- a/features/steps/sharing_steps.py
+++ b/features/steps/sharing_steps.py
@@ -1,167 +1,19 @@
 """Steps on watches that routers of a domain share at a relay."""
 
 import asyncio
-import itertools
 
 from behave import given, then, when
+from domains import CHANGE_BOUND_S, LONGEST_S, Domain
 from followers import open_log
 
-from ibisport_bench.memorytransport import Link
-from ibisport_bench.standins.memorystore import MemoryService, MemoryStore
+from ibisport_bench.standins.memorystore import MemoryService
 from ibisport_bench.virtualnet import run_on_net
 from ibisport_bench.virtualtime import run_virtually
-from ibisport_fleet.contact import StoreContact
 from ibisport_fleet.errors import StoreError
-from ibisport_fleet.following import PrefixWatch
-from ibisport_fleet.relay import Relay, RelayAdapters
-from ibisport_fleet.settings import Bounds, HostSettings
-from ibisport_fleet.storepaths import RelayPlace, StorePaths
 from ibisport_fleet.watchcache import WatchCache
 from ibisport_fleet.watchpace import plan_watch
-from ibisport_platform.records import TARGET_PREFIX
-from ibisport_platform.store import PlatformStore
-from ibisport_platform.storeserver import StoreServer
-from ibisport_platform.watchwire import PlatformWatches
-
-STORE = ('10.0.0.1', 80)
-PEER_PORT = 7200
-DOMAIN = 'domain-1'
-CHANGE_BOUND_S = 2.0
-SILENT = Link(delay=1_000_000.0)
-SETTLING_S = 2.0
-# Longer than any play; it ends a test that would hang.
-LONGEST_S = 60.0
-FAILURE_S = 1
-
 
-class CountingStore(MemoryStore):
-    """Counts the watches that are asked for, with their times."""
-
-    def __init__(self, service, caller):
-        super().__init__(service, caller)
-        self.asked_at = []
-
-    async def watch(self, prefix, after, terms):
-        """Count a watch and wait for it."""
-        self.asked_at.append(asyncio.get_running_loop().time())
-        return await super().watch(prefix, after, terms)
-
-
-class Heard:
-    """What one router knows, and since when."""
-
-    def __init__(self):
-        self.since = {}
-
-    def take_listing(self, listing, doubtful_until):
-        """Take all keys."""
-        for item in listing.items:
-            self.take_change(item, doubtful_until)
-
-    def take_change(self, change, doubtful_until):
-        """Note when a key was heard of first."""
-        self.since.setdefault(change.key, asyncio.get_running_loop().time())
-
-
-class Domain:
-    """A failure domain: routers, relays, and the store outside of it."""
-
-    def __init__(self, net, routers, relays):
-        self.net = net
-        self.service = MemoryService()
-        self.store = CountingStore(self.service, 'all')
-        self.relays = {f'relay-{one}': f'10.0.1.{one}' for one in range(relays)}
-        self.routers = {f'router-{one}': Heard() for one in range(routers)}
-        self.written_at = {}
-        self._names = itertools.count()
-
-    @property
-    def now(self):
-        """The loop's time."""
-        return self.net.time()
-
-    async def open(self):
-        """Start all, and wait until each router follows."""
-        server = StoreServer(self.store, open_log())
-        await self._listen('store', STORE, server.connections.accept)
-        for host, address in self.relays.items():
-            relay = self._make_relay(host, address)
-            place = (address, PEER_PORT)
-            await self._listen(host, place, relay.connections.accept)
-        for host in self.routers:
-            self.start_router(host)
-        await asyncio.sleep(SETTLING_S)
-
-    def start_router(self, host):
-        """Let a router follow the prefix."""
-        self.net.start_on(host, self._follow(self.routers.setdefault(host, Heard())))
-
-    async def change(self, count, seconds):
-        """Write new keys, one after another."""
-        for _ in range(count):
-            key = f'{TARGET_PREFIX}{next(self._names)}'
-            self.service.put(key, b'x')
-            self.written_at[key] = self.now
-            await asyncio.sleep(seconds / count)
-
-    def silence(self, host, others):
-        """Let nothing pass any more between a host and others."""
-        for other in others:
-            self.net.links[host, other] = self.net.links[other, host] = SILENT
-
-    def mend(self):
-        """Let everything pass again."""
-        self.net.links.clear()
-
-    def find_asked(self):
-        """Return the relay that the routers ask first."""
-        ways = self._open_paths().list_shared_ways(TARGET_PREFIX, self.now)
-        return next(
-            host for host, address in self.relays.items() if address == ways[0][0]
-        )
-
-    def list_late(self):
-        """Return what was known too late or never, by router and key."""
-        return [
-            (host, key, heard.since.get(key, LONGEST_S) - written)
-            for host, heard in self.routers.items()
-            for key, written in self.written_at.items()
-            if heard.since.get(key, LONGEST_S) - written > CHANGE_BOUND_S
-        ]
-
-    async def _listen(self, host, address, accept):
-        async def listen():
-            await self.net.create_server(accept, *address)
-
-        await self.net.start_on(host, listen())
-
-    def _make_relay(self, host, address):
-        bounds = Bounds(0.2, 10, 10.0, 8.0, CHANGE_BOUND_S)
-        place = (address, PEER_PORT)
-        settings = HostSettings(host, DOMAIN, place, place, None, None, STORE, bounds)
-        paths = StorePaths(STORE, DOMAIN, tuple)
-        adapters = RelayAdapters(
-            lambda log: PlatformStore(paths, log), PlatformWatches()
-        )
-        return Relay(settings, adapters, open_log())
-
-    def _open_paths(self):
-        places = [
-            RelayPlace((address, PEER_PORT), DOMAIN) for address in self.relays.values()
-        ]
-        return StorePaths(STORE, DOMAIN, lambda: places)
-
-    async def _follow(self, heard):
-        contact = StoreContact(self.now)
-        watch = PrefixWatch(
-            PlatformStore(self._open_paths(), open_log()),
-            TARGET_PREFIX,
-            heard,
-            open_log(),
-            contact,
-            lambda: plan_watch(len(self.routers), 1, CHANGE_BOUND_S),
-        )
-        await watch.run(int)
+FAILURE_S = 1
 
 
 def _play(context, act):
