Let a relay go on with a watch while a large change is on its way

What callers may see: all routers of a domain ask the store at once, just when it is busy sending a large change, and those on narrow links get it late.

Cause: a relay gave a whole answer of the store 1.25 waits (0.94 s at a bound of 3 s), whatever came meanwhile.

Change: bytes of an answer give the watch as long again, up to half of the bound from the first one on, and count as hearing from the store, so routers that wait are answered that there is nothing new yet.

A relay to which it trickles leaves its routers to the store in time (passed before, too). Ruled out: a longer fixed bound, since a relay that is cut off must be noticed within half of the bound.

--- a/features/applying.feature
+++ b/features/applying.feature
@@ -9,6 +9,12 @@
     Then each router has the newest catalogue within 3 seconds
     And the store was asked for changes at most 12 times
 
+  Scenario: A relay to which a change trickles leaves its routers to the store in time
+    Given routers and relays that follow a catalogue of 4000 routes
+    And the relay that they ask takes 50000 bytes a second from the store
+    When the catalogue changes
+    Then each router has the newest catalogue within 3 seconds
+
   Scenario: An answer that trickles doesn't keep a router on a replaced catalogue
     Given routers and relays that follow a catalogue of 4000 routes
     And one router gets 50000 bytes a second from the relay
--- a/packages/fleet/src/ibisport_fleet/store.py
+++ b/packages/fleet/src/ibisport_fleet/store.py
@@ -1,6 +1,6 @@
 """What the fleet needs of a key-value service; adapters speak its protocol."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -49,11 +49,13 @@
         wait: Longest wait for a change, seconds.
         most_bytes: Longest changes that are worth their way; 0 is without a bound.
         shared: A relay that watches for several routers is asked first.
+        on_bytes: Is called as bytes of the answer come, if set.
     """
 
     wait: float
     most_bytes: int = 0
     shared: bool = False
+    on_bytes: Callable[[], None] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/fleet/src/ibisport_fleet/storetries.py
+++ b/packages/fleet/src/ibisport_fleet/storetries.py
@@ -1,6 +1,7 @@
 """One call to the store, and how far a try of it on one way has come."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from ibisport_fleet.addresses import Address
@@ -30,6 +31,7 @@
         most_bytes: Longest body of the answer; 0 is without a bound.
         shared_prefix: Routers share this watch of a prefix, so a relay is asked first;
             empty: each asks for itself.
+        on_bytes: Is called as bytes of an answer come, if set.
     """
 
     kind: CallKind
@@ -40,6 +42,7 @@
     waits: bool = False
     most_bytes: int = 0
     shared_prefix: str = ''
+    on_bytes: Callable[[], None] | None = None
 
 
 class CallTry:
@@ -106,6 +109,8 @@
         self.first_at = self.first_at or now
         longest = self.first_at + LONGEST_ANSWER_S
         self._timer.reschedule(min(now + LONGEST_SILENCE_S, longest))
+        if self.call.on_bytes is not None:
+            self.call.on_bytes()
 
     def is_silent(self, seconds: float) -> bool:
         """Whether nothing came for so long."""
--- a/packages/fleet/src/ibisport_fleet/watchcache.py
+++ b/packages/fleet/src/ibisport_fleet/watchcache.py
@@ -44,6 +44,8 @@
         self._head = after
         self._heard_at = loop.time()
         self._asked_at = loop.time()
+        # Loop time by which the answer that is on its way must be whole.
+        self._answer_until = 0.0
         self._waiting = 0
         self._failure: StoreError | None = None
         self._news = asyncio.Event()
@@ -117,10 +119,12 @@
     async def _take_next(self) -> None:
         loop = asyncio.get_running_loop()
         begun = loop.time()
-        async with asyncio.timeout_at(begun + self._pace.silent_after):
-            found = await self._store.watch(
-                self._prefix, self._head, WatchTerms(self._pace.wait)
+        async with asyncio.timeout_at(begun + self._pace.silent_after) as timer:
+            self._answer_until = 0.0
+            terms = WatchTerms(
+                self._pace.wait, on_bytes=lambda: self._note_bytes(timer)
             )
+            found = await self._store.watch(self._prefix, self._head, terms)
         for change in found.changes:
             self._keep(change)
         self._head = max(self._head, found.revision)
@@ -130,6 +134,18 @@
             # Changes that follow each other closely come together.
             await asyncio.sleep(begun + self._pace.gap - loop.time())
 
+    def _note_bytes(self, timer: asyncio.Timeout) -> None:
+        """Note that an answer is on its way: a large change may take its time.
+
+        Args:
+            timer: What gives the answer up.
+        """
+        now = asyncio.get_running_loop().time()
+        self._heard_at = now
+        self._answer_until = self._answer_until or now + self._pace.longest_answer
+        if not timer.expired():
+            timer.reschedule(min(now + self._pace.silent_after, self._answer_until))
+
     def _keep(self, change: Change) -> None:
         self._kept.append(change)
         self._kept_bytes += _measure(change)
--- a/packages/fleet/src/ibisport_fleet/watchpace.py
+++ b/packages/fleet/src/ibisport_fleet/watchpace.py
@@ -11,6 +11,9 @@
 # that is cut off is noticed before half of that time has passed.
 WAITS_A_BOUND = 4
 SILENCE_FACTOR = 1.25
+# An answer that is on its way to a relay may take so many waits from its first byte on.
+# Beyond half of the bound, its routers are better off asking the store themselves.
+WAITS_AN_ANSWER = 2
 # Changes that follow within this part of the bound come together, at a relay and at a
 # router.
 RELAY_GAP_PART = 1 / 16
@@ -42,6 +45,11 @@
         """Seconds after which a watch without an answer is given up."""
         return SILENCE_FACTOR * self.wait
 
+    @property
+    def longest_answer(self) -> float:
+        """Longest time from the first byte of an answer to its last, seconds."""
+        return WAITS_AN_ANSWER * self.wait
+
 
 def plan_upstream(change_bound: float) -> WatchPace:
     """Return how a relay watches for the routers that ask it.
