Refuse a listing that is older than what is known

Cause: a listing was taken whatever its revision. One that lies behind would have brought back targets that are gone and made new ones lapse (versions of the catalogue only rise by a check of their own). The platform's listings are linearizable, so this was not seen; the guard was missing where a copy of the state is replaced as a whole.

Change: such a listing is a failed call, and tried again. Test, failed before: listings of revisions 9, 4, 4, 12 were all taken; now 9 and 12.

--- a/packages/fleet/src/ibisport_fleet/following.py
+++ b/packages/fleet/src/ibisport_fleet/following.py
@@ -5,7 +5,12 @@
 from typing import Protocol
 
 from ibisport_fleet.contact import StoreContact
-from ibisport_fleet.errors import ChangesTooLong, HistoryLost, StoreError
+from ibisport_fleet.errors import (
+    ChangesTooLong,
+    HistoryLost,
+    StoreError,
+    StoreUnavailable,
+)
 from ibisport_fleet.eventlog import Event, EventLog
 from ibisport_fleet.store import Change, Listing, Store, WatchTerms
 from ibisport_fleet.watchpace import WatchPace
@@ -63,6 +68,7 @@
         self._contact = contact
         self._failing = False
         self._revision: int | None = None
+        self._newest = 0
         self._pause = RETRY_PAUSE_S
         self._listed_bytes = 0
 
@@ -86,9 +92,11 @@
     async def _take_next(self, on_first: Callable[[], None]) -> None:
         if self._revision is None:
             listing = await self._store.scan(self._prefix)
+            if listing.revision < self._newest:
+                raise StoreUnavailable(f'a listing of revision {listing.revision}')
             self._note_answer()
             self._follower.take_listing(listing, self._contact.doubtful_until)
-            self._revision = listing.revision
+            self._revision = self._newest = listing.revision
             self._listed_bytes = sum(len(item.content) for item in listing.items)
             on_first()
             return
@@ -101,6 +109,7 @@
         for change in changes.changes:
             self._follower.take_change(change, self._contact.doubtful_until)
         self._revision = max(self._revision, changes.revision)
+        self._newest = self._revision
         if changes.changes:
             # Changes that follow each other closely come together.
             now = asyncio.get_running_loop().time()
