Code the answers of relays, so that a large catalogue fits narrow links

Cause: a change costs every link as long as the whole catalogue, 1.1 MB for 4,400 routes, 2 s at 5 Mbit/s; the bound on the length of changes meant for catching up refused a relay's single change as well.

Change: a router tells relays that it decodes deflate (RFC 9110), and a relay codes answers of 4 KB or more, to watches and to calls that it passes on; routers that wait for the same changes get the same bytes. A router of an older release gets plain answers, and the store is never asked for codings.

Ruled out: parts by key and deltas, since the operator writes one key; compaction of the kept changes, since a target that drains must be seen to.

--- /dev/null
+++ b/features/steps/contentcoding_steps.py
@@ -0,0 +1,95 @@
+"""Steps on coded answers of relays."""
+
+import asyncio
+import base64
+import zlib
+
+import msgspec
+from applying_steps import make_catalogue
+from behave import given, then, when
+from domains import LONGEST_S, PEER_PORT, Domain
+
+from ibisport_bench.virtualnet import run_on_net
+from ibisport_fleet.contentcoding import ACCEPTED, decode_body
+from ibisport_fleet.errors import AnswerInvalid
+from ibisport_fleet.exchange import open_exchange
+from ibisport_fleet.messages import Answer, AnswerHead
+from ibisport_platform.records import CATALOGUE_KEY, CATALOGUE_PREFIX
+
+MOST_BYTES = 2_000_000
+STARTS = {
+    'watch': b'GET /kv-watch?prefix=op/&after=0&waitMs=500 HTTP/1.1',
+    'list': b'GET /kv-range?prefix=op/ HTTP/1.1',
+}
+LISTS = {'watch': 'events', 'list': 'items'}
+
+
+def build_answer(body):
+    """Return an answer with a coded body."""
+    headers = ((b'content-encoding', b'deflate'),)
+    return Answer(AnswerHead(200, headers, keeps_open=True, framed=True), body)
+
+
+@given('a relay in front of a catalogue of {routes:d} routes')
+def plan(context, routes):
+    context.content = make_catalogue(1, routes)
+
+
+@when('a router that accepts {accepted} sends a {call} call')
+def ask(context, accepted, call):
+    async def play(net):
+        domain = Domain(net, 0, 1, CATALOGUE_PREFIX)
+        domain.service.put(CATALOGUE_KEY, context.content)
+        await domain.open()
+        return await net.start_on('router', send(domain))
+
+    async def send(domain):
+        address = next(iter(domain.relays.values())), PEER_PORT
+        async with asyncio.timeout(LONGEST_S):
+            exchange = await open_exchange(address, domain.now + LONGEST_S)
+            headers = ACCEPTED if accepted == 'deflate' else ()
+            return await exchange.ask(STARTS[call], headers, b'')
+
+    context.call = call
+    context.answer = run_on_net(play)
+
+
+@then('the body as sent has its whole length')
+def check_plain(context):
+    assert context.answer.head.find(b'content-encoding') is None
+    assert len(context.answer.body) > len(context.content)
+
+
+@then('the body as sent has at most a third of its length')
+def check_short(context):
+    assert 3 * len(context.answer.body) <= len(context.content)
+
+
+@then('it reads the whole catalogue from it')
+def check_content(context):
+    found = msgspec.json.decode(decode_body(context.answer, MOST_BYTES))
+    values = [one['value'] for one in found[LISTS[context.call]]]
+    assert [base64.b64decode(one) for one in values] == [context.content]
+
+
+@when('a coded body of {size:d} bytes {arrives}')
+def arrive(context, size, arrives):
+    body = zlib.compress(make_catalogue(1, size // 190))
+    middle = len(body) // 2
+    match arrives:
+        case 'ends early':
+            body = body[:-1]
+        case 'has other bytes within':
+            body = body[:middle] + bytes(100) + body[middle + 100 :]
+        case 'is longer than a body may be':
+            body = zlib.compress(bytes(MOST_BYTES + 1))
+    context.answer = build_answer(body)
+
+
+@then('decoding it fails')
+def check_failure(context):
+    try:
+        decode_body(context.answer, MOST_BYTES)
+    except AnswerInvalid:
+        return
+    raise AssertionError('it was decoded')
--- a/packages/fleet/src/ibisport_fleet/relay.py
+++ b/packages/fleet/src/ibisport_fleet/relay.py
@@ -11,11 +11,18 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import lru_cache
+from http import HTTPStatus
 from typing import Protocol
 
 from ibisport_fleet.catalogue import Limits
 from ibisport_fleet.channel import Channel
 from ibisport_fleet.connections import ConnectionTasks
+from ibisport_fleet.contentcoding import (
+    accepts_coding,
+    drop_accepted,
+    encode_body,
+)
 from ibisport_fleet.errors import FleetError, StoreError
 from ibisport_fleet.eventlog import EventLog
 from ibisport_fleet.exchange import Exchange, open_exchange
@@ -47,6 +54,8 @@
 # The store doesn't answer; the connection can be kept.
 UNAVAILABLE = b'HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n'
 CLOSE: Headers = ((b'connection', b'close'),)
+# Answers to watches that are kept for the next router.
+MOST_DUMPED = 4
 # The largest value of the store, encoded, and its frame.
 RELAY_LIMITS = Limits(most_body_bytes=2_097_152, idle_seconds=IDLE_SECONDS)
 
@@ -72,8 +81,8 @@
     def read(self, request: Request) -> WatchCall | None:
         """Return what a watch call asks for; None if it is another call."""
 
-    def dump(self, changes: Changes) -> bytes:
-        """Return the whole answer to a watch call."""
+    def dump(self, changes: Changes) -> tuple[Headers, bytes]:
+        """Return the headers and the body of the answer to a watch call."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +113,8 @@
         self._wire = adapters.watches
         store = adapters.open_store(log)
         self._watches = WatchCache(store, settings.bounds.change_bound, log)
+        # Routers that wait for the same changes get the same bytes.
+        self._dump = lru_cache(MOST_DUMPED)(self._dump_watch)
         self._idle: list[Exchange] = []
         self._leaving = False
         # Connections on which no call is passed on, with what they read.
@@ -169,13 +180,17 @@
         except StoreError:
             channel.write(UNAVAILABLE)
             return
-        channel.write(self._wire.dump(changes))
+        channel.write(self._dump(changes, accepts_coding(request)))
+
+    def _dump_watch(self, changes: Changes, coded: bool) -> bytes:
+        """Return the whole answer to a watch call."""
+        return _dump_answer(HTTPStatus.OK, *self._wire.dump(changes), coded=coded)
 
     async def _pass_on(self, request: Request, channel: Channel) -> None:
         deadline = asyncio.get_running_loop().time() + MOST_CALL_SECONDS
         exchange = await self._take(deadline)
         start = f'{request.method} '.encode() + request.target + b' HTTP/1.1'
-        headers = drop_connection_headers(request.headers)
+        headers = drop_accepted(drop_connection_headers(request.headers))
         try:
             async with asyncio.timeout_at(deadline):
                 answer = await exchange.ask(start, headers, request.body)
@@ -186,11 +201,11 @@
             self._idle.append(exchange)
         else:
             exchange.close()
-        length = (b'content-length', b'%d' % len(answer.body))
         ending = CLOSE if self._leaving else ()
-        kept = (*drop_connection_headers(answer.head.headers), length, *ending)
-        first = b'HTTP/1.1 %d Relayed' % answer.head.status
-        channel.write(dump_head(first, kept) + answer.body)
+        kept = (*drop_connection_headers(answer.head.headers), *ending)
+        coded = accepts_coding(request)
+        whole = _dump_answer(answer.head.status, kept, answer.body, coded=coded)
+        channel.write(whole)
 
     async def _take(self, deadline: float) -> Exchange:
         while self._idle:
@@ -199,3 +214,19 @@
                 return exchange
             exchange.close()
         return await open_exchange(self._store_address, deadline)
+
+
+def _dump_answer(status: int, headers: Headers, body: bytes, *, coded: bool) -> bytes:
+    """Return a whole answer.
+
+    Args:
+        status: Its status.
+        headers: Its headers, but for the length.
+        body: Its body.
+        coded: The router decodes bodies.
+    """
+    if coded:
+        headers, body = encode_body(headers, body)
+    length = (b'content-length', b'%d' % len(body))
+    first = b'HTTP/1.1 %d Relayed' % status
+    return dump_head(first, (*headers, length)) + body
--- a/packages/fleet/src/ibisport_fleet/storecalls.py
+++ b/packages/fleet/src/ibisport_fleet/storecalls.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 
 from ibisport_fleet.addresses import Address
+from ibisport_fleet.contentcoding import ACCEPTED, decode_body
 from ibisport_fleet.errors import (
     ChangesTooLong,
     ConnectionBroken,
@@ -13,7 +14,7 @@
     StoreUnknown,
 )
 from ibisport_fleet.eventlog import Event, EventLog
-from ibisport_fleet.exchange import Exchange, open_exchange
+from ibisport_fleet.exchange import MOST_WHOLE_BODY, Exchange, open_exchange
 from ibisport_fleet.messages import Answer
 from ibisport_fleet.storepaths import StorePaths
 from ibisport_fleet.storetries import LONGEST_SILENCE_S, CallTry, StoreCall
@@ -105,11 +106,13 @@
         begun = loop.time()
         self._paths.note_sent(call.kind, address)
         self._waiting[exchange] = attempt
+        headers = call.headers
+        if address != self._paths.straight:
+            headers = (*headers, *ACCEPTED)
         try:
             async with attempt.timer:
-                answer = await exchange.ask(
-                    call.start, call.headers, call.body, attempt
-                )
+                answer = await exchange.ask(call.start, headers, call.body, attempt)
+            body = decode_body(answer, MOST_WHOLE_BODY)
         except ChangesTooLong as error:
             self._log_cut(attempt, error)
             raise
@@ -130,7 +133,7 @@
             self._latency += LATENCY_WEIGHT * (first - self._latency)
         self._paths.note_answer(address)
         self._log_slow(attempt)
-        return answer
+        return Answer(answer.head, body)
 
     def _log_cut(self, attempt: CallTry, error: Exception) -> None:
         """Write down an answer that ended midway."""
