Try another way to the store when an answer comes too slowly

What callers may see: a router that is in touch serves by a replaced catalogue for up to 10 s, or has none after its start, while an answer trickles.

Cause: while bytes came, no second way began, and an answer was given up after 10 s only, longer than any bound on a change in force.

Change: a try whose answer would take over 3.5 s at its rate so far, judged from 0.25 s on, no longer holds the next way back; the first whole answer wins, and a relay that lost so isn't asked for shared watches for a while. The largest catalogue takes 2.3 s at 5 Mbit/s, so a narrow link alone starts no second way.

Tests, failed before: at 50 KB/s from its relay, or from the store at its start, a router had no catalogue of 4,000 routes 6 s later; both are in time now (3 s). Ruled out: a bound of 2 s, which asked a relay beside a sound listing of 1.5 MB at 600 KB/s (an existing scenario failed).

--- a/packages/fleet/src/ibisport_fleet/storecalls.py
+++ b/packages/fleet/src/ibisport_fleet/storecalls.py
@@ -17,7 +17,12 @@
 from ibisport_fleet.exchange import MOST_WHOLE_BODY, Exchange, open_exchange
 from ibisport_fleet.messages import Answer
 from ibisport_fleet.storepaths import StorePaths
-from ibisport_fleet.storetries import LONGEST_SILENCE_S, CallTry, StoreCall
+from ibisport_fleet.storetries import (
+    LEAST_MEASURED_S,
+    LONGEST_SILENCE_S,
+    CallTry,
+    StoreCall,
+)
 
 # Connecting takes a few milliseconds; a path that drops packets never answers.
 CONNECT_SECONDS = 0.15
@@ -203,7 +208,7 @@
     """The tries of one call: the next begins when one fails or takes long.
 
     Attributes:
-        failed: The ways on which it failed.
+        failed: The ways on which it failed, or another one was faster.
     """
 
     def __init__(
@@ -235,20 +240,19 @@
     async def _step(self) -> Answer | None:
         loop = asyncio.get_running_loop()
         patience = self._caller.measure_patience()
-        # While bytes come no second way brings them any sooner: on a narrow link it
-        # would take half of what the first one needs.
-        silent = all(one.is_silent(patience) for one in self._tries.values())
+        stuck = all(self._is_stuck(one, patience) for one in self._tries.values())
         until = self._deadline
         if self._call.shared_prefix:
             # A relay may have taken its time. The next way has as much, or a sound way
             # would look broken.
             until = loop.time() + self._call.seconds
-        if self._ways and silent and loop.time() < until:
+        if self._ways and stuck and loop.time() < until:
             self._begin(self._ways.pop(0), until)
         if not self._tries:
             raise self._failure
         # Each try ends by itself when its answer falls silent.
-        wait = patience if self._ways and not self._call.waits else None
+        pause = LEAST_MEASURED_S if self._call.waits else patience
+        wait = pause if self._ways else None
         done, _ = await asyncio.wait(
             self._tries, timeout=wait, return_when=asyncio.FIRST_COMPLETED
         )
@@ -258,6 +262,16 @@
                 return answer
         return None
 
+    def _is_stuck(self, attempt: CallTry, patience: float) -> bool:
+        """Whether another way may bring the answer sooner.
+
+        While bytes come at a fair rate none does: on a narrow link it would take half
+        of what the first one needs.
+        """
+        if attempt.is_slow():
+            return True
+        return not self._call.waits and attempt.is_silent(patience)
+
     def _begin(self, address: Address, until: float) -> None:
         attempt = CallTry(address, self._call, until)
         work = self._caller.ask_way(attempt, until)
@@ -269,6 +283,8 @@
         if failure is None:
             for other in self._tries.values():
                 self._caller.note_slow(other.address)
+                if other.is_slow():
+                    self.failed.add(other.address)
             return task.result()
         if not isinstance(failure, StoreError) or isinstance(failure, ChangesTooLong):
             raise failure
--- a/packages/fleet/src/ibisport_fleet/storetries.py
+++ b/packages/fleet/src/ibisport_fleet/storetries.py
@@ -14,6 +14,11 @@
 LONGEST_SILENCE_S = 0.9
 # An answer whose bytes trickle is given up.
 LONGEST_ANSWER_S = 10.0
+# One that would take longer than this may come sooner on another way: the largest
+# catalogue takes less on the narrowest links.
+LONGEST_TRANSFER_S = 3.5
+# The rate of an answer is judged after so long.
+LEAST_MEASURED_S = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,3 +122,13 @@
         if self.heard_at is None:
             return True
         return asyncio.get_running_loop().time() - self.heard_at >= seconds
+
+    def is_slow(self) -> bool:
+        """Whether the answer, at the rate so far, takes too long on this way."""
+        if self.first_at is None:
+            return False
+        passed = asyncio.get_running_loop().time() - self.first_at
+        if passed < LEAST_MEASURED_S:
+            return False
+        whole = passed * self.length / max(self.received, 1)
+        return max(whole, passed) > LONGEST_TRANSFER_S
