--- a/packages/fleet/src/ibisport_fleet/eventlog.py
+++ b/packages/fleet/src/ibisport_fleet/eventlog.py
@@ -30,6 +30,7 @@
     watch_shared = 2107
     answer_cut = 2108
     answer_slow = 2109
+    watch_ended = 2110
     catalogue_changed = 2201
     record_refused = 2202
     target_added = 2301
--- a/packages/fleet/src/ibisport_fleet/watchcache.py
+++ b/packages/fleet/src/ibisport_fleet/watchcache.py
@@ -11,7 +11,7 @@
 from ibisport_fleet.errors import StoreError, StoreUnavailable
 from ibisport_fleet.eventlog import Event, EventLog
 from ibisport_fleet.store import Change, Changes, Item, Store, WatchTerms
-from ibisport_fleet.watchpace import plan_upstream
+from ibisport_fleet.watchpace import WatchPace, plan_upstream
 
 # What is kept for routers that lag; who lags further is passed on to the store.
 MOST_KEPT_BYTES = 4_194_304
@@ -24,7 +24,7 @@
     """One prefix: its changes since a revision, and who waits for the next ones."""
 
     def __init__(
-        self, store: Store, prefix: str, after: int, change_bound: float
+        self, store: Store, prefix: str, after: int, pace: WatchPace, log: EventLog
     ) -> None:
         """Begin to watch.
 
@@ -32,12 +32,14 @@
             store: Where the changes come from.
             prefix: What the keys begin with.
             after: The revision from which on all changes are kept.
-            change_bound: Longest time after which a change must be in force, seconds.
+            pace: How the store is asked.
+            log: Where the begin and the end are written.
         """
         loop = asyncio.get_running_loop()
         self._store = store
         self._prefix = prefix
-        self._pace = plan_upstream(change_bound)
+        self._pace = pace
+        self._log = log
         self._kept: deque[Change] = deque()
         self._kept_bytes = 0
         self._kept_after = after
@@ -104,6 +106,9 @@
 
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
+        self._log.write(
+            Event.watch_shared, prefix=self._prefix, revision=self._kept_after
+        )
         try:
             # A prefix that nobody asks for any more isn't watched.
             while self._waiting or loop.time() < self._idle_at:
@@ -115,6 +120,13 @@
             # Whatever ended it, nobody may wait for what doesn't come.
             self._failure = self._failure or StoreUnavailable('the watch has ended')
             self._tell()
+            self._log.write(
+                Event.watch_ended,
+                prefix=self._prefix,
+                revision=self._head,
+                waiting=self._waiting,
+                reason=repr(self._failure),
+            )
 
     async def _take_next(self) -> None:
         loop = asyncio.get_running_loop()
@@ -168,10 +180,10 @@
         Args:
             store: Where the changes come from.
             change_bound: Longest time after which a change must be in force, seconds.
-            log: Where the begin of each watch is written.
+            log: Where the begin and the end of each watch are written.
         """
         self._store = store
-        self._change_bound = change_bound
+        self._pace = plan_upstream(change_bound)
         self._log = log
         self._watches: dict[str, SharedWatch] = {}
 
@@ -187,9 +199,8 @@
         if found is None:
             if len(self._watches) >= MOST_PREFIXES:
                 return None
-            found = SharedWatch(self._store, prefix, after, self._change_bound)
+            found = SharedWatch(self._store, prefix, after, self._pace, self._log)
             self._watches[prefix] = found
-            self._log.write(Event.watch_shared, prefix=prefix, revision=after)
         return found if found.covers(after) else None
 
 
