Pass over hosts without a relay when routers share a watch

What callers may see: every ten seconds, and when a target starts on a host without a relay, all routers of a domain ask the store themselves; where a growth of the catalogue falls into that moment, each of them lists it whole over its own link.

Cause: relays are named by the hosts of targets, and whether one listens shows when it is tried. Routers rank them alike, so all tried the same one that wasn't there, took the store as the next way, and tried again 10 s later. Ruled out: the relay's own end (no watch_ended).

Change: a shared watch first finds a relay that takes its connection, up to four hosts, and a host that refuses is tried ever more rarely (10 s, doubled up to 640 s) until it answers.

Test, failed before: 12 routers, 2 relays, 6 hosts without one, 20 s: 114 watches at the store, 50 allowed; passes now.

--- a/features/sharing.feature
+++ b/features/sharing.feature
@@ -13,6 +13,11 @@
     When nothing changes for 20 seconds
     Then the store was asked for changes at most 50 times
 
+  Scenario: Hosts without a relay don't send the routers of a domain to the store
+    Given 12 routers of a domain with 2 relays
+    When 6 hosts without a relay are listed and nothing changes for 20 seconds
+    Then the store was asked for changes at most 50 times
+
   Scenario Outline: The relay that routers ask fails while changes come
     Given 12 routers of a domain with 2 relays
     When the relay that they ask <fails> while 40 changes come within 8 seconds
--- a/features/steps/domains.py
+++ b/features/steps/domains.py
@@ -73,7 +73,11 @@
 
 
 class Domain:
-    """A failure domain: routers, relays, and the store outside of it."""
+    """A failure domain: routers, relays, and the store outside of it.
+
+    Attributes:
+        vacant: Addresses of hosts that are listed and have no relay.
+    """
 
     def __init__(
         self, net, routers, relays, prefix=TARGET_PREFIX, bound=CHANGE_BOUND_S
@@ -84,6 +88,7 @@
         self.service = MemoryService()
         self.store = CountingStore(self.service, 'all')
         self.relays = {f'relay-{one}': f'10.0.1.{one}' for one in range(relays)}
+        self.vacant = []
         self.routers = {f'router-{one}': Heard() for one in range(routers)}
         self.written_at = {}
         self._names = itertools.count()
@@ -159,10 +164,11 @@
         return Relay(settings, adapters, open_log())
 
     def _open_paths(self):
-        places = [
-            RelayPlace((address, PEER_PORT), DOMAIN) for address in self.relays.values()
-        ]
-        return StorePaths(STORE, DOMAIN, lambda: places)
+        return StorePaths(STORE, DOMAIN, self._list_places)
+
+    def _list_places(self):
+        listed = (*self.relays.values(), *self.vacant)
+        return [RelayPlace((address, PEER_PORT), DOMAIN) for address in listed]
 
     async def _follow(self, heard):
         contact = StoreContact(self.now)
--- a/features/steps/sharing_steps.py
+++ b/features/steps/sharing_steps.py
@@ -48,6 +48,18 @@
     _play(context, lambda domain: asyncio.sleep(seconds))
 
 
+@when(
+    '{count:d} hosts without a relay are listed and nothing changes '
+    'for {seconds:d} seconds'
+)
+def list_vacant(context, count, seconds):
+    async def act(domain):
+        domain.vacant = [f'10.0.2.{one}' for one in range(count)]
+        await asyncio.sleep(seconds)
+
+    _play(context, act)
+
+
 def _list_hosts(domain):
     return ['store', *domain.routers]
 
--- a/packages/fleet/src/ibisport_fleet/channel.py
+++ b/packages/fleet/src/ibisport_fleet/channel.py
@@ -6,7 +6,11 @@
 from collections.abc import Callable
 from typing import cast
 
-from ibisport_fleet.errors import ConnectionBroken, ConnectionFailed
+from ibisport_fleet.errors import (
+    ConnectionBroken,
+    ConnectionFailed,
+    NobodyListens,
+)
 
 # Above this many unread bytes the peer is made to wait, so that one connection
 # can't take the memory of the process.
@@ -154,12 +158,15 @@
         deadline: Loop time until which the connection must stand.
 
     Raises:
-        ConnectionFailed: It does not stand by then, or was refused.
+        NobodyListens: The host refused it.
+        ConnectionFailed: It does not stand by then.
     """
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout_at(deadline):
             _, channel = await loop.create_connection(Channel, *address)
+    except ConnectionRefusedError as error:
+        raise NobodyListens(f'nobody listens at {address}') from error
     except (OSError, TimeoutError) as error:
         raise ConnectionFailed(f'no connection to {address}: {error!r}') from error
     return channel
--- a/packages/fleet/src/ibisport_fleet/errors.py
+++ b/packages/fleet/src/ibisport_fleet/errors.py
@@ -9,6 +9,10 @@
     """A connection could not be opened: nothing was sent on it."""
 
 
+class NobodyListens(ConnectionFailed):
+    """The host refused a connection: no process listens at the address."""
+
+
 class ConnectionBroken(FleetError):
     """An open connection ended or stayed silent: what was sent may have run."""
 
--- a/packages/fleet/src/ibisport_fleet/exchange.py
+++ b/packages/fleet/src/ibisport_fleet/exchange.py
@@ -225,6 +225,7 @@
     """Connect to a target or to the store by a loop time.
 
     Raises:
+        NobodyListens: The host refused it; nothing was sent.
         ConnectionFailed: Nothing stands by then; nothing was sent.
     """
     channel = await open_channel(address, deadline)
--- a/packages/fleet/src/ibisport_fleet/storecalls.py
+++ b/packages/fleet/src/ibisport_fleet/storecalls.py
@@ -9,6 +9,7 @@
     ChangesTooLong,
     ConnectionBroken,
     ConnectionFailed,
+    NobodyListens,
     StoreError,
     StoreUnavailable,
     StoreUnknown,
@@ -34,6 +35,8 @@
 LEAST_PATIENCE_S = 0.1
 PATIENCE_FACTOR = 2.5
 LATENCY_WEIGHT = 0.2
+# Hosts without a relay that are tried before a shared watch goes to the next way.
+MOST_VACANT = 4
 # Two watches, a write, a lease and the list of routers are on their way at once. With
 # two connections kept, the others were opened anew for each call.
 MOST_IDLE = 6
@@ -61,7 +64,7 @@
         """
         loop = asyncio.get_running_loop()
         if call.shared_prefix:
-            ways = self._paths.list_shared_ways(call.shared_prefix, loop.time())
+            ways = await self._find_shared_ways(call.shared_prefix)
         else:
             ways = self._paths.list_ways(loop.time())
         deadline = loop.time() + call.seconds
@@ -72,6 +75,32 @@
             self._paths.note_unshared(ways[0], loop.time())
         return answer
 
+    async def _find_shared_ways(self, prefix: str) -> list[Address]:
+        """Return the ways for a shared watch; the first one takes connections.
+
+        Relays are named by the hosts of targets, some of which have none. Each costs a
+        millisecond to find out, and a watch of the store if that is asked instead.
+        """
+        loop = asyncio.get_running_loop()
+        for _ in range(MOST_VACANT):
+            ways = self._paths.list_shared_ways(prefix, loop.time())
+            if not await self._is_vacant(ways[0]):
+                break
+            self._paths.note_vacant(ways[0], loop.time())
+        return self._paths.list_shared_ways(prefix, loop.time())
+
+    async def _is_vacant(self, address: Address) -> bool:
+        """Whether nobody listens at an address; a connection is kept for the call."""
+        until = asyncio.get_running_loop().time() + CONNECT_SECONDS
+        try:
+            exchange = await self._take(address, until)
+        except NobodyListens:
+            return True
+        except ConnectionFailed:
+            return False
+        self._idle[address].append(exchange)
+        return False
+
     async def probe(self, call: StoreCall) -> bool:
         """Whether a call is answered on the straight way."""
         until = asyncio.get_running_loop().time() + call.seconds
--- a/packages/fleet/src/ibisport_fleet/storepaths.py
+++ b/packages/fleet/src/ibisport_fleet/storepaths.py
@@ -15,6 +15,8 @@
 # A relay that failed isn't asked for shared watches for so long: while it is silent,
 # each costs its whole time-out.
 UNSHARED_SECONDS = 10.0
+# A host on which no relay listens is tried ever more rarely, up to so many doublings.
+MOST_DOUBLINGS = 6
 # Ways that one call may take before it is given up.
 MOST_WAYS = 3
 
@@ -69,6 +71,7 @@
         self._list_relays = list_relays
         self._avoided_until: dict[Address, float] = {}
         self._unshared_until: dict[Address, float] = {}
+        self._refusals: Counter[Address] = Counter()
         self._working: Address | None = None
 
     def list_shared_ways(self, prefix: str, now: float) -> list[Address]:
@@ -108,6 +111,7 @@
     def note_answer(self, address: Address) -> None:
         """Note that a call was answered on a way."""
         self._avoided_until.pop(address, None)
+        self._refusals.pop(address, None)
         if address == self.straight:
             self.straight_works = True
         else:
@@ -117,6 +121,12 @@
         """Note that a shared watch failed on a way, and then not on another one."""
         self._unshared_until[address] = now + UNSHARED_SECONDS
 
+    def note_vacant(self, address: Address, now: float) -> None:
+        """Note that no relay listens at an address."""
+        doublings = min(self._refusals[address], MOST_DOUBLINGS)
+        self._refusals[address] += 1
+        self._unshared_until[address] = now + UNSHARED_SECONDS * 2**doublings
+
     def note_failure(self, address: Address, now: float) -> None:
         """Note that a call failed on a way."""
         self._avoided_until[address] = now + AVOID_SECONDS
