Let a relay tell that a long answer is on its way

What callers may see: a router that starts while it is cut off from the store has no catalogue and answers 503 to all, as long as relays need over 0.9 s to take a listing.

A relay sends an answer on when it has all of it, in 3 s at most; the router gave the relay 0.9 s until its first byte.

Change: while the answer comes, the relay sends an interim answer (102) each 0.25 s, which routers of older releases skip, and it bounds the silence of the store, not the length. Interim answers count as bytes at the router.

Test, failed before: relays that take 500 KB/s, a catalogue of 4,000 routes: not known 6 s after the start; now within 4 s. Ruled out: passing the bytes on as they come, since a coded answer's length must be known to the router's own checks.

--- a/features/applying.feature
+++ b/features/applying.feature
@@ -27,6 +27,13 @@
     When the new router starts
     Then each router has the newest catalogue within 3 seconds
 
+  Scenario: A router that is cut off from the store lists through a relay on a slow link
+    Given routers and relays that follow a catalogue of 4000 routes
+    And all relays take 500000 bytes a second from the store
+    And a new router is cut off from the store
+    When the new router starts
+    Then each router has the newest catalogue within 4 seconds
+
   Scenario: A catalogue that grows by much isn't listed by each router
     Given routers and relays that follow a catalogue of 3000 routes
     When it grows to 4400 routes
--- a/features/steps/applying_steps.py
+++ b/features/steps/applying_steps.py
@@ -19,6 +19,8 @@
 from ibisport_platform.records import CATALOGUE_KEY, CATALOGUE_PREFIX
 
 BOUND_S = 3.0
+ROUTERS = 12
+RELAYS = 2
 LETTERS = 'abcdefghijklmnopqrstuvwxyz0123456789'
 # Revisions of a replica's listings, one after another.
 LAGGING = (9, 4, 4, 12)
@@ -51,7 +53,7 @@
 
 def _play(context, act):
     async def play(net):
-        domain = Domain(net, 12, 2, CATALOGUE_PREFIX, BOUND_S)
+        domain = Domain(net, ROUTERS, RELAYS, CATALOGUE_PREFIX, BOUND_S)
         context.domain = domain
         domain.service.put(CATALOGUE_KEY, make_catalogue(1, context.routes))
         await domain.open()
@@ -59,6 +61,8 @@
             source, destination = ends
             asked = domain.find_asked()
             net.links[_name(source, asked), _name(destination, asked)] = Link(rate=rate)
+        if context.cut:
+            domain.silence(context.cut, ['store'])
         context.settled_at = net.time()
         async with asyncio.timeout(LONGEST_S):
             await act(domain)
@@ -73,7 +77,7 @@
 
 @given('routers and relays that follow a catalogue of {routes:d} routes')
 def plan(context, routes):
-    context.routes, context.rates = routes, {}
+    context.routes, context.rates, context.cut = routes, {}, ''
 
 
 @given('the relay that they ask takes {rate:d} bytes a second from the store')
@@ -86,6 +90,16 @@
     context.rates['relay', 'router-0'] = rate
 
 
+@given('all relays take {rate:d} bytes a second from the store')
+def slow_relays(context, rate):
+    context.rates.update({('store', f'relay-{one}'): rate for one in range(RELAYS)})
+
+
+@given('a new router is cut off from the store')
+def cut_start(context):
+    context.cut = 'router-new'
+
+
 @given('a new router gets {rate:d} bytes a second from the store')
 def slow_start(context, rate):
     context.rates['store', 'router-new'] = rate
--- a/packages/fleet/src/ibisport_fleet/exchange.py
+++ b/packages/fleet/src/ibisport_fleet/exchange.py
@@ -78,9 +78,12 @@
             headers = (*headers, (b'content-length', b'%d' % len(body)))
         self._channel.write(dump_head(start, headers) + body)
 
-    async def read_head(self) -> AnswerHead:
+    async def read_head(self, watcher: AnswerWatcher | None = None) -> AnswerHead:
         """Return the head of the next final answer.
 
+        Args:
+            watcher: Is told of each part of interim answers.
+
         Raises:
             AnswerInvalid: The bytes are no answer, or end before it.
             ConnectionBroken: The connection was reset.
@@ -90,9 +93,9 @@
             match piece:
                 case AnswerHead(status=status) if status >= FIRST_FINAL_STATUS:
                     return piece
-                case AnswerHead() | _Part() | _End():
+                case AnswerHead() | _Part() | _End() if watcher is not None:
                     # What belongs to an interim answer.
-                    pass
+                    watcher.note_bytes(0)
 
     async def read_part(self) -> bytes | None:
         """Return the next bytes of the body, or None after its end.
@@ -146,7 +149,7 @@
         """
         self.answered = False
         self.send(start, headers, body)
-        head = await self.read_head()
+        head = await self.read_head(watcher)
         if watcher is not None:
             watcher.take_head(head)
         content = await self.read_rest(watcher)
--- a/packages/fleet/src/ibisport_fleet/relay.py
+++ b/packages/fleet/src/ibisport_fleet/relay.py
@@ -27,6 +27,7 @@
 from ibisport_fleet.eventlog import EventLog
 from ibisport_fleet.exchange import Exchange, open_exchange
 from ibisport_fleet.messages import (
+    AnswerHead,
     Headers,
     Request,
     drop_connection_headers,
@@ -35,6 +36,7 @@
 from ibisport_fleet.requestreader import RequestReader
 from ibisport_fleet.settings import HostSettings
 from ibisport_fleet.store import Changes, Store
+from ibisport_fleet.storetries import LONGEST_ANSWER_S, LONGEST_SILENCE_S
 from ibisport_fleet.watchcache import WatchCache
 
 # A call that waits for changes takes up to 1.5 s; no caller waits beyond this.
@@ -56,6 +58,9 @@
 CLOSE: Headers = ((b'connection', b'close'),)
 # Answers to watches that are kept for the next router.
 MOST_DUMPED = 4
+# An interim answer (RFC 2518, section 10.1) each so often while a long one comes.
+PROCESSING = b'HTTP/1.1 102 Processing\r\n\r\n'
+PROGRESS_PERIOD_S = 0.25
 # The largest value of the store, encoded, and its frame.
 RELAY_LIMITS = Limits(most_body_bytes=2_097_152, idle_seconds=IDLE_SECONDS)
 
@@ -192,8 +197,9 @@
         start = f'{request.method} '.encode() + request.target + b' HTTP/1.1'
         headers = drop_accepted(drop_connection_headers(request.headers))
         try:
-            async with asyncio.timeout_at(deadline):
-                answer = await exchange.ask(start, headers, request.body)
+            async with asyncio.timeout_at(deadline) as timer:
+                progress = _Progress(channel, timer)
+                answer = await exchange.ask(start, headers, request.body, progress)
         except BaseException:
             exchange.close()
             raise
@@ -216,6 +222,39 @@
         return await open_exchange(self._store_address, deadline)
 
 
+class _Progress:
+    """Tells a router that the answer to its call is on its way.
+
+    The whole answer is coded before it is sent, and the router would take the relay
+    for silent meanwhile.
+    """
+
+    def __init__(self, channel: Channel, timer: asyncio.Timeout) -> None:
+        """Begin before the answer does.
+
+        Args:
+            channel: The router's connection.
+            timer: What ends the call when its answer falls silent.
+        """
+        self._channel = channel
+        self._timer = timer
+        self._told_at = 0.0
+        self._until = 0.0
+
+    def take_head(self, head: AnswerHead) -> None:
+        """Note that the answer has begun."""
+        self._told_at = asyncio.get_running_loop().time()
+        self._until = self._told_at + LONGEST_ANSWER_S
+
+    def note_bytes(self, size: int) -> None:
+        """Note that so many bytes of the body came."""
+        now = asyncio.get_running_loop().time()
+        self._timer.reschedule(min(now + LONGEST_SILENCE_S, self._until))
+        if now >= self._told_at + PROGRESS_PERIOD_S:
+            self._told_at = now
+            self._channel.write(PROCESSING)
+
+
 def _dump_answer(status: int, headers: Headers, body: bytes, *, coded: bool) -> bytes:
     """Return a whole answer.
 
