Ask for shared ways once where no relay is usable

Where no relay of the domain is usable the first way is the store itself; it was connected to ahead of the call, up to four times if it refused, and noted as a host without a relay.

--- a/packages/fleet/src/ibisport_fleet/storecalls.py
+++ b/packages/fleet/src/ibisport_fleet/storecalls.py
@@ -76,18 +76,19 @@
         return answer
 
     async def _find_shared_ways(self, prefix: str) -> list[Address]:
-        """Return the ways for a shared watch; the first one takes connections.
+        """Return the ways for a shared watch, beginning with a relay that listens.
 
         Relays are named by the hosts of targets, some of which have none. Each costs a
         millisecond to find out, and a watch of the store if that is asked instead.
         """
         loop = asyncio.get_running_loop()
+        ways = self._paths.list_shared_ways(prefix, loop.time())
         for _ in range(MOST_VACANT):
-            ways = self._paths.list_shared_ways(prefix, loop.time())
-            if not await self._is_vacant(ways[0]):
+            if ways[0] == self._paths.straight or not await self._is_vacant(ways[0]):
                 break
             self._paths.note_vacant(ways[0], loop.time())
-        return self._paths.list_shared_ways(prefix, loop.time())
+            ways = self._paths.list_shared_ways(prefix, loop.time())
+        return ways
 
     async def _is_vacant(self, address: Address) -> bool:
         """Whether nobody listens at an address; a connection is kept for the call."""
--- a/packages/fleet/src/ibisport_fleet/storepaths.py
+++ b/packages/fleet/src/ibisport_fleet/storepaths.py
@@ -125,7 +125,7 @@
         """Note that no relay listens at an address."""
         doublings = min(self._refusals[address], MOST_DOUBLINGS)
         self._refusals[address] += 1
-        self._unshared_until[address] = now + UNSHARED_SECONDS * 2**doublings
+        self._unshared_until[address] = now + 2**doublings * UNSHARED_SECONDS
 
     def note_failure(self, address: Address, now: float) -> None:
         """Note that a call failed on a way."""
