List through a relay where routers share watches

What callers may see: a router on a narrow link that lost its shared watch is the last to get a growth of the catalogue, up to 2.5 s after the first one.

And a relay that had failed was asked again at once if the way that answered instead brought changes that are too long.

Change: listings ask the relay of the domain first, as watches do, where watches are shared; a relay that failed where another way answered, whatever the answer, is left alone for a while.

--- a/features/steps/applying_steps.py
+++ b/features/steps/applying_steps.py
@@ -169,7 +169,7 @@
         self._listings = iter(LAGGING)
         self.listed = asyncio.Event()
 
-    async def scan(self, prefix):
+    async def scan(self, prefix, *, shared):
         """Return a listing; the second and the third are of an older revision."""
         revision = next(self._listings, 0)
         if not revision:
--- a/features/steps/domains.py
+++ b/features/steps/domains.py
@@ -36,10 +36,10 @@
         self.asked_at = []
         self.listed_at = []
 
-    async def scan(self, prefix, *, stale=False):
+    async def scan(self, prefix, *, stale=False, shared=False):
         """Count a listing and return it."""
         self.listed_at.append(asyncio.get_running_loop().time())
-        return await super().scan(prefix, stale=stale)
+        return await super().scan(prefix, stale=stale, shared=shared)
 
     async def watch(self, prefix, after, terms):
         """Count a watch and wait for it."""
--- a/packages/bench/src/ibisport_bench/standins/memorystore.py
+++ b/packages/bench/src/ibisport_bench/standins/memorystore.py
@@ -190,7 +190,9 @@
         self._service.lapse()
         return self._service.items.get(key)
 
-    async def scan(self, prefix: str, *, stale: bool = False) -> Listing:
+    async def scan(
+        self, prefix: str, *, stale: bool = False, shared: bool = False
+    ) -> Listing:
         """Return all keys of a prefix; none is stale here."""
         await self._travel()
         self._service.lapse()
--- a/packages/fleet/src/ibisport_fleet/following.py
+++ b/packages/fleet/src/ibisport_fleet/following.py
@@ -90,8 +90,9 @@
                 self._pause = min(2 * self._pause, LONGEST_RETRY_PAUSE_S)
 
     async def _take_next(self, on_first: Callable[[], None]) -> None:
+        pace = self._plan()
         if self._revision is None:
-            listing = await self._store.scan(self._prefix)
+            listing = await self._store.scan(self._prefix, shared=pace.shared)
             if listing.revision < self._newest:
                 raise StoreUnavailable(f'a listing of revision {listing.revision}')
             self._note_answer()
@@ -100,7 +101,6 @@
             self._listed_bytes = sum(len(item.content) for item in listing.items)
             on_first()
             return
-        pace = self._plan()
         begun = asyncio.get_running_loop().time()
         most_bytes = self._listed_bytes + MOST_EXCESS_BYTES
         terms = WatchTerms(pace.wait, most_bytes, pace.shared)
--- a/packages/fleet/src/ibisport_fleet/store.py
+++ b/packages/fleet/src/ibisport_fleet/store.py
@@ -108,8 +108,16 @@
     async def read(self, key: str) -> Item | None:
         """Return one key, or None if there is none."""
 
-    async def scan(self, prefix: str, *, stale: bool = False) -> Listing:
-        """Return all keys of a prefix; a stale listing is cheap and may be old."""
+    async def scan(
+        self, prefix: str, *, stale: bool = False, shared: bool = False
+    ) -> Listing:
+        """Return all keys of a prefix.
+
+        Args:
+            prefix: What the keys begin with.
+            stale: It may be old, and is cheap.
+            shared: A relay of the domain, which codes long answers, is asked first.
+        """
 
     async def watch(self, prefix: str, after: int, terms: WatchTerms) -> Changes:
         """Return what changed after a revision, or nothing once the wait is over.
--- a/packages/fleet/src/ibisport_fleet/storecalls.py
+++ b/packages/fleet/src/ibisport_fleet/storecalls.py
@@ -69,12 +69,22 @@
             ways = self._paths.list_ways(loop.time())
         deadline = loop.time() + call.seconds
         race = _Race(self, call, ways, deadline)
-        answer = await race.run()
-        if call.shared_prefix and ways[0] in race.failed:
-            # While the store is away all ways fail alike, and the relay is no worse.
-            self._paths.note_unshared(ways[0], loop.time())
+        try:
+            answer = await race.run()
+        except ChangesTooLong:
+            self._note_shared(call, race, ways[0])
+            raise
+        self._note_shared(call, race, ways[0])
         return answer
 
+    def _note_shared(self, call: StoreCall, race: '_Race', first: Address) -> None:
+        """Ask a relay less if it failed where another way has answered.
+
+        While the store is away all ways fail alike, and the relay is no worse.
+        """
+        if call.shared_prefix and first in race.failed:
+            self._paths.note_unshared(first, asyncio.get_running_loop().time())
+
     async def _find_shared_ways(self, prefix: str) -> list[Address]:
         """Return the ways for a shared watch, beginning with a relay that listens.
 
--- a/packages/fleet/src/ibisport_fleet/storetries.py
+++ b/packages/fleet/src/ibisport_fleet/storetries.py
@@ -34,8 +34,8 @@
         waits: The store answers late on purpose, so that a late answer says
             nothing of the way.
         most_bytes: Longest body of the answer; 0 is without a bound.
-        shared_prefix: Routers share this watch of a prefix, so a relay is asked first;
-            empty: each asks for itself.
+        shared_prefix: Routers of a domain ask the same relay first for this prefix;
+            empty: each asks the store first.
         on_bytes: Is called as bytes of an answer come, if set.
     """
 
