Log which requests are repeats, and what their last send came to

Lines couldn't tell whether a request had been sent before: each repeat has a new id. request_sent, request_failed and request_resumed now bear a digest of workspace, host, method, path, query and body, and the last two the target of the last send and the time since. No line more than before.

--- a/packages/fleet/src/ibisport_fleet/calls.py
+++ b/packages/fleet/src/ibisport_fleet/calls.py
@@ -2,6 +2,10 @@
 
 import random
 from dataclasses import dataclass, field
+from functools import cached_property
+from hashlib import blake2b
+
+import msgspec
 
 from ibisport_fleet.catalogue import Route, Workspace
 from ibisport_fleet.messages import Request
@@ -9,9 +13,10 @@
 
 # Ranks of routes that are told apart within one rank of workspaces.
 ROUTE_RANKS = 3
+DIGEST_BYTES = 12
 
 
-@dataclass(slots=True)
+@dataclass
 class Call:
     """One request, what the catalogue says of it, and how far it has come.
 
@@ -26,6 +31,8 @@
         sends: Targets that may have run it.
         tried: Starts of targets that it was sent to, or that can't be reached.
         may_have_run: Some target may have run it.
+        target: Incarnation that it was last sent to, or None.
+        sent_at: Loop time of that send.
     """
 
     request: Request
@@ -38,6 +45,23 @@
     sends: int = 0
     tried: set[tuple[str, int]] = field(default_factory=set)
     may_have_run: bool = False
+    target: str | None = None
+    sent_at: float = 0.0
+
+    @cached_property
+    def digest(self) -> str:
+        """Name what comes again if the caller repeats the request.
+
+        The same workspace, host, method, path, query and body give the same digest;
+        the request's id and its other headers don't count.
+        """
+        owner = self.terms.key if self.workspace is None else self.workspace.name
+        request = self.request
+        head = (owner or '', self.terms.host, request.method)
+        hashed = blake2b(msgspec.json.encode(head), digest_size=DIGEST_BYTES)
+        hashed.update(request.target + b' ')
+        hashed.update(request.body)
+        return hashed.hexdigest()
 
     @property
     def urgency(self) -> int:
--- a/packages/fleet/src/ibisport_fleet/recording.py
+++ b/packages/fleet/src/ibisport_fleet/recording.py
@@ -56,6 +56,7 @@
         self._log.write(
             Event.request_sent,
             request=call.terms.request_id,
+            digest=call.digest,
             route=call.route.name,
             version=call.version,
             workspace=_name_workspace(call),
@@ -80,6 +81,7 @@
             reason=reason,
             last_event=last_event,
             sends=call.sends,
+            **_describe_send(call),
         )
 
     def note_served(self, call: Call, status: int, events: int) -> None:
@@ -109,6 +111,7 @@
             may_have_run=call.may_have_run,
             sends=call.sends,
             begun=begun,
+            **_describe_send(call),
         )
         self._metrics.count_request(
             _name_workspace(call), call.route.name, f'{status} {reason[:40]}'
@@ -152,5 +155,17 @@
         self._metrics.count_tokens(_name_workspace(call), tokens)
 
 
+def _describe_send(call: Call) -> dict[str, object]:
+    """Return where a request was last sent, and how long ago."""
+    if call.target is None:
+        return {}
+    now = asyncio.get_running_loop().time()
+    return {
+        'digest': call.digest,
+        'target': call.target,
+        'since_send': round(now - call.sent_at, 4),
+    }
+
+
 def _name_workspace(call: Call) -> str | None:
     return None if call.workspace is None else call.workspace.name
--- a/packages/fleet/src/ibisport_fleet/serving.py
+++ b/packages/fleet/src/ibisport_fleet/serving.py
@@ -184,6 +184,8 @@
         call = self._call
         call.tried.add(candidate.entry.start)
         call.sends += 1
+        call.target = candidate.entry.incarnation
+        call.sent_at = _now()
         self._parts.recorder.note_sent(call, candidate)
         call.may_have_run = True
         sent = await self._parts.sender.send(call, candidate, self._cutter.last_id)
