--- /dev/null
+++ b/features/steps/quarantine_steps.py
@@ -0,0 +1,176 @@
+"""Steps on requests under which targets end."""
+
+import asyncio
+
+from behave import given, then, when
+from runningfleet import CONTACT_S, FATAL, START_S, play_fleet
+
+from ibisport_bench.memorytransport import Link
+
+OTHERS_PAUSE_S = 0.08
+FATAL_PAUSE_S = 0.25
+DOWN_FOR_S = 3.0
+CUT_AFTER_S = 0.5
+CRASH_PAUSE_S = 1.0
+CRASHES = 8
+SETTLING_S = 8.0
+HARMLESS = b'the same each time'
+SILENT = Link(delay=1_000_000.0)
+STATUS_OK = 200
+
+
+def _make_other(number):
+    return b'other %d' % number
+
+
+async def _press_both(fleet, seconds):
+    """Send the fatal request beside others, each of which comes once."""
+    await asyncio.gather(
+        fleet.press(FATAL_PAUSE_S, seconds, FATAL),
+        fleet.press(OTHERS_PAUSE_S, seconds, _make_other),
+    )
+
+
+@given('{routers:d} routers and {targets:d} targets')
+def keep_size(context, routers, targets):
+    context.size = routers, targets
+
+
+@when('a request that ends its target comes 4 times a second for {seconds:d} seconds')
+def press_fatal(context, seconds):
+    context.fleet, _ = play_fleet(
+        lambda fleet: _press_both(fleet, seconds), *context.size
+    )
+
+
+@when(
+    'it comes 4 times a second for {seconds:d} seconds and all routers are killed '
+    'after {after:d}'
+)
+def press_and_kill(context, seconds, after):
+    async def restart(fleet):
+        await asyncio.sleep(after)
+        for router in fleet.routers:
+            router.kill()
+        await asyncio.sleep(DOWN_FOR_S)
+        for router in fleet.routers:
+            router.start()
+
+    async def act(fleet):
+        await asyncio.gather(_press_both(fleet, seconds), restart(fleet))
+
+    context.fleet, _ = play_fleet(act, *context.size)
+
+
+@when('it comes 4 times a second for {seconds:d} seconds while the store is down')
+def press_without_store(context, seconds):
+    async def act(fleet):
+        fleet.service.faults.down = True
+        await _press_both(fleet, seconds)
+
+    context.fleet, _ = play_fleet(act, *context.size)
+
+
+@when(
+    'it comes 4 times a second for {seconds:d} seconds and one router is cut off '
+    'for {cut:d}'
+)
+def press_and_cut(context, seconds, cut):
+    async def cut_off(fleet):
+        await asyncio.sleep(CUT_AFTER_S)
+        lost = fleet.routers[0].host
+        others = [one.host for one in (*fleet.routers[1:], *fleet.targets)]
+        ways = [(lost, other) for other in others]
+        ways += [(other, lost) for other in others]
+        fleet.service.faults.cut.add(lost)
+        fleet.net.links.update(dict.fromkeys(ways, SILENT))
+        await asyncio.sleep(cut)
+        fleet.service.faults.cut.clear()
+        for way in ways:
+            fleet.net.links.pop(way)
+
+    async def act(fleet):
+        await asyncio.gather(_press_both(fleet, seconds), cut_off(fleet))
+
+    context.fleet, _ = play_fleet(act, *context.size)
+    context.healed_at = START_S + CUT_AFTER_S + cut
+
+
+@when(
+    'the same harmless requests come 10 times a second while targets crash each second'
+)
+def crash_beside(context):
+    async def crash(fleet):
+        for number in range(CRASHES):
+            await asyncio.sleep(CRASH_PAUSE_S)
+            fleet.targets[number % len(fleet.targets)].crash()
+
+    context.fleet, context.answers = play_fleet(
+        lambda fleet: _press_harmless(fleet, crash(fleet)), *context.size
+    )
+
+
+@when('the same requests are broken off by planned stops and by resets')
+def stop_and_reset(context):
+    async def disturb(fleet):
+        for number in range(CRASHES):
+            await asyncio.sleep(CRASH_PAUSE_S)
+            fleet.targets[number % len(fleet.targets)].reset()
+        await asyncio.gather(*(one.leave() for one in fleet.targets[:3]))
+
+    context.fleet, context.answers = play_fleet(
+        lambda fleet: _press_harmless(fleet, disturb(fleet)), *context.size
+    )
+
+
+async def _press_harmless(fleet, disturbance):
+    """Send one harmless request again and again, and once at each router later."""
+    seconds = CRASHES * CRASH_PAUSE_S + SETTLING_S
+    await asyncio.gather(
+        fleet.press(0.1, seconds, HARMLESS),
+        fleet.press(0.1, seconds, HARMLESS, 'once'),
+        disturbance,
+    )
+    await asyncio.sleep(SETTLING_S)
+    return [await fleet.ask(one, 'stream', HARMLESS) for one in fleet.routers]
+
+
+@then('at most {most:d} targets get it later than 3 seconds after the third has ended')
+def check_sent(context, most):
+    fleet = context.fleet
+    assert len(fleet.ends) >= 3, fleet.ends
+    third = fleet.ends[2][0]
+    late = [
+        one
+        for one in fleet.arrivals
+        if one.body == FATAL and one.at > third + CONTACT_S
+    ]
+    assert len(late) <= most, (len(late), len(fleet.ends), third, late[: most + 1])
+
+
+@then('at least {share:g} of the other requests are served')
+def check_served(context, share):
+    others = [answer for body, answer in context.fleet.answers if body != FATAL]
+    served = sum(one.whole and one.status == STATUS_OK for one in others)
+    assert served >= share * len(others), (served, len(others))
+
+
+@then(
+    'the router that was cut off sends it at most {most:d} times from 3 seconds '
+    'after the cut'
+)
+def check_after_cut(context, most):
+    fleet = context.fleet
+    since = context.healed_at + CONTACT_S
+    late = [
+        one
+        for one in fleet.arrivals
+        if one.body == FATAL and one.at > since and one.router == fleet.routers[0].host
+    ]
+    assert len(late) <= most, (len(late), late[:4])
+
+
+@then('each router serves the harmless requests again afterwards')
+def check_harmless(context):
+    for answer in context.answers:
+        assert answer.whole and answer.status == STATUS_OK, answer
--- /dev/null
+++ b/features/steps/runningfleet.py
@@ -0,0 +1,365 @@
+"""Shared fixtures: routers and targets that crash, on one network in virtual time."""
+
+import asyncio
+import os
+import random
+from dataclasses import dataclass, replace
+from types import SimpleNamespace
+from unittest import mock
+from weakref import WeakSet
+
+import msgspec
+from runningrouter import (
+    CALLER,
+    END,
+    GRACE_S,
+    KEY,
+    OK,
+    STREAM_HEAD,
+    Caller,
+    make_route,
+    write_event,
+)
+
+from ibisport_bench.standins.memorystore import MemoryService
+from ibisport_bench.virtualnet import run_on_net
+from ibisport_fleet.catalogue import (
+    Catalogue,
+    Limits,
+    RouteKind,
+    Service,
+    Workspace,
+)
+from ibisport_fleet.channel import Channel
+from ibisport_fleet.errors import FleetError
+from ibisport_fleet.eventlog import EventLog
+from ibisport_fleet.requestreader import RequestReader
+from ibisport_fleet.router import Adapters, Router
+from ibisport_fleet.settings import Bounds, HostSettings
+from ibisport_fleet.targets import TargetEntry
+from ibisport_platform.headers import PlatformDialect
+
+# A request with this body ends the target that runs it, so long after it begins.
+FATAL = b'fatal'
+FATAL_AFTER_S = 0.09
+PLAIN_S = 0.05
+EVENTS = 8
+EVENT_PAUSE_S = 0.05
+# A target that crashed is back after this, under a new id; its former entry goes
+# after three heartbeats.
+BACK_S = 4.0
+LAPSES_S = 3.6
+SERVES_ON_S = 3.0
+START_S = 12.0
+LONGEST_PLAY_S = 300.0
+TARGET_PREFIX = 'servers/'
+CATALOGUE_KEY = 'op/config'
+# After so long without trouble a router must know what the others know.
+CONTACT_S = 3.0
+
+CATALOGUE = Catalogue(
+    version=1,
+    revision=2,
+    routes=tuple(
+        make_route(kind.value, kind, most_targets=3, resumable=True)
+        for kind in RouteKind
+    ),
+    services={'svc': Service('svc', 100, None)},
+    workspaces={'acme': Workspace('acme', 1, None)},
+    keys={KEY: 'acme'},
+    needs_keys=True,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One request as it reached a target.
+
+    Attributes:
+        at: Loop time, seconds.
+        router: Host that sent it.
+        target: The target's incarnation.
+        name: The request's id.
+        body: Its body.
+    """
+
+    at: float
+    router: str
+    target: str
+    name: str
+    body: bytes
+
+
+class FleetTarget:
+    """One target on a host of its own; it crashes and comes back under a new id.
+
+    Attributes:
+        host: Name of its host.
+        incarnation: Its present id.
+    """
+
+    def __init__(self, fleet, number):
+        self.host = f'target-{number}'
+        self.incarnation = ''
+        self._fleet = fleet
+        self._net = fleet.net
+        self._starts = 0
+        self._number = number
+        self._entry = None
+        self._tasks = set()
+        self._channels = WeakSet()
+
+    async def start(self):
+        """Listen under a new id, and register it."""
+        self._starts += 1
+        self.incarnation = f'i-{self._number}-{self._starts}'
+        address = (f'10.1.0.{self._number}', 8_000)
+        self._entry = TargetEntry(
+            self.incarnation, 'svc', address, f'd-{self._number % 2}', 100, False, 0
+        )
+        loop = asyncio.get_running_loop()
+        await loop.create_server(lambda: Channel(self._open), *address)
+        self._register()
+
+    def crash(self):
+        """End at once, and be back later."""
+        former = self.incarnation
+        self._fleet.ends.append((self._net.time(), former))
+        self._net.kill(self.host)
+        key = TARGET_PREFIX + former
+        self._net.call_later(LAPSES_S, self._fleet.service.remove, key)
+        self._net.call_later(BACK_S, self._return)
+
+    async def leave(self):
+        """Drain, serve on for a while, end, and be back later."""
+        self._entry = replace(self._entry, draining=True)
+        self._register()
+        await asyncio.sleep(SERVES_ON_S)
+        self._net.kill(self.host)
+        self._fleet.service.remove(TARGET_PREFIX + self.incarnation)
+        self._net.call_later(BACK_S, self._return)
+
+    def reset(self):
+        """Break all connections, and go on."""
+        for channel in tuple(self._channels):
+            channel.abort()
+
+    def _return(self):
+        self._net.start_on(self.host, self.start())
+
+    def _register(self):
+        content = msgspec.json.encode(self._entry)
+        self._fleet.service.put(TARGET_PREFIX + self.incarnation, content)
+
+    def _open(self, channel):
+        self._channels.add(channel)
+        task = asyncio.get_running_loop().create_task(self._serve(channel))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, channel):
+        reader = RequestReader(channel, Limits())
+        try:
+            while (request := await reader.read()) is not None:
+                self._note(request)
+                await self._answer(request, channel)
+        except FleetError:
+            # The router reset the connection: nothing is left to answer.
+            return
+
+    def _note(self, request):
+        find = request.find
+        arrival = Arrival(
+            self._net.time(),
+            (find(b'x-router') or b'').decode(),
+            self.incarnation,
+            (find(b'attempt-id') or b'').decode(),
+            request.body,
+        )
+        self._fleet.arrivals.append(arrival)
+
+    async def _answer(self, request, channel):
+        name = request.find(b'attempt-id')
+        if request.body.startswith(FATAL):
+            channel.write(STREAM_HEAD.replace(b'{id}', name))
+            await asyncio.sleep(FATAL_AFTER_S)
+            self.crash()
+            return
+        if not request.target.startswith(b'/stream/'):
+            await asyncio.sleep(PLAIN_S)
+            channel.write(OK.replace(b'{id}', name) + b'Content-Length: 1\r\n\r\nx')
+            return
+        channel.write(STREAM_HEAD.replace(b'{id}', name))
+        for number in range(1, EVENTS + 1):
+            await asyncio.sleep(EVENT_PAUSE_S)
+            channel.write(write_event(number))
+        channel.write(END)
+
+
+class FleetRouter:
+    """One router on a host of its own, which can be killed and started again."""
+
+    def __init__(self, fleet, number):
+        self.host = f'router-{number}'
+        self.address = (f'10.0.0.{number}', 80)
+        self.router = None
+        self._fleet = fleet
+        self._number = number
+
+    def start(self):
+        """Start the process."""
+        net = self._fleet.net
+        self._process = net.start_on(self.host, self._run())
+
+    def kill(self):
+        """End the process without a word."""
+        self._fleet.net.kill(self.host)
+        self.router = None
+
+    @property
+    def ready(self):
+        """Whether callers may come."""
+        return self.router is not None and self.router.is_ready()
+
+    async def _run(self):
+        store = self._fleet.service.open_store(self.host)
+        adapters = Adapters(
+            dialect=_MarkedDialect(self.host),
+            open_store=lambda paths, log: store,
+            catalogue_key=CATALOGUE_KEY,
+            catalogue_prefix='op/',
+            target_prefix=TARGET_PREFIX,
+            decode_catalogue=lambda item: CATALOGUE,
+            decode_target=_decode_target,
+            name_incarnation=lambda key: key.removeprefix(TARGET_PREFIX),
+            load_settings=self._build_settings,
+        )
+        self.router = Router(self._build_settings(), adapters, self._fleet.log)
+        await self.router.run()
+
+    def _build_settings(self):
+        ip = self.address[0]
+        return HostSettings(
+            host=self.host,
+            domain=f'd-{self._number % 2}',
+            peer_address=(ip, 82),
+            metrics_address=(ip, 83),
+            callers_address=self.address,
+            readiness_address=(ip, 81),
+            store_address=('10.9.0.1', 1),
+            bounds=Bounds(1.0, 100.0, 10.0, GRACE_S),
+        )
+
+
+class _MarkedDialect(PlatformDialect):
+    """Names the router to the targets, so that they see who sends."""
+
+    def __init__(self, host):
+        self._mark = (b'x-router', host.encode())
+
+    def write_send(self, request, call, terms):
+        """Return the headers for a target."""
+        return (*super().write_send(request, call, terms), self._mark)
+
+
+class Fleet:
+    """Routers, targets, a store and callers.
+
+    Attributes:
+        net: The network.
+        service: The store.
+        routers: Each on its host.
+        targets: Each on its host.
+        arrivals: All requests that reached targets.
+        ends: When which incarnation of a target crashed.
+        answers: Bodies of requests with what their callers got.
+    """
+
+    def __init__(self, net, routers, targets):
+        self.net = net
+        self.service = MemoryService()
+        self.log = EventLog(os.open(os.devnull, os.O_WRONLY))
+        self.arrivals = []
+        self.ends = []
+        self.answers = []
+        self.routers = [FleetRouter(self, one + 1) for one in range(routers)]
+        self.targets = [FleetTarget(self, one + 1) for one in range(targets)]
+        self._names = 0
+
+    @property
+    def now(self):
+        """Loop time, seconds."""
+        return self.net.time()
+
+    async def start(self):
+        """Start everything, and wait until all routers are ready."""
+        self.service.put(CATALOGUE_KEY, b'')
+        for target in self.targets:
+            await self.net.start_on(target.host, target.start())
+        for router in self.routers:
+            router.start()
+        await asyncio.sleep(START_S)
+        assert all(router.ready for router in self.routers)
+
+    async def press(self, pause, seconds, body, kind='stream'):
+        """Send a request again and again, at each router in turn.
+
+        Args:
+            pause: Seconds from one to the next.
+            seconds: How long.
+            body: Its body, or a function of the number that makes it.
+            kind: Its route.
+        """
+        until = self.now + seconds
+        number = 0
+        asks = []
+        while self.now < until:
+            content = body if isinstance(body, bytes) else body(number)
+            router = self.routers[number % len(self.routers)]
+            asks.append(self.net.start_on(CALLER, self.ask(router, kind, content)))
+            number += 1
+            await asyncio.sleep(pause)
+        await asyncio.wait(asks)
+
+    async def ask(self, router, kind, body):
+        """Ask one router, and note the answer."""
+        self._names += 1
+        request = (
+            f'POST /{kind}/x HTTP/1.1\r\nHost: h.example\r\n'
+            f'Attempt-Id: n{self._names}\r\nAuthorization: Bearer {KEY}\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n'
+        ).encode()
+        caller = Caller(self, router.address)
+        answer = await caller.ask(request + body)
+        self.answers.append((body, answer))
+        return answer
+
+
+def play_fleet(act, routers=4, targets=6):
+    """Start a fleet, let it be acted on, and return it and what ``act`` returns.
+
+    Args:
+        act: Gets the running fleet.
+        routers: How many.
+        targets: How many.
+    """
+
+    async def play(net):
+        random.seed(1)
+        fleet = Fleet(net, routers, targets)
+        clock = SimpleNamespace(
+            clock_gettime=lambda clock_id: net.time(), CLOCK_BOOTTIME=0
+        )
+        # Leases are reckoned by the machine's clock, which stands still here.
+        with mock.patch('ibisport_fleet.clocks.time', clock):
+            async with asyncio.timeout(LONGEST_PLAY_S):
+                await fleet.start()
+                outcome = await act(fleet)
+        return fleet, outcome
+
+    return run_on_net(play)
+
+
+def _decode_target(item):
+    entry = msgspec.json.decode(item.content, type=TargetEntry)
+    return replace(entry, revision=item.revision)
--- a/features/steps/runningrouter.py
+++ b/features/steps/runningrouter.py
@@ -169,8 +169,9 @@
 class Caller:
     """A caller with one connection, which it uses as long as it stands."""
 
-    def __init__(self, site):
+    def __init__(self, site, address=CALLERS):
         self._site = site
+        self._address = address
         self._reader = self._writer = None
 
     async def ask(self, request, rest=b'', rest_at=0.0):
@@ -202,7 +203,7 @@
     async def _connect(self):
         # A client looks whether its kept connection has ended before it sends.
         if self._reader is None or self._reader.at_eof():
-            self._reader, self._writer = await asyncio.open_connection(*CALLERS)
+            self._reader, self._writer = await asyncio.open_connection(*self._address)
 
     async def _read(self, answer):
         parser = _AnswerParser(answer)
