Let all messages between routers take one door

Loans had the port for other routers to themselves: connections, limits and time-outs stood in the module of loans. They move to peers.py, where a message is named by its path, so that routers can tell each other of more than loans. What a router needs of a platform moves to adapters.py; router.py had more imports than the style allows.

--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -38,9 +38,7 @@
 
 @when('a request that ends its target comes 4 times a second for {seconds:d} seconds')
 def press_fatal(context, seconds):
-    context.fleet, _ = play_fleet(
-        lambda fleet: _press_both(fleet, seconds), *context.size
-    )
+    context.fleet = play_fleet(lambda fleet: _press_both(fleet, seconds), *context.size)
 
 
 @when(
@@ -59,7 +57,7 @@
     async def act(fleet):
         await asyncio.gather(_press_both(fleet, seconds), restart(fleet))
 
-    context.fleet, _ = play_fleet(act, *context.size)
+    context.fleet = play_fleet(act, *context.size)
 
 
 @when('it comes 4 times a second for {seconds:d} seconds while the store is down')
@@ -68,7 +66,7 @@
         fleet.service.faults.down = True
         await _press_both(fleet, seconds)
 
-    context.fleet, _ = play_fleet(act, *context.size)
+    context.fleet = play_fleet(act, *context.size)
 
 
 @when(
@@ -92,7 +90,7 @@
     async def act(fleet):
         await asyncio.gather(_press_both(fleet, seconds), cut_off(fleet))
 
-    context.fleet, _ = play_fleet(act, *context.size)
+    context.fleet = play_fleet(act, *context.size)
     context.healed_at = START_S + CUT_AFTER_S + cut
 
 
@@ -105,7 +103,7 @@
             await asyncio.sleep(CRASH_PAUSE_S)
             fleet.targets[number % len(fleet.targets)].crash()
 
-    context.fleet, context.answers = play_fleet(
+    context.fleet = play_fleet(
         lambda fleet: _press_harmless(fleet, crash(fleet)), *context.size
     )
 
@@ -118,7 +116,7 @@
             fleet.targets[number % len(fleet.targets)].reset()
         await asyncio.gather(*(one.leave() for one in fleet.targets[:3]))
 
-    context.fleet, context.answers = play_fleet(
+    context.fleet = play_fleet(
         lambda fleet: _press_harmless(fleet, disturb(fleet)), *context.size
     )
 
@@ -132,7 +130,9 @@
         disturbance,
     )
     await asyncio.sleep(SETTLING_S)
-    return [await fleet.ask(one, 'stream', HARMLESS) for one in fleet.routers]
+    fleet.answers.clear()
+    for router in fleet.routers:
+        await fleet.ask(router, 'stream', HARMLESS)
 
 
 @then('at most {most:d} targets get it later than 3 seconds after the third has ended')
@@ -140,18 +140,14 @@
     fleet = context.fleet
     assert len(fleet.ends) >= 3, fleet.ends
     third = fleet.ends[2][0]
-    late = [
-        one
-        for one in fleet.arrivals
-        if one.body == FATAL and one.at > third + CONTACT_S
-    ]
+    late = _list_fatal(fleet, third + CONTACT_S)
     assert len(late) <= most, (len(late), len(fleet.ends), third, late[: most + 1])
 
 
 @then('at least {share:g} of the other requests are served')
 def check_served(context, share):
     others = [answer for body, answer in context.fleet.answers if body != FATAL]
-    served = sum(one.whole and one.status == STATUS_OK for one in others)
+    served = sum(_is_served(one) for one in others)
     assert served >= share * len(others), (served, len(others))
 
 
@@ -162,15 +158,22 @@
 def check_after_cut(context, most):
     fleet = context.fleet
     since = context.healed_at + CONTACT_S
-    late = [
-        one
-        for one in fleet.arrivals
-        if one.body == FATAL and one.at > since and one.router == fleet.routers[0].host
-    ]
+    lost = fleet.routers[0].host
+    late = [one for one in _list_fatal(fleet, since) if one.router == lost]
     assert len(late) <= most, (len(late), late[:4])
 
 
 @then('each router serves the harmless requests again afterwards')
 def check_harmless(context):
-    for answer in context.answers:
-        assert answer.whole and answer.status == STATUS_OK, answer
+    assert len(context.fleet.answers) == len(context.fleet.routers)
+    for _, answer in context.fleet.answers:
+        assert _is_served(answer), answer
+
+
+def _is_served(answer):
+    return answer.whole and answer.status == STATUS_OK
+
+
+def _list_fatal(fleet, since):
+    """Return the fatal requests that reached targets later than a loop time."""
+    return [one for one in fleet.arrivals if one.body == FATAL and one.at > since]
--- a/features/steps/runningfleet.py
+++ b/features/steps/runningfleet.py
@@ -23,6 +23,7 @@
 
 from ibisport_bench.standins.memorystore import MemoryService
 from ibisport_bench.virtualnet import run_on_net
+from ibisport_fleet.adapters import Adapters
 from ibisport_fleet.catalogue import (
     Catalogue,
     Limits,
@@ -34,7 +35,7 @@
 from ibisport_fleet.errors import FleetError
 from ibisport_fleet.eventlog import EventLog
 from ibisport_fleet.requestreader import RequestReader
-from ibisport_fleet.router import Adapters, Router
+from ibisport_fleet.router import Router
 from ibisport_fleet.settings import Bounds, HostSettings
 from ibisport_fleet.targets import TargetEntry
 from ibisport_platform.headers import PlatformDialect
@@ -336,7 +337,7 @@
 
 
 def play_fleet(act, routers=4, targets=6):
-    """Start a fleet, let it be acted on, and return it and what ``act`` returns.
+    """Start a fleet, let it be acted on, and return it.
 
     Args:
         act: Gets the running fleet.
@@ -354,8 +355,8 @@
         with mock.patch('ibisport_fleet.clocks.time', clock):
             async with asyncio.timeout(LONGEST_PLAY_S):
                 await fleet.start()
-                outcome = await act(fleet)
-        return fleet, outcome
+                await act(fleet)
+        return fleet
 
     return run_on_net(play)
 
--- a/features/steps/runningrouter.py
+++ b/features/steps/runningrouter.py
@@ -12,6 +12,7 @@
 from ibisport_bench.standins.memorystore import MemoryService
 from ibisport_bench.standins.scripted import Reply, ScriptedTarget
 from ibisport_bench.virtualnet import run_on_net
+from ibisport_fleet.adapters import Adapters
 from ibisport_fleet.catalogue import (
     Catalogue,
     Route,
@@ -21,7 +22,7 @@
     Workspace,
 )
 from ibisport_fleet.eventlog import EventLog
-from ibisport_fleet.router import Adapters, Router
+from ibisport_fleet.router import Router
 from ibisport_fleet.settings import Bounds, HostSettings
 from ibisport_fleet.targets import TargetEntry
 from ibisport_platform.headers import PlatformDialect
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -11,6 +11,7 @@
 
 from ibisport_bench.standins.memorystore import MemoryService
 from ibisport_bench.standins.scripted import Reply, ScriptedTarget
+from ibisport_fleet.adapters import Adapters
 from ibisport_fleet.catalogue import (
     Catalogue,
     RouteKind,
@@ -18,7 +19,7 @@
     Workspace,
 )
 from ibisport_fleet.eventlog import EventLog
-from ibisport_fleet.router import Adapters, Router
+from ibisport_fleet.router import Router
 from ibisport_fleet.settings import Bounds, HostSettings
 from ibisport_fleet.shutdown import NOTICE_S
 from ibisport_fleet.targets import TargetEntry
--- /dev/null
+++ b/packages/fleet/src/ibisport_fleet/adapters.py
@@ -0,0 +1,27 @@
+"""What a router needs of the platform that it runs on."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ibisport_fleet.catalogue import Catalogue
+from ibisport_fleet.eventlog import EventLog
+from ibisport_fleet.settings import HostSettings
+from ibisport_fleet.store import Item, Store
+from ibisport_fleet.storepaths import StorePaths
+from ibisport_fleet.targets import TargetEntry
+from ibisport_fleet.terms import Dialect
+
+
+@dataclass(frozen=True, slots=True)
+class Adapters:
+    """What a platform's adapter provides."""
+
+    dialect: Dialect
+    open_store: Callable[[StorePaths, EventLog], Store]
+    catalogue_key: str
+    catalogue_prefix: str
+    target_prefix: str
+    decode_catalogue: Callable[[Item], Catalogue]
+    decode_target: Callable[[Item], TargetEntry]
+    name_incarnation: Callable[[str], str]
+    load_settings: Callable[[], HostSettings]
--- a/packages/fleet/src/ibisport_fleet/process.py
+++ b/packages/fleet/src/ibisport_fleet/process.py
@@ -7,9 +7,10 @@
 
 import uvloop
 
+from ibisport_fleet.adapters import Adapters
 from ibisport_fleet.eventlog import Event, EventLog
 from ibisport_fleet.relay import LEAVE_MARGIN_S, Relay, RelayAdapters
-from ibisport_fleet.router import Adapters, Router
+from ibisport_fleet.router import Router
 from ibisport_fleet.settings import HostSettings
 
 # Exit code of a process that ended since a part of it failed.
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -1,13 +1,12 @@
 """A router, put together in one place."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
+from collections.abc import Coroutine
 from typing import Any
 
+from ibisport_fleet.adapters import Adapters
 from ibisport_fleet.budgets import Budgets
 from ibisport_fleet.callers import CallerServer
-from ibisport_fleet.catalogue import Catalogue
 from ibisport_fleet.channel import Channel
 from ibisport_fleet.clocks import read_boot_clock
 from ibisport_fleet.contact import StoreContact
@@ -16,9 +15,11 @@
 from ibisport_fleet.fleetview import CatalogueView, TargetView
 from ibisport_fleet.following import PrefixWatch
 from ibisport_fleet.handling import CallHandler
+from ibisport_fleet.loans import PATH as LOANS
 from ibisport_fleet.loans import LoanClient, LoanServer
 from ibisport_fleet.membership import Membership
 from ibisport_fleet.metrics import Metrics
+from ibisport_fleet.peers import PeerClient, PeerServer
 from ibisport_fleet.pool import ConnectionPool
 from ibisport_fleet.readiness import ReadinessServer
 from ibisport_fleet.recording import Recorder
@@ -26,10 +27,7 @@
 from ibisport_fleet.serving import Parts
 from ibisport_fleet.settings import HostSettings
 from ibisport_fleet.shutdown import Shutdown, plan_shutdown
-from ibisport_fleet.store import Item, Store
 from ibisport_fleet.storepaths import RelayPlace, StorePaths
-from ibisport_fleet.targets import TargetEntry
-from ibisport_fleet.terms import Dialect
 from ibisport_fleet.watchpace import WatchPace, plan_watch
 
 # Waiting connections that the system keeps before it drops new ones.
@@ -42,21 +40,6 @@
 LONGEST_TURN_S = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class Adapters:
-    """What a platform's adapter provides."""
-
-    dialect: Dialect
-    open_store: Callable[[StorePaths, EventLog], Store]
-    catalogue_key: str
-    catalogue_prefix: str
-    target_prefix: str
-    decode_catalogue: Callable[[Item], Catalogue]
-    decode_target: Callable[[Item], TargetEntry]
-    name_incarnation: Callable[[str], str]
-    load_settings: Callable[[], HostSettings]
-
-
 class Router:
     """One router process.
 
@@ -96,10 +79,12 @@
         self._members = Membership(
             settings.host, settings.peer_address, self._store, log, read_boot_clock
         )
+        peers = PeerClient(self._pool)
         self._budgets = Budgets(
-            self._members, self._store, self._catalogue, log, LoanClient(self._pool)
+            self._members, self._store, self._catalogue, log, LoanClient(peers)
         )
-        self._loans = LoanServer(self._budgets.lend, log)
+        loans = LoanServer(self._budgets.lend)
+        self._peers = PeerServer({LOANS: loans.handle}, log)
         self._handler = CallHandler(
             Parts(
                 settings=settings,
@@ -171,8 +156,8 @@
         asked = self._readiness.connections.accept
         for address in (readiness, self._settings.metrics_address):
             await loop.create_server(asked, *address, backlog=BACKLOG)
-        lend = self._loans.connections.accept
-        await loop.create_server(lend, *self._settings.peer_address, backlog=BACKLOG)
+        peers = self._peers.connections.accept
+        await loop.create_server(peers, *self._settings.peer_address, backlog=BACKLOG)
         accept = self._callers.connections.accept
         return await loop.create_server(accept, *callers, backlog=BACKLOG)
 
