Test the bounds of the quarantine, its page, and what is no end

Six more scenarios: room under many different requests, an answer in between, copies of five routers over one store (at once, finder without the store, page removed, page unreadable), and what must not count: connections reset again and again, planned stops under a long request. The soak's mutant that answers 503 after a run takes the changed call.

--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -3,9 +3,10 @@
 import asyncio
 
 from behave import given, then, when
-from runningfleet import CONTACT_S, FATAL, START_S, play_fleet
+from runningfleet import CONTACT_S, FATAL, SLOW, START_S, play_fleet
 
 from ibisport_bench.memorytransport import Link
+from ibisport_fleet.quarantine import MOST_ENDS
 
 OTHERS_PAUSE_S = 0.08
 FATAL_PAUSE_S = 0.25
@@ -13,6 +14,9 @@
 CUT_AFTER_S = 0.5
 CRASH_PAUSE_S = 1.0
 CRASHES = 8
+# A slow stream never comes to its end between resets.
+RESETS = 20
+RESET_PAUSE_S = 0.4
 SETTLING_S = 8.0
 HARMLESS = b'the same each time'
 SILENT = Link(delay=1_000_000.0)
@@ -108,31 +112,57 @@
     )
 
 
-@when('the same requests are broken off by planned stops and by resets')
-def stop_and_reset(context):
+@when('the same requests are broken off again and again by resets')
+def reset_beside(context):
     async def disturb(fleet):
-        for number in range(CRASHES):
-            await asyncio.sleep(CRASH_PAUSE_S)
-            fleet.targets[number % len(fleet.targets)].reset()
-        await asyncio.gather(*(one.leave() for one in fleet.targets[:3]))
+        for _ in range(RESETS):
+            await asyncio.sleep(RESET_PAUSE_S)
+            for target in fleet.targets:
+                target.reset()
 
     context.fleet = play_fleet(
-        lambda fleet: _press_harmless(fleet, disturb(fleet)), *context.size
+        lambda fleet: _press_harmless(fleet, disturb(fleet), SLOW), *context.size
     )
 
 
-async def _press_harmless(fleet, disturbance):
+@when('all targets leave while each runs the same long request')
+def leave_under_request(context):
+    async def act(fleet):
+        asks = [
+            fleet.ask(fleet.routers[number % len(fleet.routers)], 'once', SLOW)
+            for number in range(len(fleet.targets))
+        ]
+        leaving = [_leave_soon(target) for target in fleet.targets]
+        await asyncio.gather(*(fleet.call(one) for one in asks), *leaving)
+        broken = {one.target for one in fleet.arrivals}
+        assert len(broken) >= MOST_ENDS, broken
+        await _ask_each(fleet, 'once', SLOW)
+
+    context.fleet = play_fleet(act, *context.size)
+
+
+async def _leave_soon(target):
+    await asyncio.sleep(CUT_AFTER_S)
+    await target.leave()
+
+
+async def _press_harmless(fleet, disturbance, body=HARMLESS):
     """Send one harmless request again and again, and once at each router later."""
-    seconds = CRASHES * CRASH_PAUSE_S + SETTLING_S
+    seconds = CRASHES * CRASH_PAUSE_S
     await asyncio.gather(
-        fleet.press(0.1, seconds, HARMLESS),
-        fleet.press(0.1, seconds, HARMLESS, 'once'),
+        fleet.press(0.1, seconds, body),
+        fleet.press(0.1, seconds, body, 'once'),
         disturbance,
     )
+    await _ask_each(fleet, 'stream', body)
+
+
+async def _ask_each(fleet, kind, body):
+    """Ask each router once after a while, and keep these answers alone."""
     await asyncio.sleep(SETTLING_S)
     fleet.answers.clear()
     for router in fleet.routers:
-        await fleet.ask(router, 'stream', HARMLESS)
+        await fleet.call(fleet.ask(router, kind, body))
 
 
 @then('at most {most:d} targets get it later than 3 seconds after the third has ended')
--- /dev/null
+++ b/features/steps/quarantinepage_steps.py
@@ -0,0 +1,163 @@
+"""Steps on what is known of fatal requests, and its page in the store."""
+
+import asyncio
+from types import SimpleNamespace
+
+from behave import given, then, when
+from followers import open_log
+
+from ibisport_bench.standins.memorystore import MemoryService
+from ibisport_bench.virtualtime import run_virtually
+from ibisport_fleet.membership import SHARED_PREFIX
+from ibisport_fleet.quarantine import Quarantine, TargetEnd
+from ibisport_fleet.quarantinepage import PAGE_KEY, QuarantineStore, load_page
+
+LISTING_PAUSE_S = 1.5
+SETTLING_S = 10.0
+UNTIL = 1e10
+FIRST = 'request-0'
+
+
+def _stand_still():
+    return 0.0
+
+
+@given('a quarantine')
+def make_quarantine(context):
+    context.quarantine = Quarantine(_stand_still)
+
+
+@when('{ends:d} targets each end under {count:d} different requests')
+def end_under_many(context, ends, count):
+    for number in range(count):
+        for target in range(ends):
+            end = TargetEnd(f'i-{number}-{target}', (f'd-{number}',))
+            context.quarantine.take_end(end)
+    for number in range(count):
+        context.quarantine.take_end(TargetEnd('i-last', (f'other-{number}',)))
+
+
+@then('it watches at most {suspects:d} and keeps at most {kept:d} of them')
+def check_bounds(context, suspects, kept):
+    quarantine = context.quarantine
+    assert 0 < quarantine.suspects <= suspects, quarantine.suspects
+    assert 0 < len(quarantine.entries) <= kept, len(quarantine.entries)
+
+
+@when('2 targets end under a request, it gets an answer, and 2 more end')
+def answer_between(context):
+    quarantine = context.quarantine
+    for target in ('i-1', 'i-2'):
+        quarantine.take_end(TargetEnd(target, (FIRST,)))
+    assert quarantine.note_answer(FIRST)
+    for target in ('i-3', 'i-4'):
+        quarantine.take_end(TargetEnd(target, (FIRST,)))
+
+
+@then('the request may be sent')
+def check_sendable(context):
+    assert context.quarantine.find_pause(FIRST) is None
+
+
+@given("{count:d} routers' copies of the quarantine over one store")
+def keep_count(context, count):
+    context.count = count
+
+
+class _Copy:
+    """One router's quarantine, its part in the store, and its listings."""
+
+    def __init__(self, service, number):
+        self.store = service.open_store(f'router-{number}')
+        self.quarantine = Quarantine(_stand_still)
+        self.saved = QuarantineStore(self.quarantine, self.store, open_log())
+        loop = asyncio.get_running_loop()
+        self.tasks = [loop.create_task(self.saved.run())]
+        self.tasks.append(loop.create_task(self._list()))
+
+    def put(self, digest, *, own=True):
+        """Quarantine a request here, and let it be saved."""
+        self.quarantine.put(digest, UNTIL)
+        self.saved.save(digest, UNTIL, own=own)
+
+    async def _list(self):
+        while True:
+            listing = await self.store.scan(SHARED_PREFIX, stale=True)
+            self.saved.take_listing(listing)
+            await asyncio.sleep(LISTING_PAUSE_S)
+
+
+def _play(context, act):
+    """Let copies be acted on; keep them and the page as it is at last."""
+
+    async def play():
+        service = MemoryService()
+        copies = [_Copy(service, number) for number in range(context.count)]
+        await act(SimpleNamespace(service=service, copies=copies))
+        await asyncio.sleep(SETTLING_S)
+        for copy in copies:
+            for task in copy.tasks:
+                task.cancel()
+        context.copies = [set(copy.quarantine.entries) for copy in copies]
+        context.page = service.items.get(PAGE_KEY)
+
+    run_virtually(play())
+
+
+async def _put_all(world):
+    for number, copy in enumerate(world.copies):
+        copy.put(f'request-{number}')
+
+
+@when('each quarantines a request of its own at the same time')
+def put_at_once(context):
+    _play(context, _put_all)
+
+
+@when("one that can't reach the store quarantines a request and tells the others")
+def put_without_store(context):
+    async def act(world):
+        world.service.faults.cut.add('router-0')
+        world.copies[0].tasks[0].cancel()
+        for copy in world.copies:
+            copy.put(FIRST, own=copy is world.copies[0])
+
+    _play(context, act)
+
+
+@when('each quarantines a request of its own, and the page is removed later')
+def remove_page(context):
+    async def act(world):
+        await _put_all(world)
+        await asyncio.sleep(SETTLING_S)
+        assert PAGE_KEY in world.service.items
+        world.service.remove(PAGE_KEY)
+
+    _play(context, act)
+
+
+@when("the page can't be read and each quarantines a request of its own")
+def spoil_page(context):
+    async def act(world):
+        world.service.put(PAGE_KEY, b'{"until": 3')
+        await _put_all(world)
+
+    _play(context, act)
+
+
+@then("the store's page and all copies hold all {count:d}")
+def check_all_held(context, count):
+    expected = {f'request-{number}' for number in range(count)}
+    assert set(load_page(context.page).until) == expected, context.page
+    assert all(one == expected for one in context.copies), context.copies
+
+
+@then("the store's page holds it within 10 seconds")
+def check_saved(context):
+    assert FIRST in load_page(context.page).until
+
+
+@then('no copy holds any, and the store has no page')
+def check_lifted(context):
+    assert not any(context.copies), context.copies
+    assert context.page is None
--- a/features/steps/runningfleet.py
+++ b/features/steps/runningfleet.py
@@ -43,6 +43,9 @@
 # A request with this body ends the target that runs it, so long after it begins.
 FATAL = b'fatal'
 FATAL_AFTER_S = 0.09
+# A stream that is asked for with this body takes so many times as long.
+SLOW = b'slow'
+SLOWNESS = 10
 PLAIN_S = 0.05
 EVENTS = 8
 EVENT_PAUSE_S = 0.05
@@ -186,13 +189,14 @@
             await asyncio.sleep(FATAL_AFTER_S)
             self.crash()
             return
-        if not request.target.startswith(b'/stream/'):
+        if request.body != SLOW and not request.target.startswith(b'/stream/'):
             await asyncio.sleep(PLAIN_S)
             channel.write(OK.replace(b'{id}', name) + b'Content-Length: 1\r\n\r\nx')
             return
         channel.write(STREAM_HEAD.replace(b'{id}', name))
+        slowness = SLOWNESS if request.body == SLOW else 1
         for number in range(1, EVENTS + 1):
-            await asyncio.sleep(EVENT_PAUSE_S)
+            await asyncio.sleep(EVENT_PAUSE_S * slowness)
             channel.write(write_event(number))
         channel.write(END)
 
@@ -302,6 +306,10 @@
         await asyncio.sleep(START_S)
         assert all(router.ready for router in self.routers)
 
+    def call(self, work):
+        """Start a caller's work on the callers' host."""
+        return self.net.start_on(CALLER, work)
+
     async def press(self, pause, seconds, body, kind='stream'):
         """Send a request again and again, at each router in turn.
 
@@ -317,7 +325,7 @@
         while self.now < until:
             content = body if isinstance(body, bytes) else body(number)
             router = self.routers[number % len(self.routers)]
-            asks.append(self.net.start_on(CALLER, self.ask(router, kind, content)))
+            asks.append(self.call(self.ask(router, kind, content)))
             number += 1
             await asyncio.sleep(pause)
         await asyncio.wait(asks)
--- a/packages/bench/src/ibisport_bench/soak/mutants.py
+++ b/packages/bench/src/ibisport_bench/soak/mutants.py
@@ -12,6 +12,7 @@
 
 from ibisport_fleet.budgets import Budgets
 from ibisport_fleet.catalogue import Route, Workspace
+from ibisport_fleet.choice import Candidate
 from ibisport_fleet.fleetview import CatalogueView
 from ibisport_fleet.ledger import Reservation
 from ibisport_fleet.replies import Replies
@@ -74,7 +75,7 @@
 def promise_after_run() -> None:
     """Answer that a request has not run when its target broke off."""
 
-    def note_break(self: Serving, reason: str) -> None:
+    def note_break(self: Serving, candidate: Candidate, reason: str) -> None:
         raise GivenUp(UNAVAILABLE, reason)
 
     patch(Serving, '_note_break', note_break)
