Let the soak repeat a request under which targets end

--only fatal: one caller repeats a request that ends each target that runs it, four times a second at any router, and the check FATAL allows three runs later than three seconds after the third end.

--- a/packages/bench/src/ibisport_bench/soak/__main__.py
+++ b/packages/bench/src/ibisport_bench/soak/__main__.py
@@ -9,7 +9,7 @@
 import uvloop
 
 from ibisport_bench.soak.mutants import MUTANTS
-from ibisport_bench.soak.plan import WEIGHTS
+from ibisport_bench.soak.plan import ALONE, WEIGHTS
 from ibisport_bench.soak.run import Order, Verdict, run_seed
 
 
@@ -38,7 +38,9 @@
     parser.add_argument('--routers', type=int, default=3)
     parser.add_argument('--logs', type=Path, help='where logs of failed seeds stay')
     parser.add_argument('--mutant', choices=sorted(MUTANTS), help='must be caught')
-    parser.add_argument('--only', choices=sorted(WEIGHTS), help='one kind of fault')
+    parser.add_argument(
+        '--only', choices=sorted({*WEIGHTS, *ALONE}), help='one kind of fault'
+    )
     return parser.parse_args()
 
 
--- a/packages/bench/src/ibisport_bench/soak/callers.py
+++ b/packages/bench/src/ibisport_bench/soak/callers.py
@@ -9,6 +9,7 @@
 
 from ibisport_bench.soak.evidence import Ask, Journal, Kind, read_clock
 from ibisport_bench.soak.processes import Host
+from ibisport_bench.soak.targets import FATAL
 from ibisport_bench.soak.wire import MessageInvalid, dump_message, read_body, read_head
 from ibisport_platform.headers import HOST, SEAL
 from ibisport_platform.standinrecords import dump_call_headers
@@ -30,6 +31,7 @@
 LONGEST_PROMPT = 400
 KINDS = (Kind.read, Kind.once, Kind.talk, Kind.resume)
 KIND_WEIGHTS = (2, 3, 5, 3)
+FATAL_PAUSE_S = 0.25
 BROKEN = (
     OSError,
     EOFError,
@@ -92,6 +94,16 @@
         for side in sides:
             side.cancel()
 
+    async def repeat_fatal(self, seconds: float) -> None:
+        """Send one fatal request again and again, at any router."""
+        path = f'/talk/fatal-{next(self._ids)}?events=9&pause=0.1&{FATAL}=0.09'
+        workspace = self._keys[-1][0]
+        until = read_clock() + seconds
+        while read_clock() < until:
+            ask = Ask(self._make_id(), Kind.talk, path, workspace, 1, 9)
+            self._spawn(self._random.choice(self._hosts), ask)
+            await asyncio.sleep(FATAL_PAUSE_S)
+
     async def finish(self) -> None:
         """Wait for the answers that are still due, and close all connections."""
         if self._tasks:
--- a/packages/bench/src/ibisport_bench/soak/checks.py
+++ b/packages/bench/src/ibisport_bench/soak/checks.py
@@ -26,6 +26,9 @@
 # slow machine.
 DRAIN_S = 2.0 * 2
 STATUS_OK = 200
+# After so many targets have ended under a request it may be sent so often.
+MOST_ENDS = 3
+MOST_LATE_SENDS = 3
 # A program that has served nothing and ends so soon may have met a signal before it
 # could hold any back; the interpreter's own start is not the product's.
 START_S = 1.0
@@ -126,6 +129,27 @@
             yield Violation('DRAIN', f'{story}: {evidence.tell(ask)}')
 
 
+def check_fatal(evidence: Evidence) -> Iterator[Violation]:
+    """A request under which three targets ended is hardly sent any more."""
+    asks = {ask.request_id: ask for ask in evidence.journal.asks}
+    paths = {crash.path for crash in evidence.journal.crashes}
+    for path in sorted(paths):
+        ends = [one.at for one in evidence.journal.crashes if one.path == path]
+        if len(ends) < MOST_ENDS:
+            continue
+        since = ends[MOST_ENDS - 1] + CONTACT_S
+        late = [
+            run
+            for run in evidence.journal.runs
+            if run.begun > since
+            and (ask := asks[run.request_id]).path == path
+            and evidence.in_touch(ask, run.begun, run.begun)
+        ]
+        if len(late) > MOST_LATE_SENDS:
+            story = f'{path}: {len(late)} runs, {len(ends)} targets ended'
+            yield Violation('FATAL', story)
+
+
 def check_ends(evidence: Evidence) -> Iterator[Violation]:
     """Every process ends by itself, without a fault, when it is told to."""
     last = {start.host: start for start in evidence.journal.starts}
@@ -168,6 +192,7 @@
     'LATE': check_late,
     'BACK': check_back,
     'ENDS': check_ends,
+    'FATAL': check_fatal,
 }
 
 
--- a/packages/bench/src/ibisport_bench/soak/evidence.py
+++ b/packages/bench/src/ibisport_bench/soak/evidence.py
@@ -141,6 +141,19 @@
     broken_off: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """A target ended since it ran a fatal request.
+
+    Attributes:
+        path: The request's.
+        at: Clock at the end.
+    """
+
+    path: str
+    at: float
+
+
 @dataclass(slots=True)
 class Start:
     """One start of a process.
@@ -175,6 +188,7 @@
         starts: Starts of processes.
         versions: When the store had accepted each version of the catalogue.
         drains: When the store had accepted that a target leaves.
+        crashes: Ends of targets under fatal requests.
         budgets: Tokens that each workspace has paid for.
         lag: Longest time that this process itself was held up, seconds.
     """
@@ -185,6 +199,7 @@
     starts: list[Start] = field(default_factory=list)
     versions: dict[int, float] = field(default_factory=dict)
     drains: dict[str, float] = field(default_factory=dict)
+    crashes: list[Crash] = field(default_factory=list)
     budgets: dict[str, int] = field(default_factory=dict)
     lag: float = 0.0
 
--- a/packages/bench/src/ibisport_bench/soak/mutants.py
+++ b/packages/bench/src/ibisport_bench/soak/mutants.py
@@ -13,6 +13,7 @@
 from ibisport_fleet.budgets import Budgets
 from ibisport_fleet.catalogue import Route, Workspace
 from ibisport_fleet.choice import Candidate
+from ibisport_fleet.fatalrequests import FatalRequests
 from ibisport_fleet.fleetview import CatalogueView
 from ibisport_fleet.ledger import Reservation
 from ibisport_fleet.replies import Replies
@@ -137,6 +138,11 @@
     patch(Router, '_close_budgets', wait)
 
 
+def send_fatal() -> None:
+    """Send requests under which targets end like any other."""
+    patch(FatalRequests, 'find_pause', lambda fatal, digest: None)
+
+
 MUTANTS: Mapping[str, Mutant] = {
     'cut-at-stop': Mutant('LOST', 'roll_all', cut_at_stop),
     'repeat-all': Mutant('TWICE', 'harm_target', repeat_all),
@@ -146,6 +152,7 @@
     'overlook-drains': Mutant('DRAIN', 'drain', overlook_drains),
     'overlook-versions': Mutant('LATE', 'publish', overlook_versions),
     'go-back': Mutant('BACK', 'publish', go_back),
+    'send-fatal': Mutant('FATAL', 'fatal', send_fatal),
     'never-end': Mutant('ENDS', 'roll_one', never_end),
 }
 
--- a/packages/bench/src/ibisport_bench/soak/plan.py
+++ b/packages/bench/src/ibisport_bench/soak/plan.py
@@ -6,11 +6,12 @@
 from collections.abc import Awaitable, Coroutine, Mapping
 from typing import Any
 
+from ibisport_bench.soak.callers import Callers
 from ibisport_bench.soak.evidence import Cause, Journal, read_clock
 from ibisport_bench.soak.links import TO_SINK, TO_SOURCE, WAYS, Link
 from ibisport_bench.soak.processes import Host
 from ibisport_bench.soak.site import GRACE_S, Site
-from ibisport_bench.soak.targets import Ills, Target
+from ibisport_bench.soak.targets import ENTRY_LAPSES_S, Ills, Target
 
 RESTART_S = (0.1, 1.5)
 SHORT_GAP_S = (0.2, 2.5)
@@ -24,8 +25,6 @@
 ONLY_PAUSE_S = 1.0
 FAULT_SECONDS = (0.3, 4.0)
 LONGEST_DELAY_S = 0.4
-# Three heartbeats of a target, after which the platform drops its entry.
-ENTRY_LAPSES_S = 1.5
 RETRY_SLACKS = (5.0, 20.0, 40.0)
 MOST_SLOW = 60.0
 LOST_SHARE, LATE_SHARE = 0.3, 0.2
@@ -48,23 +47,33 @@
     'crash_target': 1,
     'harm_target': 2,
 }
+# Played alone only: checks of the others' targets would have to be excused.
+ALONE = ('fatal',)
+FATAL_SECONDS = 15.0
 
 
 class Plan:
     """The faults of one run."""
 
     def __init__(
-        self, site: Site, journal: Journal, seed: int, only: str | None
+        self,
+        site: Site,
+        callers: Callers,
+        journal: Journal,
+        seed: int,
+        only: str | None,
     ) -> None:
         """Draw the pace.
 
         Args:
             site: What is harmed.
+            callers: Send requests that do harm.
             journal: Where it is noted.
             seed: Of all that is drawn.
             only: The one kind of fault that is played; None: all.
         """
         self._site = site
+        self._callers = callers
         self._journal = journal
         # What comes when doesn't hang on what the faults themselves draw.
         self._order = random.Random(f'order {seed}')
@@ -155,16 +164,12 @@
         links = list(self._site.store_links.values())
         if self._random.random() > ALL_LINKS_SHARE:
             links = [self._random.choice(links)]
-        harm = self._draw_harm()
+        harm = draw_harm(self._random)
         await asyncio.gather(*(self._harm_link(link, *harm) for link in links))
 
     async def _harm_target_link(self) -> None:
         target = self._random.choice(self._site.targets)
-        await self._harm_link(target.link, *self._draw_harm())
-
-    def _draw_harm(self) -> tuple[str, float]:
-        kinds = ('delay', 'reset', 'silence', TO_SINK, TO_SOURCE)
-        return self._random.choice(kinds), self._draw(FAULT_SECONDS)
+        await self._harm_link(target.link, *draw_harm(self._random))
 
     async def _harm_link(self, link: Link, kind: str, seconds: float) -> None:
         with self._journal.note(Cause.link, link.name, kind):
@@ -218,6 +223,10 @@
             await target.withdraw()
             await self._return(target)
 
+    async def _fatal(self) -> None:
+        """Let one caller repeat a request that ends each target that runs it."""
+        await self._callers.repeat_fatal(FATAL_SECONDS)
+
     def _claim(self, target: Target) -> bool:
         """Whether a target may leave: at most one of each service at once."""
         if target.entry.service in self._leaving:
@@ -238,3 +247,9 @@
             target.ills = ills
             await self._last()
             target.ills = Ills()
+
+
+def draw_harm(source: random.Random) -> tuple[str, float]:
+    """Return what happens to a link, and for how many seconds."""
+    kinds = ('delay', 'reset', 'silence', TO_SINK, TO_SOURCE)
+    return source.choice(kinds), source.uniform(*FAULT_SECONDS)
--- a/packages/bench/src/ibisport_bench/soak/run.py
+++ b/packages/bench/src/ibisport_bench/soak/run.py
@@ -97,7 +97,7 @@
     await wait_until_ready(site)
     callers = Callers(site.routers, site.keys, journal, order.seed)
     until = read_clock() + order.seconds
-    plan = Plan(site, journal, order.seed, order.only)
+    plan = Plan(site, callers, journal, order.seed, order.only)
     await asyncio.gather(callers.press(RATE, until), plan.play(until - GRACE_S))
     await callers.finish()
     await asyncio.gather(*(end_host(host) for host in site.hosts))
--- a/packages/bench/src/ibisport_bench/soak/targets.py
+++ b/packages/bench/src/ibisport_bench/soak/targets.py
@@ -8,6 +8,7 @@
 
 from ibisport_bench.soak.evidence import (
     Cause,
+    Crash,
     Journal,
     Run,
     make_body,
@@ -36,6 +37,11 @@
 from ibisport_platform.standinrecords import dump_target
 
 POLL_SECONDS = 0.1
+# A fatal request names the seconds after which its target ends.
+FATAL = 'crash'
+# Three heartbeats of a target, after which the platform drops its entry.
+ENTRY_LAPSES_S = 1.5
+BACK_S = 0.5
 # How long a target serves on after the store has accepted that it leaves, and a
 # little longer.
 SERVES_ON_S = (4.5, 8.0)
@@ -86,6 +92,7 @@
         self._running = 0
         self._seq = 0
         self._server: asyncio.Server | None = None
+        self._returning: asyncio.Future[None] | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
@@ -193,6 +200,8 @@
         breaks_at = self._draw_break(events)
         marks = [*self._mark(run.request_id), (SEAL, run.seal.encode())]
         await asyncio.sleep(self.ills.late)
+        if FATAL in asked:
+            return await self._crash(run, head, float(asked[FATAL]))
         if not events:
             await asyncio.sleep(pause)
             if breaks_at == 0:
@@ -215,6 +224,22 @@
         writer.write(b'0\r\n\r\n')
         run.complete = True
 
+    async def _crash(self, run: Run, head: Head, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+        if run.target != self.entry.incarnation or self._returning is not None:
+            return
+        path = head.start.split(b' ')[1].decode()
+        self._journal.crashes.append(Crash(path, read_clock()))
+        self._returning = asyncio.ensure_future(self._return())
+        self.end()
+
+    async def _return(self) -> None:
+        await asyncio.sleep(ENTRY_LAPSES_S)
+        await self.withdraw()
+        await asyncio.sleep(BACK_S)
+        self._returning = None
+        await self.start()
+
     def _draw_break(self, events: int) -> int:
         if self._random.random() >= self.ills.breaks:
             return -1
