--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -11,6 +11,11 @@
     When it comes 4 times a second for 30 seconds and all routers are killed after 15
     Then at most 3 targets get it later than 3 seconds after the third has ended
 
+  Scenario: Routers that are replaced in turn don't know of the ends before their start
+    Given 4 routers and 6 targets
+    When it comes 2 times a second for 30 seconds and a router is killed every 1.2 s
+    Then at most 3 targets get it later than 3 seconds after the third has ended
+
   Scenario: Routers that can't reach the store learn of a fatal request one by one
     Given 4 routers and 6 targets
     When it comes 4 times a second for 25 seconds while the store is down
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -64,6 +64,25 @@
     context.fleet = play_fleet(act, *context.size)
 
 
+@when(
+    'it comes 2 times a second for {seconds:d} seconds and a router is killed '
+    'every {pause:g} s'
+)
+def press_and_roll(context, seconds, pause):
+    async def roll(fleet):
+        for number in range(int(seconds / pause)):
+            await asyncio.sleep(pause)
+            router = fleet.routers[number % len(fleet.routers)]
+            router.kill()
+            router.start()
+
+    async def act(fleet):
+        pressing = fleet.press(2 * FATAL_PAUSE_S, seconds, FATAL, 'once')
+        await asyncio.gather(pressing, roll(fleet))
+
+    context.fleet = play_fleet(act, *context.size)
+
+
 @when('it comes 4 times a second for {seconds:d} seconds while the store is down')
 def press_without_store(context, seconds):
     async def act(fleet):
