--- a/packages/fleet/src/ibisport_fleet/choice.py
+++ b/packages/fleet/src/ibisport_fleet/choice.py
@@ -38,6 +38,8 @@
         replaced: Another incarnation answered at its address.
         unread: Tokens of prompts on their way there that it has yet to read.
         heard_at: Loop time at which it last sent something, or was first asked.
+        rate: Requests a second that it takes from all routers together; None: it
+            names no limit.
     """
 
     running: int = 0
@@ -49,6 +51,7 @@
     replaced: bool = False
     unread: int = 0
     heard_at: float = 0.0
+    rate: float | None = None
     _cached: OrderedDict[str, float] = field(default_factory=OrderedDict)
 
     def count_uncached(self, parts: Sequence[PromptPart], now: float) -> int:
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -16,6 +16,7 @@
 from ibisport_fleet.fleetview import CatalogueView, TargetView
 from ibisport_fleet.following import PrefixWatch
 from ibisport_fleet.handling import CallHandler
+from ibisport_fleet.limits import TargetLimits
 from ibisport_fleet.loans import PATH as LOANS
 from ibisport_fleet.loans import LoanClient, LoanServer
 from ibisport_fleet.membership import Membership
@@ -95,7 +96,7 @@
                 dialect=adapters.dialect,
                 catalogue=self._catalogue,
                 targets=self._targets,
-                sender=Sender(adapters.dialect, self._pool),
+                sender=Sender(adapters.dialect, self._pool, TargetLimits(log)),
                 budgets=self._budgets,
                 recorder=Recorder(log, self._metrics),
                 fatal=self._fatal,
--- a/packages/fleet/src/ibisport_fleet/sending.py
+++ b/packages/fleet/src/ibisport_fleet/sending.py
@@ -7,6 +7,7 @@
 from ibisport_fleet.choice import Candidate, TargetHealth
 from ibisport_fleet.errors import ConnectionBroken, ConnectionFailed
 from ibisport_fleet.exchange import Exchange
+from ibisport_fleet.limits import TargetLimits
 from ibisport_fleet.messages import AnswerHead
 from ibisport_fleet.pool import ConnectionPool
 from ibisport_fleet.terms import AnswerTerms, Dialect, SendTerms
@@ -68,9 +69,12 @@
 class Sender:
     """Sends requests to targets over kept connections."""
 
-    def __init__(self, dialect: Dialect, pool: ConnectionPool) -> None:
+    def __init__(
+        self, dialect: Dialect, pool: ConnectionPool, limits: TargetLimits
+    ) -> None:
         self._dialect = dialect
         self._pool = pool
+        self._limits = limits
 
     async def send(
         self, call: Call, candidate: Candidate, last_event_id: int | None
@@ -141,6 +145,8 @@
             health.heard_at = asyncio.get_running_loop().time()
             terms = self._dialect.read_answer(head)
             if terms.request_id in (None, call.terms.request_id):
+                if not terms.misdirected:
+                    self._limits.note_answer(call, health, terms.rate)
                 return await self._judge(exchange, head, terms, health)
             # The late second answer of an earlier request: not ours.
             await exchange.read_rest()
--- a/packages/fleet/src/ibisport_fleet/terms.py
+++ b/packages/fleet/src/ibisport_fleet/terms.py
@@ -88,6 +88,8 @@
         misdirected: The incarnation that was meant isn't there any more.
         signed: The target's signature is there.
         load: How busy the target is, if it says so.
+        rate: Requests a second that it takes from all routers together, if it names
+            a limit.
         idle_seconds: How long it keeps an idle connection, if it says so.
     """
 
@@ -96,6 +98,7 @@
     misdirected: bool
     signed: bool
     load: TargetLoad | None
+    rate: float | None
     idle_seconds: float | None
 
 
