--- a/features/steps/runningfleet.py
+++ b/features/steps/runningfleet.py
@@ -43,6 +43,11 @@
 # A request with this body ends the target that runs it, so long after it begins.
 FATAL = b'fatal'
 FATAL_AFTER_S = 0.09
+SEAL = b'Response-Seal: s\r\n'
+REJECTED = (
+    b'HTTP/1.1 503 Full\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\n'
+    b'Response-Seal: s\r\nContent-Length: 0\r\n\r\n'
+)
 # A stream that is asked for with this body takes so many times as long.
 SLOW = b'slow'
 SLOWNESS = 10
@@ -100,11 +105,15 @@
     Attributes:
         host: Name of its host.
         incarnation: Its present id.
+        rate: Requests a second that its answers name as its limit, or None.
+        rejects: It rejects what comes.
     """
 
     def __init__(self, fleet, number):
         self.host = f'target-{number}'
         self.incarnation = ''
+        self.rate = None
+        self.rejects = False
         self._fleet = fleet
         self._net = fleet.net
         self._starts = 0
@@ -182,18 +191,30 @@
         )
         self._fleet.arrivals.append(arrival)
 
+    def _make_head(self, template, request):
+        """Return a head that names the request and the limit, if there is one."""
+        head = template.replace(b'{id}', request.find(b'attempt-id'))
+        if self.rate is None:
+            return head
+        router = (request.find(b'x-router') or b'').decode()
+        self._fleet.told.setdefault((self.incarnation, router), self._net.time())
+        return head.replace(SEAL, SEAL + b'Server-Limit: %.2f\r\n' % self.rate)
+
     async def _answer(self, request, channel):
-        name = request.find(b'attempt-id')
+        if self.rejects:
+            channel.write(self._make_head(REJECTED, request))
+            return
         if request.body.startswith(FATAL):
-            channel.write(STREAM_HEAD.replace(b'{id}', name))
+            channel.write(self._make_head(STREAM_HEAD, request))
             await asyncio.sleep(FATAL_AFTER_S)
             self.crash()
             return
         if request.body != SLOW and not request.target.startswith(b'/stream/'):
             await asyncio.sleep(PLAIN_S)
-            channel.write(OK.replace(b'{id}', name) + b'Content-Length: 1\r\n\r\nx')
+            head = self._make_head(OK, request)
+            channel.write(head + b'Content-Length: 1\r\n\r\nx')
             return
-        channel.write(STREAM_HEAD.replace(b'{id}', name))
+        channel.write(self._make_head(STREAM_HEAD, request))
         slowness = SLOWNESS if request.body == SLOW else 1
         for number in range(1, EVENTS + 1):
             await asyncio.sleep(EVENT_PAUSE_S * slowness)
@@ -278,6 +299,7 @@
         arrivals: All requests that reached targets.
         ends: When which incarnation of a target crashed.
         answers: Bodies of requests with what their callers got.
+        told: When an incarnation first named a limit to a router.
     """
 
     def __init__(self, net, routers, targets):
@@ -287,6 +309,7 @@
         self.arrivals = []
         self.ends = []
         self.answers = []
+        self.told = {}
         self.routers = [FleetRouter(self, one + 1) for one in range(routers)]
         self.targets = [FleetTarget(self, one + 1) for one in range(targets)]
         self._names = 0
