Keep to the rate limits that targets name, all routers together

Callers saw nothing yet: the targets were asked for more than they said they could take, 29 and 31 requests in 4 s where 20 and 19 are allowed.

Cause: no router read the header. Each target is shared by routers that don't see each other's sends, so what one router alone would have kept to would be exceeded by as many times as there are routers.

Change: from its first answer that names a limit, a target gets requests from a few routers only, about as many as the limit plus two, each at an equal part of the rate and never two at once. Which ones follows from the list of routers (rendezvous hashing), so they agree without a message. All others hear of a limit and of its end by a notice. A sender asks a limited target once a second, though others have room: only an answer tells that the limit has ended. Every send counts: second ones, resumed streams, those it rejects. A limited target is no home of a prompt. Where all targets of a service are limited, what can't be sent is refused at once, and told when the next part of the rate is due.

Ruled out: a part for each router (30 routers with one request each exceed 19 in 4 s); one router that hands out the rate for all (one more thing to wait for and to lose, and the rate is used to 0.7 to 1.1 as it is); forgetting a limit soon (30 routers that try again each 10 s make a dozen requests in 4 s).

--- a/features/steps/records_steps.py
+++ b/features/steps/records_steps.py
@@ -13,7 +13,6 @@
 from ibisport_fleet.eventlog import EventLog
 from ibisport_fleet.fleetview import TargetView
 from ibisport_fleet.hostrecord import load_record
-from ibisport_fleet.loans import PATH as LOANS
 from ibisport_fleet.loans import Loan, LoanClient, LoanRequest, LoanServer
 from ibisport_fleet.membership import load_member
 from ibisport_fleet.peers import PeerClient, PeerServer
@@ -274,7 +273,7 @@
     async def ask():
         loop = asyncio.get_running_loop()
         log = EventLog(os.open(os.devnull, os.O_WRONLY))
-        lender = PeerServer({LOANS: LoanServer(lend).handle}, log)
+        lender = PeerServer(LoanServer(lend).handlers, log)
         listener = await loop.create_server(lender.connections.accept, '127.0.0.1', 0)
         address = listener.sockets[0].getsockname()
         client = LoanClient(PeerClient(ConnectionPool()))
--- a/packages/fleet/src/ibisport_fleet/choice.py
+++ b/packages/fleet/src/ibisport_fleet/choice.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from ibisport_fleet.ratelimit import RateLimit
 from ibisport_fleet.targets import TargetEntry
 from ibisport_fleet.terms import PromptPart, TargetLoad
 
@@ -22,6 +23,8 @@
 LONGEST_AVOIDANCE_S = 4.0
 # Another failure domain costs a plain request as much as this share of the slots.
 FOREIGN_DOMAIN_COST = 0.34
+# One that names a limit is spared as long as others have room.
+LIMITED_COST = 1.0
 
 
 @dataclass(slots=True)
@@ -38,8 +41,7 @@
         replaced: Another incarnation answered at its address.
         unread: Tokens of prompts on their way there that it has yet to read.
         heard_at: Loop time at which it last sent something, or was first asked.
-        rate: Requests a second that it takes from all routers together; None: it
-            names no limit.
+        limit: How many requests it takes; None: it names no limit.
     """
 
     running: int = 0
@@ -51,7 +53,7 @@
     replaced: bool = False
     unread: int = 0
     heard_at: float = 0.0
-    rate: float | None = None
+    limit: RateLimit | None = None
     _cached: OrderedDict[str, float] = field(default_factory=OrderedDict)
 
     def count_uncached(self, parts: Sequence[PromptPart], now: float) -> int:
@@ -104,6 +106,10 @@
         """Whether it owes answers and has sent nothing for a while."""
         return self.running > 0 and now - self.heard_at > SILENT_SECONDS
 
+    def is_trusted(self, now: float) -> bool:
+        """Whether it neither failed lately nor fell silent."""
+        return self.avoided_until <= now and not self.is_silent(now)
+
     def note_replaced(self) -> None:
         """Give the incarnation up: another one has its address."""
         self.replaced = True
@@ -142,7 +148,8 @@
 
 def _weigh_plain(candidate: Candidate, domain: str, now: float) -> float:
     far = 0.0 if candidate.entry.domain == domain else FOREIGN_DOMAIN_COST
-    return _share(candidate, now) + far
+    limited = 0.0 if candidate.health.limit is None else LIMITED_COST
+    return _share(candidate, now) + far + limited
 
 
 def _share(candidate: Candidate, now: float) -> float:
@@ -150,6 +157,11 @@
     return candidate.health.estimate_load(now) / slots
 
 
+def keep_unlimited(candidates: Sequence[Candidate]) -> Sequence[Candidate]:
+    """Return the targets that name no limit, or all if each names one."""
+    return [one for one in candidates if one.health.limit is None] or candidates
+
+
 def keep_trusted(candidates: Sequence[Candidate], now: float) -> list[Candidate]:
     """Return the targets that neither failed lately nor fell silent.
 
@@ -157,10 +169,6 @@
         candidates: Targets that may be chosen.
         now: Loop time.
     """
-    trusted = [
-        one
-        for one in candidates
-        if one.health.avoided_until <= now and not one.health.is_silent(now)
-    ]
+    trusted = [one for one in candidates if one.health.is_trusted(now)]
     # With none left that is trusted, one that failed lately is better than none.
     return trusted or list(candidates)
--- a/packages/fleet/src/ibisport_fleet/enginechoice.py
+++ b/packages/fleet/src/ibisport_fleet/enginechoice.py
@@ -8,7 +8,7 @@
 
 import xxhash
 
-from ibisport_fleet.choice import Candidate, keep_trusted
+from ibisport_fleet.choice import Candidate, keep_trusted, keep_unlimited
 from ibisport_fleet.promptmix import Split
 from ibisport_fleet.terms import PromptPart
 
@@ -46,8 +46,9 @@
     if not trusted:
         return None
     shared = parts[:-1]
-    preferred = _list_preferred(candidates, parts, split)
-    home = _find_home(trusted, preferred, shared)
+    # A limited target can't take what comes to a home.
+    preferred = _list_preferred(keep_unlimited(candidates), parts, split)
+    home = _find_home(keep_unlimited(trusted), preferred, shared)
 
     def weigh(one: Candidate) -> tuple[float, bool]:
         mixing = 0 if one.entry.incarnation in preferred else MIXING_TOKENS
--- a/packages/fleet/src/ibisport_fleet/fatalrequests.py
+++ b/packages/fleet/src/ibisport_fleet/fatalrequests.py
@@ -13,7 +13,7 @@
 from ibisport_fleet.fleetview import TargetView
 from ibisport_fleet.membership import Membership
 from ibisport_fleet.notices import Notifier
-from ibisport_fleet.peers import PeerClient, PeerHandler, decode_message
+from ibisport_fleet.peers import PeerHandler, decode_message
 from ibisport_fleet.pool import ConnectionPool
 from ibisport_fleet.quarantine import Quarantine, TargetEnd
 from ibisport_fleet.quarantinepage import QuarantineStore
@@ -40,6 +40,7 @@
         self,
         members: Membership,
         store: Store,
+        notifier: Notifier,
         pool: ConnectionPool,
         targets: TargetView,
         log: EventLog,
@@ -49,13 +50,14 @@
         Args:
             members: The other routers; its listings bring what is quarantined.
             store: Keeps what is quarantined.
-            pool: Connections to routers and targets.
+            notifier: Tells the other routers.
+            pool: Connections to targets.
             targets: What is listed.
             log: Where decisions are written.
         """
         self._quarantine = Quarantine(time.time)
         self._saved = QuarantineStore(self._quarantine, store, log)
-        self._notifier = Notifier(members, PeerClient(pool), log)
+        self._notifier = notifier
         self._ends = EndDetector(pool, targets, log, self._note_end)
         self._log = log
         members.on_listing = self._saved.take_listing
--- a/packages/fleet/src/ibisport_fleet/limits.py
+++ b/packages/fleet/src/ibisport_fleet/limits.py
@@ -1,16 +1,126 @@
-"""Rate limits that targets name."""
+"""Keeps to the rate limits that targets name."""
 
-from ibisport_fleet.calls import Call
-from ibisport_fleet.choice import TargetHealth
+import asyncio
+import random
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from math import isfinite
+
+import msgspec
+
+from ibisport_fleet.calls import Call, draw_pause
+from ibisport_fleet.choice import Candidate, TargetHealth
+from ibisport_fleet.errors import PeerUnavailable
 from ibisport_fleet.eventlog import Event, EventLog
+from ibisport_fleet.fleetview import TargetView
+from ibisport_fleet.membership import Membership
+from ibisport_fleet.notices import Notifier
+from ibisport_fleet.peers import PeerHandler, decode_message
+from ibisport_fleet.ratelimit import RateLimit, plan_gap
+
+LIMITS = b'/limits'
+RECEIVED = b'{}'
+# A router that may not send hears of the end of a limit from others. If a notice was
+# lost, it tries the target again after one to two times as long.
+FORGET_SECONDS = 60.0
+# A router that may send does so after so long, though others have room: only an answer
+# tells that a limit has ended.
+PROBE_SECONDS = 1.0
+# Others are told of a rate that differs from the last one by this part.
+TOLD_PART = 0.2
+# The least and the longest time to come back where all targets are limited.
+LEAST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class LimitNotice:
+    """A target named another limit.
+
+    Attributes:
+        target: Its incarnation.
+        rate: Requests a second from all routers together; None: no limit any more.
+    """
+
+    target: str
+    rate: float | None
 
 
 class TargetLimits:
     """What targets said of how many requests they take."""
 
-    def __init__(self, log: EventLog) -> None:
+    def __init__(
+        self,
+        members: Membership,
+        targets: TargetView,
+        notifier: Notifier,
+        log: EventLog,
+    ) -> None:
+        """Begin with nothing.
+
+        Args:
+            members: The routers that share a limit.
+            targets: What is known of targets.
+            notifier: Tells the other routers.
+            log: Where changes of limits are written.
+        """
+        self._members = members
+        self._targets = targets
+        self._notifier = notifier
         self._log = log
 
+    @property
+    def handlers(self) -> Mapping[bytes, PeerHandler]:
+        """What takes other routers' notices, by path."""
+        return {LIMITS: self._take_notice}
+
+    def may_send(self, candidate: Candidate, now: float) -> bool:
+        """Whether this router may send a request to a target now."""
+        limit = candidate.health.limit
+        if limit is None:
+            return True
+        if now >= limit.until:
+            candidate.health.limit = None
+            return True
+        return isfinite(self._plan_gap(candidate, limit)) and now >= limit.next_at
+
+    def find_due(self, candidates: Sequence[Candidate], now: float) -> Candidate | None:
+        """Return a limited target that has to be asked whether it still is.
+
+        Args:
+            candidates: Targets to which this router may send now.
+            now: Loop time.
+        """
+        for one in candidates:
+            limit = one.health.limit
+            if limit is None or not one.health.is_trusted(now):
+                continue
+            if now - limit.heard_at > PROBE_SECONDS:
+                return one
+        return None
+
+    def take(self, candidate: Candidate, now: float) -> None:
+        """Count a request that is sent to a target."""
+        limit = candidate.health.limit
+        if limit is not None:
+            limit.next_at = now + self._plan_gap(candidate, limit)
+
+    def find_pause(self, candidates: Sequence[Candidate], now: float) -> float:
+        """Return when a caller should come back whom no target takes now, seconds.
+
+        Another router may have a part of a limit of which this one has none.
+        """
+        limits = [
+            (limit, self._plan_gap(one, limit))
+            for one in candidates
+            if (limit := one.health.limit) is not None
+        ]
+        waits = [limit.next_at - now for limit, gap in limits if isfinite(gap)]
+        rate = sum(limit.rate for limit, _ in limits)
+        shared = 1 / rate if rate else LONGEST_PAUSE_S
+        pause = min(waits, default=shared)
+        return draw_pause(min(max(LEAST_PAUSE_S, pause), LONGEST_PAUSE_S))
+
     def note_answer(self, call: Call, health: TargetHealth, rate: float | None) -> None:
         """Take what an answer says.
 
@@ -19,12 +129,59 @@
             health: What is known of its target.
             rate: Requests a second for all routers together; None: no limit.
         """
-        if rate == health.rate:
-            return
-        health.rate = rate
-        self._log.write(
-            Event.target_limited,
-            target=call.target,
-            rate=rate,
-            request=call.terms.request_id,
-        )
+        known = health.limit
+        target = call.target or ''
+        if rate is None:
+            # An answer to what was sent before the limit was named says nothing.
+            if known is not None and call.sent_at >= known.heard_at:
+                self._change(target, health, None, own=True)
+        elif known is None or _differ(known.rate, rate):
+            self._change(target, health, rate, own=True)
+        else:
+            known.heard_at = asyncio.get_running_loop().time()
+            known.until = _draw_end(known.heard_at)
+
+    async def _take_notice(self, content: bytes) -> bytes:
+        notice = decode_message(content, LimitNotice)
+        if notice.rate is not None and not 0 <= notice.rate < float('inf'):
+            raise PeerUnavailable(f'unreadable rate {notice.rate}')
+        entry = self._targets.targets.find(notice.target)
+        if entry is not None:
+            health = self._targets.health(entry.start)
+            self._change(notice.target, health, notice.rate, own=False)
+        return RECEIVED
+
+    def _change(
+        self, target: str, health: TargetHealth, rate: float | None, *, own: bool
+    ) -> None:
+        known, health.limit = health.limit, None
+        if rate is not None:
+            health.limit = self._begin(target, rate, known)
+        self._log.write(Event.target_limited, target=target, rate=rate, own=own)
+        if own:
+            notice = msgspec.json.encode(LimitNotice(target, rate))
+            self._notifier.notify(LIMITS, notice)
+
+    def _begin(self, target: str, rate: float, known: RateLimit | None) -> RateLimit:
+        now = asyncio.get_running_loop().time()
+        gap = self._find_gap(target, rate)
+        # Routers that hear of it at the same time don't send at the same time.
+        next_at = now + (gap * random.random() if isfinite(gap) else 0.0)
+        if known is not None and isfinite(known.next_at):
+            next_at = max(next_at, known.next_at)
+        return RateLimit(rate, now, _draw_end(now), next_at)
+
+    def _plan_gap(self, candidate: Candidate, limit: RateLimit) -> float:
+        return self._find_gap(candidate.entry.incarnation, limit.rate)
+
+    def _find_gap(self, target: str, rate: float) -> float:
+        members = self._members
+        return plan_gap(rate, target, members.own.host, members.hosts)
+
+
+def _differ(one: float, other: float) -> bool:
+    return abs(one - other) > TOLD_PART * min(one, other)
+
+
+def _draw_end(now: float) -> float:
+    return now + draw_pause(FORGET_SECONDS)
--- a/packages/fleet/src/ibisport_fleet/loans.py
+++ b/packages/fleet/src/ibisport_fleet/loans.py
@@ -4,14 +4,14 @@
 borrower dies, costs tokens and never overspends.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from typing import Annotated, Protocol
 
 import msgspec
 
 from ibisport_fleet.addresses import Address
-from ibisport_fleet.peers import PeerClient, decode_message
+from ibisport_fleet.peers import PeerClient, PeerHandler, decode_message
 
 PATH = b'/loans'
 # The largest whole number that JSON carries exactly everywhere.
@@ -87,11 +87,11 @@
     def __init__(self, lend: Callable[[LoanRequest], Awaitable[Loan]]) -> None:
         self._lend = lend
 
-    async def handle(self, content: bytes) -> bytes:
-        """Return the answer to a borrower's message.
+    @property
+    def handlers(self) -> Mapping[bytes, PeerHandler]:
+        """What takes borrowers' messages, by path."""
+        return {PATH: self._handle}
 
-        Raises:
-            PeerUnavailable: It can't be read, or can't be answered.
-        """
+    async def _handle(self, content: bytes) -> bytes:
         loan = await self._lend(decode_message(content, LoanRequest))
         return msgspec.json.encode(loan)
--- a/packages/fleet/src/ibisport_fleet/membership.py
+++ b/packages/fleet/src/ibisport_fleet/membership.py
@@ -59,6 +59,7 @@
         listed: A list that holds this router was read. One that was read before may
             lack all that start at the same time, and whoever knows no other router
             takes itself for the lender of every budget.
+        hosts: Hosts of all routers that were listed lately.
         may_lend: This router can lend and is listed; others would wait for a
             lender that can't.
         on_listing: Is called with each listing of the shared prefix, if set.
@@ -74,6 +75,7 @@
     ) -> None:
         self.own = Member(host, uuid.uuid4().hex[:12], address)
         self.current = {host: self.own}
+        self.hosts = frozenset((host,))
         self.listed = False
         self.may_lend = False
         self._store = store
@@ -88,13 +90,7 @@
     @property
     def count(self) -> int:
         """How many routers there may be, this one counted."""
-        oldest = self._read_clock() - REMEMBERED_SECONDS
-        others = [
-            host
-            for host, seen in self._seen.items()
-            if seen > oldest and host != self.own.host
-        ]
-        return len(others) + 1
+        return len(self._list_remembered())
 
     def list_others(self) -> list[Member]:
         """Return all other routers of the newest list."""
@@ -163,6 +159,12 @@
         self._lease = lease
         self._registered_at = self._read_clock()
 
+    def _list_remembered(self) -> set[str]:
+        """Return the hosts of routers that were listed lately, this one's too."""
+        oldest = self._read_clock() - REMEMBERED_SECONDS
+        seen = {host for host, seen in self._seen.items() if seen > oldest}
+        return seen | {self.own.host}
+
     def _take(self, members: list[Member]) -> None:
         now = self._read_clock()
         listed = {member.host: member for member in members}
@@ -175,6 +177,7 @@
         if set(listed) != set(self.current):
             self._log.write(Event.members_changed, routers=len(listed))
         self.current = listed
+        self.hosts = frozenset(self._list_remembered())
         self.listed = self.listed or known == self.own
 
 
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -17,10 +17,10 @@
 from ibisport_fleet.following import PrefixWatch
 from ibisport_fleet.handling import CallHandler
 from ibisport_fleet.limits import TargetLimits
-from ibisport_fleet.loans import PATH as LOANS
 from ibisport_fleet.loans import LoanClient, LoanServer
 from ibisport_fleet.membership import Membership
 from ibisport_fleet.metrics import Metrics
+from ibisport_fleet.notices import Notifier
 from ibisport_fleet.peers import PeerClient, PeerServer
 from ibisport_fleet.pool import ConnectionPool
 from ibisport_fleet.readiness import ReadinessServer
@@ -82,24 +82,28 @@
             settings.host, settings.peer_address, self._store, log, read_boot_clock
         )
         peers = PeerClient(self._pool)
+        notifier = Notifier(self._members, peers, log)
         self._fatal = FatalRequests(
-            self._members, self._store, self._pool, self._targets, log
+            self._members, self._store, notifier, self._pool, self._targets, log
         )
+        limits = TargetLimits(self._members, self._targets, notifier, log)
         self._budgets = Budgets(
             self._members, self._store, self._catalogue, log, LoanClient(peers)
         )
         loans = LoanServer(self._budgets.lend)
-        self._peers = PeerServer({LOANS: loans.handle, **self._fatal.handlers}, log)
+        handlers = {**loans.handlers, **self._fatal.handlers, **limits.handlers}
+        self._peers = PeerServer(handlers, log)
         self._handler = CallHandler(
             Parts(
                 settings=settings,
                 dialect=adapters.dialect,
                 catalogue=self._catalogue,
                 targets=self._targets,
-                sender=Sender(adapters.dialect, self._pool, TargetLimits(log)),
+                sender=Sender(adapters.dialect, self._pool, limits),
                 budgets=self._budgets,
                 recorder=Recorder(log, self._metrics),
                 fatal=self._fatal,
+                limits=limits,
             )
         )
         self._callers = CallerServer(
--- a/packages/fleet/src/ibisport_fleet/serving.py
+++ b/packages/fleet/src/ibisport_fleet/serving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from ibisport_fleet.budgets import Budgets
@@ -12,6 +13,7 @@
 from ibisport_fleet.errors import ConnectionBroken
 from ibisport_fleet.fatalrequests import FatalRequests
 from ibisport_fleet.fleetview import CatalogueView, TargetView
+from ibisport_fleet.limits import TargetLimits
 from ibisport_fleet.promptmix import PromptMix
 from ibisport_fleet.recording import Recorder
 from ibisport_fleet.replies import Replies
@@ -67,6 +69,7 @@
         budgets: What workspaces may still spend.
         recorder: Where decisions are written down.
         fatal: Which requests are not sent, since targets end under them.
+        limits: How many requests targets take.
     """
 
     settings: HostSettings
@@ -77,6 +80,7 @@
     budgets: Budgets
     recorder: Recorder
     fatal: FatalRequests
+    limits: TargetLimits
 
 
 class Serving:
@@ -183,17 +187,25 @@
             for one in targets.list_candidates(call.service)
             if one.entry.start not in call.tried
         ]
-        if call.route.kind is RouteKind.stream:
-            chosen = choose_engine(
-                candidates, call.terms.parts, _now(), self._mix.split
-            )
-        else:
-            domain = self._parts.settings.domain
-            chosen = choose_plain(candidates, domain, _now())
+        now = _now()
+        limits = self._parts.limits
+        open_now = [one for one in candidates if limits.may_send(one, now)]
+        if candidates and not open_now:
+            raise self._refuse('limited', limits.find_pause(candidates, now))
+        chosen = limits.find_due(open_now, now) or self._choose_best(open_now, now)
         if chosen is None:
             raise self._refuse('no_target', draw_pause(AWAY_PAUSE_S))
+        limits.take(chosen, now)
         return chosen
 
+    def _choose_best(
+        self, candidates: Sequence[Candidate], now: float
+    ) -> Candidate | None:
+        call = self._call
+        if call.route.kind is RouteKind.stream:
+            return choose_engine(candidates, call.terms.parts, now, self._mix.split)
+        return choose_plain(candidates, self._parts.settings.domain, now)
+
     async def _try(self, candidate: Candidate) -> bool:
         call = self._call
         call.tried.add(candidate.entry.start)
--- a/packages/fleet/src/ibisport_fleet/targets.py
+++ b/packages/fleet/src/ibisport_fleet/targets.py
@@ -71,6 +71,10 @@
             if entry.service == service and not entry.draining
         ]
 
+    def find(self, incarnation: str) -> TargetEntry | None:
+        """Return a target's entry, or None if it isn't known."""
+        return self._entries.get(incarnation)
+
     def is_serving(self, entry: TargetEntry) -> bool:
         """Whether a start of a target is listed and takes new work."""
         known = self._entries.get(entry.incarnation)
