Test the parts of a limit, its notices and its end; play it in the soak

Six scenarios: the parts sum to the limit and no window holds more than it may (generated, up to 200 routers), a limited engine is no home, notices, nonsense, an answer from before the limit, a lost notice. A look at the limit in the choice of the home itself was never needed and goes.

--- /dev/null
+++ b/features/steps/ratelimit_steps.py
@@ -0,0 +1,209 @@
+"""Steps on the parts of a rate limit, and on what other routers say of one."""
+
+import asyncio
+from math import isfinite
+from types import SimpleNamespace
+
+import msgspec
+from behave import given, then, when
+from followers import open_log
+from hypothesis import HealthCheck, settings, strategies
+from hypothesis import given as forall
+
+from ibisport_bench.virtualtime import run_virtually
+from ibisport_fleet.choice import Candidate, TargetHealth
+from ibisport_fleet.enginechoice import choose_engine
+from ibisport_fleet.errors import PeerUnavailable
+from ibisport_fleet.limits import FORGET_SECONDS, LIMITS, LimitNotice, TargetLimits
+from ibisport_fleet.ratelimit import RateLimit, plan_gap
+from ibisport_fleet.targets import TargetEntry
+from ibisport_fleet.terms import PromptPart
+
+QUIET = settings(
+    deadline=None,
+    derandomize=True,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+WINDOW_S = 4.0
+TARGET = 'i-1'
+RATE = 2.4
+HOSTS = frozenset(f'router-{number}' for number in range(30))
+PARTS = (PromptPart('shared', 6_000), PromptPart('own', 10))
+
+
+@when('{count:d} generated limits are divided among up to 200 routers')
+def divide(context, count):
+    context.divided = 0
+
+    @settings(QUIET, max_examples=count)
+    @forall(strategies.floats(0, 500), strategies.integers(1, 200))
+    def divide_one(rate, routers):
+        hosts = frozenset(f'router-{number}' for number in range(routers))
+        gaps = [plan_gap(rate, TARGET, host, hosts) for host in hosts]
+        sending = [gap for gap in gaps if isfinite(gap)]
+        # A closed window holds one send more than its length has gaps.
+        most = sum(WINDOW_S / gap + 1 for gap in sending)
+        assert most <= 1.5 * WINDOW_S * rate + 5, (rate, routers, most)
+        total = sum(1 / gap for gap in sending)
+        assert abs(total - rate) <= 1e-6 * max(1.0, rate), (rate, routers, total)
+        context.divided += 1
+
+    divide_one()
+
+
+@then('the parts make the limit, and no window holds more than it may')
+def check_divided(context):
+    assert context.divided >= 100, context.divided
+
+
+def _build_engine(number):
+    entry = TargetEntry(f'i-{number}', 'svc', ('10.0.0.1', number), 'd', 64, False, 1)
+    return Candidate(entry, TargetHealth())
+
+
+@given('four engines of which the home of a prompt names a limit')
+def limit_home(context):
+    context.engines = [_build_engine(number) for number in range(4)]
+    context.home = choose_engine(context.engines, PARTS, 0.0)
+    context.home.health.limit = RateLimit(RATE, 0.0, 60.0, 0.0)
+
+
+@when('two routers choose an engine for its prompt')
+def choose_twice(context):
+    # The other router lists the engines in another order.
+    orders = (context.engines, list(reversed(context.engines)))
+    context.chosen = [choose_engine(engines, PARTS, 0.0) for engines in orders]
+
+
+@then('both take the same engine, and another one than the limited')
+def check_home(context):
+    first, second = context.chosen
+    assert first is second
+    assert first is not context.home
+
+
+class _Router:
+    """The limits of one router, without a network."""
+
+    def __init__(self):
+        self.candidate = _build_engine(1)
+        entry = self.candidate.entry
+        listed = SimpleNamespace(find={TARGET: entry}.get)
+        targets = SimpleNamespace(
+            targets=listed, health=lambda start: self.candidate.health
+        )
+        members = SimpleNamespace(own=SimpleNamespace(host='router-0'), hosts=HOSTS)
+        self.notices = []
+        notifier = SimpleNamespace(notify=lambda *notice: self.notices.append(notice))
+        self.limits = TargetLimits(members, targets, notifier, open_log())
+
+    @property
+    def rate(self):
+        """What the target is believed to take."""
+        limit = self.candidate.health.limit
+        return None if limit is None else limit.rate
+
+    async def take(self, *notice):
+        """Take another router's notice."""
+        content = msgspec.json.encode(LimitNotice(*notice))
+        await self.limits.handlers[LIMITS](content)
+
+    def answer(self, rate, sent_at):
+        """Take an answer to a request of this router."""
+        call = SimpleNamespace(
+            target=TARGET, sent_at=sent_at, terms=SimpleNamespace(request_id='r')
+        )
+        self.limits.note_answer(call, self.candidate.health, rate)
+
+
+def _load_notice(notice):
+    return msgspec.json.decode(notice[1], type=LimitNotice)
+
+
+def _play(act):
+    async def play():
+        router = _Router()
+        await act(router)
+        return router
+
+    return run_virtually(play())
+
+
+@when('another router says that a target names a limit, and that it has ended')
+def take_notices(context):
+    context.rates = []
+
+    async def act(router):
+        for rate in (RATE, RATE / 2, None):
+            await router.take(TARGET, rate)
+            context.rates.append(router.rate)
+        await router.take('i-unknown', 1.0)
+
+    context.router = _play(act)
+
+
+@then('this router goes by it, and passes nothing on')
+def check_notices(context):
+    assert context.rates == [RATE, RATE / 2, None], context.rates
+    assert not context.router.notices
+
+
+@when('other routers send limits that are none')
+def take_nonsense(context):
+    context.refused = 0
+
+    async def act(router):
+        for content in (b'{"target":"i-1","rate":-1}', b'{"target":"i-1"}', b'[]'):
+            try:
+                await router.limits.handlers[LIMITS](content)
+            except PeerUnavailable:
+                context.refused += 1
+
+    context.router = _play(act)
+
+
+@then('each is refused, and no limit is known')
+def check_nonsense(context):
+    assert context.refused == 3
+    assert context.router.rate is None
+
+
+@when('an answer without a limit comes to a request from before the limit was named')
+def answer_late(context):
+    async def act(router):
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(1.0)
+        router.answer(RATE, loop.time())
+        router.answer(None, loop.time() - 0.5)
+        context.kept = router.rate
+        await asyncio.sleep(1.0)
+        router.answer(None, loop.time())
+
+    context.router = _play(act)
+
+
+@then('the limit holds until an answer to a later request names none')
+def check_late(context):
+    assert context.kept == RATE
+    assert context.router.rate is None
+    told = [_load_notice(one) for one in context.router.notices]
+    assert [one.rate for one in told] == [RATE, None]
+
+
+@when('no router tells of the end of a limit')
+def wait_for_end(context):
+    async def act(router):
+        loop = asyncio.get_running_loop()
+        await router.take(TARGET, 0.0)
+        context.open = []
+        for _ in range(2):
+            await asyncio.sleep(FORGET_SECONDS)
+            context.open.append(router.limits.may_send(router.candidate, loop.time()))
+
+    context.router = _play(act)
+
+
+@then('this router tries the target again after one to two minutes')
+def check_tried(context):
+    assert context.open == [False, True], context.open
--- a/features/targetlimits.feature
+++ b/features/targetlimits.feature
@@ -40,3 +40,28 @@
       | routers |
       | 4       |
       | 30      |
+
+  Scenario: The parts of a limit are more than the whole
+    When 150 generated limits are divided among up to 200 routers
+    Then the parts make the limit, and no window holds more than it may
+
+  Scenario: Prompts keep a limited engine as their home
+    Given four engines of which the home of a prompt names a limit
+    When two routers choose an engine for its prompt
+    Then both take the same engine, and another one than the limited
+
+  Scenario: Notices of other routers are not heeded
+    When another router says that a target names a limit, and that it has ended
+    Then this router goes by it, and passes nothing on
+
+  Scenario: A notice that is none does harm
+    When other routers send limits that are none
+    Then each is refused, and no limit is known
+
+  Scenario: An answer from before the limit ends it
+    When an answer without a limit comes to a request from before the limit was named
+    Then the limit holds until an answer to a later request names none
+
+  Scenario: A target stays left alone for ever when a notice is lost
+    When no router tells of the end of a limit
+    Then this router tries the target again after one to two minutes
--- a/packages/bench/src/ibisport_bench/soak/checks.py
+++ b/packages/bench/src/ibisport_bench/soak/checks.py
@@ -1,6 +1,8 @@
 """Judges what callers, targets and the store saw."""
 
+import math
 import signal
+from bisect import bisect_right
 from collections import defaultdict
 from collections.abc import Callable, Iterator
 
@@ -10,6 +12,7 @@
     Ask,
     Journal,
     Kind,
+    NamedLimit,
     Run,
     Start,
     make_body,
@@ -29,6 +32,12 @@
 # After so many targets have ended under a request it may be sent so often.
 MOST_ENDS = 3
 MOST_LATE_SENDS = 3
+# How far a target's rate limit may be exceeded in a window, and how soon a router that
+# was told must know.
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+TOLD_S = 0.5
 # A program that has served nothing and ends so soon may have met a signal before it
 # could hold any back; the interpreter's own start is not the product's.
 START_S = 1.0
@@ -150,6 +159,37 @@
             yield Violation('FATAL', story)
 
 
+def check_limits(evidence: Evidence) -> Iterator[Violation]:
+    """A target gets no more than the limit that it names, with some slack."""
+    for limit in evidence.journal.limits:
+        allowed = LIMIT_FACTOR * LIMIT_WINDOW_S * limit.rate + LIMIT_SLACK
+        counted = list_told(evidence, limit)
+        for number, at in enumerate(counted):
+            size = number + 1 - bisect_right(counted, at - LIMIT_WINDOW_S)
+            if at >= limit.begun + CONTACT_S and size > allowed:
+                story = (
+                    f'{limit.target}: {size} in {LIMIT_WINDOW_S} s of {limit.rate}/s'
+                )
+                yield Violation('LIMIT', story)
+                break
+
+
+def list_told(evidence: Evidence, limit: NamedLimit) -> list[float]:
+    """Return when routers that knew of a limit sent to its target."""
+    routers = {ask.request_id: ask.router for ask in evidence.journal.asks}
+    runs = [
+        run
+        for run in evidence.journal.runs
+        if run.target == limit.target and limit.begun <= run.begun <= limit.ended
+    ]
+    told: dict[str, float] = {}
+    for run in runs:
+        router = routers[run.request_id]
+        told[router] = min(run.named, told.get(router, math.inf))
+    since = {router: at + TOLD_S for router, at in told.items()}
+    return [run.begun for run in runs if run.begun >= since[routers[run.request_id]]]
+
+
 def check_ends(evidence: Evidence) -> Iterator[Violation]:
     """Every process ends by itself, without a fault, when it is told to."""
     last = {start.host: start for start in evidence.journal.starts}
@@ -193,6 +233,7 @@
     'BACK': check_back,
     'ENDS': check_ends,
     'FATAL': check_fatal,
+    'LIMIT': check_limits,
 }
 
 
--- a/packages/bench/src/ibisport_bench/soak/evidence.py
+++ b/packages/bench/src/ibisport_bench/soak/evidence.py
@@ -129,6 +129,7 @@
         ended: Clock at its end.
         complete: The whole answer was handed over.
         broken_off: The target itself broke off.
+        named: Clock when the head of an answer named a rate limit.
     """
 
     request_id: str
@@ -139,6 +140,24 @@
     ended: float = math.inf
     complete: bool = False
     broken_off: bool = False
+    named: float = math.inf
+
+
+@dataclass(slots=True)
+class NamedLimit:
+    """A span in which a target named a rate limit.
+
+    Attributes:
+        target: Its incarnation.
+        rate: Requests a second from all routers together.
+        begun: Clock at which it first might name it.
+        ended: Clock from which it named none.
+    """
+
+    target: str
+    rate: float
+    begun: float
+    ended: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -188,6 +207,7 @@
         starts: Starts of processes.
         versions: When the store had accepted each version of the catalogue.
         drains: When the store had accepted that a target leaves.
+        limits: Rate limits that targets named.
         crashes: Ends of targets under fatal requests.
         budgets: Tokens that each workspace has paid for.
         lag: Longest time that this process itself was held up, seconds.
@@ -199,6 +219,7 @@
     starts: list[Start] = field(default_factory=list)
     versions: dict[int, float] = field(default_factory=dict)
     drains: dict[str, float] = field(default_factory=dict)
+    limits: list[NamedLimit] = field(default_factory=list)
     crashes: list[Crash] = field(default_factory=list)
     budgets: dict[str, int] = field(default_factory=dict)
     lag: float = 0.0
--- a/packages/bench/src/ibisport_bench/soak/mutants.py
+++ b/packages/bench/src/ibisport_bench/soak/mutants.py
@@ -16,6 +16,7 @@
 from ibisport_fleet.fatalrequests import FatalRequests
 from ibisport_fleet.fleetview import CatalogueView
 from ibisport_fleet.ledger import Reservation
+from ibisport_fleet.limits import TargetLimits
 from ibisport_fleet.replies import Replies
 from ibisport_fleet.router import Router
 from ibisport_fleet.serving import GivenUp, Serving
@@ -143,6 +144,11 @@
     patch(FatalRequests, 'find_pause', lambda fatal, digest: None)
 
 
+def overlook_limits() -> None:
+    """Send to limited targets like to any other."""
+    patch(TargetLimits, 'may_send', lambda limits, candidate, now: True)
+
+
 MUTANTS: Mapping[str, Mutant] = {
     'cut-at-stop': Mutant('LOST', 'roll_all', cut_at_stop),
     'repeat-all': Mutant('TWICE', 'harm_target', repeat_all),
@@ -153,6 +159,7 @@
     'overlook-versions': Mutant('LATE', 'publish', overlook_versions),
     'go-back': Mutant('BACK', 'publish', go_back),
     'send-fatal': Mutant('FATAL', 'fatal', send_fatal),
+    'overlook-limits': Mutant('LIMIT', 'limit', overlook_limits),
     'never-end': Mutant('ENDS', 'roll_one', never_end),
 }
 
--- a/packages/bench/src/ibisport_bench/soak/plan.py
+++ b/packages/bench/src/ibisport_bench/soak/plan.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from ibisport_bench.soak.callers import Callers
-from ibisport_bench.soak.evidence import Cause, Journal, read_clock
+from ibisport_bench.soak.evidence import Cause, Journal, NamedLimit, read_clock
 from ibisport_bench.soak.links import TO_SINK, TO_SOURCE, WAYS, Link
 from ibisport_bench.soak.processes import Host
 from ibisport_bench.soak.site import GRACE_S, Site
@@ -48,8 +48,10 @@
     'harm_target': 2,
 }
 # Played alone only: checks of the others' targets would have to be excused.
-ALONE = ('fatal',)
+ALONE = ('fatal', 'limit')
 FATAL_SECONDS = 15.0
+LIMIT_SECONDS = 12.0
+LIMITS = (0.5, 2.4, 6.0)
 
 
 class Plan:
@@ -108,9 +110,6 @@
     def _draw(self, span: tuple[float, float]) -> float:
         return self._random.uniform(*span)
 
-    async def _last(self) -> None:
-        await asyncio.sleep(self._draw(FAULT_SECONDS))
-
     async def _roll_all(self) -> None:
         """Restart all routers in turn, several at once where the gap is short."""
         gap = self._draw(SHORT_GAP_S)
@@ -147,7 +146,7 @@
         host = self._random.choice(self._site.hosts)
         with self._journal.note(Cause.freeze, host.name, ''):
             host.tell(signal.SIGSTOP)
-            await self._last()
+            await asyncio.sleep(self._draw(FAULT_SECONDS))
             host.tell(signal.SIGCONT)
 
     async def _reload(self) -> None:
@@ -204,7 +203,7 @@
                     faults.cut.add('all')
                 case _:
                     self._site.service.end_leases()
-            await self._last()
+            await asyncio.sleep(self._draw(FAULT_SECONDS))
             faults.lose, faults.late, faults.slow = 0.0, 0.0, 1.0
             faults.down = False
             faults.cut.clear()
@@ -227,6 +226,18 @@
         """Let one caller repeat a request that ends each target that runs it."""
         await self._callers.repeat_fatal(FATAL_SECONDS)
 
+    async def _limit(self) -> None:
+        """Let a target name a rate limit for a while."""
+        target = self._random.choice(self._site.targets)
+        if target.rate is not None:
+            return
+        target.rate = self._random.choice(LIMITS)
+        limit = NamedLimit(target.entry.incarnation, target.rate, read_clock())
+        self._journal.limits.append(limit)
+        await asyncio.sleep(LIMIT_SECONDS)
+        target.rate = None
+        limit.ended = read_clock()
+
     def _claim(self, target: Target) -> bool:
         """Whether a target may leave: at most one of each service at once."""
         if target.entry.service in self._leaving:
@@ -245,7 +256,7 @@
         ills = Ills(breaks=BROKEN_SHARE) if late < 1 else Ills(late=late)
         with self._journal.note(Cause.target, target.name, f'{ills}'):
             target.ills = ills
-            await self._last()
+            await asyncio.sleep(self._draw(FAULT_SECONDS))
             target.ills = Ills()
 
 
--- a/packages/bench/src/ibisport_bench/soak/targets.py
+++ b/packages/bench/src/ibisport_bench/soak/targets.py
@@ -32,6 +32,7 @@
     NOT_EXECUTED,
     REQUEST_ID,
     SEAL,
+    SERVER_LIMIT,
     WORKER_LOAD,
 )
 from ibisport_platform.standinrecords import dump_target
@@ -76,6 +77,7 @@
         entry: How it announces itself now.
         link: The loopback proxy before it.
         ills: What is wrong with it.
+        rate: Requests a second that its answers name as its limit, or None.
     """
 
     def __init__(
@@ -85,6 +87,7 @@
         self.entry = entry
         self.link = link
         self.ills = Ills()
+        self.rate: float | None = None
         self._service = service
         self._journal = journal
         self._random = random.Random(f'{entry.incarnation} {entry.born}')
@@ -184,7 +187,10 @@
 
     def _mark(self, request_id: str) -> list[tuple[bytes, bytes]]:
         load = b'%d,0,%d' % (self._running, self.entry.slots)
-        return [(REQUEST_ID, request_id.encode()), (WORKER_LOAD, load)]
+        marks = [(REQUEST_ID, request_id.encode()), (WORKER_LOAD, load)]
+        if self.rate is not None:
+            marks.append((SERVER_LIMIT, b'%.1f' % self.rate))
+        return marks
 
     async def _run(
         self,
@@ -207,10 +213,12 @@
             if breaks_at == 0:
                 return self._break_off(run, writer)
             body = make_body(run.request_id, 0)
+            self._note_named(run)
             writer.write(dump_message('HTTP/1.1 200 OK', marks, body))
             run.complete = True
             return None
         marks.append((b'transfer-encoding', b'chunked'))
+        self._note_named(run)
         lines = b''.join(b'%b: %b\r\n' % pair for pair in marks)
         writer.write(b'HTTP/1.1 200 OK\r\n' + lines + HEAD_END[2:])
         for number in range(run.after + 1, events + 1):
@@ -240,6 +248,10 @@
         self._returning = None
         await self.start()
 
+    def _note_named(self, run: Run) -> None:
+        if self.rate is not None:
+            run.named = read_clock()
+
     def _draw_break(self, events: int) -> int:
         if self._random.random() >= self.ills.breaks:
             return -1
--- a/packages/fleet/src/ibisport_fleet/enginechoice.py
+++ b/packages/fleet/src/ibisport_fleet/enginechoice.py
@@ -48,7 +48,7 @@
     shared = parts[:-1]
     # A limited target can't take what comes to a home.
     preferred = _list_preferred(keep_unlimited(candidates), parts, split)
-    home = _find_home(keep_unlimited(trusted), preferred, shared)
+    home = _find_home(trusted, preferred, shared)
 
     def weigh(one: Candidate) -> tuple[float, bool]:
         mixing = 0 if one.entry.incarnation in preferred else MIXING_TOKENS
