--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -8,30 +8,20 @@
 
 import msgspec
 from behave import given, then, when
+from engines import build_engine
 from followers import NewestContent, open_log
-from hypothesis import HealthCheck, settings, strategies
-from hypothesis import given as forall
 
 from ibisport_bench.standins.memorystore import ANSWER_SECONDS, MemoryService
 from ibisport_bench.virtualtime import run_virtually
-from ibisport_fleet.allowance import Demand, plan_contact_cap, plan_share
 from ibisport_fleet.budgetpage import (
-    Account,
-    BudgetPage,
-    Session,
-    Share,
-    dump_page,
     load_page,
 )
 from ibisport_fleet.catalogue import Catalogue
-from ibisport_fleet.choice import Candidate, TargetHealth
 from ibisport_fleet.contact import StoreContact
 from ibisport_fleet.enginechoice import choose_engine
-from ibisport_fleet.errors import RequestInvalid
 from ibisport_fleet.eventlog import Event, EventLog
 from ibisport_fleet.fleetview import CatalogueView, TargetView
 from ibisport_fleet.following import PrefixWatch
-from ibisport_fleet.messages import AnswerHead, Request
 from ibisport_fleet.retries import RetryBudget
 from ibisport_fleet.store import Item, Listing, WatchTerms
 from ibisport_fleet.storecalls import StoreCaller
@@ -40,15 +30,8 @@
 from ibisport_fleet.targets import TargetEntry
 from ibisport_fleet.terms import PromptPart
 from ibisport_fleet.watchpace import plan_watch
-from ibisport_platform.headers import PlatformDialect
 
 KEY = 'servers/i-0'
-QUIET = settings(
-    deadline=None,
-    derandomize=True,
-    database=None,
-    suppress_health_check=list(HealthCheck),
-)
 WINDOW = 10.0
 MOST_SECONDS = 0.5
 AT_ONCE_SECONDS = 0.05
@@ -331,41 +314,6 @@
     assert served > 0.7 * context.world.outcomes.total(), context.world.outcomes
 
 
-@when('{count:d} generated accounts are planned for')
-def plan_many(context, count):
-    tokens = strategies.integers(0, 10**7)
-    shares = strategies.builds(
-        lambda used, more, rate: Share(used, used + more, rate),
-        tokens,
-        tokens,
-        strategies.floats(0, 10**6),
-    )
-    accounts = strategies.builds(
-        Account,
-        tokens,
-        strategies.dictionaries(strategies.sampled_from('abcd'), shares),
-    )
-    context.planned = 0
-
-    @settings(QUIET, max_examples=count)
-    @forall(accounts, tokens, tokens, strategies.floats(0, 10**6), tokens)
-    def plan(account, budget, used, rate, wanted):
-        demand = Demand(used, rate, wanted)
-        share = plan_share(account, budget, 'a', demand, lends=wanted % 2 == 0)
-        own = account.shares.get('a', Share())
-        others = account.held - own.cap
-        assert share.cap <= max(budget - others, used)
-        assert used <= plan_contact_cap(share.cap, demand) <= share.cap
-        context.planned += 1
-
-    plan()
-
-
-@then('no cap leaves less than nothing of the budget')
-def check_planned(context):
-    assert context.planned >= 300, context.planned
-
-
 @given('a log whose reader has stopped reading')
 def make_stuck_log(context):
     context.reading, context.writing = os.pipe()
@@ -399,88 +347,9 @@
     assert told == [before], (told, before)
 
 
-@when('{count:d} generated heads of requests and answers are read')
-def read_heads(context, count):
-    names = strategies.sampled_from(
-        (
-            b'attempt-id',
-            b'deadline-ms',
-            b'token-usage',
-            b'prompt-prefix',
-            b'last-event-id',
-            b'authorization',
-            b'worker-load',
-            b'keep-alive',
-            b'host',
-        )
-    )
-    contents = strategies.one_of(
-        strategies.binary(max_size=30),
-        strategies.sampled_from((b'1,2', b'a:1,b:2', b'timeout=5', b'1,2,3', b'-1')),
-    )
-    headers = strategies.lists(strategies.tuples(names, contents)).map(tuple)
-    context.read = 0
-
-    @settings(QUIET, max_examples=count)
-    @forall(headers)
-    def read(head):
-        dialect = PlatformDialect()
-        request = Request('POST', b'/a/b?c', head, b'', True, 0.0, 0.0)
-        try:
-            dialect.read_call(request)
-        except RequestInvalid as refused:
-            assert refused.status == 400
-        dialect.read_answer(AnswerHead(200, head, True, True))
-        context.read += 1
-
-    read()
-
-
-@then('each is read or refused with a status')
-def check_read(context):
-    assert context.read >= 300, context.read
-
-
-@when('{count:d} generated pages are written and read')
-def turn_pages(context, count):
-    names = strategies.text(min_size=1, max_size=5)
-    tokens = strategies.integers(0, 2**50)
-    shares = strategies.builds(Share, tokens, tokens, strategies.integers(0, 10**6))
-    pages = strategies.builds(
-        BudgetPage,
-        strategies.dictionaries(
-            names,
-            strategies.builds(Account, tokens, strategies.dictionaries(names, shares)),
-        ),
-        strategies.dictionaries(
-            names, strategies.builds(Session, names, strategies.integers(0, 10**9))
-        ),
-    )
-    context.turned = 0
-
-    @settings(QUIET, max_examples=count)
-    @forall(pages)
-    def turn(page):
-        assert load_page(dump_page(page)) == page
-        context.turned += 1
-
-    turn()
-
-
-@then('each is the same as before')
-def check_turned(context):
-    assert context.turned >= 100, context.turned
-
-
-def _build_candidate(number):
-    address = ('10.0.0.1', number)
-    entry = TargetEntry(f'i-{number}', 'svc', address, 'd', 64, False, 1)
-    return Candidate(entry, TargetHealth())
-
-
 @given('two engines of which one has fallen silent with a request on its way')
 def make_engines(context):
-    context.engines = [_build_candidate(number) for number in range(2)]
+    context.engines = [build_engine(number) for number in range(2)]
     context.parts = (PromptPart('shared', 6_000), PromptPart('own', 10))
     home = choose_engine(context.engines, context.parts, 0.0)
     home.health.begin(0.0)
--- a/features/steps/ratelimit_steps.py
+++ b/features/steps/ratelimit_steps.py
@@ -6,17 +6,16 @@
 
 import msgspec
 from behave import given, then, when
+from engines import build_engine
 from followers import open_log
 from hypothesis import HealthCheck, settings, strategies
 from hypothesis import given as forall
 
 from ibisport_bench.virtualtime import run_virtually
-from ibisport_fleet.choice import Candidate, TargetHealth
 from ibisport_fleet.enginechoice import choose_engine
 from ibisport_fleet.errors import PeerUnavailable
 from ibisport_fleet.limits import FORGET_SECONDS, LIMITS, LimitNotice, TargetLimits
 from ibisport_fleet.ratelimit import RateLimit, plan_gap
-from ibisport_fleet.targets import TargetEntry
 from ibisport_fleet.terms import PromptPart
 
 QUIET = settings(
@@ -57,14 +56,9 @@
     assert context.divided >= 100, context.divided
 
 
-def _build_engine(number):
-    entry = TargetEntry(f'i-{number}', 'svc', ('10.0.0.1', number), 'd', 64, False, 1)
-    return Candidate(entry, TargetHealth())
-
-
 @given('four engines of which the home of a prompt names a limit')
 def limit_home(context):
-    context.engines = [_build_engine(number) for number in range(4)]
+    context.engines = [build_engine(number) for number in range(4)]
     context.home = choose_engine(context.engines, PARTS, 0.0)
     context.home.health.limit = RateLimit(RATE, 0.0, 60.0, 0.0)
 
@@ -87,7 +81,7 @@
     """The limits of one router, without a network."""
 
     def __init__(self):
-        self.candidate = _build_engine(1)
+        self.candidate = build_engine(1)
         entry = self.candidate.entry
         listed = SimpleNamespace(find={TARGET: entry}.get)
         targets = SimpleNamespace(
