--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -27,12 +27,21 @@
     return b'other %d' % number
 
 
-async def _press_both(fleet, seconds):
-    """Send the fatal request beside others, each of which comes once."""
-    await asyncio.gather(
-        fleet.press(FATAL_PAUSE_S, seconds, FATAL),
-        fleet.press(OTHERS_PAUSE_S, seconds, _make_other),
-    )
+def _play_beside(context, seconds, disturb):
+    """Send the fatal request, and others that come once, beside a disturbance."""
+
+    async def act(fleet):
+        await asyncio.gather(
+            fleet.press(FATAL_PAUSE_S, seconds, FATAL),
+            fleet.press(OTHERS_PAUSE_S, seconds, _make_other),
+            disturb(fleet),
+        )
+
+    context.fleet = play_fleet(act, *context.size)
+
+
+async def _leave_alone(fleet):
+    """Disturb nothing."""
 
 
 @given('{routers:d} routers and {targets:d} targets')
@@ -42,7 +51,7 @@
 
 @when('a request that ends its target comes 4 times a second for {seconds:d} seconds')
 def press_fatal(context, seconds):
-    context.fleet = play_fleet(lambda fleet: _press_both(fleet, seconds), *context.size)
+    _play_beside(context, seconds, _leave_alone)
 
 
 @when(
@@ -58,10 +67,7 @@
         for router in fleet.routers:
             router.start()
 
-    async def act(fleet):
-        await asyncio.gather(_press_both(fleet, seconds), restart(fleet))
-
-    context.fleet = play_fleet(act, *context.size)
+    _play_beside(context, seconds, restart)
 
 
 @when(
@@ -85,11 +91,10 @@
 
 @when('it comes 4 times a second for {seconds:d} seconds while the store is down')
 def press_without_store(context, seconds):
-    async def act(fleet):
+    async def close_store(fleet):
         fleet.service.faults.down = True
-        await _press_both(fleet, seconds)
 
-    context.fleet = play_fleet(act, *context.size)
+    _play_beside(context, seconds, close_store)
 
 
 @when(
@@ -110,10 +115,7 @@
         for way in ways:
             fleet.net.links.pop(way)
 
-    async def act(fleet):
-        await asyncio.gather(_press_both(fleet, seconds), cut_off(fleet))
-
-    context.fleet = play_fleet(act, *context.size)
+    _play_beside(context, seconds, cut_off)
     context.healed_at = START_S + CUT_AFTER_S + cut
 
 
