Log what bounds the spending of a router that ended

budget_opened said only that nothing bounded a predecessor. It now names the evidence that was found and the tokens that are counted above the last known use. No decision changes.

--- a/packages/fleet/src/ibisport_fleet/budget_page.py
+++ b/packages/fleet/src/ibisport_fleet/budget_page.py
@@ -121,6 +121,26 @@
         }
         return BudgetPage(accounts, sessions)
 
+    def count_closed(self, host: str, spent: dict[str, int]) -> tuple[int, int]:
+        """Count the tokens that closing a host's session counts as spent.
+
+        Args:
+            host: The host whose process has ended.
+            spent: Bounds of its spending, as for ``close_session``.
+
+        Returns:
+            The tokens of all workspaces, and how many of them the process hadn't used
+            when it last wrote the page.
+        """
+        counted = 0
+        unused = 0
+        for name, account in self.accounts.items():
+            share = account.shares.get(host, Share())
+            bound = min(share.cap, spent.get(name, share.cap))
+            counted += bound
+            unused += max(0, bound - share.used)
+        return counted, unused
+
     def with_shares(
         self, host: str, session: Session, shares: dict[str, Share]
     ) -> 'BudgetPage':
--- a/packages/fleet/src/ibisport_fleet/budget_synchronizer.py
+++ b/packages/fleet/src/ibisport_fleet/budget_synchronizer.py
@@ -267,28 +267,34 @@
         successor = Successor(
             self._clocks.boot_id, self._started_at, self._clocks.wall()
         )
-        spent = bound_spent(predecessor, state, successor, self._log)
+        bound = bound_spent(predecessor, state, successor, self._log)
         # A host without a session in the page holds no tokens, so there is nothing to
         # close. If a process died before its first write was answered, the write may
         # still be applied, but its tokens were never spent.
         self.is_open = predecessor is None
+        before = self._page
         while not self.is_open:
             # Usually only the page changes between attempts, and a conflict returns
             # it. Two more reads per attempt would let a busy lender's writes win every
             # time.
-            plan = self._plan_opening(spent, state.proof)
+            before = self._page
+            plan = self._plan_opening(bound.spent, state.proof)
             self.is_open = await self._try_write(plan)
             is_record_changed = self._record_revision != state.record_revision
             # A proof that the write depends on may have expired in the meantime.
             if not self.is_open and (is_record_changed or plan.conditions):
                 state = await self._read_predecessor_state(predecessor)
                 successor = replace(successor, wall=self._clocks.wall())
-                spent = bound_spent(predecessor, state, successor, self._log)
+                bound = bound_spent(predecessor, state, successor, self._log)
+        counted, unused = before.count_closed(self._host, bound.spent)
         self._log.write(
             Event.budget_opened,
             revision=self._page_revision,
             before=None if predecessor is None else predecessor.incarnation,
-            bounded=bool(spent),
+            bounded=bool(bound.spent),
+            evidence=bound.evidence,
+            counted=counted,
+            unused=unused,
         )
 
     def _plan_opening(self, spent: dict[str, int], proof: Item | None) -> _PlannedWrite:
--- a/packages/fleet/src/ibisport_fleet/predecessor.py
+++ b/packages/fleet/src/ibisport_fleet/predecessor.py
@@ -1,6 +1,7 @@
 """Bounds what the previous process on a host may have spent of the budgets."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from enum import StrEnum
 
 import msgspec
 
@@ -36,6 +37,31 @@
         return 0 if self.record is None else self.record.revision
 
 
+class Evidence(StrEnum):
+    """What bounds the spending of a predecessor."""
+
+    no_record = 'no record'
+    other_process = 'record of another process'
+    final = 'final record'
+    same_boot = 'ended in contact'
+    proof = 'contact proof'
+    expired = 'none in time'
+
+
+@dataclass(frozen=True, slots=True)
+class SpentBound:
+    """Upper bound of what a predecessor spent.
+
+    Attributes:
+        evidence: What the bound follows from.
+        spent: Bounds by workspace name; empty if only the caps in the budget page
+            bound the spending.
+    """
+
+    evidence: Evidence
+    spent: dict[str, int] = field(default_factory=dict)
+
+
 @dataclass(frozen=True, slots=True)
 class Successor:
     """The process that follows a predecessor on the same host.
@@ -57,8 +83,8 @@
     state: PredecessorState,
     successor: Successor,
     log: EventLog,
-) -> dict[str, int]:
-    """Return bounds of a process's spending by workspace name; empty if unknown.
+) -> SpentBound:
+    """Return the bound of a process's spending that the store proves.
 
     Args:
         predecessor: The process's session in the budget page.
@@ -67,19 +93,21 @@
         log: Event log for records that can't be decoded.
     """
     if predecessor is None or state.record is None:
-        return {}
+        return SpentBound(Evidence.no_record)
     try:
         record = decode_record(state.record.content)
     except RecordInvalid as error:
         log.write(Event.record_refused, reason=str(error))
-        return {}
+        return SpentBound(Evidence.no_record)
     if record.incarnation != predecessor.incarnation:
-        return {}
-    if record.final or _ended_in_contact(record, successor):
-        return record.caps
+        return SpentBound(Evidence.other_process)
+    if record.final:
+        return SpentBound(Evidence.final, record.caps)
+    if _ended_in_contact(record, successor):
+        return SpentBound(Evidence.same_boot, record.caps)
     if _is_proof_valid(state.proof, predecessor, successor.wall, log):
-        return record.caps
-    return {}
+        return SpentBound(Evidence.proof, record.caps)
+    return SpentBound(Evidence.expired)
 
 
 def _ended_in_contact(record: HostRecord, successor: Successor) -> bool:
