Count after a power loss what a lender could have spent, not all it held

Cause: a lender that loses the store keeps to its contact caps until its contact proof expires (2.5 s) and may then spend its whole reserve, 6 s of demand of all routers. Whoever starts after the proof has expired has to count the whole reserve. The proof is up to 0.7 s old at the end, so a machine that is dark for 2 s finds none. In the record the leases ran out 6 ms before the first write of the lenders' successors.

Change: the bound grows from the contact caps to the caps within 4 s instead of jumping, and stamps with longer leases, one written with each proof, show the successor how long ago the last contact was. Evidence that was seen counts also if it expires before the session opens. Records of older releases, without the new time, count as before; older releases read the proofs as before.

Why it works: what counts as spent is now bounded by what could be served since the last contact. The bound that a process keeps to and the one that its successor counts are the same function of the same stored times.

--- a/features/budgets.feature
+++ b/features/budgets.feature
@@ -29,19 +29,22 @@
       | 2.0     | 6     |
       | 3.0     | 6     |
 
+  Scenario: A boot ID that survives a power loss doesn't outweigh contact proofs
+    Given 5 routers that have spent a third of a budget at 20 requests a second
+    And machines that keep their boot IDs and continue with another boot clock
+    When all machines lose power for 2.0 s and callers continue, 6 seeds
+    Then fewer tokens are stranded than callers request in 2.0 s
+
   Scenario Outline: A power loss of isolated routers never hides what they spent
     Given 5 routers that have spent a third of a budget at 20 requests a second
-    When <outage> for <seconds> s and all lose power before the store is back
-    Then at least the tokens that callers may have received count as spent
+    When <outage> while demand is high and all lose power, 20 generated times
+    Then at least the tokens that callers may have received count as spent each time
 
     Examples:
-      | outage                                  | seconds |
-      | all are cut off from the store          | 1.0     |
-      | all are cut off from the store          | 2.6     |
-      | all are cut off from the store          | 4.0     |
-      | all are cut off from the store          | 6.0     |
-      | the store pauses all leases and is down | 2.6     |
-      | the store pauses all leases and is down | 6.0     |
+      | outage                              |
+      | all are cut off from the store      |
+      | the store is down and pauses leases |
+      | the store loses answers to writes   |
 
   Scenario: A lender that dies when the store goes down strands few tokens
     Given 5 routers that have spent a third of a budget
--- a/features/steps/budgets_steps.py
+++ b/features/steps/budgets_steps.py
@@ -27,6 +27,8 @@
     (
         'kill',
         'kill all',
+        'lose power',
+        'lose power of all',
         'stop',
         'roll',
         'roll all',
@@ -83,17 +85,34 @@
 
 
 async def _inject_fault(world, fault, number, seconds, rng):
+    await _inject_process_fault(world, fault, number, seconds)
+    _inject_store_fault(world, fault, number)
+    await _send_mixed_requests(world, seconds, 20, rng)
     faults = world.service.faults
+    faults.cut, faults.down, faults.slow = set(), False, 1.0
+    faults.lose = faults.late = world.lose_loans = 0.0
+    world.apart = set()
+
+
+async def _inject_process_fault(world, fault, number, seconds):
     match fault:
         case 'kill':
             world.kill(number)
         case 'kill all':
             for host in range(5):
                 world.kill(host)
+        case 'lose power' | 'lose power of all':
+            for host in [number] if fault == 'lose power' else range(5):
+                world.cut_power(host, seconds / 3)
         case 'stop':
             await world.stop(number)
         case 'roll' | 'roll all':
             _start_rolling_restart(world, fault, number)
+
+
+def _inject_store_fault(world, fault, number):
+    faults = world.service.faults
+    match fault:
         case 'cut':
             faults.cut = {world.names[number]}
         case 'cut all':
@@ -110,10 +129,6 @@
             faults.lose = 0.3
         case 'late':
             faults.late = 0.3
-    await _send_mixed_requests(world, seconds, 20, rng)
-    faults.cut, faults.down, faults.slow = set(), False, 1.0
-    faults.lose = faults.late = world.lose_loans = 0.0
-    world.apart = set()
 
 
 async def _run_faults(steps, seed):
--- a/features/steps/powerloss_steps.py
+++ b/features/steps/powerloss_steps.py
@@ -4,6 +4,8 @@
 import random
 
 from behave import given, then, when
+from hypothesis import HealthCheck, settings, strategies
+from hypothesis import given as forall
 
 from ibisport_bench.budget_world import BudgetWorld
 from ibisport_bench.virtual_time import run_virtually
@@ -18,10 +20,10 @@
 # Contact proofs are renewed every 0.7 s, so these moments fall into different phases.
 PHASE_SECONDS = 0.15
 MIN_SERVED_FRACTION = 0.25
-OUTAGES = (
-    'all are cut off from the store',
-    'the store pauses all leases and is down',
-)
+CALM_RATE = 20
+HIGH_RATE = 150
+LOST_ANSWERS = 0.5
+MIN_EXAMPLES = 20
 
 
 async def _send_requests(world, seconds, per_second, rng):
@@ -48,9 +50,10 @@
         world.cut_power(number, seconds)
 
 
-async def _lose_power(seed, per_second, seconds):
+async def _lose_power(seed, per_second, seconds, keeps_boot_ids):
     """Return the served share of the late requests, and the stranded tokens."""
     world, rng = await _run_until_third_spent(seed, per_second)
+    world.keeps_boot_ids = keeps_boot_ids
     _cut_power_of_all(world, seconds)
     await _send_requests(world, seconds + RECOVERY_SECONDS, per_second, rng)
     await asyncio.sleep(1.0)
@@ -64,12 +67,18 @@
 @given('5 routers that have spent a third of a budget at {rate:d} requests a second')
 def set_rate(context, rate):
     context.rate = rate
+    context.keeps_boot_ids = False
+
+
+@given('machines that keep their boot IDs and continue with another boot clock')
+def keep_boot_ids(context):
+    context.keeps_boot_ids = True
 
 
 @when('all machines lose power for {seconds:g} s and callers continue, {seeds:d} seeds')
 def lose_power(context, seconds, seeds):
     context.reports = [
-        run_virtually(_lose_power(seed, context.rate, seconds))
+        run_virtually(_lose_power(seed, context.rate, seconds, context.keeps_boot_ids))
         for seed in range(1, seeds + 1)
     ]
 
@@ -88,22 +97,54 @@
     assert max(stranded) < requested, context.reports
 
 
-@when('{outage} for {seconds:g} s and all lose power before the store is back')
-def lose_power_in_isolation(context, outage, seconds):
-    assert outage in OUTAGES, outage
-
-    async def run():
-        world, rng = await _run_until_third_spent(1, context.rate)
-        faults = world.service.faults
-        if outage == OUTAGES[0]:
+async def _lose_power_in_outage(outage, seconds, down_seconds, seed):
+    """Return the tokens that count as spent beyond those that were delivered."""
+    world, rng = await _run_until_third_spent(seed, CALM_RATE)
+    faults = world.service.faults
+    match outage:
+        case 'all are cut off from the store':
             faults.cut = set(world.names)
-        else:
+        case 'the store is down and pauses leases':
             faults.down = True
-        await _send_requests(world, seconds, 2 * context.rate, rng)
-        _cut_power_of_all(world, 0.3)
-        await asyncio.sleep(0.2)
-        faults.cut, faults.down = set(), False
-        await asyncio.sleep(RECOVERY_SECONDS)
-        return world
-
-    context.world = run_virtually(run())
+        case 'the store loses answers to writes':
+            faults.lose = LOST_ANSWERS
+    # Uses up whatever the routers' bounds allow at any time.
+    await _send_requests(world, seconds, HIGH_RATE, rng)
+    _cut_power_of_all(world, down_seconds)
+    await asyncio.sleep(down_seconds / 2)
+    if faults.down:
+        world.service.extend_leases(seconds + down_seconds / 2)
+    faults.cut, faults.down, faults.lose = set(), False, 0.0
+    await asyncio.sleep(RECOVERY_SECONDS)
+    return world.count_stranded()
+
+
+@when('{outage} while demand is high and all lose power, {count:d} generated times')
+def lose_power_in_outages(context, outage, count):
+    context.stranded = []
+
+    @settings(
+        max_examples=count,
+        deadline=None,
+        derandomize=True,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    @forall(
+        strategies.floats(0.2, 9.0, allow_nan=False),
+        strategies.floats(0.1, 4.0, allow_nan=False),
+        strategies.integers(1, 1_000),
+    )
+    def play(seconds, down_seconds, seed):
+        stranded = run_virtually(
+            _lose_power_in_outage(outage, seconds, down_seconds, seed)
+        )
+        context.stranded.append(stranded)
+        assert stranded >= 0, (seconds, down_seconds, seed, stranded)
+
+    play()
+
+
+@then('at least the tokens that callers may have received count as spent each time')
+def check_counted(context):
+    assert len(context.stranded) >= MIN_EXAMPLES, context.stranded
--- a/packages/bench/src/ibisport_bench/budget_world.py
+++ b/packages/bench/src/ibisport_bench/budget_world.py
@@ -26,6 +26,7 @@
 ROLL_RESTART_SECONDS = 0.5
 # One-way delay between two hosts.
 LINK_SECONDS = 0.001
+BOOT_CLOCK_JUMP_SECONDS = 50_000.0
 
 
 @dataclass(slots=True)
@@ -36,6 +37,7 @@
         name: Name of the host.
         boots: Reboots of the machine so far; each one changes the boot ID.
         booted_at: Virtual time of the last reboot, where the boot clock starts.
+        is_off: Whether the machine has had no power since its last process ran.
         budgets: Budgets of the process, or None while no process runs.
         tasks: Tasks of the process.
     """
@@ -43,6 +45,7 @@
     name: str
     boots: int = 0
     booted_at: float = 0.0
+    is_off: bool = False
     budgets: Budgets | None = None
     tasks: set[asyncio.Task[Any]] = field(default_factory=set)
 
@@ -91,6 +94,8 @@
         apart: Names of the hosts that are cut off from all other hosts.
         lose_loans: Probability that the answer to a loan request is lost.
         workspace: The first workspace.
+        keeps_boot_ids: Whether machines keep their boot IDs when they lose power, and
+            continue with a boot clock that is far ahead.
     """
 
     def __init__(self, hosts: int, budget: int, seed: int, workspaces: int = 1) -> None:
@@ -108,6 +113,7 @@
         self.outcomes: Counter[str] = Counter()
         self.apart: set[str] = set()
         self.lose_loans = 0.0
+        self.keeps_boot_ids = False
         self.workspace = Workspace('acme', None, budget)
         self._workspaces = [
             self.workspace,
@@ -183,6 +189,8 @@
         if host.budgets is not None:
             return
         time = asyncio.get_running_loop().time
+        if host.is_off:
+            self._boot(host, time())
         store = self.service.open_store(host.name)
         members = Membership(host.name, (host.name, 0), store, self._log, time)
         host.budgets = Budgets(
@@ -211,8 +219,7 @@
         """Cut a machine's power; it boots and starts a process after some seconds."""
         host = self._hosts[number % len(self._hosts)]
         self.kill(number, seconds)
-        host.boots += 1
-        host.booted_at = asyncio.get_running_loop().time() + seconds
+        host.is_off = True
 
     async def stop(self, number: int) -> None:
         """Stop a host's process cleanly; a new one starts after ``RESTART_SECONDS``."""
@@ -321,6 +328,14 @@
         self.delivered_by_host[host.name] += tokens
         self._delivered_by_workspace[workspace.name] += tokens
 
+    def _boot(self, host: Host, now: float) -> None:
+        host.is_off = False
+        if self.keeps_boot_ids:
+            host.booted_at -= BOOT_CLOCK_JUMP_SECONDS
+        else:
+            host.boots += 1
+            host.booted_at = now
+
     def _spawn(self, host: Host, work: Any) -> None:
         task = asyncio.get_running_loop().create_task(work)
         host.tasks.add(task)
--- a/packages/bench/src/ibisport_bench/standins/memory_store.py
+++ b/packages/bench/src/ibisport_bench/standins/memory_store.py
@@ -125,6 +125,11 @@
         self._lease_deadlines[lease] = asyncio.get_running_loop().time()
         self.expire_keys()
 
+    def extend_leases(self, seconds: float) -> None:
+        """Extend all leases, as a service does that pauses them in an outage."""
+        for lease in self._lease_deadlines:
+            self._lease_deadlines[lease] += seconds
+
     def end_leases(self) -> None:
         """Expire all leases now."""
         self._lease_deadlines = dict.fromkeys(self._lease_deadlines, 0.0)
--- a/packages/fleet/src/ibisport_fleet/budget_synchronizer.py
+++ b/packages/fleet/src/ibisport_fleet/budget_synchronizer.py
@@ -6,11 +6,11 @@
 
 A cap is the most that a host's process may spend of a budget. A host has caps in the
 budget page, which all hosts share, and lower contact caps in its own record. It
-respects the contact caps while its contact proof is valid. The proof is a key under a
-lease that is never renewed but replaced by a new one. The host spends up to its caps
-only after the newest lease has certainly expired. A process that starts after a crash
-and still finds the proof of its predecessor therefore knows that no more than the
-contact caps can have been spent. Without the proof, the caps count as spent.
+respects the contact caps while its contact proof may be valid. Afterwards its bound
+grows with time, up to its caps. A process that starts after a crash and knows how long
+ago its predecessor was last in contact with the store therefore knows how much of the
+caps can have been spent; see ``contact_proofs``. If it doesn't, the caps count as
+spent.
 """
 
 import asyncio
@@ -18,8 +18,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-import msgspec
-
 from ibisport_fleet.budget_page import (
     Account,
     BudgetPage,
@@ -37,6 +35,12 @@
     plan_share,
 )
 from ibisport_fleet.clocks import Clocks
+from ibisport_fleet.contact_proofs import (
+    PROOF_PREFIX,
+    ContactProof,
+    ContactProofs,
+    FoundProofs,
+)
 from ibisport_fleet.event_log import Event, EventLog
 from ibisport_fleet.fleet_view import CatalogueView
 from ibisport_fleet.host_record import (
@@ -48,15 +52,14 @@
 from ibisport_fleet.ledger import Ledger
 from ibisport_fleet.membership import Member
 from ibisport_fleet.predecessor import (
-    PROOF_LEASE_SECONDS,
     PredecessorState,
+    SpentBound,
     Successor,
     bound_spent,
 )
 from ibisport_fleet.store import Condition, Conflict, Item, Put, Store
 
 PAGE_KEY = 'ibisport/budgets'
-PROOF_PREFIX = 'ibisport/contact/'
 # Longest delay until the next rebalance of the shares is due; the shortest is half of
 # it. A rebalance doesn't read the page: a conflicting write returns the current one,
 # and lenders' writes rarely conflict.
@@ -79,19 +82,6 @@
 BORROWER_BACKOFF_FACTOR = 8
 
 
-@dataclass(frozen=True, slots=True)
-class _Proof:
-    """A lease for the contact proof.
-
-    Attributes:
-        lease: Identifier of the lease.
-        expires_at: Boot-clock time by which the lease has certainly expired.
-    """
-
-    lease: int
-    expires_at: float
-
-
 @dataclass(frozen=True, slots=True)
 class _PlannedWrite:
     """The content and the conditions of one write attempt.
@@ -101,14 +91,12 @@
         page: The budget page, or None to leave it unchanged.
         caps: The caps that the page gives to this host.
         proof: The contact proof to write, or None.
-        conditions: Required revisions besides those of the page and the record.
     """
 
     record: HostRecord
     page: BudgetPage | None = None
     caps: dict[str, int] = field(default_factory=dict)
-    proof: _Proof | None = None
-    conditions: tuple[Condition, ...] = ()
+    proof: ContactProof | None = None
 
 
 class BudgetSynchronizer:
@@ -118,7 +106,7 @@
         ledger: What the process has spent, and the bounds known to be stored.
         is_open: Whether the predecessor's spending is settled and the session of this
             process is open.
-        proofs_expire_at: Boot-clock time by which all contact proofs have expired.
+        proofs: The contact proofs of this process.
         page_seen_at: Boot-clock time at which the page was last read or written.
         knows_lenders: Whether the lenders are known. If so, a host that doesn't lend
             backs off longer, so that their writes come first.
@@ -145,7 +133,7 @@
         """
         self.ledger = Ledger()
         self.is_open = False
-        self.proofs_expire_at = 0.0
+        self.proofs = ContactProofs(store, clocks)
         self.page_seen_at = 0.0
         self.knows_lenders = False
         self._clocks = clocks
@@ -162,8 +150,6 @@
         self._rebalance_at = 0.0
         self._conflict_backoff = CONFLICT_BACKOFF_SECONDS
         self._record_revision = 0
-        self._proof: _Proof | None = None
-        self._is_proof_stored = False
         self._write_latency = 0.0
         # A write was not answered; the next one shows whether it was applied.
         self._is_outcome_unknown = False
@@ -174,23 +160,14 @@
         return any(self._lends(name) for name, _ in self._list_budgets())
 
     @property
-    def is_isolated(self) -> bool:
-        """Whether all contact proofs have expired in an open session.
-
-        The caps then bound the process instead of its contact caps.
-        """
-        return self.is_open and self._clocks.boot() > self.proofs_expire_at
+    def released(self) -> float:
+        """How far the bounds of an open session have grown; 0 before it is open."""
+        return self.proofs.released if self.is_open else 0.0
 
     def find_account(self, workspace: str) -> Account:
         """Return a workspace's account in the last known page."""
         return self._page.find(workspace)
 
-    async def renew_proof(self) -> None:
-        """Acquire a lease for a new contact proof, which the next write stores."""
-        lease, seconds = await self._store.grant_lease(PROOF_LEASE_SECONDS)
-        self._proof = _Proof(lease, self._clocks.boot() + seconds)
-        self._is_proof_stored = False
-
     async def synchronize(self) -> None:
         """Write the state of the ledger to the store."""
         if not self.is_open and self._page_revision is None:
@@ -278,35 +255,37 @@
             # it. Two more reads per attempt would let a busy lender's writes win every
             # time.
             before = self._page
-            plan = self._plan_opening(bound.spent, state.proof)
+            plan = self._plan_opening(bound)
             self.is_open = await self._try_write(plan)
+            # A delayed write of the predecessor may have changed the record.
             is_record_changed = self._record_revision != state.record_revision
-            # A proof that the write depends on may have expired in the meantime.
-            if not self.is_open and (is_record_changed or plan.conditions):
+            if not self.is_open and is_record_changed:
                 state = await self._read_predecessor_state(predecessor)
                 successor = replace(successor, wall=self._clocks.wall())
-                bound = bound_spent(predecessor, state, successor, self._log)
-        counted, unused = before.count_closed(self._host, bound.spent)
+                bound = bound_spent(
+                    predecessor, state, successor, self._log, bound.ended_by
+                )
+        counted, unused = before.count_closed(
+            self._host, bound.list_spent(before, self._host)
+        )
         self._log.write(
             Event.budget_opened,
             revision=self._page_revision,
             before=None if predecessor is None else predecessor.incarnation,
-            bounded=bool(bound.spent),
+            bounded=bound.released < 1,
             evidence=bound.evidence,
+            released=round(bound.released, 3),
             counted=counted,
             unused=unused,
         )
 
-    def _plan_opening(self, spent: dict[str, int], proof: Item | None) -> _PlannedWrite:
+    def _plan_opening(self, bound: SpentBound) -> _PlannedWrite:
         session = Session(self._incarnation, self._advance_sequence())
+        spent = bound.list_spent(self._page, self._host)
         closed = self._page.close_session(self._host, spent)
-        conditions: tuple[Condition, ...] = ()
-        if spent and proof is not None:
-            conditions = (Condition(proof.key, proof.revision),)
         return _PlannedWrite(
             self._build_record(session.sequence, {}, {}, None),
             closed.with_shares(self._host, session, {}),
-            conditions=conditions,
         )
 
     async def _read_predecessor_state(
@@ -316,10 +295,9 @@
         record = await self._store.read(build_record_key(self._host))
         self._record_revision = 0 if record is None else record.revision
         if predecessor is None:
-            return PredecessorState(record, None)
-        return PredecessorState(
-            record, await self._store.read(PROOF_PREFIX + self._host)
-        )
+            return PredecessorState(record, FoundProofs(None, ()))
+        listing = await self._store.scan(f'{PROOF_PREFIX}{self._host}')
+        return PredecessorState(record, FoundProofs.from_listing(self._host, listing))
 
     def _plan_write(self) -> _PlannedWrite:
         now = self._clocks.boot()
@@ -337,7 +315,7 @@
             )
             for name, budget in self._list_budgets()
         }
-        proof = None if self._is_proof_stored else self._proof
+        proof = self.proofs.find_unstored()
         sequence = self._advance_sequence()
         if not self._is_page_write_due(shares, demands, now):
             caps = {name: self.ledger.find(name).cap for name in demands}
@@ -395,29 +373,38 @@
         sequence: int,
         caps: dict[str, int],
         demands: dict[str, Demand],
-        proof: _Proof | None,
+        proof: ContactProof | None,
     ) -> HostRecord:
         contact_caps = {
             name: plan_contact_cap(cap, demands[name], self._write_latency)
             for name, cap in caps.items()
         }
         # A proof in the same write binds the process even before the write is answered.
-        proof_until = 0.0 if proof is None else proof.expires_at
+        bound_until = self.proofs.expire_at
+        full_cap_at = self.proofs.full_cap_at
+        if proof is not None:
+            bound_until = max(bound_until, proof.expires_at)
+            full_cap_at = max(full_cap_at, proof.full_cap_at)
         return HostRecord(
             self._incarnation,
             sequence,
             caps=contact_caps,
             boot_id=self._clocks.boot_id,
             written_at=self._clocks.boot(),
-            bound_until=max(self.proofs_expire_at, proof_until),
+            bound_until=bound_until,
+            full_cap_at=full_cap_at,
         )
 
     async def _try_write(self, plan: _PlannedWrite) -> bool:
         """Attempt a write; return False on a conflict, after updating the page."""
         # Until the answer arrives, the store may hold the old caps or the new ones.
-        self.ledger.apply_unconfirmed(plan.record.caps, plan.caps, self.is_isolated)
-        if plan.proof is not None:
-            self.proofs_expire_at = max(self.proofs_expire_at, plan.proof.expires_at)
+        self.ledger.apply_unconfirmed(
+            plan.record.caps,
+            plan.caps,
+            self.released,
+            renews=plan.proof is not None,
+        )
+        self.proofs.apply_sent(plan.proof)
         self._is_outcome_unknown = True
         started_at = self._clocks.boot()
         outcome = await self._store.write(
@@ -470,14 +457,10 @@
         """Apply a write that is known to be stored."""
         self._conflict_backoff = CONFLICT_BACKOFF_SECONDS
         self.ledger.apply_confirmed(plan.record.caps, plan.caps)
-        if plan.proof is self._proof:
-            self._is_proof_stored = True
+        self.proofs.apply_stored(plan.proof)
 
     def _list_conditions(self, plan: _PlannedWrite) -> list[Condition]:
-        conditions = [
-            Condition(build_record_key(self._host), self._record_revision),
-            *plan.conditions,
-        ]
+        conditions = [Condition(build_record_key(self._host), self._record_revision)]
         if plan.page is not None:
             conditions.append(Condition(PAGE_KEY, self._page_revision or 0))
         return conditions
@@ -487,8 +470,12 @@
         if plan.page is not None:
             puts.append(Put(PAGE_KEY, encode_page(plan.page)))
         if plan.proof is not None:
-            content = msgspec.json.encode((self._incarnation, self._clocks.wall()))
-            puts.append(Put(PROOF_PREFIX + self._host, content, plan.proof.lease))
+            puts += plan.proof.list_puts(
+                self._host,
+                self._incarnation,
+                self._clocks.boot(),
+                self._clocks.wall(),
+            )
         return puts
 
     def _apply_page(self, item: Item | None) -> None:
--- a/packages/fleet/src/ibisport_fleet/budgets.py
+++ b/packages/fleet/src/ibisport_fleet/budgets.py
@@ -182,11 +182,11 @@
         now = self._clocks.boot()
         local_budget = self._ledger.find(workspace.name)
         local_budget.add_demand(tokens, now)
-        isolated = self._synchronizer.is_isolated
+        released = self._synchronizer.released
         # Tokens that earlier requests wait for stay available to them. Otherwise, on a
         # busy budget, new requests used the tokens of each write, and the requests that
         # had waited were refused.
-        if local_budget.fits(tokens + local_budget.wanted, isolated):
+        if local_budget.fits(tokens + local_budget.wanted, released):
             return self._ledger.hold(workspace.name, tokens)
         return await self._draw(workspace, tokens)
 
@@ -204,7 +204,7 @@
                 await asyncio.sleep(PROOF_RENEWAL_INTERVAL_SECONDS)
                 continue
             try:
-                await self._synchronizer.renew_proof()
+                await self._synchronizer.proofs.renew()
             except (StoreError, RecordInvalid) as error:
                 self._record_failure(error)
                 await asyncio.sleep(RETRY_BACKOFF_SECONDS)
@@ -280,8 +280,8 @@
             write_done = self._write_done
             self._write_requested.set()
             await write_done.wait()
-            isolated = self._synchronizer.is_isolated
-            reservation = self._ledger.reserve(workspace.name, tokens, isolated)
+            released = self._synchronizer.released
+            reservation = self._ledger.reserve(workspace.name, tokens, released)
             if reservation is not None:
                 return reservation
         raise self._build_refusal(workspace, tokens)
@@ -307,9 +307,9 @@
     def _estimate_retry_after(self) -> float:
         """Return the seconds to wait before a retry while the store is unreachable.
 
-        After the contact proofs expire, the higher caps apply.
+        After the contact proofs expire, the bounds grow up to the caps.
         """
-        remaining = max(0.0, self._synchronizer.proofs_expire_at - self._clocks.boot())
+        remaining = max(0.0, self._synchronizer.proofs.expire_at - self._clocks.boot())
         return remaining + draw_jittered_delay(SHORTAGE_RETRY_SECONDS)
 
     def _is_exhausted(self, workspace: Workspace, tokens: int) -> bool:
@@ -335,7 +335,8 @@
             own_used=local_budget.used,
             own_cap=local_budget.cap,
             page_age=round(self._clocks.boot() - self._synchronizer.page_seen_at, 3),
-            isolated=self._synchronizer.is_isolated,
+            isolated=self._synchronizer.released > 0,
+            released=round(self._synchronizer.released, 3),
         )
 
     async def _wait_for_write_request(self) -> None:
--- a/packages/fleet/src/ibisport_fleet/host_record.py
+++ b/packages/fleet/src/ibisport_fleet/host_record.py
@@ -30,6 +30,9 @@
         written_at: Boot-clock time of the write.
         bound_until: Boot-clock time until which the process is guaranteed to respect
             these caps.
+        full_cap_at: Boot-clock time from which it may spend up to its caps in the
+            budget page. The bound grows linearly between these two times; if this
+            isn't later, as in records of older releases, there is nothing between.
     """
 
     incarnation: str
@@ -39,6 +42,7 @@
     boot_id: str = ''
     written_at: float = 0.0
     bound_until: float = 0.0
+    full_cap_at: float = 0.0
 
 
 _DECODER = msgspec.json.Decoder(HostRecord)
--- a/packages/fleet/src/ibisport_fleet/ledger.py
+++ b/packages/fleet/src/ibisport_fleet/ledger.py
@@ -62,10 +62,18 @@
         self._decay(now)
         self._recent_demand = max(0.0, self._recent_demand + tokens)
 
-    def fits(self, tokens: int, isolated: bool) -> bool:
-        """Return whether a request of this many tokens is within the bounds."""
-        bound = self.cap if isolated else min(self.cap, self.contact_cap)
-        return self.used + tokens <= bound
+    def compute_bound(self, released: float) -> int:
+        """Return the bound of ``used``.
+
+        Args:
+            released: How far the bound has grown from the contact cap to the cap.
+        """
+        contact_cap = min(self.cap, self.contact_cap)
+        return contact_cap + int(released * (self.cap - contact_cap))
+
+    def fits(self, tokens: int, released: float) -> bool:
+        """Return whether a request of this many tokens is within the bound."""
+        return self.used + tokens <= self.compute_bound(released)
 
     def measure_demand(self, now: float) -> Demand:
         """Return the current demand for the budget at this host."""
@@ -101,10 +109,10 @@
         return found
 
     def reserve(
-        self, workspace: str, tokens: int, isolated: bool
+        self, workspace: str, tokens: int, released: float
     ) -> Reservation | None:
-        """Reserve tokens for a request, or return None if the bounds don't allow it."""
-        if not self.find(workspace).fits(tokens, isolated):
+        """Reserve tokens for a request, or return None if the bound is too low."""
+        if not self.find(workspace).fits(tokens, released):
             return None
         return self.hold(workspace, tokens)
 
@@ -139,7 +147,12 @@
         local_budget.settled -= min(tokens, local_budget.settled)
 
     def apply_unconfirmed(
-        self, contact_caps: dict[str, int], caps: dict[str, int], isolated: bool
+        self,
+        contact_caps: dict[str, int],
+        caps: dict[str, int],
+        released: float,
+        *,
+        renews: bool,
     ) -> None:
         """Apply the bounds of a write whose outcome is unknown.
 
@@ -149,12 +162,15 @@
         Args:
             contact_caps: The contact caps of the write.
             caps: Its caps; empty if the write doesn't change them.
-            isolated: Whether the contact proof for the old bounds has expired. The
-                old contact caps no longer apply in that case.
+            released: How far the bound has grown from the old contact caps to the caps.
+            renews: Whether the write contains a contact proof, after which the bound
+                starts to grow anew. What the old bound allows by now stays allowed.
         """
         for name, contact_cap in contact_caps.items():
             local_budget = self.find(name)
-            old_bound = local_budget.cap if isolated else local_budget.contact_cap
+            old_bound = local_budget.contact_cap
+            if renews:
+                old_bound = local_budget.compute_bound(released)
             local_budget.contact_cap = min(old_bound, contact_cap)
             local_budget.cap = min(local_budget.cap, caps.get(name, local_budget.cap))
 
--- a/packages/fleet/src/ibisport_fleet/predecessor.py
+++ b/packages/fleet/src/ibisport_fleet/predecessor.py
@@ -1,23 +1,23 @@
 """Bounds what the previous process on a host may have spent of the budgets."""
 
+import math
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-import msgspec
-
-from ibisport_fleet.budget_page import Session
+from ibisport_fleet.budget_page import BudgetPage, Session
+from ibisport_fleet.contact_proofs import (
+    PROOF_LEASE_SECONDS,
+    FoundProofs,
+    compute_released_fraction,
+    decode_proof,
+    decode_stamp,
+)
 from ibisport_fleet.errors import RecordInvalid
 from ibisport_fleet.event_log import Event, EventLog
 from ibisport_fleet.host_record import HostRecord, decode_record
 from ibisport_fleet.store import Item
 
-# After a crash of all routers the next processes run within 1.2 s plus half a second
-# of startup, and the proof was up to 0.7 s old at the crash.
-PROOF_LEASE_SECONDS = 2.5
-# The wall clock can only invalidate a proof: one that appears older than its lease has
-# outlived it because of a store outage.
-WALL_CLOCK_MARGIN_SECONDS = 0.5
-
 
 @dataclass(frozen=True, slots=True)
 class PredecessorState:
@@ -25,11 +25,11 @@
 
     Attributes:
         record: The host's record, or None if there is none.
-        proof: The contact proof, or None if it has expired.
+        proofs: The contact proof and the stamps that have not expired.
     """
 
     record: Item | None
-    proof: Item | None
+    proofs: FoundProofs
 
     @property
     def record_revision(self) -> int:
@@ -43,8 +43,8 @@
     no_record = 'no record'
     other_process = 'record of another process'
     final = 'final record'
-    same_boot = 'ended in contact'
-    proof = 'contact proof'
+    same_boot = 'boot clock'
+    proof = 'contact proofs'
     expired = 'none in time'
 
 
@@ -54,12 +54,29 @@
 
     Attributes:
         evidence: What the bound follows from.
-        spent: Bounds by workspace name; empty if only the caps in the budget page
-            bound the spending.
+        released: How far the bound lies between the contact caps and the caps.
+        contact_caps: Contact caps by workspace name.
+        ended_by: Time on the predecessor's boot clock by which it had ended.
     """
 
     evidence: Evidence
-    spent: dict[str, int] = field(default_factory=dict)
+    released: float = 1.0
+    contact_caps: dict[str, int] = field(default_factory=dict)
+    ended_by: float = math.inf
+
+    def list_spent(self, page: BudgetPage, host: str) -> dict[str, int]:
+        """Return the bound of the spending for each workspace.
+
+        Args:
+            page: The budget page, with the predecessor's shares.
+            host: The predecessor's host.
+        """
+        spent = {}
+        for name, account in page.accounts.items():
+            cap = account.find_cap(host)
+            contact_cap = min(cap, self.contact_caps.get(name, cap))
+            spent[name] = contact_cap + math.ceil(self.released * (cap - contact_cap))
+        return spent
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +100,7 @@
     state: PredecessorState,
     successor: Successor,
     log: EventLog,
+    ended_by: float = math.inf,
 ) -> SpentBound:
     """Return the bound of a process's spending that the store proves.
 
@@ -91,6 +109,8 @@
         state: What the process left in the store.
         successor: The process that follows it.
         log: Event log for records that can't be decoded.
+        ended_by: Time by which the process had ended, as far as known from an earlier
+            look at the store.
     """
     if predecessor is None or state.record is None:
         return SpentBound(Evidence.no_record)
@@ -102,43 +122,55 @@
     if record.incarnation != predecessor.incarnation:
         return SpentBound(Evidence.other_process)
     if record.final:
-        return SpentBound(Evidence.final, record.caps)
-    if _ended_in_contact(record, successor):
-        return SpentBound(Evidence.same_boot, record.caps)
-    if _is_proof_valid(state.proof, predecessor, successor.wall, log):
-        return SpentBound(Evidence.proof, record.caps)
-    return SpentBound(Evidence.expired)
+        return SpentBound(Evidence.final, 0.0, record.caps)
+    ends = _list_ends(record, state.proofs, successor.wall, log)
+    proven_end = min((ended_by, *ends))
+    if _is_same_boot(record, successor) and successor.started_at < proven_end:
+        return _bound_by_end(Evidence.same_boot, record, successor.started_at)
+    return _bound_by_end(Evidence.proof, record, proven_end)
+
+
+def _bound_by_end(
+    evidence: Evidence, record: HostRecord, ended_by: float
+) -> SpentBound:
+    released = compute_released_fraction(
+        record.bound_until, record.full_cap_at, ended_by
+    )
+    if released >= 1:
+        return SpentBound(Evidence.expired, ended_by=ended_by)
+    return SpentBound(evidence, released, record.caps, ended_by)
 
 
-def _ended_in_contact(record: HostRecord, successor: Successor) -> bool:
-    """Return whether a process ended before it could exceed its contact caps.
+def _is_same_boot(record: HostRecord, successor: Successor) -> bool:
+    """Return whether the boot clocks of a process and its successor are the same.
 
-    The successor on the same machine starts only after the process has ended, so the
-    contact proof need not be read before it expires. Without this check, a lender that
+    The successor starts only after the process has ended, so its start bounds the end
+    without a proof, also after a long outage of the store. Without this, a lender that
     was killed when the store went down for six seconds stranded its whole reserve, a
     third of the unspent budgets.
     """
     is_same_boot = bool(record.boot_id) and record.boot_id == successor.boot_id
-    return (
-        is_same_boot and record.written_at <= successor.started_at <= record.bound_until
-    )
+    return is_same_boot and record.written_at <= successor.started_at
 
 
-def _is_proof_valid(
-    proof: Item | None, predecessor: Session, wall: float, log: EventLog
-) -> bool:
-    """Return whether a contact proof shows that a process respected its record."""
-    if proof is None:
-        return False
+def _list_ends(
+    record: HostRecord, found: FoundProofs, wall: float, log: EventLog
+) -> Iterator[float]:
+    """Yield the times by which a process had ended, one for each key that exists.
+
+    A store that pauses leases in an outage keeps keys for too long. The time of day
+    shows that, and never makes the result earlier.
+    """
     try:
-        incarnation, written_at = msgspec.json.decode(
-            proof.content, type=tuple[str, float]
-        )
-    except msgspec.MsgspecError as error:
-        log.write(Event.record_refused, key=proof.key, reason=repr(error))
-        return False
-    age = wall - written_at
-    return (
-        incarnation == predecessor.incarnation
-        and age < PROOF_LEASE_SECONDS + WALL_CLOCK_MARGIN_SECONDS
-    )
+        if found.proof is not None:
+            incarnation, written_at = decode_proof(found.proof)
+            if incarnation == record.incarnation:
+                overdue = wall - written_at - PROOF_LEASE_SECONDS
+                yield record.bound_until + max(0.0, overdue)
+        for item in found.stamps:
+            stamp = decode_stamp(item)
+            if stamp.incarnation == record.incarnation:
+                overdue = wall - stamp.expires_at_wall
+                yield stamp.expires_at + max(0.0, overdue)
+    except RecordInvalid as error:
+        log.write(Event.record_refused, reason=str(error))
