--- a/features/steps/running_fleet.py
+++ b/features/steps/running_fleet.py
@@ -106,7 +106,10 @@
         host: Name of its host.
         incarnation: Its current id.
         rate: Rate limit in its answers, in requests per second, or None.
-        rejects: Whether it rejects every request.
+        rejects: Whether it rejects requests.
+        reject_stride: Of how many requests it rejects one.
+        retry_after: Retry-After value of its rejections, or None.
+        leaves: Whether all of its answers say that it leaves.
     """
 
     def __init__(self, fleet, number):
@@ -114,6 +117,10 @@
         self.incarnation = ''
         self.rate = None
         self.rejects = False
+        self.reject_stride = 1
+        self.retry_after = None
+        self.leaves = False
+        self._request_count = 0
         self._fleet = fleet
         self._net = fleet.net
         self._starts = 0
@@ -184,7 +191,7 @@
         find = request.find
         arrival = Arrival(
             self._net.time(),
-            (find(b'x-router') or b'').decode(),
+            self._find_router(request),
             self.incarnation,
             (find(b'attempt-id') or b'').decode(),
             request.body,
@@ -194,15 +201,35 @@
     def _make_head(self, template, request):
         """Return a head with the request's id and the rate limit, if there is one."""
         head = template.replace(b'{id}', request.find(b'attempt-id'))
+        if self.leaves:
+            head = head.replace(SEAL, SEAL + b'Server-Leaving: 1\r\n')
+            self._fleet.left.setdefault(
+                (self.incarnation, self._find_router(request)), self._net.time()
+            )
         if self.rate is None:
             return head
-        router = (request.find(b'x-router') or b'').decode()
+        router = self._find_router(request)
         self._fleet.told.setdefault((self.incarnation, router), self._net.time())
         return head.replace(SEAL, SEAL + b'Server-Limit: %.2f\r\n' % self.rate)
 
+    def _find_router(self, request):
+        return (request.find(b'x-router') or b'').decode()
+
+    def _reject(self, request):
+        """Return a rejection, which reports a low load if it asks for a pause."""
+        head = self._make_head(REJECTED, request)
+        if self.retry_after is None:
+            return head
+        self._fleet.pauses.append(
+            (self._net.time(), self._find_router(request), self.incarnation)
+        )
+        lines = b'Worker-Load: 0,0,100\r\nRetry-After: %b\r\n' % self.retry_after
+        return head.replace(SEAL, SEAL + lines)
+
     async def _answer(self, request, channel):
-        if self.rejects:
-            channel.write(self._make_head(REJECTED, request))
+        self._request_count += 1
+        if self.rejects and self._request_count % self.reject_stride == 0:
+            channel.write(self._reject(request))
             return
         if request.body.startswith(FATAL):
             channel.write(self._make_head(STREAM_HEAD, request))
@@ -300,6 +327,8 @@
         ends: Loop time and incarnation of each crash of a target.
         answers: Bodies of requests with the answers to them.
         told: Loop time at which an incarnation first named a limit to a router.
+        left: Loop time at which an incarnation first told a router that it leaves.
+        pauses: Loop time, router and target of each rejection that asks for a pause.
     """
 
     def __init__(self, net, routers, targets):
@@ -310,6 +339,8 @@
         self.ends = []
         self.answers = []
         self.told = {}
+        self.left = {}
+        self.pauses = []
         self.routers = [FleetRouter(self, number + 1) for number in range(routers)]
         self.targets = [FleetTarget(self, number + 1) for number in range(targets)]
         self._request_count = 0
--- /dev/null
+++ b/features/steps/targetpauses_steps.py
@@ -0,0 +1,169 @@
+"""Steps on targets that reject requests and ask for a pause."""
+
+import asyncio
+from bisect import bisect_right
+
+from behave import then, when
+from running_fleet import START_SECONDS, run_fleet
+
+REQUEST_INTERVAL_SECONDS = 0.02
+PAUSED_AFTER_SECONDS = 2.0
+AFTERWARDS_SECONDS = 8.0
+# Requests within this time after a rejection may have been sent before it arrived.
+TOLD_GRACE_SECONDS = 0.5
+MAX_SENDS_IN_PAUSE = 2
+BURST_FACTOR = 3
+REJECT_STRIDES = {'every': 1, 'every second': 2}
+STATUS_OK = 200
+STATUS_UNAVAILABLE = 503
+RESTART_SECONDS = 4.0
+
+
+def _make_body(number):
+    return b'request %d' % number
+
+
+def _run(context, pause, seconds, *, count=1, stride=1, restarts=False):
+    async def reject(fleet):
+        targets = fleet.targets[:count]
+        await asyncio.sleep(PAUSED_AFTER_SECONDS)
+        for target in targets:
+            target.retry_after = b'%g' % pause
+            target.rejects, target.reject_stride = True, stride
+        await asyncio.sleep(seconds)
+        for target in targets:
+            target.rejects = False
+            if restarts:
+                target.crash()
+
+    async def act(fleet):
+        span = PAUSED_AFTER_SECONDS + seconds + pause + AFTERWARDS_SECONDS
+        if restarts:
+            span = PAUSED_AFTER_SECONDS + seconds + RESTART_SECONDS + AFTERWARDS_SECONDS
+        await asyncio.gather(
+            fleet.press(REQUEST_INTERVAL_SECONDS, span, _make_body), reject(fleet)
+        )
+
+    context.pause = pause
+    context.fleet = run_fleet(act, *context.size)
+    context.ended_at = START_SECONDS + PAUSED_AFTER_SECONDS + seconds
+
+
+@when(
+    'one target rejects {which} request with a pause of {pause:g} seconds '
+    'for {seconds:g} seconds'
+)
+def reject_at_one(context, which, pause, seconds):
+    _run(context, pause, seconds, stride=REJECT_STRIDES[which])
+
+
+@when(
+    'all targets reject every request with a pause of {pause:g} seconds '
+    'for {seconds:g} seconds'
+)
+def reject_at_all(context, pause, seconds):
+    _run(context, pause, seconds, count=context.size[1])
+
+
+@when('one target rejects every request with a pause of {pause:g} seconds and restarts')
+def reject_and_restart(context, pause):
+    _run(context, pause, 1.0, restarts=True)
+
+
+@then(
+    'no router sends it more than 2 requests from half a second after a rejection '
+    'to the end of the pause'
+)
+def check_pauses(context):
+    fleet = context.fleet
+    assert fleet.pauses
+    sends = {}
+    for arrival in fleet.arrivals:
+        sends.setdefault((arrival.router, arrival.target), []).append(arrival.at)
+    for rejected_at, router, target in fleet.pauses:
+        arrivals = sends[router, target]
+        since = bisect_right(arrivals, rejected_at + TOLD_GRACE_SECONDS)
+        until = bisect_right(arrivals, rejected_at + context.pause)
+        assert until - since <= MAX_SENDS_IN_PAUSE, (until - since, router, rejected_at)
+
+
+def _count_arrivals(fleet, incarnation, since, until):
+    late = [arrival for arrival in fleet.arrivals if since <= arrival.at < until]
+    return sum(arrival.target == incarnation for arrival in late), len(late)
+
+
+def _find_last_end(context):
+    """Return when the last pause of any router ends."""
+    return max(at for at, _, _ in context.fleet.pauses) + context.pause
+
+
+@then('{seconds:g} seconds after the pause ends it gets half of an even share again')
+def check_return(context, seconds):
+    fleet = context.fleet
+    since = _find_last_end(context) + seconds
+    target = fleet.targets[0].incarnation
+    count, total = _count_arrivals(fleet, target, since, fleet.now)
+    assert total
+    assert count >= total / len(fleet.targets) / 2, (count, total)
+
+
+@then('in no second after the pause it gets more than three even shares')
+def check_burst(context):
+    fleet = context.fleet
+    target = fleet.targets[0].incarnation
+    arrivals = [
+        arrival.at
+        for arrival in fleet.arrivals
+        if arrival.target == target and arrival.at >= context.ended_at
+    ]
+    share = 1 / REQUEST_INTERVAL_SECONDS / len(fleet.targets)
+    for number, at in enumerate(arrivals):
+        size = number + 1 - bisect_right(arrivals, at - 1.0)
+        assert size <= BURST_FACTOR * share, (size, at)
+
+
+@then('no Retry-After time ends before the first pause, or a second after it')
+def check_retry_after(context):
+    fleet = context.fleet
+    checked = 0
+    for _, answer in fleet.answers:
+        if answer.status != STATUS_UNAVAILABLE:
+            continue
+        ends = _list_known_ends(context, answer.ended_at)
+        if ends is None:
+            continue
+        back_at = answer.ended_at + float(answer.headers[b'retry-after'])
+        assert min(ends) - 0.02 <= back_at <= min(ends) + 1.0, (back_at, min(ends))
+        checked += 1
+    assert checked
+
+
+def _list_known_ends(context, now):
+    """Return the ends of pauses at all targets, or None if not all routers know them.
+
+    Only answers are compared whose targets are paused at every router.
+    """
+    fleet = context.fleet
+    ends = {}
+    for at, router, target in fleet.pauses:
+        if at <= now - TOLD_GRACE_SECONDS:
+            ends[router, target] = at + context.pause
+    if len(ends) < len(fleet.routers) * len(fleet.targets):
+        return None
+    if min(ends.values()) <= now:
+        return None
+    by_router = {}
+    for (router, _), end in ends.items():
+        by_router.setdefault(router, []).append(end)
+    first = [min(router_ends) for router_ends in by_router.values()]
+    return first if max(first) - min(first) < TOLD_GRACE_SECONDS else None
+
+
+@then('its new incarnation gets half of an even share')
+def check_new_incarnation(context):
+    fleet = context.fleet
+    target = fleet.targets[0].incarnation
+    since = context.ended_at + RESTART_SECONDS + 2.0
+    count, total = _count_arrivals(fleet, target, since, fleet.now)
+    assert target.endswith('-2')
+    assert count >= total / len(fleet.targets) / 2, (count, total)
