Send a target no requests in the pause that its rejection asks for

Cause: nothing read Retry-After of a target's answer. A rejection is answered at once and reports a falling load, so the target that rejects looked best.

Change: a 503 or 429 with Retry-After pauses the target at this router until the end of the time. Successes of other requests don't end a pause, a shorter one doesn't shorten it, and it belongs to one start of the target. Values that can't be meant are replaced by 5 s, with one event (2307). After a pause, few requests wait for answers at once, doubling with the answers. Where all targets of a service are paused a request is refused at once with the soonest end.

One bound was wrong and is replaced: "three even shares in a second after the pause". With 30 routers at this rate targets take turns in bursts of 31 a second also without a pause (the stand-in reported no load; now it does). The bound is now 1.5 times what any other target gets in a second of the same run, and the gradual return itself is checked request by request.

--- a/features/steps/running_fleet.py
+++ b/features/steps/running_fleet.py
@@ -110,6 +110,7 @@
         reject_stride: Of how many requests it rejects one.
         retry_after: Retry-After value of its rejections, or None.
         leaves: Whether all of its answers say that it leaves.
+        reports_load: Whether its answers report how many requests it runs.
     """
 
     def __init__(self, fleet, number):
@@ -120,7 +121,9 @@
         self.reject_stride = 1
         self.retry_after = None
         self.leaves = False
+        self.reports_load = False
         self._request_count = 0
+        self._running = 0
         self._fleet = fleet
         self._net = fleet.net
         self._starts = 0
@@ -182,7 +185,11 @@
         try:
             while (request := await reader.read()) is not None:
                 self._record_arrival(request)
-                await self._answer(request, channel)
+                self._running += 1
+                try:
+                    await self._answer(request, channel)
+                finally:
+                    self._running -= 1
         except FleetError:
             # The router reset the connection, so no answer can be sent.
             return
@@ -206,6 +213,9 @@
             self._fleet.left.setdefault(
                 (self.incarnation, self._find_router(request)), self._net.time()
             )
+        if self.reports_load:
+            load = b'Worker-Load: %d,0,100\r\n' % self._running
+            head = head.replace(SEAL, SEAL + load)
         if self.rate is None:
             return head
         router = self._find_router(request)
@@ -216,15 +226,15 @@
         return (request.find(b'x-router') or b'').decode()
 
     def _reject(self, request):
-        """Return a rejection, which reports a low load if it asks for a pause."""
+        """Return a rejection, which may ask for a pause."""
         head = self._make_head(REJECTED, request)
         if self.retry_after is None:
             return head
         self._fleet.pauses.append(
             (self._net.time(), self._find_router(request), self.incarnation)
         )
-        lines = b'Worker-Load: 0,0,100\r\nRetry-After: %b\r\n' % self.retry_after
-        return head.replace(SEAL, SEAL + lines)
+        line = b'Retry-After: %b\r\n' % self.retry_after
+        return head.replace(SEAL, SEAL + line)
 
     async def _answer(self, request, channel):
         self._request_count += 1
--- a/packages/fleet/src/ibisport_fleet/forwarding.py
+++ b/packages/fleet/src/ibisport_fleet/forwarding.py
@@ -29,6 +29,7 @@
     TargetClient,
 )
 from ibisport_fleet.target_limits import TargetLimits
+from ibisport_fleet.target_pauses import compute_return_delay
 
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
@@ -187,31 +188,52 @@
 
     def _choose_target(self) -> Candidate:
         call = self._call
-        targets = self._dependencies.targets
-        candidates = [
-            candidate
-            for candidate in targets.list_candidates(call.service)
-            if candidate.entry.start_id not in call.tried
-        ]
+        listed = self._dependencies.targets.list_candidates(call.service)
         now = _now()
         limits = self._dependencies.limits
         sendable = [
-            candidate for candidate in candidates if limits.may_send(candidate, now)
+            candidate
+            for candidate in listed
+            if candidate.entry.start_id not in call.tried
+            and not candidate.health.is_paused(now)
+            and limits.may_send(candidate, now)
         ]
-        if candidates and not sendable:
-            raise self._build_failure(
-                'limited', limits.compute_retry_after(candidates, now)
-            )
+        if not sendable:
+            raise self._build_unavailable(listed, now)
         chosen = limits.find_probe_target(sendable, now) or self._choose_best(
             sendable, now
         )
         if chosen is None:
-            raise self._build_failure(
-                'no_target', draw_jittered_delay(NO_TARGET_RETRY_AFTER_SECONDS)
-            )
+            raise self._build_unavailable(listed, now)
         limits.record_send(chosen, now)
         return chosen
 
+    def _build_unavailable(
+        self, listed: Sequence[Candidate], now: float
+    ) -> RequestFailed:
+        """Return the failure of a request that no target may get now.
+
+        Args:
+            listed: All targets of the service, also those that were tried.
+            now: Loop time.
+        """
+        awake = [
+            candidate for candidate in listed if not candidate.health.is_paused(now)
+        ]
+        if listed and not awake:
+            return self._build_failure('paused', compute_return_delay(listed, now))
+        untried = [
+            candidate
+            for candidate in awake
+            if candidate.entry.start_id not in self._call.tried
+        ]
+        if untried:
+            retry_after = self._dependencies.limits.compute_retry_after(untried, now)
+            return self._build_failure('limited', retry_after)
+        return self._build_failure(
+            'no_target', draw_jittered_delay(NO_TARGET_RETRY_AFTER_SECONDS)
+        )
+
     def _choose_best(
         self, candidates: Sequence[Candidate], now: float
     ) -> Candidate | None:
@@ -248,13 +270,19 @@
         call.may_have_run = call.attempts > 0
         self._rejections += 1
         if self._rejections >= MAX_REJECTIONS:
-            raise self._build_failure(
-                'full', draw_jittered_delay(FULL_RETRY_AFTER_SECONDS)
-            )
+            raise self._build_full()
         if isinstance(outcome, NotRun) and not self._take_retry():
-            raise self._build_failure(
-                'full', draw_jittered_delay(FULL_RETRY_AFTER_SECONDS)
-            )
+            raise self._build_full()
+
+    def _build_full(self) -> RequestFailed:
+        """Return the failure of a request that enough targets have rejected."""
+        listed = self._dependencies.targets.list_candidates(self._call.service)
+        now = _now()
+        if listed and all(candidate.health.is_paused(now) for candidate in listed):
+            return self._build_failure('paused', compute_return_delay(listed, now))
+        return self._build_failure(
+            'full', draw_jittered_delay(FULL_RETRY_AFTER_SECONDS)
+        )
 
     def _handle_unknown_outcome(self, candidate: Candidate, reason: str) -> None:
         call = self._call
--- a/packages/fleet/src/ibisport_fleet/metadata.py
+++ b/packages/fleet/src/ibisport_fleet/metadata.py
@@ -79,6 +79,17 @@
     slots: int
 
 
+@dataclass(frozen=True, slots=True)
+class RequestedPause:
+    """A target's request for a time without requests from the router that it answers.
+
+    Attributes:
+        seconds: Duration, counted from the answer; None if the value isn't readable.
+    """
+
+    seconds: float | None
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerMetadata:
     """Metadata of a target's answer.
@@ -92,6 +103,7 @@
         rate: Rate limit in requests per second from all routers together, or None.
         idle_seconds: How long the target keeps an idle connection, or None if not
             given.
+        pause: The pause that a rejection asks for, or None.
     """
 
     request_id: str | None
@@ -101,6 +113,7 @@
     load: TargetLoad | None
     rate: float | None
     idle_seconds: float | None
+    pause: RequestedPause | None = None
 
 
 class Dialect(Protocol):
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -103,7 +103,9 @@
                 dialect=adapters.dialect,
                 catalogue=self._catalogue,
                 targets=self._targets,
-                target_client=TargetClient(adapters.dialect, self._pool, limits),
+                target_client=TargetClient(
+                    adapters.dialect, self._pool, limits, self._log
+                ),
                 budgets=self._budgets,
                 recorder=RequestRecorder(log, self._metrics),
                 fatal_requests=self._fatal_requests,
--- a/packages/fleet/src/ibisport_fleet/target_choice.py
+++ b/packages/fleet/src/ibisport_fleet/target_choice.py
@@ -21,6 +21,10 @@
 # Backoff after a failure; it doubles with each consecutive failure.
 MIN_BACKOFF_SECONDS = 0.5
 MAX_BACKOFF_SECONDS = 4.0
+# After a pause, at most this many requests wait for the head of an answer; each answer
+# raises the bound, and at the maximum it is lifted.
+FIRST_RAMP_LIMIT = 1
+MAX_RAMP_LIMIT = 16
 # Cost of a target in another failure domain, as a share of its slots.
 REMOTE_DOMAIN_COST = 0.34
 # Cost of a rate-limited target: it is avoided while other targets have free slots.
@@ -44,6 +48,8 @@
         last_received_at: Loop time at which data last arrived from the target, or at
             which the first of the requests in flight was sent.
         limit: The target's rate limit, or None.
+        paused_until: Loop time until which the target has asked for no requests.
+        awaiting: Requests of this router that wait for the head of an answer.
     """
 
     running: int = 0
@@ -56,6 +62,9 @@
     pending_prompt_tokens: int = 0
     last_received_at: float = 0.0
     limit: RateLimit | None = None
+    paused_until: float = 0.0
+    awaiting: int = 0
+    _ramp_limit: int | None = None
     _sent_parts: OrderedDict[str, float] = field(default_factory=OrderedDict)
 
     def count_uncached_tokens(self, parts: Sequence[PromptPart], now: float) -> int:
@@ -94,6 +103,23 @@
         self.failures = min(self.failures + 1, 8)
         self.backoff_until = now + min(backoff, MAX_BACKOFF_SECONDS)
 
+    def pause_until(self, until: float) -> None:
+        """Send no requests before a loop time, and few at once afterwards."""
+        self.paused_until = max(self.paused_until, until)
+        self._ramp_limit = FIRST_RAMP_LIMIT
+
+    def is_paused(self, now: float) -> bool:
+        """Return whether the target has asked for no requests at this time."""
+        return now < self.paused_until
+
+    def record_accepted(self, now: float) -> None:
+        """Record the head of an answer that isn't a rejection."""
+        if self._ramp_limit is None or self.is_paused(now):
+            return
+        self._ramp_limit += 1
+        if self._ramp_limit > MAX_RAMP_LIMIT:
+            self._ramp_limit = None
+
     def begin_request(self, now: float) -> None:
         """Count a request that is sent to the target."""
         if not self.running:
@@ -111,8 +137,9 @@
         )
 
     def is_available(self, now: float) -> bool:
-        """Return whether the target is neither silent nor in backoff."""
-        return self.backoff_until <= now and not self.is_silent(now)
+        """Return whether the target is neither silent, in backoff nor held back."""
+        held_back = self._ramp_limit is not None and self.awaiting >= self._ramp_limit
+        return self.backoff_until <= now and not self.is_silent(now) and not held_back
 
     def mark_replaced(self) -> None:
         """Stop using this incarnation, since another one has its address."""
@@ -181,7 +208,7 @@
 
 
 def filter_available(candidates: Sequence[Candidate], now: float) -> list[Candidate]:
-    """Return the targets that are neither silent nor in backoff, or all if none is.
+    """Return the available targets, or all if none is.
 
     Args:
         candidates: Targets to choose from.
--- a/packages/fleet/src/ibisport_fleet/target_client.py
+++ b/packages/fleet/src/ibisport_fleet/target_client.py
@@ -6,11 +6,13 @@
 from ibisport_fleet.calls import Call
 from ibisport_fleet.connection_pool import ConnectionPool
 from ibisport_fleet.errors import ConnectionBroken, ConnectionFailed
+from ibisport_fleet.event_log import EventLog
 from ibisport_fleet.http_connection import HttpConnection
 from ibisport_fleet.http_messages import AnswerHead
 from ibisport_fleet.metadata import AnswerMetadata, Dialect, SendMetadata
 from ibisport_fleet.target_choice import Candidate, TargetHealth
 from ibisport_fleet.target_limits import TargetLimits
+from ibisport_fleet.target_pauses import apply_pause
 
 # Connecting takes less than 10 ms between failure domains. A lost packet is sent again
 # only after a second, and a target that is gone never answers.
@@ -70,11 +72,16 @@
     """Sends requests to targets over pooled connections."""
 
     def __init__(
-        self, dialect: Dialect, pool: ConnectionPool, limits: TargetLimits
+        self,
+        dialect: Dialect,
+        pool: ConnectionPool,
+        limits: TargetLimits,
+        log: EventLog,
     ) -> None:
         self._dialect = dialect
         self._pool = pool
         self._limits = limits
+        self._log = log
 
     async def send(
         self, call: Call, candidate: Candidate, last_event_id: int | None
@@ -86,6 +93,15 @@
             candidate: The target.
             last_event_id: Id of the last event that the caller got, or None.
         """
+        candidate.health.awaiting += 1
+        try:
+            return await self._send(call, candidate, last_event_id)
+        finally:
+            candidate.health.awaiting -= 1
+
+    async def _send(
+        self, call: Call, candidate: Candidate, last_event_id: int | None
+    ) -> SendOutcome:
         loop = asyncio.get_running_loop()
         health = candidate.health
         try:
@@ -150,12 +166,22 @@
             metadata = self._dialect.decode_answer(head)
             if metadata.request_id in (None, call.metadata.request_id):
                 if not metadata.misdirected:
-                    self._limits.apply_answer(call, health, metadata.rate)
+                    self._apply_answer(call, health, metadata)
                 return await self._classify_answer(connection, head, metadata, health)
             # A late second answer to an earlier request.
             await connection.read_body()
         raise ConnectionBroken('only answers to other requests came')
 
+    def _apply_answer(
+        self, call: Call, health: TargetHealth, metadata: AnswerMetadata
+    ) -> None:
+        """Apply what an answer says about its target."""
+        now = asyncio.get_running_loop().time()
+        self._limits.apply_answer(call, health, metadata.rate)
+        apply_pause(metadata.pause, call.target or '', health, now, self._log)
+        if not metadata.not_run:
+            health.record_accepted(now)
+
     async def _classify_answer(
         self,
         connection: HttpConnection,
