Avoid targets that reject requests although they have free slots

A rejection counted neither as a failure nor as work, and its load report showed an idle target, so the choice preferred it. Failures of connections have had a backoff all along; rejections had none.

Change: a rejection is followed by a backoff of 0.25, 1 and 4 s for this router, which successes of other requests don't end. A target that reports all slots in use is only avoided for 0.1 s, since it works. Where no target is available all are used, as before.

--- a/features/steps/running_fleet.py
+++ b/features/steps/running_fleet.py
@@ -48,6 +48,10 @@
     b'HTTP/1.1 503 Full\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\n'
     b'Response-Seal: s\r\nContent-Length: 0\r\n\r\n'
 )
+FAILED = (
+    b'HTTP/1.1 500 Failed\r\nAttempt-Id: {id}\r\n'
+    b'Response-Seal: s\r\nContent-Length: 0\r\n\r\n'
+)
 # A stream that is requested with this body takes this many times as long.
 SLOW = b'slow'
 SLOW_FACTOR = 10
@@ -107,6 +111,7 @@
         incarnation: Its current id.
         rate: Rate limit in its answers, in requests per second, or None.
         rejects: Whether it rejects requests.
+        rejection: Its answer to them.
         reject_stride: Of how many requests it rejects one.
         retry_after: Retry-After value of its rejections, or None.
         leaves: Whether all of its answers say that it leaves.
@@ -118,6 +123,7 @@
         self.incarnation = ''
         self.rate = None
         self.rejects = False
+        self.rejection = REJECTED
         self.reject_stride = 1
         self.retry_after = None
         self.leaves = False
@@ -136,14 +142,33 @@
         """Listen under a new id and register it."""
         self._starts += 1
         self.incarnation = f'i-{self._number}-{self._starts}'
-        address = (f'10.1.0.{self._number}', 8_000)
         self._entry = TargetEntry(
-            self.incarnation, 'svc', address, f'd-{self._number % 2}', 100, False, 0
+            self.incarnation,
+            'svc',
+            (f'10.1.0.{self._number}', 8_000),
+            f'd-{self._number % 2}',
+            100,
+            False,
+            0,
         )
-        loop = asyncio.get_running_loop()
-        await loop.create_server(lambda: Channel(self._open), *address)
+        await self._listen()
         self._register()
 
+    async def _listen(self):
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: Channel(self._open), *self._entry.address
+        )
+
+    def close(self):
+        """Refuse new connections and reset those that are open."""
+        self._server.close()
+        self.reset()
+
+    def open_again(self):
+        """Accept connections again."""
+        self._net.start_on(self.host, self._listen())
+
     def crash(self):
         """Crash at once and restart later."""
         old_incarnation = self.incarnation
@@ -227,7 +252,7 @@
 
     def _reject(self, request):
         """Return a rejection, which may ask for a pause."""
-        head = self._make_head(REJECTED, request)
+        head = self._make_head(self.rejection, request)
         if self.retry_after is None:
             return head
         self._fleet.pauses.append(
--- a/packages/fleet/src/ibisport_fleet/target_choice.py
+++ b/packages/fleet/src/ibisport_fleet/target_choice.py
@@ -21,6 +21,16 @@
 # Backoff after a failure; it doubles with each consecutive failure.
 MIN_BACKOFF_SECONDS = 0.5
 MAX_BACKOFF_SECONDS = 4.0
+# Backoff after a rejection by a full target, which frees a slot within some 100 ms.
+FULL_BACKOFF_SECONDS = 0.1
+# Backoff after a rejection by a target that has free slots or doesn't report any. It
+# grows by the factor with each further one, up to the maximum.
+REJECTION_BACKOFF_SECONDS = 0.25
+REJECTION_BACKOFF_FACTOR = 4
+MAX_REJECTIONS = 3.0
+# An accepted request makes up for this part of a rejection, so the backoff grows at a
+# target that rejects more than one request in five.
+ACCEPTED_WEIGHT = 0.25
 # After a pause, at most this many requests wait for the head of an answer; each answer
 # raises the bound, and at the maximum it is lifted.
 FIRST_RAMP_LIMIT = 1
@@ -50,6 +60,7 @@
         limit: The target's rate limit, or None.
         paused_until: Loop time until which the target has asked for no requests.
         awaiting: Requests of this router that wait for the head of an answer.
+        rejected_until: Loop time until which the target is avoided after a rejection.
     """
 
     running: int = 0
@@ -64,6 +75,8 @@
     limit: RateLimit | None = None
     paused_until: float = 0.0
     awaiting: int = 0
+    rejected_until: float = 0.0
+    _rejections: float = 0.0
     _ramp_limit: int | None = None
     _sent_parts: OrderedDict[str, float] = field(default_factory=OrderedDict)
 
@@ -112,8 +125,29 @@
         """Return whether the target has asked for no requests at this time."""
         return now < self.paused_until
 
+    def record_rejection(self, now: float) -> None:
+        """Avoid the target for a short time after an answer without a result.
+
+        Such an answer comes at once and leaves no load, which makes the target look
+        better than those that do the work. Answers to other requests don't shorten the
+        time.
+        """
+        backoff = FULL_BACKOFF_SECONDS
+        if not self._is_full:
+            self._rejections = min(MAX_REJECTIONS, self._rejections + 1)
+            growth = REJECTION_BACKOFF_FACTOR ** (self._rejections - 1)
+            backoff = REJECTION_BACKOFF_SECONDS * growth
+        self.rejected_until = max(self.rejected_until, now + backoff)
+
+    @property
+    def _is_full(self) -> bool:
+        """Whether the target reports that all of its slots are in use."""
+        load = self.reported_load
+        return load is not None and load.running >= load.slots
+
     def record_accepted(self, now: float) -> None:
         """Record the head of an answer that isn't a rejection."""
+        self._rejections = max(0.0, self._rejections - ACCEPTED_WEIGHT)
         if self._ramp_limit is None or self.is_paused(now):
             return
         self._ramp_limit += 1
@@ -139,7 +173,8 @@
     def is_available(self, now: float) -> bool:
         """Return whether the target is neither silent, in backoff nor held back."""
         held_back = self._ramp_limit is not None and self.awaiting >= self._ramp_limit
-        return self.backoff_until <= now and not self.is_silent(now) and not held_back
+        is_backing_off = now < max(self.backoff_until, self.rejected_until)
+        return not is_backing_off and not self.is_silent(now) and not held_back
 
     def mark_replaced(self) -> None:
         """Stop using this incarnation, since another one has its address."""
--- a/packages/fleet/src/ibisport_fleet/target_client.py
+++ b/packages/fleet/src/ibisport_fleet/target_client.py
@@ -177,9 +177,13 @@
     ) -> None:
         """Apply what an answer says about its target."""
         now = asyncio.get_running_loop().time()
+        if metadata.load is not None:
+            health.record_load(metadata.load, now)
         self._limits.apply_answer(call, health, metadata.rate)
         apply_pause(metadata.pause, call.target or '', health, now, self._log)
-        if not metadata.not_run:
+        if metadata.not_run:
+            health.record_rejection(now)
+        else:
             health.record_accepted(now)
 
     async def _classify_answer(
@@ -189,8 +193,6 @@
         metadata: AnswerMetadata,
         health: TargetHealth,
     ) -> SendOutcome:
-        if metadata.load is not None:
-            health.record_load(metadata.load, asyncio.get_running_loop().time())
         answered = Answered(connection, head, metadata, health)
         if metadata.not_run:
             await connection.read_body()
