Avoid targets that answer with failures at once

One of six targets that fails every request, or every second one, got 282 of 582 and 88 of 344 requests, and callers got its failures.

Change: an answer with a status of 500 or more is followed by the same backoff as a rejection. What callers get doesn't change otherwise: whether a request is sent again is decided as before.

Evidence: the target gets at most an even share, and 0.9 of the requests are served; both examples failed before.

--- a/features/quickfailures.feature
+++ b/features/quickfailures.feature
@@ -12,6 +12,8 @@
       | 4       | rejects every request with status 503            | 0.98   |
       | 4       | rejects every second request with status 503     | 0.98   |
       | 4       | rejects every request with status 429            | 0.98   |
+      | 4       | answers every request with status 500            | 0.9    |
+      | 4       | answers every second request with status 500     | 0.9    |
       | 4       | refuses connections                       | 0.98   |
 
   Scenario: A target that failed is used again soon afterwards
--- a/packages/fleet/src/ibisport_fleet/target_choice.py
+++ b/packages/fleet/src/ibisport_fleet/target_choice.py
@@ -146,7 +146,7 @@
         return load is not None and load.running >= load.slots
 
     def record_accepted(self, now: float) -> None:
-        """Record the head of an answer that isn't a rejection."""
+        """Record the head of an answer with a result."""
         self._rejections = max(0.0, self._rejections - ACCEPTED_WEIGHT)
         if self._ramp_limit is None or self.is_paused(now):
             return
--- a/packages/fleet/src/ibisport_fleet/target_client.py
+++ b/packages/fleet/src/ibisport_fleet/target_client.py
@@ -166,14 +166,18 @@
             metadata = self._dialect.decode_answer(head)
             if metadata.request_id in (None, call.metadata.request_id):
                 if not metadata.misdirected:
-                    self._apply_answer(call, health, metadata)
+                    self._apply_answer(call, health, head, metadata)
                 return await self._classify_answer(connection, head, metadata, health)
             # A late second answer to an earlier request.
             await connection.read_body()
         raise ConnectionBroken('only answers to other requests came')
 
     def _apply_answer(
-        self, call: Call, health: TargetHealth, metadata: AnswerMetadata
+        self,
+        call: Call,
+        health: TargetHealth,
+        head: AnswerHead,
+        metadata: AnswerMetadata,
     ) -> None:
         """Apply what an answer says about its target."""
         now = asyncio.get_running_loop().time()
@@ -181,7 +185,7 @@
             health.record_load(metadata.load, now)
         self._limits.apply_answer(call, health, metadata.rate)
         apply_pause(metadata.pause, call.target or '', health, now, self._log)
-        if metadata.not_run:
+        if metadata.not_run or head.status >= FIRST_FAILURE_STATUS:
             health.record_rejection(now)
         else:
             health.record_accepted(now)
