Send no new requests to a target that says in an answer that it leaves

Now the answer counts like an entry that drains: it holds for this start of the target, also after its entry was away or unreadable, requests in flight end, and its end is not taken for a crash.

--- a/features/steps/running_fleet.py
+++ b/features/steps/running_fleet.py
@@ -195,6 +195,14 @@
     def _restart(self):
         self._net.start_on(self.host, self.start())
 
+    def write_entry(self):
+        """Write its entry once more, unchanged."""
+        self._register()
+
+    def remove_entry(self):
+        """Remove its entry while it goes on serving."""
+        self._fleet.service.remove(TARGET_PREFIX + self.incarnation)
+
     def _register(self):
         content = msgspec.json.encode(self._entry)
         self._fleet.service.put(TARGET_PREFIX + self.incarnation, content)
--- a/packages/fleet/src/ibisport_fleet/fleet_view.py
+++ b/packages/fleet/src/ibisport_fleet/fleet_view.py
@@ -107,6 +107,22 @@
             self._health[start_id] = health
         return health
 
+    def record_leaving(self, entry: TargetEntry) -> None:
+        """Send a target no new requests, since it has said in an answer that it leaves.
+
+        Its entry in the store may say so later or never.
+        """
+        if self.targets.is_serving(entry):
+            self._log.write(
+                Event.target_draining,
+                target=entry.incarnation,
+                service=entry.service,
+                domain=entry.domain,
+                revision=entry.revision,
+                answered=True,
+            )
+        self.targets.mark_departed(entry)
+
     def list_candidates(self, service: str) -> list[Candidate]:
         """Return the targets of a service that accept new requests."""
         self._drop_lapsed()
--- a/packages/fleet/src/ibisport_fleet/forwarding.py
+++ b/packages/fleet/src/ibisport_fleet/forwarding.py
@@ -255,6 +255,8 @@
         outcome = await self._dependencies.target_client.send(
             call, candidate, self._splitter.last_event_id
         )
+        if candidate.health.leaving:
+            self._dependencies.targets.record_leaving(candidate.entry)
         match outcome:
             case Answered():
                 return await self._forward_answer(outcome, candidate)
--- a/packages/fleet/src/ibisport_fleet/metadata.py
+++ b/packages/fleet/src/ibisport_fleet/metadata.py
@@ -104,6 +104,7 @@
         idle_seconds: How long the target keeps an idle connection, or None if not
             given.
         pause: The pause that a rejection asks for, or None.
+        leaving: The target that answers accepts no new requests from now on.
     """
 
     request_id: str | None
@@ -114,6 +115,7 @@
     rate: float | None
     idle_seconds: float | None
     pause: RequestedPause | None = None
+    leaving: bool = False
 
 
 class Dialect(Protocol):
--- a/packages/fleet/src/ibisport_fleet/target_choice.py
+++ b/packages/fleet/src/ibisport_fleet/target_choice.py
@@ -61,6 +61,7 @@
         paused_until: Loop time until which the target has asked for no requests.
         awaiting: Requests of this router that wait for the head of an answer.
         rejected_until: Loop time until which the target is avoided after a rejection.
+        leaving: The target has said that it accepts no new requests.
     """
 
     running: int = 0
@@ -76,6 +77,7 @@
     paused_until: float = 0.0
     awaiting: int = 0
     rejected_until: float = 0.0
+    leaving: bool = False
     _rejections: float = 0.0
     _ramp_limit: int | None = None
     _sent_parts: OrderedDict[str, float] = field(default_factory=OrderedDict)
--- a/packages/fleet/src/ibisport_fleet/target_client.py
+++ b/packages/fleet/src/ibisport_fleet/target_client.py
@@ -184,6 +184,7 @@
         if metadata.load is not None:
             health.record_load(metadata.load, now)
         self._limits.apply_answer(call, health, metadata.rate)
+        health.leaving = health.leaving or metadata.leaving
         apply_pause(metadata.pause, call.target or '', health, now, self._log)
         if metadata.not_run or head.status >= FIRST_FAILURE_STATUS:
             health.record_rejection(now)
--- a/packages/fleet/src/ibisport_fleet/targets.py
+++ b/packages/fleet/src/ibisport_fleet/targets.py
@@ -107,6 +107,13 @@
             self._record_departure(entry)
         self.drop(incarnation)
 
+    def mark_departed(self, entry: TargetEntry) -> None:
+        """Treat a start of a target as draining, whatever its entry says later."""
+        self._record_departure(entry)
+        known = self._entries.get(entry.incarnation)
+        if known is not None and known.start_id == entry.start_id:
+            self._entries[entry.incarnation] = replace(known, draining=True)
+
     def drop(self, incarnation: str) -> None:
         """Stop using a target until a valid entry of it arrives."""
         self._entries.pop(incarnation, None)
