Play pauses, targets that say they leave and a kill of all in the soak

Targets may now reject all or half of their requests and ask for pauses of 1, 3 or 6 s, or say in their answers only that they leave. Runs with all kinds of faults end with a kill of all processes, and callers go on for 12 s. Three checks follow the users' rules: PAUSE (two sends in a pause), LEAVE (none from 2 s on) and RECOVER (a quarter of the paid requests, 6 s after the start instead of 12).

Faults of targets have a module of their own.

--- a/packages/bench/src/ibisport_bench/soak/__main__.py
+++ b/packages/bench/src/ibisport_bench/soak/__main__.py
@@ -8,7 +8,11 @@
 
 import uvloop
 
-from ibisport_bench.soak.fault_injection import EXCLUSIVE_FAULTS, FAULT_WEIGHTS
+from ibisport_bench.soak.fault_injection import (
+    EXCLUSIVE_FAULTS,
+    FAULT_WEIGHTS,
+    FINAL_FAULT,
+)
 from ibisport_bench.soak.mutants import MUTANTS
 from ibisport_bench.soak.run import RunOptions, Verdict, run_seed
 
@@ -42,7 +46,7 @@
     )
     parser.add_argument(
         '--only',
-        choices=sorted({*FAULT_WEIGHTS, *EXCLUSIVE_FAULTS}),
+        choices=sorted({*FAULT_WEIGHTS, *EXCLUSIVE_FAULTS, FINAL_FAULT}),
         help='the only kind of fault',
     )
     return parser.parse_args()
--- a/packages/bench/src/ibisport_bench/soak/analysis.py
+++ b/packages/bench/src/ibisport_bench/soak/analysis.py
@@ -41,6 +41,11 @@
             runs[run.request_id].append(run)
         return runs
 
+    @cached_property
+    def requests(self) -> dict[str, RequestRecord]:
+        """The requests by id."""
+        return {request.request_id: request for request in self.journal.asks}
+
     @cached_property
     def starts(self) -> dict[tuple[str, int], Start]:
         """The starts of processes, by host and number."""
--- a/packages/bench/src/ibisport_bench/soak/checks.py
+++ b/packages/bench/src/ibisport_bench/soak/checks.py
@@ -19,6 +19,11 @@
     make_body,
 )
 from ibisport_bench.soak.site import GRACE_SECONDS
+from ibisport_bench.soak.target_checks import (
+    check_leavings,
+    check_pauses,
+    check_recovery,
+)
 
 # A router that closes a connection later than this after the request was sent has
 # read the request. An earlier close may have crossed the request on its way.
@@ -280,6 +285,9 @@
     'ENDS': check_ends,
     'FATAL': check_fatal,
     'LIMIT': check_limits,
+    'PAUSE': check_pauses,
+    'LEAVE': check_leavings,
+    'RECOVER': check_recovery,
 }
 
 
--- a/packages/bench/src/ibisport_bench/soak/evidence.py
+++ b/packages/bench/src/ibisport_bench/soak/evidence.py
@@ -161,6 +161,34 @@
     ended: float = math.inf
 
 
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that reached a target, whether it ran or not.
+
+    Attributes:
+        request_id: Its id.
+        target: The target's incarnation.
+        at: Clock at its arrival.
+    """
+
+    request_id: str
+    target: str
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class RequestedPause:
+    """A rejection by which a target asked a router for a pause.
+
+    Attributes:
+        arrival: The request that it rejected.
+        ended: Clock at the end of the pause.
+    """
+
+    arrival: Arrival
+    ended: float
+
+
 @dataclass(frozen=True, slots=True)
 class Crash:
     """The crash of a target that ran a fatal request.
@@ -210,6 +238,10 @@
         drains: Clock when the store had accepted that a target drains.
         limits: Rate limits that targets advertised.
         crashes: Crashes of targets by fatal requests.
+        arrivals: Requests that reached targets, also rejected ones.
+        pauses: Rejections that asked for a pause.
+        leavings: Requests whose answers said that their target leaves.
+        returned_at: Clock when all hosts had started again after the final fault.
         budgets: Tokens that each workspace has paid for.
         lag: Longest delay of this process's own event loop, seconds.
     """
@@ -222,6 +254,10 @@
     drains: dict[str, float] = field(default_factory=dict)
     limits: list[AdvertisedLimit] = field(default_factory=list)
     crashes: list[Crash] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
+    pauses: list[RequestedPause] = field(default_factory=list)
+    leavings: list[Arrival] = field(default_factory=list)
+    returned_at: float = math.inf
     budgets: dict[str, int] = field(default_factory=dict)
     lag: float = 0.0
 
--- a/packages/bench/src/ibisport_bench/soak/fault_injection.py
+++ b/packages/bench/src/ibisport_bench/soak/fault_injection.py
@@ -7,13 +7,16 @@
 from typing import Any
 
 from ibisport_bench.soak.callers import Callers
-from ibisport_bench.soak.evidence import AdvertisedLimit, Cause, Journal, read_clock
+from ibisport_bench.soak.evidence import Cause, Journal, read_clock
 from ibisport_bench.soak.links import DIRECTIONS, TO_SINK, TO_SOURCE, Link
 from ibisport_bench.soak.processes import Host
 from ibisport_bench.soak.site import GRACE_SECONDS, Site
-from ibisport_bench.soak.targets import ENTRY_TIMEOUT_SECONDS, Target, TargetFaults
+from ibisport_bench.soak.target_faults import (
+    FAULT_SECONDS,
+    RESTART_DELAY_SECONDS,
+    TargetFaultInjector,
+)
 
-RESTART_DELAY_SECONDS = (0.1, 1.5)
 ROLL_INTERVAL_SECONDS = (0.2, 2.5)
 VERSION_INTERVAL_SECONDS = (0.05, 0.4)
 MAX_VERSIONS = 5
@@ -23,16 +26,14 @@
 MEAN_INTERVALS_SECONDS = (0.4, 1.0, 2.5)
 # The mean interval if only one kind of fault is injected.
 SINGLE_KIND_INTERVAL_SECONDS = 1.0
-FAULT_SECONDS = (0.3, 4.0)
 MAX_LINK_DELAY_SECONDS = 0.4
 RETRY_SLACKS = (5.0, 20.0, 40.0)
 MAX_STORE_SLOWDOWN = 60.0
 LOST_SHARE, LATE_SHARE = 0.3, 0.2
-BROKEN_SHARE = 0.5
 ALL_LINKS_SHARE = 0.3
-MAX_START_DELAY_SECONDS = 1.5
 STORE = 'store'
-# Relative frequencies of the faults. FaultInjector has a method for each name.
+# Relative frequencies of the faults. FaultInjector or TargetFaultInjector has a method
+# for each name.
 FAULT_WEIGHTS: Mapping[str, float] = {
     'roll_all': 2,
     'roll_one': 3,
@@ -46,13 +47,16 @@
     'drain': 3,
     'crash_target': 1,
     'harm_target': 2,
+    'pause': 2,
+    'leave': 2,
 }
+# The last fault of a run: all processes are killed at once, and callers go on.
+FINAL_FAULT = 'kill_all'
+FINAL_RESTART_SECONDS = 1.2
 # Faults that are only injected alone: beside them, the checks for other faults would
 # need exceptions for the affected targets.
 EXCLUSIVE_FAULTS = ('fatal', 'limit')
 FATAL_SECONDS = 15.0
-LIMIT_SECONDS = 12.0
-RATE_LIMITS_PER_SECOND = (0.5, 2.4, 6.0)
 
 
 class FaultInjector:
@@ -84,10 +88,15 @@
         self._schedule_random = random.Random(f'order {seed}')
         self._random = random.Random(f'plan {seed}')
         self._tasks: set[asyncio.Task[None]] = set()
-        self._leaving_services: set[str] = set()
+        self._target_faults = TargetFaultInjector(site, journal, self._random)
         # A single kind leaves routers otherwise undisturbed, which checks with time
         # bounds need.
-        self._weights = FAULT_WEIGHTS if only is None else {only: 1}
+        self._weights = FAULT_WEIGHTS if only is None else {only: 1.0}
+        self._weights = {
+            kind: weight
+            for kind, weight in self._weights.items()
+            if kind != FINAL_FAULT
+        }
         self._mean_interval = (
             SINGLE_KIND_INTERVAL_SECONDS
             if only
@@ -98,15 +107,27 @@
         """Inject faults until a clock time, then wait until all of them have ended."""
         kinds, weights = list(self._weights), list(self._weights.values())
         await asyncio.sleep(FIRST_FAULT_DELAY_SECONDS)
-        while read_clock() < until:
+        while kinds and read_clock() < until:
             kind = self._schedule_random.choices(kinds, weights)[0]
-            self._spawn(getattr(self, f'_{kind}')())
+            self._spawn(self._inject(kind))
             await asyncio.sleep(
                 self._schedule_random.expovariate(1 / self._mean_interval)
             )
         while self._tasks:
             await asyncio.wait(self._tasks)
 
+    def _inject(self, kind: str) -> Awaitable[None]:
+        target_fault = getattr(self._target_faults, kind, None)
+        fault: Awaitable[None] = (target_fault or getattr(self, f'_{kind}'))()
+        return fault
+
+    async def kill_all(self) -> None:
+        """Kill all processes at once, and start them again together."""
+        await asyncio.gather(*(self._kill(host) for host in self._site.hosts))
+        await asyncio.sleep(FINAL_RESTART_SECONDS)
+        await asyncio.gather(*(host.launch() for host in self._site.hosts))
+        self._journal.returned_at = read_clock()
+
     def _spawn(self, fault: Awaitable[None]) -> None:
         task = asyncio.ensure_future(fault)
         self._tasks.add(task)
@@ -220,67 +241,10 @@
             faults.down = False
             faults.cut.clear()
 
-    async def _drain(self) -> None:
-        target = self._random.choice(self._site.targets)
-        if self._claim_service(target):
-            await target.drain()
-            await self._restart_target(target)
-
-    async def _crash_target(self) -> None:
-        target = self._random.choice(self._site.targets)
-        if self._claim_service(target):
-            target.end()
-            await asyncio.sleep(ENTRY_TIMEOUT_SECONDS)
-            await target.remove_entry()
-            await self._restart_target(target)
-
     async def _fatal(self) -> None:
         """Let a caller repeat a request that crashes each target that runs it."""
         await self._callers.repeat_fatal_request(FATAL_SECONDS)
 
-    async def _limit(self) -> None:
-        """Let a target advertise a rate limit for a while."""
-        target = self._random.choice(self._site.targets)
-        if target.rate_limit is not None:
-            return
-        target.rate_limit = self._random.choice(RATE_LIMITS_PER_SECOND)
-        limit = AdvertisedLimit(
-            target.entry.incarnation, target.rate_limit, read_clock()
-        )
-        self._journal.limits.append(limit)
-        await asyncio.sleep(LIMIT_SECONDS)
-        target.rate_limit = None
-        limit.ended = read_clock()
-
-    def _claim_service(self, target: Target) -> bool:
-        """Claim the removal of a target: one target of each service at a time.
-
-        Returns:
-            Whether no other target of its service is removed at the moment.
-        """
-        if target.entry.service in self._leaving_services:
-            return False
-        self._leaving_services.add(target.entry.service)
-        return True
-
-    async def _restart_target(self, target: Target) -> None:
-        await asyncio.sleep(self._draw_uniform(RESTART_DELAY_SECONDS))
-        await target.start()
-        self._leaving_services.discard(target.entry.service)
-
-    async def _harm_target(self) -> None:
-        target = self._random.choice(self._site.targets)
-        delay = self._draw_uniform((0, MAX_START_DELAY_SECONDS))
-        faults = (
-            TargetFaults(break_share=BROKEN_SHARE)
-            if delay < 1
-            else TargetFaults(delay_seconds=delay)
-        )
-        with self._journal.track_fault(Cause.target, target.name, f'{faults}'):
-            target.faults = faults
-            await asyncio.sleep(self._draw_uniform(FAULT_SECONDS))
-            target.faults = TargetFaults()
-
 
 def draw_link_fault(random_source: random.Random) -> tuple[str, float]:
     """Return a random fault of a link and its duration in seconds."""
--- a/packages/bench/src/ibisport_bench/soak/mutants.py
+++ b/packages/bench/src/ibisport_bench/soak/mutants.py
@@ -10,16 +10,18 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 
+from ibisport_fleet.budget_synchronizer import BudgetSynchronizer
 from ibisport_fleet.budgets import Budgets
 from ibisport_fleet.catalogue import Route, Workspace
+from ibisport_fleet.errors import RecordInvalid
 from ibisport_fleet.fatal_requests import FatalRequests
-from ibisport_fleet.fleet_view import CatalogueView
+from ibisport_fleet.fleet_view import CatalogueView, TargetView
 from ibisport_fleet.forwarding import RequestFailed, RequestForwarder
 from ibisport_fleet.ledger import Reservation
 from ibisport_fleet.response_writer import ResponseWriter
 from ibisport_fleet.router import Router
 from ibisport_fleet.store import Change, Item
-from ibisport_fleet.target_choice import Candidate
+from ibisport_fleet.target_choice import Candidate, TargetHealth
 from ibisport_fleet.target_limits import TargetLimits
 from ibisport_fleet.targets import TargetEntry
 from ibisport_platform.records import decode_target
@@ -156,6 +158,26 @@
     patch(TargetLimits, 'may_send', lambda limits, candidate, now: True)
 
 
+def overlook_pauses() -> None:
+    """Ignore the pauses that targets ask for."""
+    patch(TargetHealth, 'is_paused', lambda health, now: False)
+
+
+def overlook_leaving() -> None:
+    """Ignore that targets say in answers that they leave."""
+    patch(TargetView, 'record_leaving', lambda view, entry: None)
+
+
+def keep_predecessor() -> None:
+    """Open no session while the predecessor's is not settled."""
+    patch(BudgetSynchronizer, '_open_session', fail_to_open)
+
+
+async def fail_to_open(synchronizer: BudgetSynchronizer) -> None:
+    """Fail as if the predecessor could never be settled."""
+    raise RecordInvalid('the session is not settled')
+
+
 MUTANTS: Mapping[str, Mutant] = {
     'cut-at-stop': Mutant('LOST', 'roll_all', cut_at_stop),
     'repeat-all': Mutant('TWICE', 'harm_target', repeat_all),
@@ -167,6 +189,9 @@
     'go-back': Mutant('BACK', 'publish', go_back),
     'send-fatal': Mutant('FATAL', 'fatal', send_fatal),
     'overlook-limits': Mutant('LIMIT', 'limit', overlook_limits),
+    'overlook-pauses': Mutant('PAUSE', 'pause', overlook_pauses),
+    'overlook-leaving': Mutant('LEAVE', 'leave', overlook_leaving),
+    'keep-predecessor': Mutant('RECOVER', 'kill_all', keep_predecessor),
     'never-end': Mutant('ENDS', 'roll_one', never_end),
 }
 
--- a/packages/bench/src/ibisport_bench/soak/run.py
+++ b/packages/bench/src/ibisport_bench/soak/run.py
@@ -10,7 +10,7 @@
 from ibisport_bench.soak.callers import Callers
 from ibisport_bench.soak.checks import check_all
 from ibisport_bench.soak.evidence import Journal, read_clock
-from ibisport_bench.soak.fault_injection import FaultInjector
+from ibisport_bench.soak.fault_injection import FINAL_FAULT, FaultInjector
 from ibisport_bench.soak.mutants import MUTANT_MODULE
 from ibisport_bench.soak.processes import Host
 from ibisport_bench.soak.site import GRACE_SECONDS, Site
@@ -24,6 +24,8 @@
 # A process must exit within its grace period; doubled for slow machines.
 MAX_EXIT_SECONDS = GRACE_SECONDS * 2
 LAG_INTERVAL_SECONDS = 0.05
+# How long callers go on after the final fault.
+FINAL_SECONDS = 12.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,8 +108,7 @@
 
 async def run_site(site: Site, journal: Journal, options: RunOptions) -> None:
     """Start the site, inject faults, wait for the last answers and stop all hosts."""
-    await site.open()
-    await wait_until_ready(site)
+    await open_site(site)
     callers = Callers(site.routers, site.keys, journal, options.seed)
     until = read_clock() + options.seconds
     injector = FaultInjector(site, callers, journal, options.seed, options.only_fault)
@@ -115,13 +116,29 @@
         callers.send_requests(REQUESTS_PER_SECOND, until),
         injector.inject_faults(until - GRACE_SECONDS),
     )
+    if options.only_fault in {None, FINAL_FAULT}:
+        await inject_final_fault(callers, injector)
     await callers.finish()
-    await asyncio.gather(*(stop_host(host) for host in site.hosts))
+    await stop_hosts(site)
+
+
+async def inject_final_fault(callers: Callers, injector: FaultInjector) -> None:
+    """Kill all processes at once while callers go on."""
+    until = read_clock() + FINAL_SECONDS
+    await asyncio.gather(
+        callers.send_requests(REQUESTS_PER_SECOND, until), injector.kill_all()
+    )
+
+
+async def stop_hosts(site: Site) -> None:
+    """Stop all hosts at the end of a run."""
+    await asyncio.gather(*(host.stop(MAX_EXIT_SECONDS) for host in site.hosts))
 
 
-async def stop_host(host: Host) -> None:
-    """Stop a host at the end of a run."""
-    await host.stop(MAX_EXIT_SECONDS)
+async def open_site(site: Site) -> None:
+    """Start the site and wait until it accepts requests."""
+    await site.open()
+    await wait_until_ready(site)
 
 
 async def wait_until_ready(site: Site) -> None:
--- /dev/null
+++ b/packages/bench/src/ibisport_bench/soak/target_faults.py
@@ -0,0 +1,108 @@
+"""Faults of targets, and what targets report."""
+
+import asyncio
+import random
+
+from ibisport_bench.soak.evidence import AdvertisedLimit, Cause, Journal, read_clock
+from ibisport_bench.soak.site import Site
+from ibisport_bench.soak.targets import ENTRY_TIMEOUT_SECONDS, Target, TargetFaults
+
+RESTART_DELAY_SECONDS = (0.1, 1.5)
+FAULT_SECONDS = (0.3, 4.0)
+BROKEN_SHARE = 0.5
+MAX_START_DELAY_SECONDS = 1.5
+LIMIT_SECONDS = 12.0
+RATE_LIMITS_PER_SECOND = (0.5, 2.4, 6.0)
+PAUSES_SECONDS = (1.0, 3.0, 6.0)
+REJECT_SHARES = (0.5, 1.0)
+PAUSING_SECONDS = (2.0, 6.0)
+
+
+class TargetFaultInjector:
+    """Injects faults of targets; each public method is the fault of that name."""
+
+    def __init__(
+        self, site: Site, journal: Journal, random_source: random.Random
+    ) -> None:
+        self._site = site
+        self._journal = journal
+        self._random = random_source
+        self._leaving_services: set[str] = set()
+
+    async def drain(self) -> None:
+        """Let a target drain and start again."""
+        target = self._random.choice(self._site.targets)
+        if self._claim_service(target):
+            await target.drain()
+            await self._restart_target(target)
+
+    async def crash_target(self) -> None:
+        """Let a target end without notice and start again."""
+        target = self._random.choice(self._site.targets)
+        if self._claim_service(target):
+            target.end()
+            await asyncio.sleep(ENTRY_TIMEOUT_SECONDS)
+            await target.remove_entry()
+            await self._restart_target(target)
+
+    async def limit(self) -> None:
+        """Let a target advertise a rate limit for a while."""
+        target = self._random.choice(self._site.targets)
+        if target.rate_limit is not None:
+            return
+        target.rate_limit = self._random.choice(RATE_LIMITS_PER_SECOND)
+        limit = AdvertisedLimit(
+            target.entry.incarnation, target.rate_limit, read_clock()
+        )
+        self._journal.limits.append(limit)
+        await asyncio.sleep(LIMIT_SECONDS)
+        target.rate_limit = None
+        limit.ended = read_clock()
+
+    def _claim_service(self, target: Target) -> bool:
+        """Claim the removal of a target: one target of each service at a time.
+
+        Returns:
+            Whether no other target of its service is removed at the moment.
+        """
+        if target.entry.service in self._leaving_services:
+            return False
+        self._leaving_services.add(target.entry.service)
+        return True
+
+    async def _restart_target(self, target: Target) -> None:
+        await asyncio.sleep(self._random.uniform(*RESTART_DELAY_SECONDS))
+        await target.start()
+        self._leaving_services.discard(target.entry.service)
+
+    async def leave(self) -> None:
+        """Let a target say that it leaves, while its entry reads ready."""
+        target = self._random.choice(self._site.targets)
+        if self._claim_service(target):
+            await target.leave()
+            await self._restart_target(target)
+
+    async def pause(self) -> None:
+        """Let a target reject requests and ask for pauses."""
+        target = self._random.choice(self._site.targets)
+        faults = TargetFaults(
+            reject_share=self._random.choice(REJECT_SHARES),
+            pause_seconds=self._random.choice(PAUSES_SECONDS),
+        )
+        target.faults = faults
+        await asyncio.sleep(self._random.uniform(*PAUSING_SECONDS))
+        target.faults = TargetFaults()
+
+    async def harm_target(self) -> None:
+        """Let a target break off or delay answers."""
+        target = self._random.choice(self._site.targets)
+        delay = self._random.uniform(0, MAX_START_DELAY_SECONDS)
+        faults = (
+            TargetFaults(break_share=BROKEN_SHARE)
+            if delay < 1
+            else TargetFaults(delay_seconds=delay)
+        )
+        with self._journal.track_fault(Cause.target, target.name, f'{faults}'):
+            target.faults = faults
+            await asyncio.sleep(self._random.uniform(*FAULT_SECONDS))
+            target.faults = TargetFaults()
--- a/packages/bench/src/ibisport_bench/soak/targets.py
+++ b/packages/bench/src/ibisport_bench/soak/targets.py
@@ -7,9 +7,11 @@
 from urllib.parse import parse_qsl
 
 from ibisport_bench.soak.evidence import (
+    Arrival,
     Cause,
     Crash,
     Journal,
+    RequestedPause,
     Run,
     make_body,
     make_event,
@@ -31,7 +33,9 @@
     LAST_EVENT_ID,
     NOT_EXECUTED,
     REQUEST_ID,
+    RETRY_AFTER,
     SEAL,
+    SERVER_LEAVING,
     SERVER_LIMIT,
     WORKER_LOAD,
 )
@@ -63,10 +67,14 @@
     Attributes:
         break_share: Share of the answers that it breaks off.
         delay_seconds: Delay before it starts an answer.
+        reject_share: Share of the requests that it rejects.
+        pause_seconds: Pause that its rejections ask for, or None.
     """
 
     break_share: float = 0.0
     delay_seconds: float = 0.0
+    reject_share: float = 0.0
+    pause_seconds: float | None = None
 
 
 class Target:
@@ -78,6 +86,7 @@
         link: The loopback proxy in front of it.
         faults: Its current faults.
         rate_limit: Requests per second that its answers advertise, or None.
+        leaves: Whether its answers say that it leaves.
     """
 
     def __init__(
@@ -88,6 +97,7 @@
         self.link = link
         self.faults = TargetFaults()
         self.rate_limit: float | None = None
+        self.leaves = False
         self._service = service
         self._journal = journal
         self._random = random.Random(f'{entry.incarnation} {entry.started_at_ms}')
@@ -117,6 +127,14 @@
         self.end()
         await self.remove_entry()
 
+    async def leave(self) -> None:
+        """Say in answers only that it leaves, keep serving for a while, and stop."""
+        self.leaves = True
+        await asyncio.sleep(self._random.uniform(*SERVE_AFTER_DRAIN_SECONDS))
+        self.end()
+        self.leaves = False
+        await self.remove_entry()
+
     async def remove_entry(self) -> None:
         """Remove the entry from the store."""
         await self._wait_for_store()
@@ -165,13 +183,14 @@
         self, head: Head, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         request_id = head.headers.get(REQUEST_ID, b'').decode()
+        arrival = Arrival(request_id, self.entry.incarnation, read_clock())
+        self._journal.arrivals.append(arrival)
         refusal_status = self._find_refusal_status(head)
         if refusal_status:
-            answer_headers = [*self._make_headers(request_id), (NOT_EXECUTED, b'1')]
-            writer.write(
-                encode_message(f'HTTP/1.1 {refusal_status} -', answer_headers, b'')
-            )
+            writer.write(self._make_rejection(arrival, refusal_status))
             return
+        if self.leaves:
+            self._journal.leavings.append(arrival)
         run = Run(request_id, self.entry.incarnation, read_clock(), '')
         run.seal = f'{run.target}.{len(self._journal.runs)}'
         run.after = int(head.headers.get(LAST_EVENT_ID, b'0'))
@@ -187,13 +206,27 @@
         expected = head.headers.get(EXPECT_INSTANCE, b'').decode()
         if expected and expected != self.entry.incarnation:
             return 421
-        return 503 if self._in_flight >= self.entry.slots else 0
+        is_full = self._in_flight >= self.entry.slots
+        rejects = self._random.random() < self.faults.reject_share
+        return 503 if is_full or rejects else 0
+
+    def _make_rejection(self, arrival: Arrival, status: int) -> bytes:
+        """Return a rejection, which asks for a pause if that is a current fault."""
+        headers = [*self._make_headers(arrival.request_id), (NOT_EXECUTED, b'1')]
+        pause_seconds = self.faults.pause_seconds
+        if status == 503 and pause_seconds is not None:
+            headers.append((RETRY_AFTER, b'%.1f' % pause_seconds))
+            pause = RequestedPause(arrival, arrival.at + pause_seconds)
+            self._journal.pauses.append(pause)
+        return encode_message(f'HTTP/1.1 {status} -', headers, b'')
 
     def _make_headers(self, request_id: str) -> list[tuple[bytes, bytes]]:
         load = b'%d,0,%d' % (self._in_flight, self.entry.slots)
         headers = [(REQUEST_ID, request_id.encode()), (WORKER_LOAD, load)]
         if self.rate_limit is not None:
             headers.append((SERVER_LIMIT, b'%.1f' % self.rate_limit))
+        if self.leaves:
+            headers.append((SERVER_LEAVING, b'1'))
         return headers
 
     async def _run(
