Stop choosing a leaving target as soon as the head of its answer is read

A target that says in a rejection that it leaves could get further requests of a router.

Cause: the head sets a flag in the target's health, but the choice only looked at the list of targets, which is told after the whole rejection was read. A caller that disconnects, or a deadline that passes, cancels the request between the two, and the notice was lost until the next answer.

Change: the flag itself excludes the target from the candidates. The list of targets is told as before, which keeps it excluded after its entry was away.

--- a/features/leavingtargets.feature
+++ b/features/leavingtargets.feature
@@ -24,3 +24,7 @@
   Scenario: An answer of another target at the address says nothing about this one
     When a misdirected answer says that its target leaves
     Then the addressed target isn't taken for leaving
+
+  Scenario: A caller that disconnects while the answer is read doesn't hide the leaving
+    When the head of an answer says that its target leaves and its request is cancelled
+    Then the target isn't a candidate for the next request
--- a/features/steps/leavingtargets_steps.py
+++ b/features/steps/leavingtargets_steps.py
@@ -1,11 +1,15 @@
 """Steps on targets that say in their answers that they leave."""
 
 import asyncio
+import os
 
 from behave import then, when
 from running_fleet import RESTART_SECONDS, START_SECONDS, run_fleet
 
+from ibisport_fleet.event_log import EventLog
+from ibisport_fleet.fleet_view import TargetView
 from ibisport_fleet.http_messages import AnswerHead
+from ibisport_fleet.targets import TargetEntry
 from ibisport_platform.headers import PlatformDialect
 
 REQUEST_INTERVAL_SECONDS = 0.02
@@ -106,3 +110,20 @@
 def check_misdirected(context):
     assert context.addressed.leaving
     assert not context.misdirected.leaving
+
+
+@when('the head of an answer says that its target leaves and its request is cancelled')
+def cancel_after_head(context):
+    log = EventLog(os.open(os.devnull, os.O_WRONLY))
+    context.view = TargetView(lambda item: None, str, log)
+    entry = TargetEntry('i-1', 'svc', ('10.1.0.1', 80), 'd', 100, False, 0)
+    context.view.targets.put(entry)
+    context.view.find_health(entry.start_id).leaving = True
+
+
+@then("the target isn't a candidate for the next request")
+def check_candidates(context):
+    async def list_candidates():
+        return context.view.list_candidates('svc')
+
+    assert not asyncio.run(list_candidates())
--- a/packages/fleet/src/ibisport_fleet/fleet_view.py
+++ b/packages/fleet/src/ibisport_fleet/fleet_view.py
@@ -130,7 +130,7 @@
             Candidate(entry, self.find_health(entry.start_id))
             for entry in self.targets.list_serving(service)
         ]
-        return [candidate for candidate in candidates if not candidate.health.replaced]
+        return [candidate for candidate in candidates if candidate.health.is_current]
 
     def _drop_lapsed(self) -> None:
         for incarnation in self.targets.drop_lapsed(asyncio.get_running_loop().time()):
--- a/packages/fleet/src/ibisport_fleet/target_choice.py
+++ b/packages/fleet/src/ibisport_fleet/target_choice.py
@@ -172,6 +172,11 @@
             self.running > 0 and now - self.last_received_at > SILENCE_TIMEOUT_SECONDS
         )
 
+    @property
+    def is_current(self) -> bool:
+        """Whether this incarnation still has its address and isn't leaving."""
+        return not (self.replaced or self.leaving)
+
     def is_available(self, now: float) -> bool:
         """Return whether the target is neither silent, in backoff nor held back."""
         held_back = self._ramp_limit is not None and self.awaiting >= self._ramp_limit
