Count arrivals of the fleet tests in one place; one name for one bound

No behaviour changes. Three step files each counted the requests that reached a target, and four made the same bodies: both are in running_fleet now, with the same expectations. MAX_REJECTIONS named the highest level of a target's backoff here and the most rejections of a request in forwarding; the level has a name of its own. The comment on the lease of contact proofs gives its reason instead of a crash's story.

--- a/features/steps/leavingtargets_steps.py
+++ b/features/steps/leavingtargets_steps.py
@@ -4,7 +4,7 @@
 import os
 
 from behave import then, when
-from running_fleet import RESTART_SECONDS, START_SECONDS, run_fleet
+from running_fleet import RESTART_SECONDS, START_SECONDS, make_body, run_fleet
 
 from ibisport_fleet.event_log import EventLog
 from ibisport_fleet.fleet_view import TargetView
@@ -19,10 +19,6 @@
 AWAY_SECONDS = 1.0
 
 
-def _make_body(number):
-    return b'request %d' % number
-
-
 def _run(context, seconds, disturb, afterwards=AFTERWARDS_SECONDS):
     async def leave(fleet):
         await asyncio.sleep(BEFORE_SECONDS)
@@ -33,7 +29,7 @@
     async def act(fleet):
         span = BEFORE_SECONDS + seconds + afterwards
         await asyncio.gather(
-            fleet.press(REQUEST_INTERVAL_SECONDS, span, _make_body), leave(fleet)
+            fleet.press(REQUEST_INTERVAL_SECONDS, span, make_body), leave(fleet)
         )
 
     context.fleet = run_fleet(act, *context.size)
@@ -92,10 +88,9 @@
     fleet = context.fleet
     since = fleet.now - seconds
     assert since > START_SECONDS
-    late = [arrival.target for arrival in fleet.arrivals if arrival.at >= since]
-    count = late.count(fleet.targets[0].incarnation)
+    count, total = fleet.count_arrivals(fleet.targets[0], since)
     assert fleet.targets[0].incarnation.endswith('-2')
-    assert count >= len(late) / len(fleet.targets) / 2, (count, len(late))
+    assert count >= total / len(fleet.targets) / 2, (count, total)
 
 
 @when('a misdirected answer says that its target leaves')
--- a/features/steps/quickfailures_steps.py
+++ b/features/steps/quickfailures_steps.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from behave import then, when
-from running_fleet import FAILED, REJECTED, START_SECONDS, run_fleet
+from running_fleet import FAILED, REJECTED, START_SECONDS, make_body, run_fleet
 
 REQUEST_INTERVAL_SECONDS = 0.02
 BEFORE_SECONDS = 3.0
@@ -16,10 +16,6 @@
 }
 
 
-def _make_body(number):
-    return b'request %d' % number
-
-
 def _run(context, seconds, fail, recover, count=1):
     async def act_up(fleet):
         await asyncio.sleep(BEFORE_SECONDS)
@@ -34,7 +30,7 @@
             target.reports_load = True
         span = BEFORE_SECONDS + seconds + AFTERWARDS_SECONDS
         await asyncio.gather(
-            fleet.press(REQUEST_INTERVAL_SECONDS, span, _make_body), act_up(fleet)
+            fleet.press(REQUEST_INTERVAL_SECONDS, span, make_body), act_up(fleet)
         )
 
     context.fleet = run_fleet(act, *context.size)
@@ -82,21 +78,15 @@
 
 @then('it gets at most an even share of the requests meanwhile')
 def check_share(context):
-    count, total = _count_arrivals(context, context.begun_at, context.ended_at)
-    assert count <= total / len(context.fleet.targets), (count, total)
+    fleet = context.fleet
+    count, total = fleet.count_arrivals(
+        fleet.targets[0], context.begun_at, context.ended_at
+    )
+    assert count <= total / len(fleet.targets), (count, total)
 
 
 @then('{seconds:d} seconds later it gets half of an even share again')
 def check_return(context, seconds):
     fleet = context.fleet
-    count, total = _count_arrivals(context, context.ended_at + seconds, fleet.now)
+    count, total = fleet.count_arrivals(fleet.targets[0], context.ended_at + seconds)
     assert count >= total / len(fleet.targets) / 2, (count, total)
-
-
-def _count_arrivals(context, since, until):
-    """Return the requests that reached the first target, and all targets."""
-    fleet = context.fleet
-    targets = [
-        arrival.target for arrival in fleet.arrivals if since <= arrival.at < until
-    ]
-    return targets.count(fleet.targets[0].incarnation), len(targets)
--- a/features/steps/running_fleet.py
+++ b/features/steps/running_fleet.py
@@ -1,6 +1,7 @@
 """Shared fixtures: routers and crashing targets on one network in virtual time."""
 
 import asyncio
+import math
 import os
 import random
 from dataclasses import dataclass, replace
@@ -403,6 +404,13 @@
         await asyncio.sleep(START_SECONDS)
         assert all(router.ready for router in self.routers)
 
+    def count_arrivals(self, target, since, until=math.inf):
+        """Return the requests that reached a target in a span, and any target."""
+        reached = [
+            arrival.target for arrival in self.arrivals if since <= arrival.at < until
+        ]
+        return reached.count(target.incarnation), len(reached)
+
     def call(self, coroutine):
         """Start a coroutine on the callers' host."""
         return self.net.start_on(CALLER, coroutine)
@@ -441,6 +449,11 @@
         return answer
 
 
+def make_body(number):
+    """Return a body that no other request of a run has."""
+    return b'request %d' % number
+
+
 def run_fleet(act, routers=4, targets=6):
     """Start a fleet, run a coroutine on it, and return it.
 
--- a/features/steps/targetlimits_steps.py
+++ b/features/steps/targetlimits_steps.py
@@ -4,7 +4,7 @@
 from bisect import bisect_right
 
 from behave import then, when
-from running_fleet import CONVERGENCE_SECONDS, START_SECONDS, run_fleet
+from running_fleet import CONVERGENCE_SECONDS, START_SECONDS, make_body, run_fleet
 
 REQUEST_INTERVAL_SECONDS = 0.02
 LIMITED_AFTER_SECONDS = 2.0
@@ -19,10 +19,6 @@
 STATUS_OK = 200
 
 
-def _make_body(number):
-    return b'request %d' % number
-
-
 def _run(context, rate, seconds, *, count=1, rejects=False):
     async def limit(fleet):
         limited = fleet.targets[:count]
@@ -36,7 +32,7 @@
     async def act(fleet):
         span = LIMITED_AFTER_SECONDS + seconds + AFTERWARDS_SECONDS
         await asyncio.gather(
-            fleet.press(REQUEST_INTERVAL_SECONDS, span, _make_body), limit(fleet)
+            fleet.press(REQUEST_INTERVAL_SECONDS, span, make_body), limit(fleet)
         )
 
     context.rate, context.limited = rate, count
--- a/features/steps/targetpauses_steps.py
+++ b/features/steps/targetpauses_steps.py
@@ -7,7 +7,7 @@
 
 import msgspec
 from behave import then, when
-from running_fleet import START_SECONDS, run_fleet
+from running_fleet import START_SECONDS, make_body, run_fleet
 
 from ibisport_fleet.event_log import EventLog
 from ibisport_fleet.http_messages import AnswerHead
@@ -29,10 +29,6 @@
 DATE = 'Wed, 21 Oct 2026 07:28:00 GMT'
 
 
-def _make_body(number):
-    return b'request %d' % number
-
-
 def _run(context, pause, seconds, *, count=1, stride=1, restarts=False):
     async def reject(fleet):
         for target in fleet.targets:
@@ -53,7 +49,7 @@
         if restarts:
             span = PAUSED_AFTER_SECONDS + seconds + RESTART_SECONDS + AFTERWARDS_SECONDS
         await asyncio.gather(
-            fleet.press(REQUEST_INTERVAL_SECONDS, span, _make_body), reject(fleet)
+            fleet.press(REQUEST_INTERVAL_SECONDS, span, make_body), reject(fleet)
         )
 
     context.pause = pause
@@ -99,11 +95,6 @@
         assert until - since <= MAX_SENDS_IN_PAUSE, (until - since, router, rejected_at)
 
 
-def _count_arrivals(fleet, incarnation, since, until):
-    late = [arrival for arrival in fleet.arrivals if since <= arrival.at < until]
-    return sum(arrival.target == incarnation for arrival in late), len(late)
-
-
 def _find_last_end(context):
     """Return when the last pause of any router ends."""
     return max(at for at, _, _ in context.fleet.pauses) + context.pause
@@ -113,8 +104,7 @@
 def check_return(context, seconds):
     fleet = context.fleet
     since = _find_last_end(context) + seconds
-    target = fleet.targets[0].incarnation
-    count, total = _count_arrivals(fleet, target, since, fleet.now)
+    count, total = fleet.count_arrivals(fleet.targets[0], since)
     assert total
     assert count >= total / len(fleet.targets) / 2, (count, total)
 
@@ -188,10 +178,10 @@
 @then('its new incarnation gets half of an even share')
 def check_new_incarnation(context):
     fleet = context.fleet
-    target = fleet.targets[0].incarnation
+    target = fleet.targets[0]
     since = context.ended_at + RESTART_SECONDS + 2.0
-    count, total = _count_arrivals(fleet, target, since, fleet.now)
-    assert target.endswith('-2')
+    count, total = fleet.count_arrivals(target, since)
+    assert target.incarnation.endswith('-2')
     assert count >= total / len(fleet.targets) / 2, (count, total)
 
 
--- a/packages/fleet/src/ibisport_fleet/contact_proofs.py
+++ b/packages/fleet/src/ibisport_fleet/contact_proofs.py
@@ -22,8 +22,7 @@
 from ibisport_fleet.store import Item, Listing, Put, Store
 
 PROOF_PREFIX = 'ibisport/contact/'
-# After a crash of all routers the next processes run within 1.2 s plus half a second
-# of startup, and the proof was up to 0.7 s old at the crash.
+# Covers a renewal interval of 0.7 s, a restart after 1.2 s and 0.5 s of startup.
 PROOF_LEASE_SECONDS = 2.5
 # Time in which the bound grows from the contact caps to the caps. A lender's caps cover
 # the demand of 6 s, so the bound grows faster than usual demand uses it up.
--- a/packages/fleet/src/ibisport_fleet/target_choice.py
+++ b/packages/fleet/src/ibisport_fleet/target_choice.py
@@ -24,12 +24,12 @@
 # Backoff after a rejection by a full target, which frees a slot within some 100 ms.
 FULL_BACKOFF_SECONDS = 0.1
 # Backoff after a rejection by a target that has free slots or doesn't report any. It
-# grows by the factor with each further one, up to the maximum.
+# grows by the factor with each further one, until the level is at its maximum.
 REJECTION_BACKOFF_SECONDS = 0.25
 REJECTION_BACKOFF_FACTOR = 4
-MAX_REJECTIONS = 3.0
-# An accepted request makes up for this part of a rejection, so the backoff grows at a
-# target that rejects more than one request in five.
+MAX_REJECTION_LEVEL = 3.0
+# An accepted request lowers the level by this part of a rejection, so the backoff grows
+# at a target that rejects more than one request in five.
 ACCEPTED_WEIGHT = 0.25
 # After a pause, at most this many requests wait for the head of an answer; each answer
 # raises the bound, and at the maximum it is lifted.
@@ -78,7 +78,7 @@
     awaiting: int = 0
     rejected_until: float = 0.0
     leaving: bool = False
-    _rejections: float = 0.0
+    _rejection_level: float = 0.0
     _ramp_limit: int | None = None
     _sent_parts: OrderedDict[str, float] = field(default_factory=OrderedDict)
 
@@ -136,8 +136,8 @@
         """
         backoff = FULL_BACKOFF_SECONDS
         if not self._is_full:
-            self._rejections = min(MAX_REJECTIONS, self._rejections + 1)
-            growth = REJECTION_BACKOFF_FACTOR ** (self._rejections - 1)
+            self._rejection_level = min(MAX_REJECTION_LEVEL, self._rejection_level + 1)
+            growth = REJECTION_BACKOFF_FACTOR ** (self._rejection_level - 1)
             backoff = REJECTION_BACKOFF_SECONDS * growth
         self.rejected_until = max(self.rejected_until, now + backoff)
 
@@ -149,7 +149,7 @@
 
     def record_accepted(self, now: float) -> None:
         """Record the head of an answer with a result."""
-        self._rejections = max(0.0, self._rejections - ACCEPTED_WEIGHT)
+        self._rejection_level = max(0.0, self._rejection_level - ACCEPTED_WEIGHT)
         if self._ramp_limit is None or self.is_paused(now):
             return
         self._ramp_limit += 1
