--- a/packages/bench/src/ibisport_bench/soak/mutants.py
+++ b/packages/bench/src/ibisport_bench/soak/mutants.py
@@ -166,6 +166,7 @@
 def overlook_leaving() -> None:
     """Ignore that targets say in answers that they leave."""
     patch(TargetView, 'record_leaving', lambda view, entry: None)
+    patch(TargetHealth, 'is_current', property(lambda health: not health.replaced))
 
 
 def keep_predecessor() -> None:
