Limit what warming targets get, and send evacuated domains nothing

Cause: a target that has just started looks idle to all 24 routers at once. coldLeftMs was decoded and dropped, warmupS and coldPerS were not read, so it got 22 to 27 requests in its first second where 21.5 are allowed, crashed, and cut its streams, most of which can't be resumed. op/evacuate/ was read by nothing.

Change: every reason for which a target may not get a request now is a data class in target_holds.py; choice, refusal and Retry-After follow from one match. A warming target's rate is divided into whole requests a second by rendezvous hashing over the listed routers (warm_up.py), without messages; a router that isn't sure of the list yet sends it nothing. Warming targets are no preferred engines. A target is cold by its entry, when a start appears, and when the evacuation of its domain ends. Where some targets pause and others are limited, Retry-After is now the first end of all.

A target that turns cold without telling is protected only by an even load until its next heartbeat (1.2 s).

--- a/features/steps/running_fleet.py
+++ b/features/steps/running_fleet.py
@@ -65,9 +65,14 @@
 ENTRY_LAPSE_SECONDS = 3.6
 DRAIN_SECONDS = 3.0
 START_SECONDS = 12.0
+# A cold target crashes at more requests in a second than its rate times the factor,
+# plus the slack.
+COLD_OVERAGE = 1.5
+COLD_SLACK = 5
 MAX_RUN_SECONDS = 300.0
 TARGET_PREFIX = 'servers/'
 CATALOGUE_KEY = 'op/config'
+EVACUATION_PREFIX = 'op/evacuate/'
 # Without faults for this long, a router must know what the other routers know.
 CONVERGENCE_SECONDS = 3.0
 
@@ -109,6 +114,7 @@
 
     Attributes:
         host: Name of its host.
+        domain: Its failure domain.
         incarnation: Its current id.
         rate: Rate limit in its answers, in requests per second, or None.
         rejects: Whether it rejects requests.
@@ -117,10 +123,12 @@
         retry_after: Retry-After value of its rejections, or None.
         leaves: Whether all of its answers say that it leaves.
         reports_load: Whether its answers report how many requests it runs.
+        cold_until: Loop time until which it warms up, and crashes if it is overrun.
     """
 
     def __init__(self, fleet, number):
         self.host = f'target-{number}'
+        self.domain = f'd-{number % 2}'
         self.incarnation = ''
         self.rate = None
         self.rejects = False
@@ -129,6 +137,8 @@
         self.retry_after = None
         self.leaves = False
         self.reports_load = False
+        self.cold_until = 0.0
+        self._cold_arrivals = []
         self._request_count = 0
         self._running = 0
         self._fleet = fleet
@@ -147,14 +157,22 @@
             self.incarnation,
             'svc',
             (f'10.1.0.{self._number}', 8_000),
-            f'd-{self._number % 2}',
+            self.domain,
             100,
             False,
             0,
         )
         await self._listen()
+        if self._fleet.started:
+            self.become_cold()
         self._register()
 
+    def become_cold(self):
+        """Warm up again, if the catalogue says how; the entry doesn't tell yet."""
+        warm_up = self._fleet.warm_up
+        if warm_up is not None:
+            self.cold_until = self._net.time() + warm_up.seconds
+
     async def _listen(self):
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
@@ -205,6 +223,8 @@
         self._fleet.service.remove(TARGET_PREFIX + self.incarnation)
 
     def _register(self):
+        cold_seconds = max(0.0, self.cold_until - self._net.time())
+        self._entry = replace(self._entry, cold_seconds=cold_seconds)
         content = msgspec.json.encode(self._entry)
         self._fleet.service.put(TARGET_PREFIX + self.incarnation, content)
 
@@ -238,6 +258,18 @@
             request.body,
         )
         self._fleet.arrivals.append(arrival)
+        if arrival.at < self.cold_until:
+            self._record_cold_arrival(arrival.at)
+
+    def _record_cold_arrival(self, now):
+        """Crash if more requests arrive in a second than a cold target bears."""
+        recent = [at for at in self._cold_arrivals if at > now - 1.0]
+        self._cold_arrivals = [*recent, now]
+        rate = self._fleet.warm_up.rate
+        self._fleet.cold_counts.append(len(self._cold_arrivals))
+        if len(self._cold_arrivals) > COLD_OVERAGE * rate + COLD_SLACK:
+            self._fleet.overruns.append((now, self.incarnation))
+            self.crash()
 
     def _make_head(self, template, request):
         """Return a head with the request's id and the rate limit, if there is one."""
@@ -325,8 +357,9 @@
             open_store=lambda paths, log: store,
             catalogue_key=CATALOGUE_KEY,
             catalogue_prefix='op/',
+            evacuation_prefix=EVACUATION_PREFIX,
             target_prefix=TARGET_PREFIX,
-            decode_catalogue=lambda item: CATALOGUE,
+            decode_catalogue=lambda item: self._fleet.catalogue,
             decode_target=_decode_target,
             parse_incarnation=lambda key: key.removeprefix(TARGET_PREFIX),
             load_settings=self._build_settings,
@@ -373,10 +406,19 @@
         told: Loop time at which an incarnation first named a limit to a router.
         left: Loop time at which an incarnation first told a router that it leaves.
         pauses: Loop time, router and target of each rejection that asks for a pause.
+        catalogue: The catalogue of all routers.
+        started: Whether targets that start from now on are cold.
+        cold_counts: Requests within a second, at each arrival at a cold target.
+        overruns: Loop time and incarnation of each cold target that was overrun.
     """
 
-    def __init__(self, net, routers, targets):
+    def __init__(self, net, routers, targets, warm_up=None):
         self.net = net
+        service = Service('svc', 100, None, warm_up)
+        self.catalogue = replace(CATALOGUE, services={'svc': service})
+        self.started = False
+        self.cold_counts = []
+        self.overruns = []
         self.service = MemoryService()
         self.log = EventLog(os.open(os.devnull, os.O_WRONLY))
         self.arrivals = []
@@ -394,6 +436,19 @@
         """Loop time, seconds."""
         return self.net.time()
 
+    @property
+    def warm_up(self):
+        """How targets warm up, or None."""
+        return self.catalogue.services['svc'].warm_up
+
+    def evacuate(self, domain):
+        """Order that nothing more is sent to the targets of a domain."""
+        self.service.put(EVACUATION_PREFIX + domain, b'{}')
+
+    def release(self, domain):
+        """Take an evacuation back."""
+        self.service.remove(EVACUATION_PREFIX + domain)
+
     async def start(self):
         """Start all processes and wait until all routers are ready."""
         self.service.put(CATALOGUE_KEY, b'')
@@ -403,6 +458,7 @@
             router.start()
         await asyncio.sleep(START_SECONDS)
         assert all(router.ready for router in self.routers)
+        self.started = True
 
     def count_arrivals(self, target, since, until=math.inf):
         """Return the requests that reached a target in a span, and any target."""
@@ -454,18 +510,19 @@
     return b'request %d' % number
 
 
-def run_fleet(act, routers=4, targets=6):
+def run_fleet(act, routers=4, targets=6, warm_up=None):
     """Start a fleet, run a coroutine on it, and return it.
 
     Args:
         act: Coroutine function that gets the running fleet.
         routers: Number of routers.
         targets: Number of targets.
+        warm_up: How targets warm up that start while the fleet runs, or None.
     """
 
     async def play(net):
         random.seed(1)
-        fleet = Fleet(net, routers, targets)
+        fleet = Fleet(net, routers, targets, warm_up)
         clock = SimpleNamespace(
             clock_gettime=lambda clock_id: net.time(), CLOCK_BOOTTIME=0
         )
--- a/features/steps/running_router.py
+++ b/features/steps/running_router.py
@@ -306,6 +306,7 @@
             open_store=lambda paths, log: self._store,
             catalogue_key='op/config',
             catalogue_prefix='op/',
+            evacuation_prefix='op/evacuate/',
             target_prefix='servers/',
             decode_catalogue=lambda item: self._catalogue,
             decode_target=self._build_entry,
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -123,6 +123,7 @@
             open_store=lambda paths, log: service.open_store('router'),
             catalogue_key='op/config',
             catalogue_prefix='op/',
+            evacuation_prefix='op/evacuate/',
             target_prefix='servers/',
             decode_catalogue=lambda item: self.catalogue,
             decode_target=self._build_entry,
--- a/packages/bench/src/ibisport_bench/soak/checks.py
+++ b/packages/bench/src/ibisport_bench/soak/checks.py
@@ -20,7 +20,9 @@
 )
 from ibisport_bench.soak.site import GRACE_SECONDS
 from ibisport_bench.soak.target_checks import (
+    check_evacuations,
     check_leavings,
+    check_overruns,
     check_pauses,
     check_recovery,
 )
@@ -287,6 +289,8 @@
     'LIMIT': check_limits,
     'PAUSE': check_pauses,
     'LEAVE': check_leavings,
+    'COLD': check_overruns,
+    'EVAC': check_evacuations,
     'RECOVER': check_recovery,
 }
 
--- a/packages/bench/src/ibisport_bench/soak/evidence.py
+++ b/packages/bench/src/ibisport_bench/soak/evidence.py
@@ -189,6 +189,34 @@
     ended: float
 
 
+@dataclass(frozen=True, slots=True)
+class Overrun:
+    """More requests within a second than a cold target bears.
+
+    Attributes:
+        arrival: The request that was one too many.
+        count: Requests within the second before it.
+    """
+
+    arrival: Arrival
+    count: int
+
+
+@dataclass(slots=True)
+class Evacuation:
+    """A span in which the targets of a failure domain must get no requests.
+
+    Attributes:
+        targets: Names of its targets, without the numbers of their starts.
+        begun: Clock when the store had accepted the order.
+        ended: Clock at the end of the order.
+    """
+
+    targets: frozenset[str]
+    begun: float
+    ended: float = math.inf
+
+
 @dataclass(frozen=True, slots=True)
 class Crash:
     """The crash of a target that ran a fatal request.
@@ -241,6 +269,8 @@
         arrivals: Requests that reached targets, also rejected ones.
         pauses: Rejections that asked for a pause.
         leavings: Requests whose answers said that their target leaves.
+        overruns: Cold targets that got more requests than they bear.
+        evacuations: Orders to send the targets of a failure domain nothing.
         returned_at: Clock when all hosts had started again after the final fault.
         budgets: Tokens that each workspace has paid for.
         lag: Longest delay of this process's own event loop, seconds.
@@ -257,6 +287,8 @@
     arrivals: list[Arrival] = field(default_factory=list)
     pauses: list[RequestedPause] = field(default_factory=list)
     leavings: list[Arrival] = field(default_factory=list)
+    overruns: list[Overrun] = field(default_factory=list)
+    evacuations: list[Evacuation] = field(default_factory=list)
     returned_at: float = math.inf
     budgets: dict[str, int] = field(default_factory=dict)
     lag: float = 0.0
--- a/packages/bench/src/ibisport_bench/soak/fault_injection.py
+++ b/packages/bench/src/ibisport_bench/soak/fault_injection.py
@@ -49,6 +49,7 @@
     'harm_target': 2,
     'pause': 2,
     'leave': 2,
+    'evacuate': 2,
 }
 # The last fault of a run: all processes are killed at once, and callers go on.
 FINAL_FAULT = 'kill_all'
--- a/packages/bench/src/ibisport_bench/soak/mutants.py
+++ b/packages/bench/src/ibisport_bench/soak/mutants.py
@@ -14,6 +14,7 @@
 from ibisport_fleet.budgets import Budgets
 from ibisport_fleet.catalogue import Route, Workspace
 from ibisport_fleet.errors import RecordInvalid
+from ibisport_fleet.evacuations import Evacuations
 from ibisport_fleet.fatal_requests import FatalRequests
 from ibisport_fleet.fleet_view import CatalogueView, TargetView
 from ibisport_fleet.forwarding import RequestFailed, RequestForwarder
@@ -23,6 +24,7 @@
 from ibisport_fleet.store import Change, Item
 from ibisport_fleet.target_choice import Candidate, TargetHealth
 from ibisport_fleet.target_limits import TargetLimits
+from ibisport_fleet.target_warm_ups import TargetWarmUps
 from ibisport_fleet.targets import TargetEntry
 from ibisport_platform.records import decode_target
 
@@ -169,6 +171,16 @@
     patch(TargetHealth, 'is_current', property(lambda health: not health.replaced))
 
 
+def overrun_cold() -> None:
+    """Send targets that warm up as many requests as any other."""
+    patch(TargetWarmUps, '_compute_rate', lambda warm_ups, candidate, now: None)
+
+
+def overlook_evacuations() -> None:
+    """Send requests to the targets of evacuated domains."""
+    patch(Evacuations, 'covers', lambda evacuations, domain: False)
+
+
 def keep_predecessor() -> None:
     """Open no session while the predecessor's is not settled."""
     patch(BudgetSynchronizer, '_open_session', fail_to_open)
@@ -192,6 +204,8 @@
     'overlook-limits': Mutant('LIMIT', 'limit', overlook_limits),
     'overlook-pauses': Mutant('PAUSE', 'pause', overlook_pauses),
     'overlook-leaving': Mutant('LEAVE', 'leave', overlook_leaving),
+    'overrun-cold': Mutant('COLD', 'crash_target', overrun_cold),
+    'overlook-evacuations': Mutant('EVAC', 'evacuate', overlook_evacuations),
     'keep-predecessor': Mutant('RECOVER', 'kill_all', keep_predecessor),
     'never-end': Mutant('ENDS', 'roll_one', never_end),
 }
--- a/packages/bench/src/ibisport_bench/soak/site.py
+++ b/packages/bench/src/ibisport_bench/soak/site.py
@@ -20,6 +20,7 @@
     RouteKind,
     Service,
     ServiceShare,
+    WarmUp,
     Workspace,
 )
 from ibisport_fleet.event_log import EventLog
@@ -39,6 +40,10 @@
 DOMAINS = ('domain-1', 'domain-2', 'domain-3')
 ROUTE_TIME_LIMIT_SECONDS = 20.0
 MAX_TARGETS = 3
+# The rate is below an even share of the load, so a target that counts as idle is
+# overrun.
+WARM_UP = WarmUp(seconds=3.0, rate=2.0)
+STORE_POLL_SECONDS = 0.1
 # Ports of each host, in this order: callers, readiness, peers, metrics, link, target.
 PORTS_PER_HOST = 6
 FIRST_PORT_RANGE = (20_000, 30_000)
@@ -112,6 +117,11 @@
         for host in self.hosts:
             await host.launch()
 
+    async def wait_for_store(self) -> None:
+        """Wait until the store accepts writes."""
+        while self.service.faults.down:
+            await asyncio.sleep(STORE_POLL_SECONDS)
+
     def publish(self) -> int:
         """Write the next version of the catalogue, as an operator does."""
         self._version += self._random.randint(1, 3)
@@ -161,7 +171,7 @@
             draining=False,
             revision=0,
         )
-        return Target(entry, link, self.service, self._journal)
+        return Target(entry, link, self.service, self._journal, WARM_UP)
 
     def _make_catalogue(self, version: int) -> Catalogue:
         routes = [
@@ -182,8 +192,8 @@
             revision=0,
             routes=(*routes, replace(probe_route, public=True)),
             services={
-                PLAIN: Service(PLAIN, 0, None),
-                ENGINE: Service(ENGINE, 0, engine),
+                PLAIN: Service(PLAIN, 0, None, WARM_UP),
+                ENGINE: Service(ENGINE, 0, engine, WARM_UP),
             },
             workspaces={
                 name: Workspace(name, None, budget)
--- a/packages/bench/src/ibisport_bench/soak/target_checks.py
+++ b/packages/bench/src/ibisport_bench/soak/target_checks.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 
 from ibisport_bench.soak.analysis import RECOVERY_SECONDS, Evidence, Violation
-from ibisport_bench.soak.evidence import Arrival, RequestRecord
+from ibisport_bench.soak.evidence import Arrival, Evacuation, RequestRecord
 
 # Requests within this time after an answer may have been sent before it arrived.
 TOLD_GRACE_SECONDS = 0.5
@@ -13,6 +13,9 @@
 # from which it must not send to a target that leaves.
 MAX_SENDS_IN_PAUSE = 2
 MAX_LEAVE_SECONDS = 2.0
+# The time from which an evacuated domain's targets must get nothing; the platform's
+# shortest bound, doubled for slow machines.
+MAX_EVACUATION_DELAY_SECONDS = 4.0
 # After all processes were killed, requests from this long after their start must be
 # served again, at least this share. The platform allows 12 s.
 RETURN_SECONDS = 6.0
@@ -56,6 +59,46 @@
             yield Violation('LEAVE', f'{description}: {evidence.describe(request)}')
 
 
+def check_overruns(evidence: Evidence) -> Iterator[Violation]:
+    """A cold target gets no more requests in a second than it bears."""
+    for overrun in evidence.journal.overruns:
+        arrival = overrun.arrival
+        # A harmed link delivers requests of several seconds at once.
+        link = f'link of {_find_name(arrival)}'
+        since = arrival.at - RECOVERY_SECONDS
+        if not evidence.find_unplanned([link], since, arrival.at):
+            request = _find_request(evidence, arrival)
+            description = f'{overrun.count} requests in a second at {arrival.target}'
+            yield Violation('COLD', f'{description}: {evidence.describe(request)}')
+
+
+def check_evacuations(evidence: Evidence) -> Iterator[Violation]:
+    """Targets of an evacuated domain get no request once routers must know of it."""
+    for evacuation in evidence.journal.evacuations:
+        since = evacuation.begun + MAX_EVACUATION_DELAY_SECONDS
+        for arrival in evidence.journal.arrivals:
+            if (
+                since <= arrival.at <= evacuation.ended
+                and _find_name(arrival) in evacuation.targets
+                and _had_time_to_learn(evidence, evacuation, arrival)
+            ):
+                late = arrival.at - evacuation.begun
+                request = evidence.describe(_find_request(evidence, arrival))
+                description = f'{late:.3f} s after the order at {arrival.target}'
+                yield Violation('EVAC', f'{description}: {request}')
+
+
+def _had_time_to_learn(
+    evidence: Evidence, evacuation: Evacuation, arrival: Arrival
+) -> bool:
+    """Whether neither the router nor the target's link were disturbed meanwhile."""
+    link = f'link of {_find_name(arrival)}'
+    request = _find_request(evidence, arrival)
+    return not evidence.find_unplanned(
+        [link], evacuation.begun, arrival.at
+    ) and evidence.is_undisturbed(request, evacuation.begun, arrival.at)
+
+
 def check_recovery(evidence: Evidence) -> Iterator[Violation]:
     """Paid requests are served again after all processes were killed at once."""
     since = evidence.journal.returned_at + RETURN_SECONDS
@@ -86,11 +129,15 @@
     return evidence.requests[arrival.request_id]
 
 
+def _find_name(arrival: Arrival) -> str:
+    """Return the name that all incarnations of a target share."""
+    return arrival.target.rpartition('-')[0]
+
+
 def _was_disturbed(
     evidence: Evidence, request: RequestRecord, arrival: Arrival, until: float
 ) -> bool:
     """Whether a fault of the router or of the target's link excuses late requests."""
-    name = arrival.target.rpartition('-')[0]
-    subjects = [request.router, f'link of {name}']
+    subjects = [request.router, f'link of {_find_name(arrival)}']
     since = arrival.at - RECOVERY_SECONDS
     return bool(evidence.find_unplanned(subjects, since, until))
--- a/packages/bench/src/ibisport_bench/soak/target_faults.py
+++ b/packages/bench/src/ibisport_bench/soak/target_faults.py
@@ -3,9 +3,16 @@
 import asyncio
 import random
 
-from ibisport_bench.soak.evidence import AdvertisedLimit, Cause, Journal, read_clock
-from ibisport_bench.soak.site import Site
+from ibisport_bench.soak.evidence import (
+    AdvertisedLimit,
+    Cause,
+    Evacuation,
+    Journal,
+    read_clock,
+)
+from ibisport_bench.soak.site import DOMAINS, Site
 from ibisport_bench.soak.targets import ENTRY_TIMEOUT_SECONDS, Target, TargetFaults
+from ibisport_platform.records import EVACUATION_PREFIX
 
 RESTART_DELAY_SECONDS = (0.1, 1.5)
 FAULT_SECONDS = (0.3, 4.0)
@@ -16,6 +23,7 @@
 PAUSES_SECONDS = (1.0, 3.0, 6.0)
 REJECT_SHARES = (0.5, 1.0)
 PAUSING_SECONDS = (2.0, 6.0)
+EVACUATED_SECONDS = (5.0, 8.0)
 
 
 class TargetFaultInjector:
@@ -28,6 +36,7 @@
         self._journal = journal
         self._random = random_source
         self._leaving_services: set[str] = set()
+        self._is_evacuating = False
 
     async def drain(self) -> None:
         """Let a target drain and start again."""
@@ -82,6 +91,29 @@
             await target.leave()
             await self._restart_target(target)
 
+    async def evacuate(self) -> None:
+        """Evacuate a failure domain for a while; its targets are cold at the end."""
+        if self._is_evacuating:
+            return
+        self._is_evacuating = True
+        domain = self._random.choice(DOMAINS)
+        key = f'{EVACUATION_PREFIX}{domain}'
+        targets = [
+            target for target in self._site.targets if target.entry.domain == domain
+        ]
+        await self._site.wait_for_store()
+        self._site.service.put(key, b'{}')
+        names = frozenset(target.name for target in targets)
+        evacuation = Evacuation(names, read_clock())
+        self._journal.evacuations.append(evacuation)
+        await asyncio.sleep(self._random.uniform(*EVACUATED_SECONDS))
+        await self._site.wait_for_store()
+        for target in targets:
+            await target.announce_cold()
+        evacuation.ended = read_clock()
+        self._site.service.remove(key)
+        self._is_evacuating = False
+
     async def pause(self) -> None:
         """Let a target reject requests and ask for pauses."""
         target = self._random.choice(self._site.targets)
--- a/packages/bench/src/ibisport_bench/soak/targets.py
+++ b/packages/bench/src/ibisport_bench/soak/targets.py
@@ -11,6 +11,7 @@
     Cause,
     Crash,
     Journal,
+    Overrun,
     RequestedPause,
     Run,
     make_body,
@@ -27,10 +28,12 @@
 )
 from ibisport_bench.soak.links import Link
 from ibisport_bench.standins.memory_store import MemoryService
+from ibisport_fleet.catalogue import WarmUp
 from ibisport_fleet.targets import TargetEntry
 from ibisport_platform.headers import (
     EXPECT_INSTANCE,
     LAST_EVENT_ID,
+    MISDIRECTED,
     NOT_EXECUTED,
     REQUEST_ID,
     RETRY_AFTER,
@@ -50,6 +53,10 @@
 # Range of the time for which a target keeps serving after the store has accepted that
 # it drains, with some margin.
 SERVE_AFTER_DRAIN_SECONDS = (4.5, 8.0)
+# A cold target crashes at more requests in a second than its rate times the factor,
+# plus the slack, as the platform documents.
+COLD_FACTOR = 1.5
+COLD_SLACK = 5
 # uvloop raises RuntimeError on a write to a closed connection.
 CONNECTION_ERRORS = (
     ConnectionError,
@@ -90,7 +97,12 @@
     """
 
     def __init__(
-        self, entry: TargetEntry, link: Link, service: MemoryService, journal: Journal
+        self,
+        entry: TargetEntry,
+        link: Link,
+        service: MemoryService,
+        journal: Journal,
+        warm_up: WarmUp,
     ) -> None:
         self.name = entry.incarnation
         self.entry = entry
@@ -103,6 +115,9 @@
         self._random = random.Random(f'{entry.incarnation} {entry.started_at_ms}')
         self._numbers = itertools.count(1)
         self._in_flight = 0
+        self._warm_up = warm_up
+        self._cold_until = 0.0
+        self._cold_arrivals: list[float] = []
         self._seq = 0
         self._server: asyncio.Server | None = None
         self._restart_task: asyncio.Future[None] | None = None
@@ -114,10 +129,21 @@
         self.entry = replace(
             self.entry, incarnation=f'{self.name}-{number}', draining=False
         )
+        if number > 1:
+            self.become_cold()
         self._server = await asyncio.start_server(self._serve, *self.link.sink)
         await self.link.open()
         await self._announce()
 
+    def become_cold(self) -> None:
+        """Warm up from now on; the next write of the entry tells."""
+        self._cold_until = read_clock() + self._warm_up.seconds
+
+    async def announce_cold(self) -> None:
+        """Warm up from now on, and write the entry, as a heartbeat does."""
+        self.become_cold()
+        await self._announce()
+
     async def drain(self) -> None:
         """Drain, keep serving for a while, and stop; answers in progress break off."""
         self.entry = replace(self.entry, draining=True)
@@ -155,6 +181,8 @@
     async def _announce(self) -> None:
         await self._wait_for_store()
         self._seq += 1
+        cold_seconds = max(0.0, self._cold_until - read_clock())
+        self.entry = replace(self.entry, cold_seconds=cold_seconds)
         key, content = encode_target(self.entry, self._seq)
         self._service.put(key, content)
 
@@ -186,6 +214,8 @@
         arrival = Arrival(request_id, self.entry.incarnation, read_clock())
         self._journal.arrivals.append(arrival)
         refusal_status = self._find_refusal_status(head)
+        if refusal_status != MISDIRECTED and arrival.at < self._cold_until:
+            self._count_cold_arrival(arrival)
         if refusal_status:
             writer.write(self._make_rejection(arrival, refusal_status))
             return
@@ -205,7 +235,7 @@
     def _find_refusal_status(self, head: Head) -> int:
         expected = head.headers.get(EXPECT_INSTANCE, b'').decode()
         if expected and expected != self.entry.incarnation:
-            return 421
+            return MISDIRECTED
         is_full = self._in_flight >= self.entry.slots
         rejects = self._random.random() < self.faults.reject_share
         return 503 if is_full or rejects else 0
@@ -275,9 +305,22 @@
             return
         path = head.start_line.split(b' ')[1].decode()
         self._journal.crashes.append(Crash(path, read_clock()))
+        self._crash_now()
+
+    def _crash_now(self) -> None:
         self._restart_task = asyncio.ensure_future(self._restart())
         self.end()
 
+    def _count_cold_arrival(self, arrival: Arrival) -> None:
+        """Crash if more requests arrive in a second than a cold target bears."""
+        recent = [at for at in self._cold_arrivals if at > arrival.at - 1.0]
+        self._cold_arrivals = [*recent, arrival.at]
+        count = len(self._cold_arrivals)
+        if count > COLD_FACTOR * self._warm_up.rate + COLD_SLACK:
+            self._journal.overruns.append(Overrun(arrival, count))
+            if self._restart_task is None:
+                self._crash_now()
+
     async def _restart(self) -> None:
         await asyncio.sleep(ENTRY_TIMEOUT_SECONDS)
         await self.remove_entry()
--- a/packages/fleet/src/ibisport_fleet/adapters.py
+++ b/packages/fleet/src/ibisport_fleet/adapters.py
@@ -20,6 +20,7 @@
     open_store: Callable[[StorePaths, EventLog], Store]
     catalogue_key: str
     catalogue_prefix: str
+    evacuation_prefix: str
     target_prefix: str
     decode_catalogue: Callable[[Item], Catalogue]
     decode_target: Callable[[Item], TargetEntry]
--- a/packages/fleet/src/ibisport_fleet/catalogue.py
+++ b/packages/fleet/src/ibisport_fleet/catalogue.py
@@ -89,13 +89,34 @@
     tokens_per_event: int
 
 
+@dataclass(frozen=True, slots=True)
+class WarmUp:
+    """How the targets of a service warm up after a start.
+
+    Attributes:
+        seconds: Time from the start of a target until it is warm.
+        rate: Requests per second from all routers together that it bears meanwhile.
+    """
+
+    seconds: float
+    rate: float
+
+
 @dataclass(frozen=True, slots=True)
 class Service:
-    """A group of targets that serve the same requests."""
+    """A group of targets that serve the same requests.
+
+    Attributes:
+        name: Name that the operators give the service.
+        max_connections: Connections that each target accepts.
+        engine: Capacity of each target; None: the targets are no model engines.
+        warm_up: How targets warm up; None: they bear full load from the start.
+    """
 
     name: str
     max_connections: int
     engine: Engine | None
+    warm_up: WarmUp | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/fleet/src/ibisport_fleet/engine_choice.py
+++ b/packages/fleet/src/ibisport_fleet/engine_choice.py
@@ -111,11 +111,13 @@
     if not shared:
         return None
     part_id = shared[-1].part_id
-    pooled = [
-        candidate for candidate in candidates if candidate.entry.incarnation in pool
+    # A target that warms up can't serve all requests of a preferred engine either.
+    warm = [
+        candidate for candidate in candidates if candidate.health.warm_up.rate is None
     ]
+    pooled = [candidate for candidate in warm if candidate.entry.incarnation in pool]
     return max(
-        pooled or candidates,
+        pooled or warm or candidates,
         key=lambda candidate: _compute_rendezvous_score(candidate, part_id),
     )
 
--- a/packages/fleet/src/ibisport_fleet/event_log.py
+++ b/packages/fleet/src/ibisport_fleet/event_log.py
@@ -41,6 +41,7 @@
     target_ended = 2305
     target_limited = 2306
     target_paused = 2307
+    domain_evacuated = 2308
     request_refused = 2401
     request_sent = 2402
     request_served = 2403
--- a/packages/fleet/src/ibisport_fleet/fleet_view.py
+++ b/packages/fleet/src/ibisport_fleet/fleet_view.py
@@ -77,12 +77,16 @@
         # The last invalid content of each key, so that an entry that is rewritten
         # without a change is logged once.
         self._unreadable: dict[str, bytes] = {}
+        self._listed = False
 
     def apply_listing(self, listing: Listing, doubtful_until: float) -> None:
         """Apply a full listing; missing entries may have lapsed in an outage."""
         entries = [
             entry for item in listing.items if (entry := self._decode_entry(item))
         ]
+        for entry in entries:
+            self._record_entry(entry, first_listing=not self._listed)
+        self._listed = True
         self.targets.replace_all(entries, doubtful_until)
         self._log.write(
             Event.target_added, targets=len(entries), revision=listing.revision
@@ -164,6 +168,7 @@
         entry = self._decode_entry(item)
         if entry is None:
             return
+        self._record_entry(entry, first_listing=False)
         self.targets.put(entry)
         self._drop_stale_health()
         event = Event.target_draining if entry.draining else Event.target_added
@@ -175,6 +180,23 @@
             revision=entry.revision,
         )
 
+    def _record_entry(self, entry: TargetEntry, *, first_listing: bool) -> None:
+        """Record what an entry that the list doesn't have yet says of a warm-up.
+
+        A start that appears is taken for cold, whatever its entry says, unless it may
+        have begun before this process.
+        """
+        known = self.targets.find(entry.incarnation)
+        if known is not None and known.revision >= entry.revision:
+            return
+        now = asyncio.get_running_loop().time()
+        warm_up = self.find_health(entry.start_id).warm_up
+        is_new = known is None or known.start_id != entry.start_id
+        if is_new and not first_listing:
+            warm_up.appeared_at = now
+        if entry.cold_seconds:
+            warm_up.cold_until = max(warm_up.cold_until, now + entry.cold_seconds)
+
     def _apply_removal(
         self, incarnation: str, revision: int, doubtful_until: float
     ) -> None:
--- a/packages/fleet/src/ibisport_fleet/forwarding.py
+++ b/packages/fleet/src/ibisport_fleet/forwarding.py
@@ -28,8 +28,7 @@
     OutcomeUnknown,
     TargetClient,
 )
-from ibisport_fleet.target_limits import TargetLimits
-from ibisport_fleet.target_pauses import compute_return_delay
+from ibisport_fleet.target_holds import Hold, TargetHolds, describe_unavailable
 
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
@@ -38,7 +37,6 @@
 MAX_REJECTIONS = 3
 # A full service frees a slot within some 100 ms.
 FULL_RETRY_AFTER_SECONDS = 0.25
-NO_TARGET_RETRY_AFTER_SECONDS = 0.5
 
 
 class RequestFailed(Exception):
@@ -72,7 +70,7 @@
         budgets: The token budgets of workspaces.
         recorder: Logs and counts decisions.
         fatal_requests: Quarantine of requests that crash targets.
-        limits: The rate limits of targets.
+        holds: Reasons for which targets may not get requests.
     """
 
     settings: HostSettings
@@ -83,7 +81,7 @@
     budgets: Budgets
     recorder: RequestRecorder
     fatal_requests: FatalRequests
-    limits: TargetLimits
+    holds: TargetHolds
 
 
 class RequestForwarder:
@@ -187,52 +185,42 @@
         return service.engine.tokens_per_event
 
     def _choose_target(self) -> Candidate:
-        call = self._call
-        listed = self._dependencies.targets.list_candidates(call.service)
+        dependencies = self._dependencies
+        listed = dependencies.targets.list_candidates(self._call.service)
         now = _now()
-        limits = self._dependencies.limits
+        holds = [dependencies.holds.find(candidate, now) for candidate in listed]
         sendable = [
             candidate
-            for candidate in listed
-            if candidate.entry.start_id not in call.tried
-            and not candidate.health.is_paused(now)
-            and limits.may_send(candidate, now)
+            for candidate, hold in zip(listed, holds, strict=True)
+            if hold is None and candidate.entry.start_id not in self._call.tried
         ]
-        if not sendable:
-            raise self._build_unavailable(listed, now)
-        chosen = limits.find_probe_target(sendable, now) or self._choose_best(
-            sendable, now
-        )
+        probed = dependencies.holds.limits.find_probe_target(sendable, now)
+        chosen = probed or self._choose_best(sendable, now)
         if chosen is None:
-            raise self._build_unavailable(listed, now)
-        limits.record_send(chosen, now)
+            raise self._build_unavailable(listed, holds, now)
+        dependencies.holds.record_send(chosen, now)
         return chosen
 
     def _build_unavailable(
-        self, listed: Sequence[Candidate], now: float
+        self, listed: Sequence[Candidate], holds: Sequence[Hold | None], now: float
     ) -> RequestFailed:
         """Return the failure of a request that no target may get now.
 
         Args:
             listed: All targets of the service, also those that were tried.
+            holds: Why each of them may not get a request; None: it was tried.
             now: Loop time.
         """
-        awake = [
-            candidate for candidate in listed if not candidate.health.is_paused(now)
-        ]
-        if listed and not awake:
-            return self._build_failure('paused', compute_return_delay(listed, now))
         untried = [
-            candidate
-            for candidate in awake
-            if candidate.entry.start_id not in self._call.tried
+            hold
+            for candidate, hold in zip(listed, holds, strict=True)
+            if hold is not None and candidate.entry.start_id not in self._call.tried
         ]
-        if untried:
-            retry_after = self._dependencies.limits.compute_retry_after(untried, now)
-            return self._build_failure('limited', retry_after)
-        return self._build_failure(
-            'no_target', draw_jittered_delay(NO_TARGET_RETRY_AFTER_SECONDS)
+        # Where each target was tried, it may get the caller's next request.
+        unavailable = describe_unavailable(
+            untried or [hold for hold in holds if hold is not None], now
         )
+        return self._build_failure(unavailable.reason, unavailable.retry_after)
 
     def _choose_best(
         self, candidates: Sequence[Candidate], now: float
@@ -278,10 +266,12 @@
 
     def _build_full(self) -> RequestFailed:
         """Return the failure of a request that enough targets have rejected."""
-        listed = self._dependencies.targets.list_candidates(self._call.service)
+        dependencies = self._dependencies
+        listed = dependencies.targets.list_candidates(self._call.service)
         now = _now()
-        if listed and all(candidate.health.is_paused(now) for candidate in listed):
-            return self._build_failure('paused', compute_return_delay(listed, now))
+        holds = [dependencies.holds.find(candidate, now) for candidate in listed]
+        if listed and None not in holds:
+            return self._build_unavailable(listed, holds, now)
         return self._build_failure(
             'full', draw_jittered_delay(FULL_RETRY_AFTER_SECONDS)
         )
--- a/packages/fleet/src/ibisport_fleet/membership.py
+++ b/packages/fleet/src/ibisport_fleet/membership.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import uuid
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -29,6 +30,8 @@
 # An entry that expired in a store outage may belong to a live router, so its host still
 # counts for this time among the routers that share a budget of retries.
 HOST_RETENTION_SECONDS = 15.0
+# Routers that start at the same time register within about this time.
+SETTLE_SECONDS = 1.0
 # Stale listings may lack entries written within this time.
 MAX_LISTING_AGE_SECONDS = 6.0
 
@@ -85,6 +88,7 @@
         self._read_clock = read_clock
         self._lease = 0
         self._registered_at = 0.0
+        self._listed_at = math.inf
         self._last_listed_at: dict[str, float] = {}
         self._leaving = asyncio.Event()
 
@@ -93,6 +97,11 @@
         """Number of recently listed routers, including this one."""
         return len(self._list_recent_hosts())
 
+    @property
+    def settled(self) -> bool:
+        """Whether the list probably has all routers that start with this one."""
+        return self.listed and self._read_clock() - self._listed_at > SETTLE_SECONDS
+
     def list_others(self) -> list[Member]:
         """Return the other routers of the newest list."""
         return [
@@ -196,7 +205,9 @@
             self._log.write(Event.members_changed, routers=len(listed))
         self.current = listed
         self.hosts = frozenset(self._list_recent_hosts())
-        self.listed = self.listed or listed_own == self.own
+        if listed_own == self.own and not self.listed:
+            self.listed = True
+            self._listed_at = now
 
 
 def decode_member(item: Item) -> Member:
--- a/packages/fleet/src/ibisport_fleet/prefix_watch.py
+++ b/packages/fleet/src/ibisport_fleet/prefix_watch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 from ibisport_fleet.errors import (
@@ -35,6 +36,23 @@
         """Apply a change; a removed key may reappear until this time."""
 
 
+@dataclass(frozen=True, slots=True)
+class SubscriberGroup:
+    """Several subscribers of one prefix, each of which picks its own keys."""
+
+    subscribers: tuple[Subscriber, ...]
+
+    def apply_listing(self, listing: Listing, doubtful_until: float) -> None:
+        """Apply all keys of the prefix at each subscriber."""
+        for subscriber in self.subscribers:
+            subscriber.apply_listing(listing, doubtful_until)
+
+    def apply_change(self, change: Change, doubtful_until: float) -> None:
+        """Apply a change at each subscriber."""
+        for subscriber in self.subscribers:
+            subscriber.apply_change(change, doubtful_until)
+
+
 class PrefixWatch:
     """Task that lists and watches a prefix.
 
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -21,7 +21,7 @@
 from ibisport_fleet.metrics import Metrics
 from ibisport_fleet.notices import Notifier
 from ibisport_fleet.peers import PeerClient, PeerServer
-from ibisport_fleet.prefix_watch import PrefixWatch
+from ibisport_fleet.prefix_watch import PrefixWatch, Subscriber, SubscriberGroup
 from ibisport_fleet.readiness import ReadinessServer
 from ibisport_fleet.request_recorder import RequestRecorder
 from ibisport_fleet.settings import HostSettings
@@ -29,7 +29,7 @@
 from ibisport_fleet.store_contact import StoreContact
 from ibisport_fleet.store_paths import RelayEndpoint, StorePaths
 from ibisport_fleet.target_client import TargetClient
-from ibisport_fleet.target_limits import TargetLimits
+from ibisport_fleet.target_holds import build_target_holds
 from ibisport_fleet.watch_schedule import WatchSchedule, plan_router_watch
 
 # Connections that the kernel queues before it drops new ones.
@@ -86,7 +86,13 @@
         self._fatal_requests = FatalRequests(
             self._members, self._store, notifier, self._pool, self._targets, log
         )
-        limits = TargetLimits(self._members, self._targets, notifier, log)
+        self._holds = build_target_holds(
+            self._members,
+            (self._catalogue, self._targets),
+            notifier,
+            adapters.evacuation_prefix,
+            log,
+        )
         self._budgets = Budgets(
             self._members, self._store, self._catalogue, log, LoanClient(peers)
         )
@@ -94,7 +100,7 @@
         handlers = {
             **loans.handlers,
             **self._fatal_requests.handlers,
-            **limits.handlers,
+            **self._holds.limits.handlers,
         }
         self._peer_server = PeerServer(handlers, log)
         self._call_handler = CallHandler(
@@ -104,12 +110,12 @@
                 catalogue=self._catalogue,
                 targets=self._targets,
                 target_client=TargetClient(
-                    adapters.dialect, self._pool, limits, self._log
+                    adapters.dialect, self._pool, self._holds.limits, self._log
                 ),
                 budgets=self._budgets,
                 recorder=RequestRecorder(log, self._metrics),
                 fatal_requests=self._fatal_requests,
-                limits=limits,
+                holds=self._holds,
             )
         )
         self._caller_server = CallerServer(
@@ -134,7 +140,8 @@
     async def run(self) -> None:
         """Serve until ``stop`` was called and the last answer is written."""
         loop = asyncio.get_running_loop()
-        self._watch(self._adapters.catalogue_prefix, self._catalogue)
+        operators = SubscriberGroup((self._catalogue, self._holds.evacuations))
+        self._watch(self._adapters.catalogue_prefix, operators)
         self._watch(self._adapters.target_prefix, self._targets)
         background = {
             'probe': self._probe_direct_path(),
@@ -237,6 +244,7 @@
     def _dump_metrics(self) -> bytes:
         catalogue = self._catalogue.current
         self._metrics.set_state('targets', len(self._targets.targets))
+        self._metrics.set_state('evacuated', len(self._holds.evacuations))
         self._metrics.set_state('in_flight', self.in_flight)
         self._metrics.set_state('connections', len(self._caller_server.connections))
         self._metrics.set_state('routers', self._budgets.router_count)
@@ -261,7 +269,7 @@
         ]
         return relays
 
-    def _watch(self, prefix: str, subscriber: CatalogueView | TargetView) -> None:
+    def _watch(self, prefix: str, subscriber: Subscriber) -> None:
         watch = PrefixWatch(
             self._store,
             prefix,
--- a/packages/fleet/src/ibisport_fleet/target_choice.py
+++ b/packages/fleet/src/ibisport_fleet/target_choice.py
@@ -7,6 +7,7 @@
 from ibisport_fleet.metadata import PromptPart, TargetLoad
 from ibisport_fleet.rate_limit import RateLimit
 from ibisport_fleet.targets import TargetEntry
+from ibisport_fleet.warm_up import WarmUpState
 
 # A target with requests in flight that sends nothing on any connection for this long
 # counts as silent, since further requests on its open connections would hang for
@@ -62,6 +63,7 @@
         awaiting: Requests of this router that wait for the head of an answer.
         rejected_until: Loop time until which the target is avoided after a rejection.
         leaving: The target has said that it accepts no new requests.
+        warm_up: What is known about its warm-up.
     """
 
     running: int = 0
@@ -78,6 +80,7 @@
     awaiting: int = 0
     rejected_until: float = 0.0
     leaving: bool = False
+    warm_up: WarmUpState = field(default_factory=WarmUpState)
     _rejection_level: float = 0.0
     _ramp_limit: int | None = None
     _sent_parts: OrderedDict[str, float] = field(default_factory=OrderedDict)
--- a/packages/fleet/src/ibisport_fleet/target_limits.py
+++ b/packages/fleet/src/ibisport_fleet/target_limits.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
-from math import isfinite
+from math import inf, isfinite, isinf
 
 import msgspec
 
@@ -28,9 +28,6 @@
 PROBE_INTERVAL_SECONDS = 1.0
 # Other routers are notified of a rate that differs from the last one by this share.
 RATE_CHANGE_THRESHOLD = 0.2
-# Bounds of the Retry-After time when all targets are limited.
-MIN_RETRY_AFTER_SECONDS = 0.1
-MAX_RETRY_AFTER_SECONDS = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,10 +79,7 @@
         if now >= limit.expires_at:
             candidate.health.limit = None
             return True
-        return (
-            isfinite(self._compute_candidate_interval(candidate, limit))
-            and now >= limit.next_send_at
-        )
+        return now >= self.find_next_send(candidate)
 
     def find_probe_target(
         self, candidates: Sequence[Candidate], now: float
@@ -114,26 +108,15 @@
                 candidate, limit
             )
 
-    def compute_retry_after(self, candidates: Sequence[Candidate], now: float) -> float:
-        """Return the Retry-After time when all targets are limited, seconds.
+    def find_next_send(self, candidate: Candidate) -> float:
+        """Return the loop time of this router's next send; infinite: it has no share.
 
-        Where this router has no share of any limit, the time follows from the total
-        rate, since the caller may reach another router that has one.
+        The target must have a limit.
         """
-        limits = [
-            (limit, self._compute_candidate_interval(candidate, limit))
-            for candidate in candidates
-            if (limit := candidate.health.limit) is not None
-        ]
-        waits = [
-            limit.next_send_at - now for limit, interval in limits if isfinite(interval)
-        ]
-        total_rate = sum(limit.rate for limit, _ in limits)
-        fleet_wait = 1 / total_rate if total_rate else MAX_RETRY_AFTER_SECONDS
-        retry_after = min(waits, default=fleet_wait)
-        return draw_jittered_delay(
-            min(max(MIN_RETRY_AFTER_SECONDS, retry_after), MAX_RETRY_AFTER_SECONDS)
-        )
+        limit = candidate.health.limit
+        if limit is None or isinf(self._compute_candidate_interval(candidate, limit)):
+            return inf
+        return limit.next_send_at
 
     def apply_answer(
         self, call: Call, health: TargetHealth, rate: float | None
--- a/packages/fleet/src/ibisport_fleet/target_pauses.py
+++ b/packages/fleet/src/ibisport_fleet/target_pauses.py
@@ -4,19 +4,14 @@
 without the pause it looks better than any other target.
 """
 
-from collections.abc import Sequence
-
-from ibisport_fleet.calls import draw_jittered_delay
 from ibisport_fleet.event_log import Event, EventLog
 from ibisport_fleet.metadata import RequestedPause
-from ibisport_fleet.target_choice import Candidate, TargetHealth
+from ibisport_fleet.target_choice import TargetHealth
 
 # Longer pauses count as unreadable.
 MAX_PAUSE_SECONDS = 600.0
 # Applies where the value can't be meant.
 DEFAULT_PAUSE_SECONDS = 5.0
-# Spreads callers over a time after the end of a pause.
-RETURN_JITTER_SECONDS = 0.1
 
 
 def apply_pause(
@@ -48,18 +43,3 @@
             Event.target_paused, target=target, seconds=seconds, readable=readable
         )
     health.pause_until(now + seconds)
-
-
-def compute_return_delay(candidates: Sequence[Candidate], now: float) -> float:
-    """Return the seconds until the first of some paused targets is used again.
-
-    Args:
-        candidates: The targets, at least one of them paused.
-        now: Loop time.
-    """
-    first = min(
-        candidate.health.paused_until
-        for candidate in candidates
-        if candidate.health.is_paused(now)
-    )
-    return first - now + draw_jittered_delay(RETURN_JITTER_SECONDS)
--- a/packages/fleet/src/ibisport_fleet/targets.py
+++ b/packages/fleet/src/ibisport_fleet/targets.py
@@ -23,6 +23,7 @@
         draining: The target accepts no new requests.
         revision: The store's revision of the entry.
         started_at_ms: Unix time of the start in milliseconds; 0 if not given.
+        cold_seconds: Time until the target is warm, from the write of the entry on.
     """
 
     incarnation: str
@@ -33,6 +34,7 @@
     draining: bool
     revision: int
     started_at_ms: int = 0
+    cold_seconds: float = 0.0
 
     @property
     def start_id(self) -> tuple[str, int]:
