Don't take the entries of ended targets for a full service

Cause: after a power loss of all machines the list holds the entries of the targets before (until three heartbeats have passed) beside those of their successors, at the same addresses. Routers also waited a second after they were listed before they used a warming target, and all were warming.

Change: of several entries with one address only the one that appeared last is a candidate. Targets that prove to be gone (nobody listens, or another incarnation answers) no longer count as rejections, but have a bound of their own. A router takes the list of routers for settled half a second after it is in it.

--- a/features/steps/running_fleet.py
+++ b/features/steps/running_fleet.py
@@ -49,6 +49,10 @@
     b'HTTP/1.1 503 Full\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\n'
     b'Response-Seal: s\r\nContent-Length: 0\r\n\r\n'
 )
+MISDIRECTED = (
+    b'HTTP/1.1 421 Misdirected\r\nAttempt-Id: {id}\r\n'
+    b'Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+)
 FAILED = (
     b'HTTP/1.1 500 Failed\r\nAttempt-Id: {id}\r\n'
     b'Response-Seal: s\r\nContent-Length: 0\r\n\r\n'
@@ -188,14 +192,14 @@
         """Accept connections again."""
         self._net.start_on(self.host, self._listen())
 
-    def crash(self):
-        """Crash at once and restart later."""
+    def crash(self, restart_seconds=RESTART_SECONDS):
+        """Crash at once and restart later at the same address."""
         old_incarnation = self.incarnation
         self._fleet.ends.append((self._net.time(), old_incarnation))
         self._net.kill(self.host)
         key = TARGET_PREFIX + old_incarnation
         self._net.call_later(ENTRY_LAPSE_SECONDS, self._fleet.service.remove, key)
-        self._net.call_later(RESTART_SECONDS, self._restart)
+        self._net.call_later(restart_seconds, self._restart)
 
     async def leave(self):
         """Drain while serving for some seconds, stop, and restart later."""
@@ -238,6 +242,9 @@
         reader = RequestReader(channel, Limits())
         try:
             while (request := await reader.read()) is not None:
+                if self._is_misdirected(request):
+                    channel.write(self._make_head(MISDIRECTED, request))
+                    continue
                 self._record_arrival(request)
                 self._running += 1
                 try:
@@ -248,6 +255,9 @@
             # The router reset the connection, so no answer can be sent.
             return
 
+    def _is_misdirected(self, request):
+        return request.find(b'expect-instance') != self.incarnation.encode()
+
     def _record_arrival(self, request):
         find = request.find
         arrival = Arrival(
--- a/packages/fleet/src/ibisport_fleet/fleet_view.py
+++ b/packages/fleet/src/ibisport_fleet/fleet_view.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from ibisport_fleet.addresses import Address
 from ibisport_fleet.catalogue import Catalogue
 from ibisport_fleet.errors import RecordInvalid
 from ibisport_fleet.event_log import Event, EventLog
@@ -128,13 +129,25 @@
         self.targets.mark_departed(entry)
 
     def list_candidates(self, service: str) -> list[Candidate]:
-        """Return the targets of a service that accept new requests."""
+        """Return the targets of a service that accept new requests.
+
+        A process is the only one at its address, so of several entries with the same
+        address all but the one that appeared last are those of ended targets.
+        """
         self._drop_lapsed()
-        candidates = [
-            Candidate(entry, self.find_health(entry.start_id))
-            for entry in self.targets.list_serving(service)
+        holders: dict[Address, Candidate] = {}
+        for entry in self.targets.list_serving():
+            candidate = Candidate(entry, self.find_health(entry.start_id))
+            known = holders.get(entry.address)
+            if candidate.health.is_current and (
+                known is None or _appeared_later(candidate, known)
+            ):
+                holders[entry.address] = candidate
+        return [
+            candidate
+            for candidate in holders.values()
+            if candidate.entry.service == service
         ]
-        return [candidate for candidate in candidates if candidate.health.is_current]
 
     def _drop_lapsed(self) -> None:
         for incarnation in self.targets.drop_lapsed(asyncio.get_running_loop().time()):
@@ -207,3 +220,13 @@
         self.targets.remove(incarnation)
         self._drop_stale_health()
         self._log.write(Event.target_gone, target=incarnation, revision=revision)
+
+
+def _appeared_later(candidate: Candidate, other: Candidate) -> bool:
+    """Return whether a target appeared after another one.
+
+    The revision decides between entries of the first listing: a target that is gone
+    doesn't write its entry any more.
+    """
+    appearance = candidate.health.warm_up.appeared_at, candidate.entry.revision
+    return appearance > (other.health.warm_up.appeared_at, other.entry.revision)
--- a/packages/fleet/src/ibisport_fleet/forwarding.py
+++ b/packages/fleet/src/ibisport_fleet/forwarding.py
@@ -35,6 +35,9 @@
 # Targets that reject a request or are unreachable before it fails: by then the
 # service is full, and more attempts only add to its load.
 MAX_REJECTIONS = 3
+# Targets that are found to be gone before it fails. Each costs a round trip, and says
+# nothing about the load of the service.
+MAX_ABSENT_TARGETS = 8
 # A full service frees a slot within some 100 ms.
 FULL_RETRY_AFTER_SECONDS = 0.25
 
@@ -102,6 +105,7 @@
         self._prompt_mix = prompt_mix
         self._splitter = EventSplitter(call.metadata.last_event_id)
         self._rejections = 0
+        self._absent_targets = 0
         self._uncached_tokens = 0
         self._prefilling: TargetHealth | None = None
 
@@ -258,8 +262,15 @@
         call = self._call
         call.attempts -= 1
         call.may_have_run = call.attempts > 0
-        self._rejections += 1
-        if self._rejections >= MAX_REJECTIONS:
+        match outcome:
+            case NotSent(absent=True) | NotRun(misdirected=True):
+                self._absent_targets += 1
+            case _:
+                self._rejections += 1
+        if (
+            self._rejections >= MAX_REJECTIONS
+            or self._absent_targets >= MAX_ABSENT_TARGETS
+        ):
             raise self._build_full()
         if isinstance(outcome, NotRun) and not self._take_retry():
             raise self._build_full()
--- a/packages/fleet/src/ibisport_fleet/membership.py
+++ b/packages/fleet/src/ibisport_fleet/membership.py
@@ -31,7 +31,7 @@
 # counts for this time among the routers that share a budget of retries.
 HOST_RETENTION_SECONDS = 15.0
 # Routers that start at the same time register within about this time.
-SETTLE_SECONDS = 1.0
+SETTLE_SECONDS = 0.5
 # Stale listings may lack entries written within this time.
 MAX_LISTING_AGE_SECONDS = 6.0
 
--- a/packages/fleet/src/ibisport_fleet/target_client.py
+++ b/packages/fleet/src/ibisport_fleet/target_client.py
@@ -5,7 +5,7 @@
 
 from ibisport_fleet.calls import Call
 from ibisport_fleet.connection_pool import ConnectionPool
-from ibisport_fleet.errors import ConnectionBroken, ConnectionFailed
+from ibisport_fleet.errors import ConnectionBroken, ConnectionFailed, NobodyListens
 from ibisport_fleet.event_log import EventLog
 from ibisport_fleet.http_connection import HttpConnection
 from ibisport_fleet.http_messages import AnswerHead
@@ -26,9 +26,15 @@
 
 @dataclass(frozen=True, slots=True)
 class NotSent:
-    """No connection could be opened, so the target never got the request."""
+    """No connection could be opened, so the target never got the request.
+
+    Attributes:
+        reason: A description for logs.
+        absent: Whether the host answered that no process listens at the address.
+    """
 
     reason: str
+    absent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,7 +114,7 @@
             connection = await self._connect(candidate, call.deadline)
         except ConnectionFailed as error:
             health.record_failure(loop.time())
-            return NotSent(repr(error))
+            return NotSent(repr(error), isinstance(error, NobodyListens))
         try:
             self._write_request(connection, call, candidate, last_event_id)
             return await self._read_answer(connection, call, health)
--- a/packages/fleet/src/ibisport_fleet/targets.py
+++ b/packages/fleet/src/ibisport_fleet/targets.py
@@ -65,13 +65,9 @@
         """Entries of all known targets, including draining ones."""
         return tuple(self._entries.values())
 
-    def list_serving(self, service: str) -> list[TargetEntry]:
-        """Return the targets of a service that accept new requests."""
-        return [
-            entry
-            for entry in self._entries.values()
-            if entry.service == service and not entry.draining
-        ]
+    def list_serving(self) -> list[TargetEntry]:
+        """Return the targets of all services that accept new requests."""
+        return [entry for entry in self._entries.values() if not entry.draining]
 
     def find(self, incarnation: str) -> TargetEntry | None:
         """Return the entry of an incarnation, or None if it isn't known."""
