Send requests only to the regions that their route and workspace allow

The deployments so far have one region.

A request that a caller in another region sends is still read by the router there: no body goes on from router to router.

Evidence: the scenarios of regions: with the bounds only the targets of the allowed regions are reached, none where the bounds exclude each other.

--- a/features/steps/running_fleet.py
+++ b/features/steps/running_fleet.py
@@ -388,6 +388,7 @@
             readiness_address=(ip, 81),
             store_address=('10.9.0.1', 1),
             bounds=Bounds(1.0, 100.0, 10.0, GRACE_SECONDS),
+            regions={'d-0': 'r-0', 'd-1': 'r-1'},
         )
 
 
@@ -520,7 +521,7 @@
     return b'request %d' % number
 
 
-def run_fleet(act, routers=4, targets=6, warm_up=None):
+def run_fleet(act, routers=4, targets=6, warm_up=None, change_catalogue=None):
     """Start a fleet, run a coroutine on it, and return it.
 
     Args:
@@ -528,11 +529,14 @@
         routers: Number of routers.
         targets: Number of targets.
         warm_up: How targets warm up that start while the fleet runs, or None.
+        change_catalogue: Function that returns a changed catalogue, or None.
     """
 
     async def play(net):
         random.seed(1)
         fleet = Fleet(net, routers, targets, warm_up)
+        if change_catalogue is not None:
+            fleet.catalogue = change_catalogue(fleet.catalogue)
         clock = SimpleNamespace(
             clock_gettime=lambda clock_id: net.time(), CLOCK_BOOTTIME=0
         )
--- a/packages/fleet/src/ibisport_fleet/calls.py
+++ b/packages/fleet/src/ibisport_fleet/calls.py
@@ -63,6 +63,17 @@
         hasher.update(request.body)
         return hasher.hexdigest()
 
+    @property
+    def regions(self) -> frozenset[str] | None:
+        """Return the regions whose targets may serve the request; None: all."""
+        owners = (self.route, self.workspace)
+        bounds = [
+            owner.regions
+            for owner in owners
+            if owner is not None and owner.regions is not None
+        ]
+        return frozenset.intersection(*bounds) if bounds else None
+
     @property
     def urgency(self) -> int:
         """Return the priority of the request at a target; 0 is the most urgent.
--- a/packages/fleet/src/ibisport_fleet/catalogue.py
+++ b/packages/fleet/src/ibisport_fleet/catalogue.py
@@ -47,6 +47,7 @@
         resumable: A broken stream may be resumed at another target.
         max_pause_seconds: Longest acceptable pause between two events of a stream;
             0: not specified.
+        regions: Regions whose targets may serve the route; None: all.
     """
 
     name: str
@@ -61,6 +62,7 @@
     public: bool
     resumable: bool
     max_pause_seconds: float = 0.0
+    regions: frozenset[str] | None = None
 
     @property
     def repeatable(self) -> bool:
@@ -127,11 +129,13 @@
         name: Name that the operators give the workspace.
         rank: Overrides the rank of a route; None: the route's rank applies.
         budget: Total of tokens paid for; None: no limit.
+        regions: Regions whose targets may serve its requests; None: all.
     """
 
     name: str
     rank: int | None
     budget: int | None
+    regions: frozenset[str] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/fleet/src/ibisport_fleet/forwarding.py
+++ b/packages/fleet/src/ibisport_fleet/forwarding.py
@@ -195,7 +195,7 @@
 
     def _choose_target(self) -> Candidate:
         dependencies = self._dependencies
-        listed = dependencies.targets.list_candidates(self._call.service)
+        listed = self._list_targets()
         now = _now()
         holds = [dependencies.holds.find(candidate, now) for candidate in listed]
         sendable = [
@@ -210,6 +210,16 @@
         dependencies.holds.record_send(chosen, now)
         return chosen
 
+    def _list_targets(self) -> list[Candidate]:
+        """Return the targets of the service in the regions that the request allows."""
+        dependencies, allowed = self._dependencies, self._call.regions
+        regions = dependencies.settings.regions
+        return [
+            candidate
+            for candidate in dependencies.targets.list_candidates(self._call.service)
+            if allowed is None or regions.get(candidate.entry.domain) in allowed
+        ]
+
     def _build_unavailable(
         self, listed: Sequence[Candidate], holds: Sequence[Hold | None], now: float
     ) -> RequestFailed:
@@ -283,7 +293,7 @@
     def _build_full(self) -> RequestFailed:
         """Return the failure of a request that enough targets have rejected."""
         dependencies = self._dependencies
-        listed = dependencies.targets.list_candidates(self._call.service)
+        listed = self._list_targets()
         now = _now()
         holds = [dependencies.holds.find(candidate, now) for candidate in listed]
         if listed and None not in holds:
--- a/packages/fleet/src/ibisport_fleet/settings.py
+++ b/packages/fleet/src/ibisport_fleet/settings.py
@@ -1,6 +1,7 @@
 """Settings that a router or relay gets at its start."""
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 from ibisport_fleet.addresses import Address
 
@@ -40,6 +41,7 @@
             connections, or None.
         store_address: Address of the key-value service.
         bounds: Limits that the deployment sets.
+        regions: The region of each failure domain.
     """
 
     host: str
@@ -50,3 +52,4 @@
     readiness_address: Address | None
     store_address: Address
     bounds: Bounds
+    regions: Mapping[str, str] = field(default_factory=dict)
