Don't prefer the own domain among equal engines

Cause: most engines look equal to a router, so a preference among equal ones decides often, and a domain with three times the requests of another loaded its own few engines for short prompts.

Change: equal engines are told apart by rendezvous hashing alone. The serving scenarios, which need a known order of equal targets, take a router whose host ranks them in that order; they relied on the order of the list before.

--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -45,6 +45,8 @@
 END = b'0\r\n\r\n'
 # Enough for longer than the guard below: the stream doesn't end during the test.
 SLOW_PIECE_COUNT = 2_000
+# Of equal engines, a router on this host prefers i-0 to i-1, and i-1 to i-2.
+HOST = 'router-3'
 GUARD_SECONDS = 20.0
 # Pieces, 20 ms apart, that the target may write before its run is cancelled.
 MAX_PIECES = 22
@@ -154,7 +156,7 @@
 
 def _build_settings():
     return HostSettings(
-        host='router',
+        host=HOST,
         domain='d-0',
         peer_address=('127.0.0.1', 0),
         metrics_address=('127.0.0.1', 0),
--- a/packages/fleet/src/ibisport_fleet/engine_choice.py
+++ b/packages/fleet/src/ibisport_fleet/engine_choice.py
@@ -65,13 +65,12 @@
     # Routers with the same list would all choose the first of equal engines.
     spread_key = shared[-1].part_id if shared else origin.host
 
-    def compute_cost(candidate: Candidate) -> tuple[float, bool, bool, int]:
+    def compute_cost(candidate: Candidate) -> tuple[float, bool, int]:
         entry = candidate.entry
         overflow = 0 if entry.incarnation in pool else OVERFLOW_TOKENS
         return (
             _estimate_backlog(candidate, preferred, shared, now) + overflow,
             candidate is not preferred,
-            entry.domain != origin.domain,
             -compute_score(spread_key, entry.incarnation),
         )
 
