Let engines fetch cached parts of prompts from each other

It follows from the operators' record (memory of a token, bandwidth between engines) whether copies are faster than reading; fewer than 500 tokens are read. An engine that no longer keeps the parts costs nothing.

--- a/packages/bench/src/ibisport_bench/experiments/placing.py
+++ b/packages/bench/src/ibisport_bench/experiments/placing.py
@@ -66,6 +66,7 @@
         mix: The router's record of the prompts of the service.
         prompt_tokens: Tokens of the whole prompt.
         max_pause_ms: Maximum time between two events.
+        first_token_at: Time of the first token; negative before it.
     """
 
     health: TargetHealth
@@ -76,11 +77,14 @@
     mix: PromptMix
     prompt_tokens: int
     max_pause_ms: float = 0.0
+    first_token_at: float = -1.0
     _last_event_at: float = -1.0
 
     def generate_token(self, now: float, profile: EngineProfile) -> None:
         """Generate one token."""
         self.remaining_tokens -= 1
+        if self.first_token_at < 0:
+            self.first_token_at = now
         self.health.last_received_at = now / 1_000
         if self.remaining_tokens % profile.tokens_per_event:
             return
@@ -163,7 +167,7 @@
         self._profile = profile
         self._mixes = [PromptMix() for _ in range(ROUTERS)]
         self._rng = random.Random(seed)
-        self._engines = [_build_engine(number, profile) for number in range(ENGINES)]
+        self._engines = [build_engine(number, profile) for number in range(ENGINES)]
         self._views = [
             [Candidate(engine.entry, TargetHealth()) for engine in self._engines]
             for _ in range(ROUTERS)
@@ -287,7 +291,8 @@
                 )
 
 
-def _build_engine(number: int, profile: EngineProfile) -> Engine:
+def build_engine(number: int, profile: EngineProfile) -> Engine:
+    """Return an engine without work; engines are spread over four domains."""
     address = ('10.0.0.1', number)
     domain = f'd-{number % 4}'
     entry = TargetEntry(f'i-{number}', 'svc', address, domain, 64, False, 1)
--- /dev/null
+++ b/packages/fleet/src/ibisport_fleet/cache_sources.py
@@ -0,0 +1,80 @@
+"""Finds the engine from which another one should fetch the cached parts of a prompt.
+
+Copying the memory of a token between engines takes a tenth of the time of reading it.
+A prompt whose shared parts are cached at one engine can therefore be sent to another
+one that has less to do, or to one that replaces an engine that has ended.
+"""
+
+from collections.abc import Sequence
+from functools import partial
+
+from ibisport_fleet.catalogue import Engine
+from ibisport_fleet.metadata import PromptPart
+from ibisport_fleet.rendezvous import compute_score
+from ibisport_fleet.target_choice import Candidate
+
+# Fewer tokens are read in less time than the request for a copy takes.
+MIN_FETCHED_TOKENS = 500
+# Engines read a token in 15 to 25 microseconds; slower copies aren't worth it.
+MAX_COPY_SECONDS_PER_TOKEN = 5e-6
+
+
+def can_copy(engine: Engine | None) -> bool:
+    """Return whether the engines of a service copy tokens faster than they read."""
+    return engine is not None and (
+        0 < engine.copy_seconds_per_token <= MAX_COPY_SECONDS_PER_TOKEN
+    )
+
+
+def find_cache_source(
+    chosen: Candidate,
+    candidates: Sequence[Candidate],
+    parts: Sequence[PromptPart],
+    now: float,
+) -> Candidate | None:
+    """Return the engine that probably caches most of a prompt; None: nothing to gain.
+
+    An engine that doesn't keep the parts any more costs nothing: the chosen engine
+    reads what it can't fetch.
+
+    Args:
+        chosen: The engine that runs the request.
+        candidates: Engines from which it may fetch.
+        parts: The prompt in order; the last part belongs to this request alone.
+        now: Loop time.
+    """
+    shared = parts[:-1]
+    own = chosen.health.count_cached_prefix(shared, now)
+    wanted = sum(part.tokens for part in shared) - own
+    others = [
+        candidate
+        for candidate in candidates
+        if candidate is not chosen and candidate.health.is_available(now)
+    ]
+    if wanted < MIN_FETCHED_TOKENS or not others:
+        return None
+    source = max(
+        others, key=lambda other: other.health.count_cached_prefix(shared, now)
+    )
+    if source.health.count_cached_prefix(shared, now) - own >= MIN_FETCHED_TOKENS:
+        return source
+    return _guess_source(chosen, others, shared)
+
+
+def _guess_source(
+    chosen: Candidate, others: Sequence[Candidate], shared: Sequence[PromptPart]
+) -> Candidate:
+    """Return the engine to which other routers have probably sent the parts.
+
+    All routers prefer the same engine for the last part. If that one is chosen, the
+    parts before may still be cached anywhere else.
+    """
+    for part in reversed(shared):
+        home = max((chosen, *others), key=partial(_score, part))
+        if home is not chosen:
+            return home
+    return max(others, key=partial(_score, shared[0]))
+
+
+def _score(part: PromptPart, candidate: Candidate) -> int:
+    return compute_score(part.part_id, candidate.entry.incarnation)
--- a/packages/fleet/src/ibisport_fleet/calls.py
+++ b/packages/fleet/src/ibisport_fleet/calls.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ibisport_fleet.addresses import Address
 from ibisport_fleet.catalogue import Route, Workspace
 from ibisport_fleet.http_messages import Request
 from ibisport_fleet.metadata import RequestMetadata
@@ -33,6 +34,8 @@
         may_have_run: Whether a target may have executed it.
         target: Incarnation of the target of the last send, or None.
         sent_at: Loop time of the last send.
+        cache_source: Address of the engine from which the target of the last send
+            fetches cached parts, or None.
     """
 
     request: Request
@@ -47,6 +50,7 @@
     may_have_run: bool = False
     target: str | None = None
     sent_at: float = 0.0
+    cache_source: Address | None = None
 
     @cached_property
     def digest(self) -> str:
--- a/packages/fleet/src/ibisport_fleet/catalogue.py
+++ b/packages/fleet/src/ibisport_fleet/catalogue.py
@@ -84,11 +84,14 @@
         slots: Requests that one engine runs concurrently.
         cache_tokens: Size of the engine's cache in tokens.
         tokens_per_event: Maximum number of tokens in one event of a stream.
+        copy_seconds_per_token: Time to copy the memory of a token from another engine;
+            0: engines can't copy it.
     """
 
     slots: int
     cache_tokens: int
     tokens_per_event: int
+    copy_seconds_per_token: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/fleet/src/ibisport_fleet/forwarding.py
+++ b/packages/fleet/src/ibisport_fleet/forwarding.py
@@ -5,9 +5,11 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from ibisport_fleet.addresses import Address
 from ibisport_fleet.budgets import Budgets
+from ibisport_fleet.cache_sources import can_copy, find_cache_source
 from ibisport_fleet.calls import Call, draw_jittered_delay
-from ibisport_fleet.catalogue import RouteKind
+from ibisport_fleet.catalogue import Engine, RouteKind
 from ibisport_fleet.engine_choice import choose_engine
 from ibisport_fleet.errors import ConnectionBroken
 from ibisport_fleet.fatal_requests import FatalRequests
@@ -185,13 +187,15 @@
             self._prefilling = None
 
     def _tokens_per_event(self) -> int:
+        engine = self._find_engine()
+        return 1 if engine is None else engine.tokens_per_event
+
+    def _find_engine(self) -> Engine | None:
+        """Return the capacity of the service's engines; None: it has none."""
         catalogue = self._dependencies.catalogue.current
-        if catalogue is None:
-            return 1
-        service = catalogue.services.get(self._call.service)
-        if service is None or service.engine is None:
-            return 1
-        return service.engine.tokens_per_event
+        services = {} if catalogue is None else catalogue.services
+        service = services.get(self._call.service)
+        return None if service is None else service.engine
 
     def _choose_target(self) -> Candidate:
         dependencies = self._dependencies
@@ -208,6 +212,7 @@
         if chosen is None:
             raise self._build_unavailable(listed, holds, now)
         dependencies.holds.record_send(chosen, now)
+        self._call.cache_source = self._find_cache_source(chosen, sendable, now)
         return chosen
 
     def _list_targets(self) -> list[Candidate]:
@@ -251,6 +256,15 @@
         parts = self._call.metadata.parts
         return choose_engine(candidates, parts, now, self._prompt_mix.split, origin)
 
+    def _find_cache_source(
+        self, chosen: Candidate, candidates: Sequence[Candidate], now: float
+    ) -> Address | None:
+        if not can_copy(self._find_engine()):
+            return None
+        parts = self._call.metadata.parts
+        source = find_cache_source(chosen, candidates, parts, now)
+        return None if source is None else source.entry.address
+
     async def _attempt(self, candidate: Candidate) -> bool:
         call = self._call
         call.tried.add(candidate.entry.start_id)
--- a/packages/fleet/src/ibisport_fleet/metadata.py
+++ b/packages/fleet/src/ibisport_fleet/metadata.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from ibisport_fleet.addresses import Address
 from ibisport_fleet.http_messages import AnswerHead, Headers, Request
 
 
@@ -61,6 +62,7 @@
         seconds_left: How long the caller still waits.
         urgency: 0 is the most urgent, 9 the least urgent.
         last_event_id: Id of the last event that the caller has received, or None.
+        cache_source: Address of an engine from which to fetch cached parts, or None.
     """
 
     incarnation: str
@@ -68,6 +70,7 @@
     seconds_left: float
     urgency: int
     last_event_id: int | None
+    cache_source: Address | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/fleet/src/ibisport_fleet/target_choice.py
+++ b/packages/fleet/src/ibisport_fleet/target_choice.py
@@ -1,5 +1,6 @@
 """Load and health of targets, and the choice of a target for plain services."""
 
+import itertools
 from collections import OrderedDict
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -92,6 +93,16 @@
             part.tokens for part in parts if not self.has_cached(part.part_id, now)
         )
 
+    def count_cached_prefix(self, parts: Sequence[PromptPart], now: float) -> int:
+        """Return the tokens of the first parts that the target probably has cached.
+
+        A part counts only if all parts before it are cached too.
+        """
+        cached = itertools.takewhile(
+            lambda part: self.has_cached(part.part_id, now), parts
+        )
+        return sum(part.tokens for part in cached)
+
     def has_cached(self, part_id: str, now: float) -> bool:
         """Return whether this router sent a prompt part to the target recently."""
         sent_at = self._sent_parts.get(part_id)
--- a/packages/fleet/src/ibisport_fleet/target_client.py
+++ b/packages/fleet/src/ibisport_fleet/target_client.py
@@ -157,6 +157,7 @@
             seconds_left=call.remaining_seconds(now),
             urgency=call.urgency,
             last_event_id=last_event_id,
+            cache_source=call.cache_source,
         )
         request = call.request
         headers = self._dialect.encode_send(request, call.metadata, metadata)
