--- a/features/steps/warmingtargets_steps.py
+++ b/features/steps/warmingtargets_steps.py
@@ -1,6 +1,7 @@
 """Steps on targets that warm up after a start."""
 
 import asyncio
+import math
 from bisect import bisect_right
 from math import isfinite
 from types import SimpleNamespace
@@ -229,6 +230,42 @@
     assert context.divided >= 100, context.divided
 
 
+@when(
+    '{count:d} generated rates are divided while some lists lack '
+    'up to {most:d} of {routers:d} routers'
+)
+def divide_by_differing_lists(context, count, most, routers):
+    context.excesses = []
+
+    @settings(QUIET, max_examples=count)
+    @forall(
+        strategies.integers(1, 60),
+        strategies.integers(most + 1, routers),
+        strategies.integers(0, most),
+        strategies.randoms(use_true_random=False),
+    )
+    def divide_one(rate, size, lacking, rng):
+        names = [f'router-{number}' for number in range(size)]
+        whole = frozenset(names)
+        part = frozenset(names[lacking:])
+        sends = 0
+        for host in names:
+            hosts = rng.choice((whole, part)) if host in part else whole
+            interval = compute_send_interval(rate, 'i-1', host, hosts)
+            sends += round(1 / interval)
+        context.excesses.append((sends - rate, lacking * math.ceil(rate / size)))
+
+    divide_one()
+
+
+@then(
+    'in no second they send more than the rate and the shares of the routers that lack'
+)
+def check_excesses(context):
+    assert any(excess > 0 for excess, _ in context.excesses)
+    assert all(excess <= allowed for excess, allowed in context.excesses)
+
+
 def _make_entry(name, revision, cold_seconds):
     address = ('10.0.0.1', revision)
     return TargetEntry(name, 'svc', address, 'd', 9, False, revision, 0, cold_seconds)
--- a/features/warmingtargets.feature
+++ b/features/warmingtargets.feature
@@ -61,6 +61,10 @@
     When 150 generated rates of cold targets are divided among up to 200 routers
     Then the shares in any second add up to the rate at most, and to at least what is whole of it
 
+  Scenario: Routers whose lists differ exceed a rate by the shares of those that lack
+    When 150 generated rates are divided while some lists lack up to 20 of 100 routers
+    Then in no second they send more than the rate and the shares of the routers that lack
+
   Scenario: An entry written before a router started says that its target is cold
     When a router lists entries of which one is cold for 2 seconds
     Then it takes that one for cold for 2 seconds and the others for warm
