Make the soak's check of fatal requests tell its mutant again

Targets of the soak warm up now, so that routers send each that has restarted two requests a second, fatal or not.

Change: where only fatal requests are injected, targets don't warm up, and at most three fatal requests repeat at the same time.

--- a/packages/bench/src/ibisport_bench/soak/fault_injection.py
+++ b/packages/bench/src/ibisport_bench/soak/fault_injection.py
@@ -56,8 +56,13 @@
 FINAL_RESTART_SECONDS = 1.2
 # Faults that are only injected alone: beside them, the checks for other faults would
 # need exceptions for the affected targets.
-EXCLUSIVE_FAULTS = ('fatal', 'limit')
+FATAL_FAULT = 'fatal'
+EXCLUSIVE_FAULTS = (FATAL_FAULT, 'limit')
 FATAL_SECONDS = 15.0
+# All fatal requests share the targets, each of which is away for two seconds after a
+# crash. With more of them each reaches too few targets for the check to tell a router
+# that sends it on from one that doesn't.
+MAX_FATAL_REQUESTS = 3
 
 
 class FaultInjector:
@@ -89,6 +94,7 @@
         self._schedule_random = random.Random(f'order {seed}')
         self._random = random.Random(f'plan {seed}')
         self._tasks: set[asyncio.Task[None]] = set()
+        self._fatal_requests = 0
         self._target_faults = TargetFaultInjector(site, journal, self._random)
         # A single kind leaves routers otherwise undisturbed, which checks with time
         # bounds need.
@@ -244,7 +250,11 @@
 
     async def _fatal(self) -> None:
         """Let a caller repeat a request that crashes each target that runs it."""
+        if self._fatal_requests == MAX_FATAL_REQUESTS:
+            return
+        self._fatal_requests += 1
         await self._callers.repeat_fatal_request(FATAL_SECONDS)
+        self._fatal_requests -= 1
 
 
 def draw_link_fault(random_source: random.Random) -> tuple[str, float]:
--- a/packages/bench/src/ibisport_bench/soak/run.py
+++ b/packages/bench/src/ibisport_bench/soak/run.py
@@ -10,10 +10,14 @@
 from ibisport_bench.soak.callers import Callers
 from ibisport_bench.soak.checks import check_all
 from ibisport_bench.soak.evidence import Journal, read_clock
-from ibisport_bench.soak.fault_injection import FINAL_FAULT, FaultInjector
+from ibisport_bench.soak.fault_injection import (
+    FATAL_FAULT,
+    FINAL_FAULT,
+    FaultInjector,
+)
 from ibisport_bench.soak.mutants import MUTANT_MODULE
 from ibisport_bench.soak.processes import Host
-from ibisport_bench.soak.site import GRACE_SECONDS, Site
+from ibisport_bench.soak.site import GRACE_SECONDS, WARM_UP, Site
 
 READY_TIMEOUT_SECONDS = 20.0
 # Mean rate for each router.
@@ -92,7 +96,10 @@
         * source.uniform(0.5, 1.5)
     )
     journal.budgets = {'tight': tight, 'ample': AMPLE_TOKENS}
-    site = Site(options.routers, seed, folder, journal)
+    # While most targets warm up, a fatal request reaches too few of them for the check
+    # to tell a router that sends it on from one that doesn't.
+    warm_up = None if options.only_fault == FATAL_FAULT else WARM_UP
+    site = Site(options.routers, seed, folder, journal, warm_up)
     if options.mutant is not None:
         for host in site.routers:
             host.use_mutant(MUTANT_MODULE, options.mutant)
--- a/packages/bench/src/ibisport_bench/soak/site.py
+++ b/packages/bench/src/ibisport_bench/soak/site.py
@@ -73,13 +73,21 @@
         keys: Pairs of a workspace and its key.
     """
 
-    def __init__(self, routers: int, seed: int, folder: Path, journal: Journal) -> None:
+    def __init__(
+        self,
+        routers: int,
+        seed: int,
+        folder: Path,
+        journal: Journal,
+        warm_up: WarmUp | None = WARM_UP,
+    ) -> None:
         self._random = random.Random(f'site {seed}')
         self._network = f'127.{2 + os.getpid() % MAX_NETWORKS}'
         self._port = find_free_ports(self._random, f'{self._network}.1.1')
         self._folder = folder
         self._journal = journal
         self._version = 1
+        self._warm_up = warm_up
         self.service = MemoryService(seed)
         self._server = StoreServer(
             self.service.open_store('all'), EventLog(os.open(os.devnull, os.O_WRONLY))
@@ -171,7 +179,7 @@
             draining=False,
             revision=0,
         )
-        return Target(entry, link, self.service, self._journal, WARM_UP)
+        return Target(entry, link, self.service, self._journal, self._warm_up)
 
     def _make_catalogue(self, version: int) -> Catalogue:
         routes = [
@@ -192,8 +200,8 @@
             revision=0,
             routes=(*routes, replace(probe_route, public=True)),
             services={
-                PLAIN: Service(PLAIN, 0, None, WARM_UP),
-                ENGINE: Service(ENGINE, 0, engine, WARM_UP),
+                PLAIN: Service(PLAIN, 0, None, self._warm_up),
+                ENGINE: Service(ENGINE, 0, engine, self._warm_up),
             },
             workspaces={
                 name: Workspace(name, None, budget)
--- a/packages/bench/src/ibisport_bench/soak/targets.py
+++ b/packages/bench/src/ibisport_bench/soak/targets.py
@@ -102,7 +102,7 @@
         link: Link,
         service: MemoryService,
         journal: Journal,
-        warm_up: WarmUp,
+        warm_up: WarmUp | None,
     ) -> None:
         self.name = entry.incarnation
         self.entry = entry
@@ -137,7 +137,8 @@
 
     def become_cold(self) -> None:
         """Warm up from now on; the next write of the entry tells."""
-        self._cold_until = read_clock() + self._warm_up.seconds
+        if self._warm_up is not None:
+            self._cold_until = read_clock() + self._warm_up.seconds
 
     async def announce_cold(self) -> None:
         """Warm up from now on, and write the entry, as a heartbeat does."""
@@ -316,6 +317,7 @@
         recent = [at for at in self._cold_arrivals if at > arrival.at - 1.0]
         self._cold_arrivals = [*recent, arrival.at]
         count = len(self._cold_arrivals)
+        assert self._warm_up is not None
         if count > COLD_FACTOR * self._warm_up.rate + COLD_SLACK:
             self._journal.overruns.append(Overrun(arrival, count))
             if self._restart_task is None:
