Let the explaining command tell why targets were held back

Cause: requests refused because all targets were rate-limited, paused, warming up or evacuated, or because the request is quarantined, were counted as "the answer broke off or could not be used": explain.py knew none of these reasons.

Change: each has a cause of its own, by the reason in the log.

Evidence: five new rows of the explain scenarios failed before and pass now.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -18,6 +18,11 @@
       | 2404  | status=504 reason=timeout                                   | timeout        |
       | 2404  | status=503 reason=full                                      | full           |
       | 2404  | status=503 reason=no_target                                 | no_target      |
+      | 2404  | status=503 reason=limited                                   | limited        |
+      | 2404  | status=503 reason=paused                                    | paused         |
+      | 2404  | status=503 reason=warming_up                                | warming_up     |
+      | 2404  | status=503 reason=evacuated                                 | evacuated      |
+      | 2404  | status=503 reason=quarantined                               | quarantined    |
       | 2404  | status=502 reason=ConnectionBroken                          | broken         |
       | 2403  | status=500                                                  | target_failed  |
       | 2405  | events=3                                                    | caller_left    |
--- a/packages/fleet/src/ibisport_fleet/explain.py
+++ b/packages/fleet/src/ibisport_fleet/explain.py
@@ -30,6 +30,11 @@
     not_allowed = 'no such route or key'
     full = 'targets rejected it or could not be reached'
     no_target = 'no target was known'
+    limited = 'all targets reported a rate limit'
+    paused = 'all targets asked for a pause'
+    warming_up = 'all targets warmed up after a start'
+    evacuated = 'operators have evacuated the domains of all targets'
+    quarantined = 'the request had crashed targets'
     timeout = 'the time limit ran out'
     target_failed = 'the target answered with a failure'
     broken = 'the answer broke off or could not be used'
@@ -37,6 +42,19 @@
     process_ended = 'the process ended before the answer did'
 
 
+# Causes whose names are the reasons in the log.
+_REFUSALS_WITHOUT_A_SEND = {
+    cause.name: cause
+    for cause in (
+        Cause.limited,
+        Cause.paused,
+        Cause.warming_up,
+        Cause.evacuated,
+        Cause.quarantined,
+    )
+}
+
+
 class _Line(msgspec.Struct):
     """The fields of a log line that are used here; others are ignored."""
 
@@ -157,7 +175,7 @@
             return Cause.full
         case _Line(reason='no_target'):
             return Cause.no_target
-    return Cause.broken
+    return _REFUSALS_WITHOUT_A_SEND.get(line.reason, Cause.broken)
 
 
 def _get_second(row: tuple[tuple[int, Cause], int]) -> int:
