Tell a caller of evacuated targets only where all targets are evacuated

Cause: a request that had been rejected by all targets outside of an evacuated domain was refused as "evacuated", with the longer Retry-After time of an order whose end isn't known, though the targets that it had tried may have a slot again soon. The choice between tried and untried targets stood in the forwarder, beside the function that describes the refusal.

Change: describe_unavailable gets the holds of all targets and which of them were tried, and sets evacuated ones aside first.

Evidence: three new cases of the pure function (an evacuated target beside one that was tried, free or paused; a tried pause beside an untried limit). The former forwarder passed only the evacuated hold on in the first two, and the example "evacuated, evacuated" shows what that gave.

--- a/features/holds.feature
+++ b/features/holds.feature
@@ -9,6 +9,9 @@
       | holds                            | reason     | from | to   |
       |                                  | no_target  | 0.5  | 1.0  |
       | evacuated, evacuated             | evacuated  | 1.0  | 2.0  |
+      | evacuated, tried free            | no_target  | 0.5  | 1.0  |
+      | evacuated, tried paused 2        | paused     | 2.1  | 2.2  |
+      | tried paused 1, limited 3 2.4    | limited    | 3.0  | 6.0  |
       | paused 3, paused 2               | paused     | 2.1  | 2.2  |
       | paused 3, limited 1 2.4          | limited    | 1.0  | 2.0  |
       | paused 1, limited 4 2.4          | paused     | 1.1  | 1.2  |
--- a/features/steps/holds_steps.py
+++ b/features/steps/holds_steps.py
@@ -12,10 +12,13 @@
 
 NOW = 100.0
 DRAWS = 50
+TRIED = 'tried '
 
 
 def _parse_hold(text):
     match text.split():
+        case ['free']:
+            return None
         case ['evacuated']:
             return Evacuated()
         case ['paused', seconds]:
@@ -32,8 +35,10 @@
 
 @when('the targets of a service are held as "(?P<holds>.*)"')
 def hold_targets(context, holds):
-    parsed = [_parse_hold(text) for text in holds.split(', ') if text]
-    context.described = [describe_unavailable(parsed, NOW) for _ in range(DRAWS)]
+    texts = [text for text in holds.split(', ') if text]
+    parsed = [_parse_hold(text.removeprefix(TRIED)) for text in texts]
+    tried = [text.startswith(TRIED) for text in texts]
+    context.described = [describe_unavailable(parsed, tried, NOW) for _ in range(DRAWS)]
 
 
 use_step_matcher('parse')
--- a/packages/fleet/src/ibisport_fleet/forwarding.py
+++ b/packages/fleet/src/ibisport_fleet/forwarding.py
@@ -232,18 +232,11 @@
 
         Args:
             listed: All targets of the service, also those that were tried.
-            holds: Why each of them may not get a request; None: it was tried.
+            holds: Why each of them may not get a request; None: it may.
             now: Loop time.
         """
-        untried = [
-            hold
-            for candidate, hold in zip(listed, holds, strict=True)
-            if hold is not None and candidate.entry.start_id not in self._call.tried
-        ]
-        # Where each target was tried, it may get the caller's next request.
-        unavailable = describe_unavailable(
-            untried or [hold for hold in holds if hold is not None], now
-        )
+        tried = [candidate.entry.start_id in self._call.tried for candidate in listed]
+        unavailable = describe_unavailable(holds, tried, now)
         return self._build_failure(unavailable.reason, unavailable.retry_after)
 
     def _choose_best(
--- a/packages/fleet/src/ibisport_fleet/target_holds.py
+++ b/packages/fleet/src/ibisport_fleet/target_holds.py
@@ -139,7 +139,9 @@
     )
 
 
-def describe_unavailable(holds: Sequence[Hold], now: float) -> UnavailableService:
+def describe_unavailable(
+    holds: Sequence[Hold | None], tried: Sequence[bool], now: float
+) -> UnavailableService:
     """Return what to tell a caller whose request no target may get now.
 
     The first target that may be used again decides. Where this router has no share of
@@ -147,12 +149,20 @@
     router that has one.
 
     Args:
-        holds: Why each target may not get it; empty: no target is left.
+        holds: Why each target of the service may not get a request; None: it may.
+        tried: Whether each of them has got this request.
         now: Loop time.
     """
-    timed = [hold for hold in holds if not isinstance(hold, Evacuated)]
+    reachable = [
+        (hold, was_tried)
+        for hold, was_tried in zip(holds, tried, strict=True)
+        if not isinstance(hold, Evacuated)
+    ]
+    untried = [hold for hold, was_tried in reachable if hold and not was_tried]
+    # Where each target was tried, it may get the caller's next request.
+    timed = untried or [hold for hold, _ in reachable if hold]
     if not timed:
-        return _describe_no_target(evacuated=bool(holds))
+        return _describe_no_target(evacuated=bool(holds) and not reachable)
     first = min(timed, key=lambda hold: hold.until)
     match first:
         case Paused(until=until):
