Keep the hash that all routers share in one place

Change: hash_text and compute_score of rendezvous.py serve all. The bytes that are hashed are the same, so routers of both builds rank alike.

--- a/packages/fleet/src/ibisport_fleet/engine_choice.py
+++ b/packages/fleet/src/ibisport_fleet/engine_choice.py
@@ -7,11 +7,9 @@
 
 from collections.abc import Sequence
 
-import xxhash
-
 from ibisport_fleet.metadata import PromptPart
 from ibisport_fleet.prompt_mix import EngineSplit
-from ibisport_fleet.rendezvous import compute_score
+from ibisport_fleet.rendezvous import compute_score, hash_text
 from ibisport_fleet.target_choice import (
     Candidate,
     Origin,
@@ -91,9 +89,9 @@
         members = by_domain.setdefault(candidate.entry.domain, [])
         members.append(candidate.entry.incarnation)
     ranked = [
-        (rank, _hash_text(incarnation), incarnation)
+        (rank, hash_text(incarnation), incarnation)
         for members in by_domain.values()
-        for rank, incarnation in enumerate(sorted(members, key=_hash_text))
+        for rank, incarnation in enumerate(sorted(members, key=hash_text))
     ]
     wanted = round(len(ranked) * share)
     size = max(1, min(wanted, len(ranked) - 1))
@@ -156,8 +154,3 @@
     if candidate is preferred:
         return backlog
     return backlog + health.count_uncached_tokens(shared, now)
-
-
-def _hash_text(text: str) -> int:
-    """Return a hash of a text; it is the same in all router processes."""
-    return xxhash.xxh3_64_intdigest(text.encode())
--- a/packages/fleet/src/ibisport_fleet/lenders.py
+++ b/packages/fleet/src/ibisport_fleet/lenders.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 from math import ceil
 
-import xxhash
+from ibisport_fleet.rendezvous import compute_score, hash_text
 
 # Bounds the loan requests that each lender receives.
 ROUTERS_PER_LENDER = 12
@@ -26,13 +26,8 @@
         hosts: Names of the routers' hosts.
         workspace: Name of the workspace that owns the budget.
     """
-    hashed = sorted(hosts, key=_hash_text)
+    hashed = sorted(hosts, key=hash_text)
     lender_count = max(MIN_LENDERS, ceil(len(hashed) / ROUTERS_PER_LENDER))
     return sorted(
-        hashed[:lender_count], key=lambda host: _hash_text(f'{workspace}|{host}')
+        hashed[:lender_count], key=lambda host: compute_score(workspace, host)
     )
-
-
-def _hash_text(text: str) -> int:
-    """Return a hash of a text; it is the same in all router processes."""
-    return xxhash.xxh3_64_intdigest(text.encode())
--- a/packages/fleet/src/ibisport_fleet/rate_limit.py
+++ b/packages/fleet/src/ibisport_fleet/rate_limit.py
@@ -9,7 +9,7 @@
 from functools import lru_cache
 from math import inf
 
-import xxhash
+from ibisport_fleet.rendezvous import compute_score
 
 # Senders beyond one for each request per second. More senders would exceed the limit
 # further: within a window each can send one request more than its share.
@@ -45,13 +45,8 @@
         host: The router's host.
         hosts: Hosts of all routers.
     """
-    ranked = sorted(hosts, key=lambda name: _hash_text(f'{target}|{name}'))
+    ranked = sorted(hosts, key=lambda name: compute_score(target, name))
     senders = ranked[: int(rate) + EXTRA_SENDERS]
     if host not in senders or not rate:
         return inf
     return len(senders) / rate
-
-
-def _hash_text(text: str) -> int:
-    """Return a hash of a text; it is the same in all router processes."""
-    return xxhash.xxh3_64_intdigest(text.encode())
--- a/packages/fleet/src/ibisport_fleet/store_paths.py
+++ b/packages/fleet/src/ibisport_fleet/store_paths.py
@@ -6,9 +6,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-import xxhash
-
 from ibisport_fleet.addresses import Address
+from ibisport_fleet.rendezvous import compute_score
 
 # A path that failed is ranked last for this time.
 FAILED_PATH_BACKOFF_SECONDS = 2.0
@@ -93,7 +92,7 @@
         paths = self.list_paths(now)
         if not usable:
             return paths
-        first = min(usable, key=lambda relay: _hash_text(f'{prefix}|{relay}'))
+        first = min(usable, key=lambda relay: compute_score(prefix, str(relay)))
         return [first, *(path for path in paths if path != first)][:MAX_PATHS]
 
     def list_paths(self, now: float) -> list[Address]:
@@ -154,8 +153,3 @@
     ) -> tuple[bool, ...]:
         backing_off = self._backoff_until.get(address, 0) > now
         return (backing_off, address != self._working_relay, domain != self._domain)
-
-
-def _hash_text(text: str) -> int:
-    """Return a hash of a text; it is the same in all router processes."""
-    return xxhash.xxh3_64_intdigest(text.encode())
