Select targets in a module of its own; name the optional parts in the settings

Cause: forwarding.py chose targets, explained refusals and passed answers on, so new decisions about targets, waiting and continuing would all have changed it. Nothing in the settings could switch a part on for one deployment only. Change: TargetSelector and the shared components have modules of their own; state that is kept for each service is one object. No decision changes.

--- a/features/records.feature
+++ b/features/records.feature
@@ -36,6 +36,20 @@
     When loans of out-of-range numbers of tokens are requested
     Then nothing was lent and the borrower got no answer
 
+  Scenario Outline: Only the optional parts that are named are in use
+    When the list of optional parts is "<text>"
+    Then the parts <parts> are in use
+
+    Examples:
+      | text              | parts              |
+      |                   | none               |
+      | standby           | standby            |
+      | pace , standby,   | pace and standby   |
+
+  Scenario: An unknown optional part stops the start
+    When the list of optional parts is "standby,stand_by"
+    Then the list is refused, and the reason names the part
+
   Scenario Outline: An invalid settings file is rejected as a whole
     Given a settings file with <error>
     When it is read
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 
 from ibisport_fleet.errors import RecordInvalid
-from ibisport_platform.settings import load_settings
+from ibisport_platform.settings import load_settings, parse_features
 
 SETTINGS = """
 node = "edge-1"
@@ -51,3 +51,29 @@
 @then('it is refused, and the reason is told')
 def check_settings_rejected(context):
     assert context.refusal is not None and 'settings' in str(context.refusal)
+
+
+@when('the list of optional parts is "{text}"')
+def parse_part_names(context, text):
+    context.parts, context.refusal = None, None
+    try:
+        context.parts = parse_features(text)
+    except RecordInvalid as error:
+        context.refusal = error
+
+
+@when('the list of optional parts is ""')
+def parse_no_part_names(context):
+    parse_part_names(context, '')
+
+
+@then('the parts {names} are in use')
+def check_parts(context, names):
+    expected = set() if names == 'none' else set(names.split(' and '))
+    assert {part.value for part in context.parts} == expected, context.parts
+
+
+@then('the list is refused, and the reason names the part')
+def check_part_refused(context):
+    assert context.parts is None
+    assert 'stand_by' in str(context.refusal), context.refusal
--- a/packages/fleet/src/ibisport_fleet/call_handler.py
+++ b/packages/fleet/src/ibisport_fleet/call_handler.py
@@ -7,14 +7,16 @@
 from ibisport_fleet.admission import STOPPING_RETRY_AFTER_SECONDS, Refused, admit
 from ibisport_fleet.budgets import TokensUnavailable
 from ibisport_fleet.calls import Call, draw_jittered_delay
+from ibisport_fleet.dependencies import Dependencies, ServiceState
 from ibisport_fleet.errors import RequestInvalid
-from ibisport_fleet.forwarding import Dependencies, RequestFailed, RequestForwarder
+from ibisport_fleet.forwarding import RequestForwarder
 from ibisport_fleet.http_messages import Request
 from ibisport_fleet.prompt_mix import PromptMix
 from ibisport_fleet.response_writer import ResponseWriter
 from ibisport_fleet.retry_budget import RetryBudget
 from ibisport_fleet.settings import Bounds
 from ibisport_fleet.shutdown import Shutdown
+from ibisport_fleet.target_selection import RequestFailed
 
 STATUS_PAYMENT_REQUIRED = 402
 STATUS_UNAVAILABLE = 503
@@ -72,11 +74,11 @@
     async def _serve_before_deadline(
         self, call: Call, response: ResponseWriter
     ) -> None:
-        retry_budget = self.find_retry_budget(call.service)
-        prompt_mix = self._prompt_mixes.setdefault(call.service, PromptMix())
-        forwarder = RequestForwarder(
-            self._dependencies, retry_budget, prompt_mix, call, response
+        service_state = ServiceState(
+            retry_budget=self.find_retry_budget(call.service),
+            prompt_mix=self._prompt_mixes.setdefault(call.service, PromptMix()),
         )
+        forwarder = RequestForwarder(self._dependencies, service_state, call, response)
         try:
             async with self._limit_time(call):
                 await self._reserve_and_forward(call, forwarder)
--- /dev/null
+++ b/packages/fleet/src/ibisport_fleet/dependencies.py
@@ -0,0 +1,62 @@
+"""Components that the handling of all requests shares."""
+
+from dataclasses import dataclass
+
+from ibisport_fleet.budgets import Budgets
+from ibisport_fleet.catalogue import Engine
+from ibisport_fleet.fatal_requests import FatalRequests
+from ibisport_fleet.fleet_view import CatalogueView, TargetView
+from ibisport_fleet.metadata import Dialect
+from ibisport_fleet.prompt_mix import PromptMix
+from ibisport_fleet.request_recorder import RequestRecorder
+from ibisport_fleet.retry_budget import RetryBudget
+from ibisport_fleet.settings import HostSettings
+from ibisport_fleet.target_client import TargetClient
+from ibisport_fleet.target_holds import TargetHolds
+
+
+@dataclass(frozen=True, slots=True)
+class Dependencies:
+    """Components that are shared by the handling of all requests.
+
+    Attributes:
+        settings: The settings of this router.
+        dialect: Converts between headers and metadata.
+        catalogue: The current catalogue.
+        targets: The known targets.
+        target_client: Sends requests to targets.
+        budgets: The token budgets of workspaces.
+        recorder: Logs and counts decisions.
+        fatal_requests: Quarantine of requests that crash targets.
+        holds: Reasons for which targets may not get requests.
+    """
+
+    settings: HostSettings
+    dialect: Dialect
+    catalogue: CatalogueView
+    targets: TargetView
+    target_client: TargetClient
+    budgets: Budgets
+    recorder: RequestRecorder
+    fatal_requests: FatalRequests
+    holds: TargetHolds
+
+    def find_engine(self, service_name: str) -> Engine | None:
+        """Return the capacity of a service's engines; None: it has none."""
+        catalogue = self.catalogue.current
+        services = {} if catalogue is None else catalogue.services
+        service = services.get(service_name)
+        return None if service is None else service.engine
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceState:
+    """What this router observes and limits for each service.
+
+    Attributes:
+        retry_budget: Limits retries to the service.
+        prompt_mix: Statistics of its prompts and answers.
+    """
+
+    retry_budget: RetryBudget
+    prompt_mix: PromptMix
--- a/packages/fleet/src/ibisport_fleet/forwarding.py
+++ b/packages/fleet/src/ibisport_fleet/forwarding.py
@@ -2,96 +2,34 @@
 
 import asyncio
 import math
-from collections.abc import Sequence
 from dataclasses import dataclass
 
-from ibisport_fleet.addresses import Address
-from ibisport_fleet.budgets import Budgets
-from ibisport_fleet.cache_sources import can_copy, find_cache_source
-from ibisport_fleet.calls import Call, draw_jittered_delay
-from ibisport_fleet.catalogue import Engine, RouteKind
-from ibisport_fleet.engine_choice import choose_engine
+from ibisport_fleet.calls import Call
+from ibisport_fleet.catalogue import RouteKind
+from ibisport_fleet.dependencies import Dependencies, ServiceState
 from ibisport_fleet.errors import ConnectionBroken
-from ibisport_fleet.fatal_requests import FatalRequests
-from ibisport_fleet.fleet_view import CatalogueView, TargetView
-from ibisport_fleet.metadata import Dialect
-from ibisport_fleet.prompt_mix import PromptMix
-from ibisport_fleet.request_recorder import RequestRecorder
 from ibisport_fleet.response_writer import ResponseWriter
-from ibisport_fleet.retry_budget import RetryBudget
-from ibisport_fleet.settings import HostSettings
 from ibisport_fleet.sse import EventSplitter
-from ibisport_fleet.target_choice import (
-    Candidate,
-    Origin,
-    TargetHealth,
-    choose_plain_target,
-)
+from ibisport_fleet.target_choice import Candidate, TargetHealth
 from ibisport_fleet.target_client import (
     FIRST_FAILURE_STATUS,
     Answered,
     NotRun,
     NotSent,
     OutcomeUnknown,
-    TargetClient,
 )
-from ibisport_fleet.target_holds import Hold, TargetHolds, describe_unavailable
+from ibisport_fleet.target_selection import (
+    STATUS_BAD_GATEWAY,
+    RequestFailed,
+    TargetSelector,
+)
 
-STATUS_BAD_GATEWAY = 502
-STATUS_UNAVAILABLE = 503
 # Targets that reject a request or are unreachable before it fails: by then the
 # service is full, and more attempts only add to its load.
 MAX_REJECTIONS = 3
 # Targets that are found to be gone before it fails. Each costs a round trip, and says
 # nothing about the load of the service.
 MAX_ABSENT_TARGETS = 8
-# A full service frees a slot within some 100 ms.
-FULL_RETRY_AFTER_SECONDS = 0.25
-
-
-class RequestFailed(Exception):
-    """A request fails, and this router writes its final answer.
-
-    Attributes:
-        status: The HTTP status; 503 only if the request was not executed.
-        reason: A short description for logs and callers.
-        retry_after: Seconds after which the caller may retry, or None to suggest none.
-    """
-
-    def __init__(
-        self, status: int, reason: str, retry_after: float | None = None
-    ) -> None:
-        super().__init__(reason)
-        self.status = status
-        self.reason = reason
-        self.retry_after = retry_after
-
-
-@dataclass(frozen=True, slots=True)
-class Dependencies:
-    """Components that are shared by the handling of all requests.
-
-    Attributes:
-        settings: The settings of this router.
-        dialect: Converts between headers and metadata.
-        catalogue: The current catalogue.
-        targets: The known targets.
-        target_client: Sends requests to targets.
-        budgets: The token budgets of workspaces.
-        recorder: Logs and counts decisions.
-        fatal_requests: Quarantine of requests that crash targets.
-        holds: Reasons for which targets may not get requests.
-    """
-
-    settings: HostSettings
-    dialect: Dialect
-    catalogue: CatalogueView
-    targets: TargetView
-    target_client: TargetClient
-    budgets: Budgets
-    recorder: RequestRecorder
-    fatal_requests: FatalRequests
-    holds: TargetHolds
 
 
 class RequestForwarder:
@@ -100,16 +38,16 @@
     def __init__(
         self,
         dependencies: Dependencies,
-        retry_budget: RetryBudget,
-        prompt_mix: PromptMix,
+        service_state: ServiceState,
         call: Call,
         response: ResponseWriter,
     ) -> None:
         self._dependencies = dependencies
         self._call = call
         self._response = response
-        self._retry_budget = retry_budget
-        self._prompt_mix = prompt_mix
+        self._retry_budget = service_state.retry_budget
+        self._prompt_mix = service_state.prompt_mix
+        self._selector = TargetSelector(dependencies, service_state, call)
         self._splitter = EventSplitter(call.metadata.last_event_id)
         self._rejections = 0
         self._absent_targets = 0
@@ -130,7 +68,7 @@
         self._retry_budget.record_request(_now())
         while True:
             self.check_quarantine()
-            candidate = self._choose_target()
+            candidate = self._selector.select()
             candidate.health.begin_request(_now())
             self._begin_prefill(candidate.health)
             try:
@@ -150,7 +88,7 @@
             self._call.digest
         )
         if retry_after is not None:
-            raise self._build_failure('quarantined', retry_after)
+            raise self._selector.build_failure('quarantined', retry_after)
 
     def count_tokens(self) -> int:
         """Return the tokens to charge for the request.
@@ -187,77 +125,9 @@
             self._prefilling = None
 
     def _tokens_per_event(self) -> int:
-        engine = self._find_engine()
+        engine = self._dependencies.find_engine(self._call.service)
         return 1 if engine is None else engine.tokens_per_event
 
-    def _find_engine(self) -> Engine | None:
-        """Return the capacity of the service's engines; None: it has none."""
-        catalogue = self._dependencies.catalogue.current
-        services = {} if catalogue is None else catalogue.services
-        service = services.get(self._call.service)
-        return None if service is None else service.engine
-
-    def _choose_target(self) -> Candidate:
-        dependencies = self._dependencies
-        listed = self._list_targets()
-        now = _now()
-        holds = [dependencies.holds.find(candidate, now) for candidate in listed]
-        sendable = [
-            candidate
-            for candidate, hold in zip(listed, holds, strict=True)
-            if hold is None and candidate.entry.start_id not in self._call.tried
-        ]
-        probed = dependencies.holds.limits.find_probe_target(sendable, now)
-        chosen = probed or self._choose_best(sendable, now)
-        if chosen is None:
-            raise self._build_unavailable(listed, holds, now)
-        dependencies.holds.record_send(chosen, now)
-        self._call.cache_source = self._find_cache_source(chosen, sendable, now)
-        return chosen
-
-    def _list_targets(self) -> list[Candidate]:
-        """Return the targets of the service in the regions that the request allows."""
-        dependencies, allowed = self._dependencies, self._call.regions
-        regions = dependencies.settings.regions
-        return [
-            candidate
-            for candidate in dependencies.targets.list_candidates(self._call.service)
-            if allowed is None or regions.get(candidate.entry.domain) in allowed
-        ]
-
-    def _build_unavailable(
-        self, listed: Sequence[Candidate], holds: Sequence[Hold | None], now: float
-    ) -> RequestFailed:
-        """Return the failure of a request that no target may get now.
-
-        Args:
-            listed: All targets of the service, also those that were tried.
-            holds: Why each of them may not get a request; None: it may.
-            now: Loop time.
-        """
-        tried = [candidate.entry.start_id in self._call.tried for candidate in listed]
-        unavailable = describe_unavailable(holds, tried, now)
-        return self._build_failure(unavailable.reason, unavailable.retry_after)
-
-    def _choose_best(
-        self, candidates: Sequence[Candidate], now: float
-    ) -> Candidate | None:
-        settings = self._dependencies.settings
-        origin = Origin(settings.host, settings.domain)
-        if self._call.route.kind is not RouteKind.stream:
-            return choose_plain_target(candidates, origin, now)
-        parts = self._call.metadata.parts
-        return choose_engine(candidates, parts, now, self._prompt_mix.split, origin)
-
-    def _find_cache_source(
-        self, chosen: Candidate, candidates: Sequence[Candidate], now: float
-    ) -> Address | None:
-        if not can_copy(self._find_engine()):
-            return None
-        parts = self._call.metadata.parts
-        source = find_cache_source(chosen, candidates, parts, now)
-        return None if source is None else source.entry.address
-
     async def _attempt(self, candidate: Candidate) -> bool:
         call = self._call
         call.tried.add(candidate.entry.start_id)
@@ -293,21 +163,9 @@
             self._rejections >= MAX_REJECTIONS
             or self._absent_targets >= MAX_ABSENT_TARGETS
         ):
-            raise self._build_full()
+            raise self._selector.build_full()
         if isinstance(outcome, NotRun) and not self._take_retry():
-            raise self._build_full()
-
-    def _build_full(self) -> RequestFailed:
-        """Return the failure of a request that enough targets have rejected."""
-        dependencies = self._dependencies
-        listed = self._list_targets()
-        now = _now()
-        holds = [dependencies.holds.find(candidate, now) for candidate in listed]
-        if listed and None not in holds:
-            return self._build_unavailable(listed, holds, now)
-        return self._build_failure(
-            'full', draw_jittered_delay(FULL_RETRY_AFTER_SECONDS)
-        )
+            raise self._selector.build_full()
 
     def _handle_unknown_outcome(self, candidate: Candidate, reason: str) -> None:
         call = self._call
@@ -323,11 +181,6 @@
             _now(), self._dependencies.budgets.router_count
         )
 
-    def _build_failure(self, reason: str, retry_after: float) -> RequestFailed:
-        if self._call.may_have_run:
-            return RequestFailed(STATUS_BAD_GATEWAY, reason)
-        return RequestFailed(STATUS_UNAVAILABLE, reason, retry_after)
-
     async def _forward_answer(self, answered: Answered, candidate: Candidate) -> bool:
         try:
             if answered.succeeded and self._call.route.kind is RouteKind.stream:
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -11,11 +11,11 @@
 from ibisport_fleet.channel import Channel
 from ibisport_fleet.clocks import read_boot_clock
 from ibisport_fleet.connection_pool import ConnectionPool
+from ibisport_fleet.dependencies import Dependencies
 from ibisport_fleet.errors import RecordInvalid
 from ibisport_fleet.event_log import Event, EventLog
 from ibisport_fleet.fatal_requests import FatalRequests
 from ibisport_fleet.fleet_view import CatalogueView, TargetView
-from ibisport_fleet.forwarding import Dependencies
 from ibisport_fleet.loans import LoanClient, LoanServer
 from ibisport_fleet.membership import Membership
 from ibisport_fleet.metrics import Metrics
--- a/packages/fleet/src/ibisport_fleet/settings.py
+++ b/packages/fleet/src/ibisport_fleet/settings.py
@@ -2,10 +2,31 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from enum import Enum
 
 from ibisport_fleet.addresses import Address
 
 
+class Feature(Enum):
+    """A part that takes effect only where the settings name it.
+
+    Attributes:
+        load_feed: Relays send routers the load of the engine on their host.
+        pace: Engines are chosen by their observed pace and the demand for prompts.
+        queueing: Less urgent requests wait while targets are crowded.
+        standby: A router that can't serve leaves the balancer's rotation.
+        copies: Streams continue at an engine that holds a copy of their memory.
+        hedging: A late request that may run twice is sent to a second target.
+    """
+
+    load_feed = 'load_feed'
+    pace = 'pace'
+    queueing = 'queueing'
+    standby = 'standby'
+    copies = 'copies'
+    hedging = 'hedging'
+
+
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """Limits that the deployment sets.
@@ -42,6 +63,7 @@
         store_address: Address of the key-value service.
         bounds: Limits that the deployment sets.
         regions: The region of each failure domain.
+        features: The optional parts that are in use.
     """
 
     host: str
@@ -53,3 +75,4 @@
     store_address: Address
     bounds: Bounds
     regions: Mapping[str, str] = field(default_factory=dict)
+    features: frozenset[Feature] = frozenset()
