Read load reports that have a fourth figure

Cause: engines whose hosts vary in speed add how long work takes there now, in hundredths. A report with four figures was dropped as unreadable, so no router knew the load of such a target. Change: the report has three or four figures. The slowdown counts only for 0.15 s, since it changes many times a second; nothing uses it yet.

--- a/packages/fleet/src/ibisport_fleet/metadata.py
+++ b/packages/fleet/src/ibisport_fleet/metadata.py
@@ -75,11 +75,19 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetLoad:
-    """Load that a target reports."""
+    """Load that a target reports.
+
+    Attributes:
+        running: Requests that it runs.
+        waiting: Requests that wait there.
+        slots: Requests that it runs concurrently.
+        slowdown: How long work takes on its host now, relative to the usual time.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/fleet/src/ibisport_fleet/target_choice.py
+++ b/packages/fleet/src/ibisport_fleet/target_choice.py
@@ -21,6 +21,8 @@
 MAX_CACHED_PARTS = 64
 # Requests last 0.1 to 2 s, so an older report doesn't describe the current load.
 MAX_REPORT_AGE_SECONDS = 2.0
+# A host's slowdown changes many times a second.
+MAX_SLOWDOWN_AGE_SECONDS = 0.15
 # Backoff after a failure; it doubles with each consecutive failure.
 MIN_BACKOFF_SECONDS = 0.5
 MAX_BACKOFF_SECONDS = 4.0
@@ -122,6 +124,16 @@
         self.reported_at = now
         self.running_at_report = self.running
 
+    def find_slowdown(self, now: float) -> float:
+        """Return how long work takes on the target's host, relative to usual.
+
+        Without a fresh report it is 1.
+        """
+        load = self.reported_load
+        if load is None or now - self.reported_at > MAX_SLOWDOWN_AGE_SECONDS:
+            return 1.0
+        return load.slowdown
+
     def record_success(self) -> None:
         """Reset the failure count and the backoff."""
         self.failures = 0
