Learn the pace of engines and the parts of the time to the first event

Cause: engines of one service differ in pace by a factor of up to 2.4, and nothing told a router which ones are slow, how long one takes to start, or how fast it reads. Change: ServicePace keeps, for each start, the recent gaps between events and compares their lower quartile with the median of the service. The fastest prompts of few and of many tokens give the start cost and the reading rate. Paces are observed but not used yet; the constants of a backlog have a module of their own. With 48 gaps and their lower fifth, a slow engine wasn't noticed within two streams.

--- a/packages/fleet/src/ibisport_fleet/call_handler.py
+++ b/packages/fleet/src/ibisport_fleet/call_handler.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections import defaultdict
 from collections.abc import AsyncIterator
 
 from ibisport_fleet.admission import STOPPING_RETRY_AFTER_SECONDS, Refused, admit
@@ -11,6 +12,7 @@
 from ibisport_fleet.errors import RequestInvalid
 from ibisport_fleet.forwarding import RequestForwarder
 from ibisport_fleet.http_messages import Request
+from ibisport_fleet.placing.pace import ServicePace
 from ibisport_fleet.prompt_mix import PromptMix
 from ibisport_fleet.response_writer import ResponseWriter
 from ibisport_fleet.retry_budget import RetryBudget
@@ -36,6 +38,7 @@
         self._bounds = dependencies.settings.bounds
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._prompt_mixes: dict[str, PromptMix] = {}
+        self._paces: defaultdict[str, ServicePace] = defaultdict(ServicePace)
         self._started_at = asyncio.get_running_loop().time()
         self.in_flight = 0
         self.process_ended = False
@@ -77,6 +80,7 @@
         service_state = ServiceState(
             retry_budget=self.find_retry_budget(call.service),
             prompt_mix=self._prompt_mixes.setdefault(call.service, PromptMix()),
+            pace=self._paces[call.service],
         )
         forwarder = RequestForwarder(self._dependencies, service_state, call, response)
         try:
@@ -204,6 +208,11 @@
             self._started_at = asyncio.get_running_loop().time()
             self._retry_budgets.clear()
 
+    @property
+    def paced_engines(self) -> int:
+        """Number of engines whose pace is known."""
+        return sum(pace.known_engines for pace in self._paces.values())
+
     def find_retry_budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
         found = self._retry_budgets.get(service)
--- a/packages/fleet/src/ibisport_fleet/dependencies.py
+++ b/packages/fleet/src/ibisport_fleet/dependencies.py
@@ -7,6 +7,7 @@
 from ibisport_fleet.fatal_requests import FatalRequests
 from ibisport_fleet.fleet_view import CatalogueView, TargetView
 from ibisport_fleet.metadata import Dialect
+from ibisport_fleet.placing.pace import ServicePace
 from ibisport_fleet.prompt_mix import PromptMix
 from ibisport_fleet.request_recorder import RequestRecorder
 from ibisport_fleet.retry_budget import RetryBudget
@@ -56,7 +57,9 @@
     Attributes:
         retry_budget: Limits retries to the service.
         prompt_mix: Statistics of its prompts and answers.
+        pace: How slow its engines are.
     """
 
     retry_budget: RetryBudget
     prompt_mix: PromptMix
+    pace: ServicePace
--- a/packages/fleet/src/ibisport_fleet/engine_choice.py
+++ b/packages/fleet/src/ibisport_fleet/engine_choice.py
@@ -8,6 +8,7 @@
 from collections.abc import Sequence
 
 from ibisport_fleet.metadata import PromptPart
+from ibisport_fleet.placing.backlog import estimate_backlog
 from ibisport_fleet.prompt_mix import EngineSplit
 from ibisport_fleet.rendezvous import compute_score, hash_text
 from ibisport_fleet.target_choice import (
@@ -20,14 +21,6 @@
 # A prompt overflows to an engine outside its pool once the backlog of the pool is
 # larger by this much, which is 0.3 s of reading.
 OVERFLOW_TOKENS = 12_000
-# Cost of a running request to the next one: it slows each step by a thousandth, and
-# also stands for prompts that other routers have sent.
-TOKENS_PER_RUNNING_REQUEST = 60
-# Above this utilization an engine may soon run out of slots, so each further request
-# costs as much as a prompt of 30 ms.
-CROWDED_UTILIZATION = 0.5
-TOKENS_PER_CROWDED_REQUEST = 1_200
-
 NO_ORIGIN = Origin('', '')
 
 
@@ -67,7 +60,7 @@
         entry = candidate.entry
         overflow = 0 if entry.incarnation in pool else OVERFLOW_TOKENS
         return (
-            _estimate_backlog(candidate, preferred, shared, now) + overflow,
+            _estimate_tokens(candidate, preferred, shared, now) + overflow,
             candidate is not preferred,
             -compute_score(spread_key, entry.incarnation),
         )
@@ -136,21 +129,14 @@
     )
 
 
-def _estimate_backlog(
+def _estimate_tokens(
     candidate: Candidate,
     preferred: Candidate | None,
     shared: Sequence[PromptPart],
     now: float,
 ) -> float:
     """Return how many tokens an engine reads before this request's own part."""
-    health = candidate.health
-    load = health.estimate_load(now)
-    excess = max(0.0, load - CROWDED_UTILIZATION * candidate.entry.slots)
-    backlog = (
-        health.pending_prompt_tokens
-        + TOKENS_PER_RUNNING_REQUEST * load
-        + TOKENS_PER_CROWDED_REQUEST * excess
-    )
+    backlog = estimate_backlog(candidate, now)
     if candidate is preferred:
         return backlog
-    return backlog + health.count_uncached_tokens(shared, now)
+    return backlog + candidate.health.count_uncached_tokens(shared, now)
--- a/packages/fleet/src/ibisport_fleet/forwarding.py
+++ b/packages/fleet/src/ibisport_fleet/forwarding.py
@@ -8,6 +8,8 @@
 from ibisport_fleet.catalogue import RouteKind
 from ibisport_fleet.dependencies import Dependencies, ServiceState
 from ibisport_fleet.errors import ConnectionBroken
+from ibisport_fleet.placing.backlog import is_crowded
+from ibisport_fleet.placing.pace import GapRecorder
 from ibisport_fleet.response_writer import ResponseWriter
 from ibisport_fleet.sse import EventSplitter
 from ibisport_fleet.target_choice import Candidate, TargetHealth
@@ -47,12 +49,14 @@
         self._response = response
         self._retry_budget = service_state.retry_budget
         self._prompt_mix = service_state.prompt_mix
+        self._pace = service_state.pace
         self._selector = TargetSelector(dependencies, service_state, call)
         self._splitter = EventSplitter(call.metadata.last_event_id)
         self._rejections = 0
         self._absent_targets = 0
         self._uncached_tokens = 0
         self._prefilling: TargetHealth | None = None
+        self._shows_start_time = False
 
     @property
     def forwarded_events(self) -> int:
@@ -70,7 +74,7 @@
             self.check_quarantine()
             candidate = self._selector.select()
             candidate.health.begin_request(_now())
-            self._begin_prefill(candidate.health)
+            self._begin_prefill(candidate)
             try:
                 if await self._attempt(candidate):
                     return
@@ -108,9 +112,16 @@
         resumed = metadata.last_event_id is not None and self._call.route.resumable
         return generated if resumed else metadata.prompt_tokens + generated
 
-    def _begin_prefill(self, health: TargetHealth) -> None:
+    def _begin_prefill(self, candidate: Candidate) -> None:
         """Count the prompt's uncached tokens as pending at its target."""
         parts = self._call.metadata.parts
+        health = candidate.health
+        # Copies and waiting behind other work hide how long the prompt itself takes.
+        self._shows_start_time = bool(parts) and not (
+            health.pending_prompt_tokens
+            or self._call.cache_source
+            or is_crowded(candidate, _now())
+        )
         self._uncached_tokens = health.count_uncached_tokens(parts, _now())
         self._prefilling = health
         prompt_tokens = sum(part.tokens for part in parts)
@@ -124,6 +135,17 @@
             self._prefilling.pending_prompt_tokens -= self._uncached_tokens
             self._prefilling = None
 
+    def _record_start_time(self, candidate: Candidate) -> None:
+        """Record the time to the first event if it shows what the prompt takes."""
+        if self._shows_start_time:
+            self._shows_start_time = False
+            # Shared parts are usually cached, also those that other routers sent.
+            tokens = self._call.metadata.parts[-1].tokens
+            seconds = _now() - self._call.sent_at
+            self._pace.record_first_event(
+                candidate.entry.start_id, tokens, seconds, _now()
+            )
+
     def _tokens_per_event(self) -> int:
         engine = self._dependencies.find_engine(self._call.service)
         return 1 if engine is None else engine.tokens_per_event
@@ -184,7 +206,7 @@
     async def _forward_answer(self, answered: Answered, candidate: Candidate) -> bool:
         try:
             if answered.succeeded and self._call.route.kind is RouteKind.stream:
-                await self._forward_stream(answered)
+                await self._forward_stream(answered, candidate)
             else:
                 return await self._forward_whole(answered)
         except ConnectionBroken as error:
@@ -226,17 +248,21 @@
             return False
         return self._take_retry()
 
-    async def _forward_stream(self, answered: Answered) -> None:
+    async def _forward_stream(self, answered: Answered, candidate: Candidate) -> None:
         if not self._response.head_sent:
             self._response.begin_stream(answered.head)
             self._dependencies.recorder.record_first_byte(self._call)
         connection = answered.connection
         gaps = _EventGaps()
+        gap_recorder = GapRecorder(self._pace, candidate.entry.start_id)
         while (part := await connection.read_part()) is not None:
             answered.health.last_received_at = _now()
+            known = self._splitter.event_count
             events = self._splitter.feed(part)
             if events:
                 self._end_prefill()
+                self._record_start_time(candidate)
+                gap_recorder.record_events(self._splitter.event_count - known, _now())
                 gaps.record_event(_now())
                 await self._response.write_chunk(events)
         if self._splitter.has_partial_event:
