Choose engines by the estimated time to the first event

Cause: engines were compared by the tokens that they have yet to read, so an engine that takes 2.4 times as long got as many prompts as a fast one until its queue showed. Change: with the feature pace, tokens are converted to seconds by the start cost and the reading rate that were observed, and multiplied by the pace and by the slowdown of a fresh report. The weights of running requests stay in tokens, so engines of equal pace keep their order.

--- a/packages/fleet/src/ibisport_fleet/engine_choice.py
+++ b/packages/fleet/src/ibisport_fleet/engine_choice.py
@@ -9,6 +9,7 @@
 
 from ibisport_fleet.metadata import PromptPart
 from ibisport_fleet.placing.backlog import estimate_backlog
+from ibisport_fleet.placing.pace import ServicePace
 from ibisport_fleet.prompt_mix import EngineSplit
 from ibisport_fleet.rendezvous import compute_score, hash_text
 from ibisport_fleet.target_choice import (
@@ -30,6 +31,7 @@
     now: float,
     split: EngineSplit | None = None,
     origin: Origin = NO_ORIGIN,
+    pace: ServicePace | None = None,
 ) -> Candidate | None:
     """Choose the model engine that probably produces the first token earliest.
 
@@ -44,6 +46,7 @@
         now: Loop time.
         split: How engines are divided into pools; None: all engines form one pool.
         origin: The router that chooses.
+        pace: How slow the engines are; None: all are taken to be equal.
     """
     available = filter_available(candidates, now)
     if not available:
@@ -53,14 +56,18 @@
     pool = _select_pool(filter_unlimited(candidates), parts, split)
     preferred = _find_preferred_engine(available, pool, shared)
 
+    own_tokens = parts[-1].tokens if parts else 0
     # Routers with the same list would all choose the first of equal engines.
     spread_key = shared[-1].part_id if shared else origin.host
 
     def compute_cost(candidate: Candidate) -> tuple[float, bool, int]:
         entry = candidate.entry
         overflow = 0 if entry.incarnation in pool else OVERFLOW_TOKENS
+        cost = _estimate_tokens(candidate, preferred, shared, now) + overflow
+        if pace is not None:
+            cost = pace.compute_start_cost(candidate, cost + own_tokens, now)
         return (
-            _estimate_tokens(candidate, preferred, shared, now) + overflow,
+            cost,
             candidate is not preferred,
             -compute_score(spread_key, entry.incarnation),
         )
--- a/packages/fleet/src/ibisport_fleet/target_selection.py
+++ b/packages/fleet/src/ibisport_fleet/target_selection.py
@@ -9,6 +9,7 @@
 from ibisport_fleet.catalogue import RouteKind
 from ibisport_fleet.dependencies import Dependencies, ServiceState
 from ibisport_fleet.engine_choice import choose_engine
+from ibisport_fleet.settings import Feature
 from ibisport_fleet.target_choice import Candidate, Origin, choose_plain_target
 from ibisport_fleet.target_holds import Hold, describe_unavailable
 
@@ -44,6 +45,8 @@
     ) -> None:
         self._dependencies = dependencies
         self._prompt_mix = service_state.prompt_mix
+        used = Feature.pace in dependencies.settings.features
+        self._pace = service_state.pace if used else None
         self._call = call
 
     def select(self) -> Candidate:
@@ -122,7 +125,8 @@
         if self._call.route.kind is not RouteKind.stream:
             return choose_plain_target(candidates, origin, now)
         parts = self._call.metadata.parts
-        return choose_engine(candidates, parts, now, self._prompt_mix.split, origin)
+        split = self._prompt_mix.split
+        return choose_engine(candidates, parts, now, split, origin, self._pace)
 
     def _find_cache_source(
         self, chosen: Candidate, candidates: Sequence[Candidate], now: float
