Fetch cached parts where copying takes less time than reading

Cause: copies were limited to 5 microseconds a token, so engines that copy in 7 to 8 and read in 14 to 25 microseconds never copied; and where copies were allowed by hand, they queued at sources that had much to do themselves. Change: with the feature pace, once the reading rate is known, a part is fetched if the copy, behind the copies that this router has in progress from the same source, takes less time than reading at the pace of the chosen engine. A crowded engine is no source. Before that, and without the feature, the limits by tokens and speed apply.

--- a/packages/fleet/src/ibisport_fleet/cache_sources.py
+++ b/packages/fleet/src/ibisport_fleet/cache_sources.py
@@ -10,6 +10,7 @@
 
 from ibisport_fleet.catalogue import Engine
 from ibisport_fleet.metadata import PromptPart
+from ibisport_fleet.placing.copies import CopyTimes
 from ibisport_fleet.rendezvous import compute_score
 from ibisport_fleet.target_choice import Candidate
 
@@ -20,7 +21,10 @@
 
 
 def can_copy(engine: Engine | None) -> bool:
-    """Return whether the engines of a service copy tokens faster than they read."""
+    """Return whether the engines of a service copy tokens faster than they read.
+
+    This is assumed from their speed alone, before reading was observed.
+    """
     return engine is not None and (
         0 < engine.copy_seconds_per_token <= MAX_COPY_SECONDS_PER_TOKEN
     )
@@ -31,6 +35,7 @@
     candidates: Sequence[Candidate],
     parts: Sequence[PromptPart],
     now: float,
+    times: CopyTimes | None = None,
 ) -> Candidate | None:
     """Return the engine that probably caches most of a prompt; None: nothing to gain.
 
@@ -42,7 +47,25 @@
         candidates: Engines from which it may fetch.
         parts: The prompt in order; the last part belongs to this request alone.
         now: Loop time.
+        times: Compares copying with reading; None: only the limits by tokens apply.
     """
+    source, tokens = _find_best_source(chosen, candidates, parts, now, times)
+    if source is None or (times and not times.may_copy_from(source, now)):
+        return None
+    saves_time = times and times.saves_time(chosen, source, tokens, now)
+    if saves_time is None:
+        return source if tokens >= MIN_FETCHED_TOKENS else None
+    return source if saves_time else None
+
+
+def _find_best_source(
+    chosen: Candidate,
+    candidates: Sequence[Candidate],
+    parts: Sequence[PromptPart],
+    now: float,
+    times: CopyTimes | None,
+) -> tuple[Candidate | None, int]:
+    """Return the engine that has most to copy, and the tokens that it has."""
     shared = parts[:-1]
     own = chosen.health.count_cached_prefix(shared, now)
     wanted = sum(part.tokens for part in shared) - own
@@ -51,14 +74,20 @@
         for candidate in candidates
         if candidate is not chosen and candidate.health.is_available(now)
     ]
-    if wanted < MIN_FETCHED_TOKENS or not others:
-        return None
+    if wanted <= 0 or not others:
+        return None, 0
+    open_sources = [
+        other for other in others if times is None or times.may_copy_from(other, now)
+    ]
     source = max(
-        others, key=lambda other: other.health.count_cached_prefix(shared, now)
+        open_sources or others,
+        key=lambda other: other.health.count_cached_prefix(shared, now),
     )
-    if source.health.count_cached_prefix(shared, now) - own >= MIN_FETCHED_TOKENS:
-        return source
-    return _guess_source(chosen, others, shared)
+    known = source.health.count_cached_prefix(shared, now) - own
+    # A few more tokens don't tell where other routers have sent the rest.
+    if known >= min(wanted, MIN_FETCHED_TOKENS):
+        return source, known
+    return _guess_source(chosen, others, shared), wanted
 
 
 def _guess_source(
--- a/packages/fleet/src/ibisport_fleet/calls.py
+++ b/packages/fleet/src/ibisport_fleet/calls.py
@@ -36,6 +36,7 @@
         sent_at: Loop time of the last send.
         cache_source: Address of the engine from which the target of the last send
             fetches cached parts, or None.
+        copied_from: Start id of that engine while copies are counted, or None.
     """
 
     request: Request
@@ -51,6 +52,7 @@
     target: str | None = None
     sent_at: float = 0.0
     cache_source: Address | None = None
+    copied_from: tuple[str, int] | None = None
 
     @cached_property
     def digest(self) -> str:
--- a/packages/fleet/src/ibisport_fleet/forwarding.py
+++ b/packages/fleet/src/ibisport_fleet/forwarding.py
@@ -57,6 +57,7 @@
         self._uncached_tokens = 0
         self._prefilling: TargetHealth | None = None
         self._shows_start_time = False
+        self._copy: tuple[tuple[str, int], int] | None = None
 
     @property
     def forwarded_events(self) -> int:
@@ -125,6 +126,10 @@
         self._uncached_tokens = health.count_uncached_tokens(parts, _now())
         self._prefilling = health
         prompt_tokens = sum(part.tokens for part in parts)
+        if self._call.copied_from is not None:
+            copied = health.count_uncached_tokens(parts[:-1], _now())
+            self._copy = self._call.copied_from, copied
+            self._pace.begin_copy(*self._copy)
         self._prompt_mix.record_prompt(prompt_tokens, self._uncached_tokens, _now())
         health.pending_prompt_tokens += self._uncached_tokens
         health.record_parts(parts, _now())
@@ -134,6 +139,9 @@
         if self._prefilling is not None:
             self._prefilling.pending_prompt_tokens -= self._uncached_tokens
             self._prefilling = None
+        if self._copy is not None:
+            self._pace.end_copy(*self._copy)
+            self._copy = None
 
     def _record_start_time(self, candidate: Candidate) -> None:
         """Record the time to the first event if it shows what the prompt takes."""
--- a/packages/fleet/src/ibisport_fleet/placing/pace.py
+++ b/packages/fleet/src/ibisport_fleet/placing/pace.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass, field
 from statistics import median
 
@@ -78,6 +78,7 @@
     def __init__(self) -> None:
         self._engines: dict[StartId, _EngineGaps] = {}
         self._start_times = StartTimes()
+        self._copied_tokens: Counter[StartId] = Counter()
         self._next_refresh_at = 0.0
 
     @property
@@ -86,10 +87,9 @@
         return sum(engine.low is not None for engine in self._engines.values())
 
     @property
-    def seconds_per_token(self) -> float | None:
-        """Time that an engine of usual pace reads a token; None: not observed."""
-        model = self._start_times.model
-        return None if model is None else model.seconds_per_token
+    def knows_reading(self) -> bool:
+        """Whether the time in which engines read a prompt was observed."""
+        return self._start_times.model is not None
 
     def record_gap(self, start_id: StartId, seconds: float, now: float) -> None:
         """Record the time between two events of a stream.
@@ -167,6 +167,37 @@
         pace = self.find_relative_pace(candidate.entry.start_id)
         return seconds * pace * candidate.health.find_slowdown(now)
 
+    def estimate_reading_seconds(
+        self, candidate: Candidate, tokens: float, now: float
+    ) -> float | None:
+        """Return the time in which an engine reads tokens; None: not observed.
+
+        Args:
+            candidate: The engine.
+            tokens: Number of tokens.
+            now: Loop time.
+        """
+        model = self._start_times.model
+        if model is None:
+            return None
+        pace = self.find_relative_pace(candidate.entry.start_id)
+        slowdown = candidate.health.find_slowdown(now)
+        return tokens * model.seconds_per_token * pace * slowdown
+
+    def begin_copy(self, source: StartId, tokens: int) -> None:
+        """Count tokens that another engine begins to fetch from a source."""
+        self._copied_tokens[source] += tokens
+
+    def end_copy(self, source: StartId, tokens: int) -> None:
+        """Count the end of a copy."""
+        self._copied_tokens[source] -= tokens
+        if not self._copied_tokens[source]:
+            self._copied_tokens.pop(source)
+
+    def count_copied_tokens(self, source: StartId) -> int:
+        """Return the tokens of the copies from a source that are in progress."""
+        return self._copied_tokens[source]
+
     def _refresh(self, now: float) -> None:
         """Forget engines without recent gaps, and compare the others."""
         oldest = now - MAX_GAP_AGE_SECONDS
--- a/packages/fleet/src/ibisport_fleet/target_selection.py
+++ b/packages/fleet/src/ibisport_fleet/target_selection.py
@@ -6,9 +6,10 @@
 from ibisport_fleet.addresses import Address
 from ibisport_fleet.cache_sources import can_copy, find_cache_source
 from ibisport_fleet.calls import Call, draw_jittered_delay
-from ibisport_fleet.catalogue import RouteKind
+from ibisport_fleet.catalogue import Engine, RouteKind
 from ibisport_fleet.dependencies import Dependencies, ServiceState
 from ibisport_fleet.engine_choice import choose_engine
+from ibisport_fleet.placing.copies import CopyTimes
 from ibisport_fleet.settings import Feature
 from ibisport_fleet.target_choice import Candidate, Origin, choose_plain_target
 from ibisport_fleet.target_holds import Hold, describe_unavailable
@@ -131,11 +132,27 @@
     def _find_cache_source(
         self, chosen: Candidate, candidates: Sequence[Candidate], now: float
     ) -> Address | None:
-        if not can_copy(self._dependencies.find_engine(self._call.service)):
+        self._call.copied_from = None
+        engine = self._dependencies.find_engine(self._call.service)
+        times = self._build_copy_times(engine)
+        if times is None and not can_copy(engine):
             return None
         parts = self._call.metadata.parts
-        source = find_cache_source(chosen, candidates, parts, now)
-        return None if source is None else source.entry.address
+        source = find_cache_source(chosen, candidates, parts, now, times)
+        if source is None:
+            return None
+        if times is not None:
+            self._call.copied_from = source.entry.start_id
+        return source.entry.address
+
+    def _build_copy_times(self, engine: Engine | None) -> CopyTimes | None:
+        """Return how long copies take; None: the limit of their speed applies."""
+        pace = self._pace
+        if pace is None or engine is None or not engine.copy_seconds_per_token:
+            return None
+        if not (pace.knows_reading or can_copy(engine)):
+            return None
+        return CopyTimes(pace, engine.copy_seconds_per_token)
 
 
 def _now() -> float:
