--- a/packages/fleet/src/ibisport_fleet/engine_choice.py
+++ b/packages/fleet/src/ibisport_fleet/engine_choice.py
@@ -8,6 +8,8 @@
 from collections.abc import Sequence
 
 from ibisport_fleet.metadata import PromptPart
+from ibisport_fleet.placing.backlog import estimate_backlog
+from ibisport_fleet.placing.pace import ServicePace
 from ibisport_fleet.prompt_mix import EngineSplit
 from ibisport_fleet.rendezvous import compute_score, hash_text
 from ibisport_fleet.target_choice import (
@@ -20,14 +22,6 @@
 # A prompt overflows to an engine outside its pool once the backlog of the pool is
 # larger by this much, which is 0.3 s of reading.
 OVERFLOW_TOKENS = 12_000
-# Cost of a running request to the next one: it slows each step by a thousandth, and
-# also stands for prompts that other routers have sent.
-TOKENS_PER_RUNNING_REQUEST = 60
-# Above this utilization an engine may soon run out of slots, so each further request
-# costs as much as a prompt of 30 ms.
-CROWDED_UTILIZATION = 0.5
-TOKENS_PER_CROWDED_REQUEST = 1_200
-
 NO_ORIGIN = Origin('', '')
 
 
@@ -37,6 +31,7 @@
     now: float,
     split: EngineSplit | None = None,
     origin: Origin = NO_ORIGIN,
+    pace: ServicePace | None = None,
 ) -> Candidate | None:
     """Choose the model engine that probably produces the first token earliest.
 
@@ -51,6 +46,7 @@
         now: Loop time.
         split: How engines are divided into pools; None: all engines form one pool.
         origin: The router that chooses.
+        pace: How slow the engines are; None: all are taken to be equal.
     """
     available = filter_available(candidates, now)
     if not available:
@@ -60,14 +56,18 @@
     pool = _select_pool(filter_unlimited(candidates), parts, split)
     preferred = _find_preferred_engine(available, pool, shared)
 
+    own_tokens = parts[-1].tokens if parts else 0
     # Routers with the same list would all choose the first of equal engines.
     spread_key = shared[-1].part_id if shared else origin.host
 
     def compute_cost(candidate: Candidate) -> tuple[float, bool, int]:
         entry = candidate.entry
         overflow = 0 if entry.incarnation in pool else OVERFLOW_TOKENS
+        cost = _estimate_tokens(candidate, preferred, shared, now) + overflow
+        if pace is not None:
+            cost = pace.compute_start_cost(candidate, cost + own_tokens, now)
         return (
-            _estimate_backlog(candidate, preferred, shared, now) + overflow,
+            cost,
             candidate is not preferred,
             -compute_score(spread_key, entry.incarnation),
         )
@@ -136,21 +136,14 @@
     )
 
 
-def _estimate_backlog(
+def _estimate_tokens(
     candidate: Candidate,
     preferred: Candidate | None,
     shared: Sequence[PromptPart],
     now: float,
 ) -> float:
     """Return how many tokens an engine reads before this request's own part."""
-    health = candidate.health
-    load = health.estimate_load(now)
-    excess = max(0.0, load - CROWDED_UTILIZATION * candidate.entry.slots)
-    backlog = (
-        health.pending_prompt_tokens
-        + TOKENS_PER_RUNNING_REQUEST * load
-        + TOKENS_PER_CROWDED_REQUEST * excess
-    )
+    backlog = estimate_backlog(candidate, now)
     if candidate is preferred:
         return backlog
-    return backlog + health.count_uncached_tokens(shared, now)
+    return backlog + candidate.health.count_uncached_tokens(shared, now)
