Continue streams at the copy of their run after a broken connection

Cause: a stream on a route that can't be resumed ended with its engine or with the connection to it, although engines can keep a copy of a run at another engine.

Change: with the feature copies, select_backup names an engine that gets a copy of such a stream, within bounds on the link of its source. After an unknown outcome the connection is closed and the request goes on at that engine, at most twice, for one retry each. A continuation doesn't count towards max_targets, and no third target gets the request without a copy. Events whose ids don't follow aren't passed on.

--- a/features/steps/running_fleet.py
+++ b/features/steps/running_fleet.py
@@ -61,6 +61,7 @@
 SLOW = b'slow'
 SLOW_FACTOR = 10
 PLAIN_ANSWER_SECONDS = 0.05
+BEFORE_HEAD = -1
 EVENTS = 8
 EVENT_INTERVAL_SECONDS = 0.05
 # A crashed target restarts after this time under a new id; its old entry lapses after
@@ -128,6 +129,9 @@
         leaves: Whether all of its answers say that it leaves.
         reports_load: Whether its answers report how many requests it runs.
         cold_until: Loop time until which it warms up, and crashes if it is overrun.
+        hangs_after: Events after which its answers stop; BEFORE_HEAD, or None: never.
+        id_offset: Added to the ids of the events of runs that continue here.
+        copies: Events that arrived of the runs of other targets, by the run's id.
     """
 
     def __init__(self, fleet, number):
@@ -142,6 +146,9 @@
         self.leaves = False
         self.reports_load = False
         self.cold_until = 0.0
+        self.hangs_after = None
+        self.id_offset = 0
+        self.copies = {}
         self._cold_arrivals = []
         self._request_count = 0
         self._running = 0
@@ -196,6 +203,7 @@
         """Crash at once and restart later at the same address."""
         old_incarnation = self.incarnation
         self._fleet.ends.append((self._net.time(), old_incarnation))
+        self.copies.clear()
         self._net.kill(self.host)
         key = TARGET_PREFIX + old_incarnation
         self._net.call_later(ENTRY_LAPSE_SECONDS, self._fleet.service.remove, key)
@@ -327,13 +335,58 @@
             head = self._make_head(OK, request)
             channel.write(head + b'Content-Length: 1\r\n\r\nx')
             return
+        await self._stream(request, channel)
+
+    async def _stream(self, request, channel):
+        first = int(request.find(b'last-event-id') or 0) + 1
+        offset = 0
+        if request.find(b'kv-from') is not None:
+            holds = _holds_copy(self, request)
+            self._fleet.continuations.append((self.incarnation, first, holds))
+            if not holds:
+                channel.write(self._make_head(REJECTED, request))
+                return
+            offset = self.id_offset
+        if self.hangs_after == BEFORE_HEAD:
+            await _hang(self, BEFORE_HEAD)
         channel.write(self._make_head(STREAM_HEAD, request))
         factor = SLOW_FACTOR if request.body == SLOW else 1
-        for number in range(1, EVENTS + 1):
+        for number in range(first, EVENTS + 1):
+            await _hang(self, number - 1)
             await asyncio.sleep(EVENT_INTERVAL_SECONDS * factor)
-            channel.write(encode_event(number))
+            self._copy_run(request, number)
+            channel.write(encode_event(number + offset))
+        self._copy_run(request, None)
         channel.write(END)
 
+    @property
+    def encoded_address(self):
+        """Its address, as requests name it."""
+        host, port = self._entry.address
+        return b'%b:%d' % (host.encode(), port)
+
+    def _copy_run(self, request, events):
+        """Copy a run to the target that its request names, or drop the copy."""
+        wanted = request.find(b'kv-backup')
+        run_id = request.find(b'attempt-id')
+        for target in self._fleet.targets:
+            if target.encoded_address == wanted:
+                target.copies[run_id] = events
+                if events is None:
+                    del target.copies[run_id]
+
+
+async def _hang(target, events):
+    """Never return if a target hangs after this number of events."""
+    if target.hangs_after is not None and events >= target.hangs_after:
+        await asyncio.sleep(MAX_RUN_SECONDS)
+
+
+def _holds_copy(target, request):
+    """Whether a target holds the copy that a request names."""
+    address, _, run_id = request.find(b'kv-from').partition(b'/')
+    return address == target.encoded_address and run_id in target.copies
+
 
 class FleetRouter:
     """A router on its own host that can be killed and restarted."""
@@ -389,6 +442,7 @@
             store_address=('10.9.0.1', 1),
             bounds=Bounds(1.0, 100.0, 10.0, GRACE_SECONDS),
             regions={'d-0': 'r-0', 'd-1': 'r-1'},
+            features=self._fleet.features,
         )
 
 
@@ -421,6 +475,9 @@
         started: Whether targets that start from now on are cold.
         cold_counts: Requests within a second, at each arrival at a cold target.
         overruns: Loop time and incarnation of each cold target that was overrun.
+        features: The optional parts of the routers that are in use.
+        continuations: Target, number of the first event, and whether the copy was
+            there, of each request that names a copy.
     """
 
     def __init__(self, net, routers, targets, warm_up=None):
@@ -432,6 +489,8 @@
         self.overruns = []
         self.service = MemoryService()
         self.log = EventLog(os.open(os.devnull, os.O_WRONLY))
+        self.features = frozenset()
+        self.continuations = []
         self.arrivals = []
         self.ends = []
         self.answers = []
@@ -502,13 +561,13 @@
             await asyncio.sleep(pause)
         await asyncio.wait(requests)
 
-    async def ask(self, router, kind, body):
-        """Send a request to one router and record the answer."""
+    async def ask(self, router, kind, body, extra=''):
+        """Send a request, with extra headers, to one router; record the answer."""
         self._request_count += 1
         request = (
             f'POST /{kind}/x HTTP/1.1\r\nHost: h.example\r\n'
             f'Attempt-Id: n{self._request_count}\r\nAuthorization: Bearer {KEY}\r\n'
-            f'Content-Length: {len(body)}\r\n\r\n'
+            f'{extra}Content-Length: {len(body)}\r\n\r\n'
         ).encode()
         caller = Caller(self, router.address)
         answer = await caller.ask(request + body)
@@ -521,7 +580,9 @@
     return b'request %d' % number
 
 
-def run_fleet(act, routers=4, targets=6, warm_up=None, change_catalogue=None):
+def run_fleet(
+    act, routers=4, targets=6, warm_up=None, change_catalogue=None, change_fleet=None
+):
     """Start a fleet, run a coroutine on it, and return it.
 
     Args:
@@ -530,6 +591,7 @@
         targets: Number of targets.
         warm_up: How targets warm up that start while the fleet runs, or None.
         change_catalogue: Function that returns a changed catalogue, or None.
+        change_fleet: Function that changes the fleet before its start, or None.
     """
 
     async def play(net):
@@ -537,6 +599,8 @@
         fleet = Fleet(net, routers, targets, warm_up)
         if change_catalogue is not None:
             fleet.catalogue = change_catalogue(fleet.catalogue)
+        if change_fleet is not None:
+            change_fleet(fleet)
         clock = SimpleNamespace(
             clock_gettime=lambda clock_id: net.time(), CLOCK_BOOTTIME=0
         )
--- a/features/steps/running_router.py
+++ b/features/steps/running_router.py
@@ -135,6 +135,7 @@
         status: The final status, or None.
         headers: Headers of the answer, names in lower case.
         size: Number of received bytes of the body.
+        content: The received bytes of the body.
         whole: Whether the answer is complete.
         ended_at: Seconds after the signal at which it was complete or broke off.
         refused: Whether the connection was refused.
@@ -149,6 +150,7 @@
     ended_at: float | None = None
     refused: bool = False
     failure: str | None = None
+    content: bytes = b''
 
 
 class _AnswerParser:
@@ -166,6 +168,7 @@
 
     def on_body(self, body):
         self.answer.size += len(body)
+        self.answer.content += body
 
     def on_message_complete(self):
         self.answer.whole = True
--- a/packages/fleet/src/ibisport_fleet/call_handler.py
+++ b/packages/fleet/src/ibisport_fleet/call_handler.py
@@ -42,6 +42,11 @@
         self._shutdown: Shutdown | None = None
         self._received_at_by_timer: dict[asyncio.Timeout, float] = {}
 
+    @property
+    def copies_in_flight(self) -> int:
+        """Number of runs with a copy at another engine."""
+        return self._dependencies.copies.count
+
     async def handle(self, request: Request, response: ResponseWriter) -> None:
         """Handle one request and return once its answer is written."""
         # Requests that wait for tokens count as well; otherwise a stopping router ends
--- a/packages/fleet/src/ibisport_fleet/calls.py
+++ b/packages/fleet/src/ibisport_fleet/calls.py
@@ -10,7 +10,7 @@
 from ibisport_fleet.addresses import Address
 from ibisport_fleet.catalogue import Route, Workspace
 from ibisport_fleet.http_messages import Request
-from ibisport_fleet.metadata import RequestMetadata
+from ibisport_fleet.metadata import RequestMetadata, RunCopy
 
 # Route ranks that are distinguished within one workspace rank.
 ROUTE_RANKS = 3
@@ -36,6 +36,8 @@
         sent_at: Loop time of the last send.
         cache_source: Address of the engine from which the target of the last send
             fetches cached parts, or None.
+        backup: Address of the engine that gets a copy of the run's memory, or None.
+        continued_from: The copy with which the last send continues the run, or None.
     """
 
     request: Request
@@ -51,6 +53,8 @@
     target: str | None = None
     sent_at: float = 0.0
     cache_source: Address | None = None
+    backup: Address | None = None
+    continued_from: RunCopy | None = None
 
     @cached_property
     def digest(self) -> str:
--- a/packages/fleet/src/ibisport_fleet/catalogue.py
+++ b/packages/fleet/src/ibisport_fleet/catalogue.py
@@ -86,12 +86,16 @@
         tokens_per_event: Maximum number of tokens in one event of a stream.
         copy_seconds_per_token: Time to copy the memory of a token from another engine;
             0: engines can't copy it.
+        backups: Engines send copies of their runs' memory to other engines.
+        copy_lifetime_seconds: How long an engine keeps a copy after its last part.
     """
 
     slots: int
     cache_tokens: int
     tokens_per_event: int
     copy_seconds_per_token: float = 0.0
+    backups: bool = False
+    copy_lifetime_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/fleet/src/ibisport_fleet/dependencies.py
+++ b/packages/fleet/src/ibisport_fleet/dependencies.py
@@ -1,9 +1,11 @@
 """Components that the handling of all requests shares."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ibisport_fleet.budgets import Budgets
 from ibisport_fleet.catalogue import Engine
+from ibisport_fleet.continuation.copies import CopiesInFlight
+from ibisport_fleet.continuation.paces import ServicePaces, UnknownPaces
 from ibisport_fleet.fatal_requests import FatalRequests
 from ibisport_fleet.fleet_view import CatalogueView, TargetView
 from ibisport_fleet.metadata import Dialect
@@ -29,6 +31,7 @@
         recorder: Logs and counts decisions.
         fatal_requests: Quarantine of requests that crash targets.
         holds: Reasons for which targets may not get requests.
+        copies: Copies of runs that this router has in flight.
     """
 
     settings: HostSettings
@@ -40,6 +43,7 @@
     recorder: RequestRecorder
     fatal_requests: FatalRequests
     holds: TargetHolds
+    copies: CopiesInFlight = field(default_factory=CopiesInFlight)
 
     def find_engine(self, service_name: str) -> Engine | None:
         """Return the capacity of a service's engines; None: it has none."""
@@ -56,7 +60,9 @@
     Attributes:
         retry_budget: Limits retries to the service.
         prompt_mix: Statistics of its prompts and answers.
+        paces: Observed paces of its engines.
     """
 
     retry_budget: RetryBudget
     prompt_mix: PromptMix
+    paces: ServicePaces = field(default_factory=UnknownPaces)
--- a/packages/fleet/src/ibisport_fleet/event_log.py
+++ b/packages/fleet/src/ibisport_fleet/event_log.py
@@ -52,6 +52,8 @@
     request_quarantined = 2408
     quarantine_lifted = 2409
     quarantine_unsaved = 2410
+    stream_continued = 2430
+    copy_missing = 2431
     budget_opened = 2501
     budget_unknown = 2502
     lender_lost = 2503
--- a/packages/fleet/src/ibisport_fleet/forwarding.py
+++ b/packages/fleet/src/ibisport_fleet/forwarding.py
@@ -6,10 +6,10 @@
 
 from ibisport_fleet.calls import Call
 from ibisport_fleet.catalogue import RouteKind
+from ibisport_fleet.continuation.request import RequestContinuation
 from ibisport_fleet.dependencies import Dependencies, ServiceState
 from ibisport_fleet.errors import ConnectionBroken
 from ibisport_fleet.response_writer import ResponseWriter
-from ibisport_fleet.sse import EventSplitter
 from ibisport_fleet.target_choice import Candidate, TargetHealth
 from ibisport_fleet.target_client import (
     FIRST_FAILURE_STATUS,
@@ -48,7 +48,10 @@
         self._retry_budget = service_state.retry_budget
         self._prompt_mix = service_state.prompt_mix
         self._selector = TargetSelector(dependencies, service_state, call)
-        self._splitter = EventSplitter(call.metadata.last_event_id)
+        self._continuation = RequestContinuation(
+            dependencies, service_state, self._selector, call
+        )
+        self._splitter = self._continuation.splitter
         self._rejections = 0
         self._absent_targets = 0
         self._uncached_tokens = 0
@@ -68,15 +71,18 @@
         self._retry_budget.record_request(_now())
         while True:
             self.check_quarantine()
-            candidate = self._selector.select()
+            candidate = self._continuation.select()
             candidate.health.begin_request(_now())
-            self._begin_prefill(candidate.health)
+            # A run that continues reads only what its copy lacks.
+            if self._call.continued_from is None:
+                self._begin_prefill(candidate.health)
             try:
                 if await self._attempt(candidate):
                     return
             finally:
                 candidate.health.end_request()
                 self._end_prefill()
+                self._continuation.end_attempt()
 
     def check_quarantine(self) -> None:
         """Refuse a request that crashes targets.
@@ -131,7 +137,9 @@
     async def _attempt(self, candidate: Candidate) -> bool:
         call = self._call
         call.tried.add(candidate.entry.start_id)
-        call.attempts += 1
+        # A continuation takes the place of the target that no longer runs the request.
+        if call.continued_from is None:
+            call.attempts += 1
         call.target = candidate.entry.incarnation
         call.sent_at = _now()
         self._dependencies.recorder.record_sent(call, candidate)
@@ -152,6 +160,9 @@
 
     def _handle_rejection(self, outcome: NotSent | NotRun) -> None:
         call = self._call
+        if call.continued_from is not None:
+            self._handle_missing_copy(outcome)
+            return
         call.attempts -= 1
         call.may_have_run = call.attempts > 0
         match outcome:
@@ -167,15 +178,30 @@
         if isinstance(outcome, NotRun) and not self._take_retry():
             raise self._selector.build_full()
 
+    def _handle_missing_copy(self, outcome: NotSent | NotRun) -> None:
+        """Repeat a request that no copy continues, if it may run more than once."""
+        reason = 'not reached' if isinstance(outcome, NotSent) else 'not there'
+        self._continuation.record_missing(reason)
+        if not (self._call.route.repeatable and self._may_retry()):
+            raise RequestFailed(STATUS_BAD_GATEWAY, 'the copy of the run is missing')
+
     def _handle_unknown_outcome(self, candidate: Candidate, reason: str) -> None:
         call = self._call
         self._dependencies.fatal_requests.record_break(candidate.entry, call.digest)
-        if not (call.route.repeatable and self._may_retry()):
+        if not self._plan_next(candidate, reason):
             raise RequestFailed(STATUS_BAD_GATEWAY, reason)
         self._dependencies.recorder.record_resumed(
             call, reason, self._splitter.last_event_id
         )
 
+    def _plan_next(self, candidate: Candidate, reason: str) -> bool:
+        """Return whether another attempt follows after an unknown outcome."""
+        if self._continuation.plan_next(candidate, reason, self._take_retry):
+            return True
+        # Without a copy, a run that continued is never repeated at a third target.
+        continued = self._call.continued_from is not None
+        return self._call.route.repeatable and not continued and self._may_retry()
+
     def _take_retry(self) -> bool:
         return self._retry_budget.try_acquire(
             _now(), self._dependencies.budgets.router_count
@@ -188,6 +214,8 @@
             else:
                 return await self._forward_whole(answered)
         except ConnectionBroken as error:
+            # The target must no longer work on the request when it is sent again.
+            answered.connection.close()
             answered.health.record_failure(_now())
             self._splitter.drop_partial_event()
             self._handle_unknown_outcome(candidate, repr(error))
@@ -208,6 +236,9 @@
             return False
         if not failed:
             answered.health.record_success()
+        if self._response.head_sent:
+            # A second head within a stream that has begun would pass for its content.
+            raise RequestFailed(STATUS_BAD_GATEWAY, 'no stream at the next target')
         self._response.write_whole(answered.head, body)
         self._dependencies.recorder.record_served(
             self._call, answered.head.status, self._splitter.event_count
@@ -238,10 +269,14 @@
             if events:
                 self._end_prefill()
                 gaps.record_event(_now())
+                self._continuation.record_events()
                 await self._response.write_chunk(events)
+            if self._continuation.disordered:
+                raise ConnectionBroken('an event does not follow the last one')
         if self._splitter.has_partial_event:
             raise ConnectionBroken('the stream ended within an event')
         self._response.end_stream()
+        self._continuation.record_events()
         self._record_event_gaps(gaps.max_gap)
         self._dependencies.target_client.release(answered)
         self._dependencies.fatal_requests.record_answer(self._call.digest)
--- a/packages/fleet/src/ibisport_fleet/metadata.py
+++ b/packages/fleet/src/ibisport_fleet/metadata.py
@@ -52,6 +52,19 @@
         return self.prompt_tokens + self.max_output_tokens
 
 
+@dataclass(frozen=True, slots=True)
+class RunCopy:
+    """The copy of a run's memory at another engine.
+
+    Attributes:
+        address: Address of the engine that holds it.
+        run_id: Id of the request that the run belongs to.
+    """
+
+    address: Address
+    run_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class SendMetadata:
     """Metadata that the router adds to a request for a target.
@@ -63,6 +76,8 @@
         urgency: 0 is the most urgent, 9 the least urgent.
         last_event_id: Id of the last event that the caller has received, or None.
         cache_source: Address of an engine from which to fetch cached parts, or None.
+        backup: Address of the engine that gets a copy of the run's memory, or None.
+        continued_from: The copy with which the run goes on, or None.
     """
 
     incarnation: str
@@ -71,6 +86,8 @@
     urgency: int
     last_event_id: int | None
     cache_source: Address | None = None
+    backup: Address | None = None
+    continued_from: RunCopy | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/fleet/src/ibisport_fleet/metrics.py
+++ b/packages/fleet/src/ibisport_fleet/metrics.py
@@ -22,6 +22,17 @@
             'ibisport_requests', 'Requests by outcome.', registry=registry
         )
         self._tokens = Counter('ibisport_tokens', 'Tokens charged.', registry=registry)
+        self._continued = Counter(
+            'ibisport_continued_streams',
+            'Streams that went on at the copy of their run.',
+            registry=registry,
+        )
+        self._copies = Counter(
+            'ibisport_copies', 'Copies of runs that were started.', registry=registry
+        )
+        self._copied_tokens = Counter(
+            'ibisport_copied_tokens', 'Tokens in copies of runs.', registry=registry
+        )
         self._first_byte = _build_histogram(
             'ibisport_first_byte_seconds', 'Time to the first byte.', registry
         )
@@ -59,6 +70,18 @@
         """Count tokens that a workspace was charged."""
         self._tokens.add({'workspace': workspace or NO_WORKSPACE}, tokens)
 
+    def count_continued(self, service: str) -> None:
+        """Count a stream that went on at a copy."""
+        self._continued.inc({'service': service})
+
+    def count_copy(self, service: str) -> None:
+        """Count a copy that was requested."""
+        self._copies.inc({'service': service})
+
+    def count_copied_tokens(self, service: str, tokens: int) -> None:
+        """Count the tokens of a run that ended, or broke, with a copy."""
+        self._copied_tokens.add({'service': service}, tokens)
+
     def observe_first_byte(
         self, workspace: str | None, route: str, seconds: float
     ) -> None:
--- a/packages/fleet/src/ibisport_fleet/request_recorder.py
+++ b/packages/fleet/src/ibisport_fleet/request_recorder.py
@@ -1,6 +1,7 @@
 """Writes a log line and a metric for each decision about a request."""
 
 import asyncio
+from dataclasses import dataclass
 
 from ibisport_fleet.budgets import TokensUnavailable
 from ibisport_fleet.calls import Call
@@ -13,6 +14,23 @@
 OUTCOME_PROCESS_ENDED = 'process_ended'
 
 
+@dataclass(frozen=True, slots=True)
+class BrokenRun:
+    """A run whose target ended, was cut off, or went silent.
+
+    Attributes:
+        target: Incarnation of the target.
+        cause: What was observed.
+        last_event_id: Id of the last event that the caller got, or None.
+        heard_at: Loop time of that event, or of the send.
+    """
+
+    target: str
+    cause: str
+    last_event_id: int | None
+    heard_at: float
+
+
 class RequestRecorder:
     """Records requests in the log and in the metrics."""
 
@@ -88,6 +106,44 @@
             **_describe_send(call),
         )
 
+    def record_copy(self, call: Call) -> None:
+        """Count a copy that was requested for a run."""
+        self._metrics.count_copy(call.service)
+
+    def record_copied_tokens(self, call: Call, tokens: int) -> None:
+        """Count the tokens of a run whose attempt has ended, with a copy."""
+        self._metrics.count_copied_tokens(call.service, tokens)
+
+    def record_continued(self, call: Call, broken: BrokenRun, gap: float) -> None:
+        """Record that a stream goes on at the copy of its run.
+
+        Args:
+            call: The request.
+            broken: The run that broke.
+            gap: Time from the last event before to the first one after, seconds.
+        """
+        self._log.write(
+            Event.stream_continued,
+            request=call.metadata.request_id,
+            route=call.route.name,
+            cause=broken.cause,
+            source=broken.target,
+            target=call.target,
+            last_event=broken.last_event_id,
+            seconds=round(gap, 4),
+        )
+        self._metrics.count_continued(call.service)
+
+    def record_copy_missing(self, call: Call, target: str, reason: str) -> None:
+        """Record that a stream can't go on since its copy isn't there."""
+        self._log.write(
+            Event.copy_missing,
+            request=call.metadata.request_id,
+            route=call.route.name,
+            target=target,
+            reason=reason,
+        )
+
     def record_served(self, call: Call, status: int, events: int) -> None:
         """Record an answer that was forwarded completely."""
         elapsed = asyncio.get_running_loop().time() - call.request.received_at
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -249,6 +249,7 @@
         self._metrics.set_state('connections', len(self._caller_server.connections))
         self._metrics.set_state('routers', self._budgets.router_count)
         self._metrics.set_state('straight_way', self._store_paths.direct_works)
+        self._metrics.set_state('copies', self._call_handler.copies_in_flight)
         for name, count in self._fatal_requests.counts.items():
             self._metrics.set_state(name, count)
         if catalogue is not None:
--- a/packages/fleet/src/ibisport_fleet/sse.py
+++ b/packages/fleet/src/ibisport_fleet/sse.py
@@ -33,7 +33,7 @@
             return b''
         end += len(_BOUNDARY)
         self._partial = buffered[end:]
-        complete = buffered[:end]
+        complete = self.select_valid(buffered[:end])
         self._count_events(complete)
         return complete
 
@@ -41,6 +41,10 @@
         """Discard the buffered part of an event that was never completed."""
         self._partial = b''
 
+    def select_valid(self, complete: bytes) -> bytes:
+        """Return the complete events that may be passed on."""
+        return complete
+
     def _count_events(self, complete: bytes) -> None:
         self.event_count += complete.count(_BOUNDARY)
         event_ids = _ID_LINE.findall(complete)
--- a/packages/fleet/src/ibisport_fleet/target_client.py
+++ b/packages/fleet/src/ibisport_fleet/target_client.py
@@ -158,6 +158,8 @@
             urgency=call.urgency,
             last_event_id=last_event_id,
             cache_source=call.cache_source,
+            backup=call.backup,
+            continued_from=call.continued_from,
         )
         request = call.request
         headers = self._dialect.encode_send(request, call.metadata, metadata)
--- a/packages/fleet/src/ibisport_fleet/target_selection.py
+++ b/packages/fleet/src/ibisport_fleet/target_selection.py
@@ -69,6 +69,16 @@
         self._call.cache_source = self._find_cache_source(chosen, sendable, now)
         return chosen
 
+    def list_sendable(self, now: float) -> list[Candidate]:
+        """Return the targets that may get the request and haven't got it yet."""
+        find_hold = self._dependencies.holds.find
+        return [
+            candidate
+            for candidate in self._list_targets()
+            if candidate.entry.start_id not in self._call.tried
+            and find_hold(candidate, now) is None
+        ]
+
     def build_full(self) -> RequestFailed:
         """Return the failure of a request that enough targets have rejected."""
         dependencies = self._dependencies
