Leave targets that fall silent where the request can go on elsewhere

Cause: a request waited until its deadline for a target that hung or had lost its answer, even where a copy of the run or a resumable route let it go on.

Change: with the feature copies, a target that sends no byte for longer than the route's longest pause and 8 usual gaps of the engine counts as silent within a stream; before the first event of a resumable stream the limit is the objective and 3 times the estimated start. The router closes the connection only if a copy or another target, a retry and max_targets allow to go on; otherwise it keeps waiting. Without an observed pace the route's longest pause and objective stand for it.

--- a/features/continuation.feature
+++ b/features/continuation.feature
@@ -13,6 +13,55 @@
       | crashes   | 0      |
       | crashes   | 3      |
       | is reset  | 3      |
+      | hangs     | 3      |
+
+  # A silent target without a copy would lose a stream that may yet go on.
+  Scenario: A stream whose copy is unknown waits for its silent target
+    Given engines without copies and a route that can't be resumed
+    When the target of a stream hangs after 3 events
+    Then the connection to the target stays open until the deadline
+
+  # A request that its target lost waited until its deadline.
+  Scenario Outline: A stream that can be resumed leaves a silent target
+    Given engines without copies and a route that can be resumed at 2 targets
+    When the first target hangs <when>, and 0 others do
+    Then the caller gets each event once
+    And the first event came within 2 seconds and no gap was longer than 1 second
+    And the connection to the silent target is closed before the next target is asked
+
+    Examples:
+      | when              |
+      | before its head   |
+      | after 0 events    |
+      | after 3 events    |
+
+  # More targets than the route allows would run one request.
+  Scenario: A stream that can be resumed waits at its last target
+    Given engines without copies and a route that can be resumed at 2 targets
+    When the first target hangs before its head, and 1 others do
+    Then 2 targets got the request
+    And the request fails at its deadline
+
+  # Leaving silent targets must not exceed the retries that the fleet may send.
+  Scenario: A stream waits for its silent target when no retries are left
+    Given engines without copies and a route that can be resumed at 2 targets
+    And routers that may not retry
+    When the first target hangs before its head, and 0 others do
+    Then 1 targets got the request
+    And the request fails at its deadline
+
+  # A limit below what pace and route explain would break streams that go on.
+  Scenario Outline: The limit of silence covers the route and the pace of the engine
+    When the longest pause is <pause>, the objective <objective>, the usual gap <gap> and the estimated start <start>
+    Then a target is silent after <within> within a stream and <before> before it
+
+    Examples:
+      | pause | objective | gap   | start | within | before |
+      | 0.4   | 0.5       | none  | none  | 0.4    | 1.5    |
+      | 0.4   | 0.5       | 0.025 | 0.1   | 0.4    | 0.5    |
+      | 0.1   | 0.5       | 0.025 | 0.3   | 0.2    | 0.9    |
+      | 0     | 0.5       | 0.025 | 0.3   | 0.5    | 0.9    |
+      | 0     | 0         | none  | none  | none   | none   |
 
   # Repeating such a request without a copy would run it twice.
   Scenario Outline: A stream without its copy ends, and no third target runs it
--- a/features/steps/continuation_steps.py
+++ b/features/steps/continuation_steps.py
@@ -1,18 +1,20 @@
 """Steps on streams that go on at the copy of their run."""
 
 import asyncio
+import math
 import re
 from dataclasses import replace
 
 import msgspec
 from behave import given, then, when
 from engines import build_engine
-from running_fleet import EVENT_INTERVAL_SECONDS, EVENTS, run_fleet
+from running_fleet import BEFORE_HEAD, BOUNDS, EVENT_INTERVAL_SECONDS, EVENTS, run_fleet
 from running_router import make_route
 
 from ibisport_fleet.calls import Call
 from ibisport_fleet.catalogue import Engine, RouteKind, Workspace
 from ibisport_fleet.continuation.copies import CopiesInFlight, plan_copy, select_backup
+from ibisport_fleet.continuation.silence import compute_gap_limit, compute_start_limit
 from ibisport_fleet.event_log import Event
 from ibisport_fleet.http_messages import Request
 from ibisport_fleet.metadata import RunCopy, SendMetadata, TargetLoad
@@ -79,6 +81,8 @@
 
     def change_fleet(fleet):
         fleet.features = context.features
+        if 'bounds' in context:
+            fleet.bounds = context.bounds
         fleet.log = log
 
     async def act(fleet):
@@ -134,6 +138,51 @@
     context.change = make_engine_catalogue(ENGINE)
 
 
+@given("engines without copies and a route that can't be resumed")
+def use_no_copies(context):
+    context.features = frozenset((Feature.copies,))
+    context.change = make_engine_catalogue(replace(ENGINE, backups=False))
+
+
+@given('engines without copies and a route that can be resumed at {count:d} targets')
+def use_resumable(context, count):
+    context.features = frozenset((Feature.copies,))
+    context.change = make_engine_catalogue(
+        replace(ENGINE, backups=False), resumable=True, max_targets=count
+    )
+
+
+@given('routers that may not retry')
+def forbid_retries(context):
+    context.bounds = replace(BOUNDS, retry_ratio=0.0, retry_slack=0.0)
+
+
+@when('the first target hangs before its head, and {others:d} others do')
+def hang_before_head(context, others):
+    _hang(context, BEFORE_HEAD, others)
+
+
+@when('the first target hangs after {events:d} events, and {others:d} others do')
+def hang_after(context, events, others):
+    _hang(context, events, others)
+
+
+def _hang(context, events, others):
+    def begin(fleet):
+        for target in fleet.targets:
+            target.hangs_after = events
+
+    async def disturb(fleet, asking):
+        while len(fleet.arrivals) <= others and not asking.done():
+            await asyncio.sleep(0.001)
+        silent = {arrival.target for arrival in fleet.arrivals}
+        for target in fleet.targets:
+            if target.incarnation not in silent:
+                target.hangs_after = None
+
+    run_stream(context, disturb, begin)
+
+
 @given("engines with copies and routers that don't use them")
 def use_no_feature(context):
     context.features = frozenset()
@@ -146,6 +195,9 @@
 
     async def disturb(fleet, asking):
         target = find_target(fleet, fleet.arrivals[0].target)
+        if fault == 'hangs':
+            target.hangs_after = events
+            return
         if events:
             await wait_for_event(events)
         else:
@@ -271,6 +323,38 @@
     assert f'ibisport_copies{{service="svc"}} {copies}' in context.metrics
 
 
+@then(
+    'the first event came within {first:d} seconds '
+    'and no gap was longer than {gap:d} second'
+)
+def check_times(context, first, gap):
+    sent, resent = (arrival.at for arrival in context.fleet.arrivals)
+    line = find_only(context, Event.target_silent)
+    limit = gap if line['events'] else first
+    assert resent - sent < limit + line['events'] * EVENT_INTERVAL_SECONDS
+    assert context.answer.ended_at - context.answer.sent_at < first + 1
+
+
+@then('the connection to the silent target is closed before the next target is asked')
+def check_closed(context):
+    first, second = context.fleet.arrivals
+    closed = [at for at, target in context.fleet.closed if target == first.target]
+    assert closed and closed[0] <= second.at, (closed, second)
+
+
+@then('the request fails at its deadline')
+def check_timeout(context):
+    assert find_only(context, Event.request_failed)['reason'] == 'timeout'
+
+
+@then('the connection to the target stays open until the deadline')
+def check_waited(context):
+    assert list_event_ids(context.answer) == [1, 2, 3]
+    line = find_only(context, Event.request_failed)
+    assert line['reason'] == 'timeout', line
+    assert not context.log.find(Event.target_silent)
+
+
 @then('the caller gets {count:d} events and a broken stream')
 def check_broken(context, count):
     assert list_event_ids(context.answer) == list(range(1, count + 1)), context.answer
@@ -459,3 +543,31 @@
         (engine.backups, engine.copy_lifetime_seconds) for engine in context.engines
     ]
     assert found == [(True, 2.0), (True, 5.0), (False, 5.0)], found
+
+
+@when(
+    'the longest pause is {pause:g}, the objective {objective:g}, '
+    'the usual gap {gap} and the estimated start {start}'
+)
+def compute_limits(context, pause, objective, gap, start):
+    route = replace(
+        make_route('stream', RouteKind.stream),
+        max_pause_seconds=pause,
+        objective=objective,
+    )
+    context.limits = (
+        compute_gap_limit(route, _parse_seconds(gap)),
+        compute_start_limit(route, _parse_seconds(start)),
+    )
+
+
+@then('a target is silent after {within} within a stream and {before} before it')
+def check_limits(context, within, before):
+    expected = (_parse_seconds(within), _parse_seconds(before))
+    for limit, wanted in zip(context.limits, expected, strict=True):
+        assert (limit is None) == (wanted is None), context.limits
+        assert math.isclose(limit or 0, wanted or 0), context.limits
+
+
+def _parse_seconds(text):
+    return None if text == 'none' else float(text)
--- a/features/steps/running_fleet.py
+++ b/features/steps/running_fleet.py
@@ -62,6 +62,7 @@
 SLOW_FACTOR = 10
 PLAIN_ANSWER_SECONDS = 0.05
 BEFORE_HEAD = -1
+BOUNDS = Bounds(1.0, 100.0, 10.0, GRACE_SECONDS)
 EVENTS = 8
 EVENT_INTERVAL_SECONDS = 0.05
 # A crashed target restarts after this time under a new id; its old entry lapses after
@@ -242,6 +243,8 @@
 
     def _open(self, channel):
         self._channels.add(channel)
+        incarnation, closed = self.incarnation, self._fleet.closed
+        channel.on_lost = lambda: closed.append((self._net.time(), incarnation))
         task = asyncio.get_running_loop().create_task(self._serve(channel))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -440,7 +443,7 @@
             callers_address=self.address,
             readiness_address=(ip, 81),
             store_address=('10.9.0.1', 1),
-            bounds=Bounds(1.0, 100.0, 10.0, GRACE_SECONDS),
+            bounds=self._fleet.bounds,
             regions={'d-0': 'r-0', 'd-1': 'r-1'},
             features=self._fleet.features,
         )
@@ -476,6 +479,8 @@
         cold_counts: Requests within a second, at each arrival at a cold target.
         overruns: Loop time and incarnation of each cold target that was overrun.
         features: The optional parts of the routers that are in use.
+        bounds: The limits that the routers' settings hold.
+        closed: Loop time and target of each connection to a target that ended.
         continuations: Target, number of the first event, and whether the copy was
             there, of each request that names a copy.
     """
@@ -490,6 +495,8 @@
         self.service = MemoryService()
         self.log = EventLog(os.open(os.devnull, os.O_WRONLY))
         self.features = frozenset()
+        self.bounds = BOUNDS
+        self.closed = []
         self.continuations = []
         self.arrivals = []
         self.ends = []
--- a/packages/fleet/src/ibisport_fleet/continuation/request.py
+++ b/packages/fleet/src/ibisport_fleet/continuation/request.py
@@ -5,8 +5,11 @@
 from dataclasses import dataclass
 
 from ibisport_fleet.calls import Call
+from ibisport_fleet.catalogue import RouteKind
 from ibisport_fleet.continuation.copies import CopyPlan, plan_copy, select_backup
 from ibisport_fleet.continuation.event_sequence import SequencedSplitter
+from ibisport_fleet.continuation.silence import compute_gap_limit, compute_start_limit
+from ibisport_fleet.continuation.waiting import SilenceLimit
 from ibisport_fleet.dependencies import Dependencies, ServiceState
 from ibisport_fleet.metadata import RunCopy
 from ibisport_fleet.request_recorder import BrokenRun
@@ -141,6 +144,31 @@
         target = call.target or ''
         self._dependencies.recorder.record_copy_missing(call, target, reason)
 
+    def find_limit(
+        self, candidate: Candidate, uncached_tokens: int, *, begun: bool
+    ) -> SilenceLimit | None:
+        """Return when a target counts as silent; None: it is waited for.
+
+        Args:
+            candidate: The target of the present attempt.
+            uncached_tokens: Tokens of the prompt that it hasn't cached.
+            begun: Whether it has sent an event.
+        """
+        call, now = self._call, _now()
+        if not self._enabled or call.route.kind is not RouteKind.stream:
+            return None
+        resumable = call.route.resumable
+        if begun and (resumable or self._copy is not None):
+            usual_gap = self._paces.find_usual_gap(candidate.entry.start_id)
+            limit = compute_gap_limit(call.route, usual_gap)
+            return None if limit is None else SilenceLimit(now + limit, limit)
+        if begun or not resumable:
+            return None
+        estimate = self._paces.estimate_start_seconds(candidate, uncached_tokens, now)
+        limit = compute_start_limit(call.route, estimate)
+        sent_at = call.sent_at
+        return None if limit is None else SilenceLimit(sent_at + limit, limit)
+
     def _begin_copy(self, source: Candidate) -> None:
         dependencies, call = self._dependencies, self._call
         engine = dependencies.find_engine(call.service)
--- a/packages/fleet/src/ibisport_fleet/event_log.py
+++ b/packages/fleet/src/ibisport_fleet/event_log.py
@@ -54,6 +54,7 @@
     quarantine_unsaved = 2410
     stream_continued = 2430
     copy_missing = 2431
+    target_silent = 2432
     budget_opened = 2501
     budget_unknown = 2502
     lender_lost = 2503
--- a/packages/fleet/src/ibisport_fleet/forwarding.py
+++ b/packages/fleet/src/ibisport_fleet/forwarding.py
@@ -7,8 +7,14 @@
 from ibisport_fleet.calls import Call
 from ibisport_fleet.catalogue import RouteKind
 from ibisport_fleet.continuation.request import RequestContinuation
+from ibisport_fleet.continuation.waiting import (
+    SilenceLimit,
+    read_part,
+    wait_for_outcome,
+)
 from ibisport_fleet.dependencies import Dependencies, ServiceState
 from ibisport_fleet.errors import ConnectionBroken
+from ibisport_fleet.http_connection import HttpConnection
 from ibisport_fleet.response_writer import ResponseWriter
 from ibisport_fleet.target_choice import Candidate, TargetHealth
 from ibisport_fleet.target_client import (
@@ -17,6 +23,7 @@
     NotRun,
     NotSent,
     OutcomeUnknown,
+    SendOutcome,
 )
 from ibisport_fleet.target_selection import (
     STATUS_BAD_GATEWAY,
@@ -56,6 +63,9 @@
         self._absent_targets = 0
         self._uncached_tokens = 0
         self._prefilling: TargetHealth | None = None
+        # Whether the next attempt is planned before the present one is given up.
+        self._next_planned = False
+        self._received_at = 0.0
 
     @property
     def forwarded_events(self) -> int:
@@ -144,9 +154,7 @@
         call.sent_at = _now()
         self._dependencies.recorder.record_sent(call, candidate)
         call.may_have_run = True
-        outcome = await self._dependencies.target_client.send(
-            call, candidate, self._splitter.last_event_id
-        )
+        outcome = await self._send(candidate)
         if candidate.health.leaving:
             self._dependencies.targets.record_leaving(candidate.entry)
         match outcome:
@@ -158,6 +166,49 @@
                 self._handle_unknown_outcome(candidate, reason)
         return False
 
+    async def _send(self, candidate: Candidate) -> SendOutcome:
+        sending = self._dependencies.target_client.send(
+            self._call, candidate, self._splitter.last_event_id
+        )
+        limit = self._find_silence_limit(candidate, begun=False)
+        if limit is None:
+            return await sending
+        outcome = await wait_for_outcome(
+            sending, limit, lambda: self._may_give_up(candidate)
+        )
+        if outcome is None:
+            candidate.health.record_failure(_now())
+            return OutcomeUnknown('the target is silent')
+        return outcome
+
+    async def _read_part(
+        self, connection: HttpConnection, candidate: Candidate, *, begun: bool
+    ) -> bytes | None:
+        limit = self._find_silence_limit(candidate, begun=begun)
+        if limit is None:
+            return await connection.read_part()
+        return await read_part(connection, limit, lambda: self._may_give_up(candidate))
+
+    def _find_silence_limit(
+        self, candidate: Candidate, *, begun: bool
+    ) -> SilenceLimit | None:
+        return self._continuation.find_limit(
+            candidate, self._uncached_tokens, begun=begun
+        )
+
+    def _may_give_up(self, candidate: Candidate) -> bool:
+        """Return whether the request goes on elsewhere than at a silent target."""
+        now = _now()
+        others = self._selector.list_sendable(now)
+        if not any(other.health.is_available(now) for other in others):
+            return False
+        self._next_planned = self._plan_next(candidate, 'silent')
+        if self._next_planned:
+            seconds = now - max(self._received_at, self._call.sent_at)
+            events = self._splitter.event_count
+            self._dependencies.recorder.record_silent(self._call, seconds, events)
+        return self._next_planned
+
     def _handle_rejection(self, outcome: NotSent | NotRun) -> None:
         call = self._call
         if call.continued_from is not None:
@@ -188,7 +239,9 @@
     def _handle_unknown_outcome(self, candidate: Candidate, reason: str) -> None:
         call = self._call
         self._dependencies.fatal_requests.record_break(candidate.entry, call.digest)
-        if not self._plan_next(candidate, reason):
+        planned = self._next_planned or self._plan_next(candidate, reason)
+        self._next_planned = False
+        if not planned:
             raise RequestFailed(STATUS_BAD_GATEWAY, reason)
         self._dependencies.recorder.record_resumed(
             call, reason, self._splitter.last_event_id
@@ -210,7 +263,7 @@
     async def _forward_answer(self, answered: Answered, candidate: Candidate) -> bool:
         try:
             if answered.succeeded and self._call.route.kind is RouteKind.stream:
-                await self._forward_stream(answered)
+                await self._forward_stream(answered, candidate)
             else:
                 return await self._forward_whole(answered)
         except ConnectionBroken as error:
@@ -257,14 +310,16 @@
             return False
         return self._take_retry()
 
-    async def _forward_stream(self, answered: Answered) -> None:
+    async def _forward_stream(self, answered: Answered, candidate: Candidate) -> None:
         if not self._response.head_sent:
             self._response.begin_stream(answered.head)
             self._dependencies.recorder.record_first_byte(self._call)
         connection = answered.connection
         gaps = _EventGaps()
-        while (part := await connection.read_part()) is not None:
-            answered.health.last_received_at = _now()
+        while (
+            part := await self._read_part(connection, candidate, begun=gaps.begun)
+        ) is not None:
+            self._received_at = answered.health.last_received_at = _now()
             events = self._splitter.feed(part)
             if events:
                 self._end_prefill()
@@ -293,6 +348,11 @@
     max_gap: float = 0.0
     _last_event_at: float = math.inf
 
+    @property
+    def begun(self) -> bool:
+        """Whether an event was recorded."""
+        return self._last_event_at < math.inf
+
     def record_event(self, now: float) -> None:
         """Record an event; no gap precedes the first one."""
         self.max_gap = max(self.max_gap, now - self._last_event_at)
--- a/packages/fleet/src/ibisport_fleet/request_recorder.py
+++ b/packages/fleet/src/ibisport_fleet/request_recorder.py
@@ -144,6 +144,23 @@
             reason=reason,
         )
 
+    def record_silent(self, call: Call, seconds: float, events: int) -> None:
+        """Record that a connection is closed since its target sends nothing.
+
+        Args:
+            call: The request.
+            seconds: How long the target has sent nothing.
+            events: Number of complete events that were forwarded.
+        """
+        self._log.write(
+            Event.target_silent,
+            request=call.metadata.request_id,
+            route=call.route.name,
+            target=call.target,
+            seconds=round(seconds, 4),
+            events=events,
+        )
+
     def record_served(self, call: Call, status: int, events: int) -> None:
         """Record an answer that was forwarded completely."""
         elapsed = asyncio.get_running_loop().time() - call.request.received_at
