Send late plain requests that may run twice to a second target

Cause: an idempotent request waited until its deadline for a target that had lost its answer or hung, since only a broken connection led to another attempt.

Change: with the feature hedging, such a request gets a second target once it is later than twice the 95th percentile of the service's recent answers and than half of its objective, for one retry and within max_targets. The first complete answer below 500 is passed on and the other connection is closed. The time of a first target that loses counts among the recent answers, so that a service that becomes slower isn't asked twice for long.

--- a/features/steps/running_fleet.py
+++ b/features/steps/running_fleet.py
@@ -130,6 +130,7 @@
         leaves: Whether all of its answers say that it leaves.
         reports_load: Whether its answers report how many requests it runs.
         cold_until: Loop time until which it warms up, and crashes if it is overrun.
+        answer_seconds: How long its plain answers take, or None: as usual.
         hangs_after: Events after which its answers stop; BEFORE_HEAD, or None: never.
         id_offset: Added to the ids of the events of runs that continue here.
         copies: Events that arrived of the runs of other targets, by the run's id.
@@ -148,6 +149,7 @@
         self.reports_load = False
         self.cold_until = 0.0
         self.hangs_after = None
+        self.answer_seconds = None
         self.id_offset = 0
         self.copies = {}
         self._cold_arrivals = []
@@ -334,7 +336,7 @@
             self.crash()
             return
         if request.body != SLOW and not request.target.startswith(b'/stream/'):
-            await asyncio.sleep(PLAIN_ANSWER_SECONDS)
+            await asyncio.sleep(self.answer_seconds or PLAIN_ANSWER_SECONDS)
             head = self._make_head(OK, request)
             channel.write(head + b'Content-Length: 1\r\n\r\nx')
             return
--- a/packages/fleet/src/ibisport_fleet/dependencies.py
+++ b/packages/fleet/src/ibisport_fleet/dependencies.py
@@ -1,10 +1,12 @@
 """Components that the handling of all requests shares."""
 
+from collections import defaultdict
 from dataclasses import dataclass, field
 
 from ibisport_fleet.budgets import Budgets
 from ibisport_fleet.catalogue import Engine
 from ibisport_fleet.continuation.copies import CopiesInFlight
+from ibisport_fleet.continuation.hedging import AnswerTimes
 from ibisport_fleet.continuation.paces import ServicePaces, UnknownPaces
 from ibisport_fleet.fatal_requests import FatalRequests
 from ibisport_fleet.fleet_view import CatalogueView, TargetView
@@ -32,6 +34,7 @@
         fatal_requests: Quarantine of requests that crash targets.
         holds: Reasons for which targets may not get requests.
         copies: Copies of runs that this router has in flight.
+        answer_times: Times of the recent answers of plain services, by service.
     """
 
     settings: HostSettings
@@ -44,6 +47,9 @@
     fatal_requests: FatalRequests
     holds: TargetHolds
     copies: CopiesInFlight = field(default_factory=CopiesInFlight)
+    answer_times: defaultdict[str, AnswerTimes] = field(
+        default_factory=lambda: defaultdict(AnswerTimes)
+    )
 
     def find_engine(self, service_name: str) -> Engine | None:
         """Return the capacity of a service's engines; None: it has none."""
--- a/packages/fleet/src/ibisport_fleet/event_log.py
+++ b/packages/fleet/src/ibisport_fleet/event_log.py
@@ -55,6 +55,7 @@
     stream_continued = 2430
     copy_missing = 2431
     target_silent = 2432
+    request_hedged = 2433
     budget_opened = 2501
     budget_unknown = 2502
     lender_lost = 2503
--- a/packages/fleet/src/ibisport_fleet/forwarding.py
+++ b/packages/fleet/src/ibisport_fleet/forwarding.py
@@ -6,6 +6,11 @@
 
 from ibisport_fleet.calls import Call
 from ibisport_fleet.catalogue import RouteKind
+from ibisport_fleet.continuation.hedged_send import (
+    HedgedSender,
+    HedgeOutcome,
+    WholeAnswer,
+)
 from ibisport_fleet.continuation.request import RequestContinuation
 from ibisport_fleet.continuation.waiting import (
     SilenceLimit,
@@ -59,6 +64,9 @@
             dependencies, service_state, self._selector, call
         )
         self._splitter = self._continuation.splitter
+        self._hedged_sender = HedgedSender(
+            dependencies, self._selector, call, self._may_retry
+        )
         self._rejections = 0
         self._absent_targets = 0
         self._uncached_tokens = 0
@@ -154,6 +162,8 @@
         call.sent_at = _now()
         self._dependencies.recorder.record_sent(call, candidate)
         call.may_have_run = True
+        if self._hedged_sender.applies:
+            return self._handle_hedged(await self._hedged_sender.send(candidate))
         outcome = await self._send(candidate)
         if candidate.health.leaving:
             self._dependencies.targets.record_leaving(candidate.entry)
@@ -181,6 +191,19 @@
             return OutcomeUnknown('the target is silent')
         return outcome
 
+    def _handle_hedged(self, hedged: HedgeOutcome) -> bool:
+        """Handle the outcome of an attempt that may have had two targets."""
+        call = self._call
+        call.target, call.sent_at = hedged.call.target, hedged.call.sent_at
+        match hedged.outcome:
+            case WholeAnswer(answered=answered, body=body):
+                return self._pass_on(answered, body)
+            case NotSent() | NotRun():
+                self._handle_rejection(hedged.outcome)
+            case OutcomeUnknown(reason=reason):
+                self._handle_unknown_outcome(hedged.candidate, reason)
+        return False
+
     async def _read_part(
         self, connection: HttpConnection, candidate: Candidate, *, begun: bool
     ) -> bytes | None:
@@ -282,6 +305,10 @@
     async def _forward_whole(self, answered: Answered) -> bool:
         body = await answered.connection.read_body()
         self._dependencies.target_client.release(answered)
+        return self._pass_on(answered, body)
+
+    def _pass_on(self, answered: Answered, body: bytes) -> bool:
+        """Pass a complete answer on; return whether no other attempt follows."""
         call = self._call
         self._dependencies.fatal_requests.record_answer(call.digest)
         failed = answered.head.status >= FIRST_FAILURE_STATUS
--- a/packages/fleet/src/ibisport_fleet/metrics.py
+++ b/packages/fleet/src/ibisport_fleet/metrics.py
@@ -33,6 +33,11 @@
         self._copied_tokens = Counter(
             'ibisport_copied_tokens', 'Tokens in copies of runs.', registry=registry
         )
+        self._hedged = Counter(
+            'ibisport_hedged_requests',
+            'Requests with two targets at once, by the target whose answer was used.',
+            registry=registry,
+        )
         self._first_byte = _build_histogram(
             'ibisport_first_byte_seconds', 'Time to the first byte.', registry
         )
@@ -82,6 +87,15 @@
         """Count the tokens of a run that ended, or broke, with a copy."""
         self._copied_tokens.add({'service': service}, tokens)
 
+    def count_hedged(self, service: str, winner: str) -> None:
+        """Count a request with two targets at once.
+
+        Args:
+            service: Its service.
+            winner: ``first``, ``second``, or ``none`` without a usable answer.
+        """
+        self._hedged.inc({'service': service, 'winner': winner})
+
     def observe_first_byte(
         self, workspace: str | None, route: str, seconds: float
     ) -> None:
--- a/packages/fleet/src/ibisport_fleet/request_recorder.py
+++ b/packages/fleet/src/ibisport_fleet/request_recorder.py
@@ -161,6 +161,27 @@
             events=events,
         )
 
+    def record_hedged(self, call: Call, second: Candidate, seconds: float) -> None:
+        """Record that a second target gets a request beside the first one.
+
+        Args:
+            call: The request; its target is the first one.
+            second: The second target.
+            seconds: How long the first target hasn't answered.
+        """
+        self._log.write(
+            Event.request_hedged,
+            request=call.metadata.request_id,
+            route=call.route.name,
+            source=call.target,
+            target=second.entry.incarnation,
+            seconds=round(seconds, 4),
+        )
+
+    def record_hedge_end(self, call: Call, winner: str) -> None:
+        """Count a request that had two targets at once, by whose answer was used."""
+        self._metrics.count_hedged(call.service, winner)
+
     def record_served(self, call: Call, status: int, events: int) -> None:
         """Record an answer that was forwarded completely."""
         elapsed = asyncio.get_running_loop().time() - call.request.received_at
