--- a/packages/fleet/src/ibisport_fleet/calls.py
+++ b/packages/fleet/src/ibisport_fleet/calls.py
@@ -10,7 +10,7 @@
 from ibisport_fleet.addresses import Address
 from ibisport_fleet.catalogue import Route, Workspace
 from ibisport_fleet.http_messages import Request
-from ibisport_fleet.metadata import RequestMetadata
+from ibisport_fleet.metadata import RequestMetadata, RunCopy
 
 # Route ranks that are distinguished within one workspace rank.
 ROUTE_RANKS = 3
@@ -37,6 +37,8 @@
         cache_source: Address of the engine from which the target of the last send
             fetches cached parts, or None.
         copied_from: Start id of that engine while copies are counted, or None.
+        backup: Address of the engine that gets a copy of the run's memory, or None.
+        continued_from: The copy with which the last send continues the run, or None.
     """
 
     request: Request
@@ -53,6 +55,8 @@
     sent_at: float = 0.0
     cache_source: Address | None = None
     copied_from: tuple[str, int] | None = None
+    backup: Address | None = None
+    continued_from: RunCopy | None = None
 
     @cached_property
     def digest(self) -> str:
--- a/packages/fleet/src/ibisport_fleet/dependencies.py
+++ b/packages/fleet/src/ibisport_fleet/dependencies.py
@@ -1,9 +1,12 @@
 """Components that the handling of all requests shares."""
 
-from dataclasses import dataclass
+from collections import defaultdict
+from dataclasses import dataclass, field
 
 from ibisport_fleet.budgets import Budgets
 from ibisport_fleet.catalogue import Engine
+from ibisport_fleet.continuation.copies import CopiesInFlight
+from ibisport_fleet.continuation.hedging import AnswerTimes
 from ibisport_fleet.fatal_requests import FatalRequests
 from ibisport_fleet.fleet_view import CatalogueView, TargetView
 from ibisport_fleet.metadata import Dialect
@@ -30,6 +33,8 @@
         recorder: Logs and counts decisions.
         fatal_requests: Quarantine of requests that crash targets.
         holds: Reasons for which targets may not get requests.
+        copies: Copies of runs that this router has in flight.
+        answer_times: Times of the recent answers of plain services, by service.
     """
 
     settings: HostSettings
@@ -41,6 +46,10 @@
     recorder: RequestRecorder
     fatal_requests: FatalRequests
     holds: TargetHolds
+    copies: CopiesInFlight = field(default_factory=CopiesInFlight)
+    answer_times: defaultdict[str, AnswerTimes] = field(
+        default_factory=lambda: defaultdict(AnswerTimes)
+    )
 
     def find_engine(self, service_name: str) -> Engine | None:
         """Return the capacity of a service's engines; None: it has none."""
--- a/packages/fleet/src/ibisport_fleet/forwarding.py
+++ b/packages/fleet/src/ibisport_fleet/forwarding.py
@@ -6,12 +6,23 @@
 
 from ibisport_fleet.calls import Call
 from ibisport_fleet.catalogue import RouteKind
+from ibisport_fleet.continuation.hedged_send import (
+    HedgedSender,
+    HedgeOutcome,
+    WholeAnswer,
+)
+from ibisport_fleet.continuation.request import RequestContinuation
+from ibisport_fleet.continuation.waiting import (
+    SilenceLimit,
+    read_part,
+    wait_for_outcome,
+)
 from ibisport_fleet.dependencies import Dependencies, ServiceState
 from ibisport_fleet.errors import ConnectionBroken
+from ibisport_fleet.http_connection import HttpConnection
 from ibisport_fleet.placing.backlog import is_crowded
 from ibisport_fleet.placing.pace import GapRecorder
 from ibisport_fleet.response_writer import ResponseWriter
-from ibisport_fleet.sse import EventSplitter
 from ibisport_fleet.target_choice import Candidate, TargetHealth
 from ibisport_fleet.target_client import (
     FIRST_FAILURE_STATUS,
@@ -19,6 +30,7 @@
     NotRun,
     NotSent,
     OutcomeUnknown,
+    SendOutcome,
 )
 from ibisport_fleet.target_selection import (
     STATUS_BAD_GATEWAY,
@@ -51,13 +63,22 @@
         self._prompt_mix = service_state.prompt_mix
         self._pace = service_state.pace
         self._selector = TargetSelector(dependencies, service_state, call)
-        self._splitter = EventSplitter(call.metadata.last_event_id)
+        self._continuation = RequestContinuation(
+            dependencies, service_state, self._selector, call
+        )
+        self._splitter = self._continuation.splitter
+        self._hedged_sender = HedgedSender(
+            dependencies, self._selector, call, self._may_retry
+        )
         self._rejections = 0
         self._absent_targets = 0
         self._uncached_tokens = 0
         self._prefilling: TargetHealth | None = None
         self._shows_start_time = False
         self._copy: tuple[tuple[str, int], int] | None = None
+        # Whether the next attempt is planned before the present one is given up.
+        self._next_planned = False
+        self._received_at = 0.0
 
     @property
     def forwarded_events(self) -> int:
@@ -73,15 +94,18 @@
         self._retry_budget.record_request(_now())
         while True:
             self.check_quarantine()
-            candidate = self._selector.select()
+            candidate = self._continuation.select()
             candidate.health.begin_request(_now())
-            self._begin_prefill(candidate)
+            # A run that continues reads only what its copy lacks.
+            if self._call.continued_from is None:
+                self._begin_prefill(candidate)
             try:
                 if await self._attempt(candidate):
                     return
             finally:
                 candidate.health.end_request()
                 self._end_prefill()
+                self._continuation.end_attempt()
 
     def check_quarantine(self) -> None:
         """Refuse a request that crashes targets.
@@ -161,14 +185,16 @@
     async def _attempt(self, candidate: Candidate) -> bool:
         call = self._call
         call.tried.add(candidate.entry.start_id)
-        call.attempts += 1
+        # A continuation takes the place of the target that no longer runs the request.
+        if call.continued_from is None:
+            call.attempts += 1
         call.target = candidate.entry.incarnation
         call.sent_at = _now()
         self._dependencies.recorder.record_sent(call, candidate)
         call.may_have_run = True
-        outcome = await self._dependencies.target_client.send(
-            call, candidate, self._splitter.last_event_id
-        )
+        if self._hedged_sender.applies:
+            return self._handle_hedged(await self._hedged_sender.send(candidate))
+        outcome = await self._send(candidate)
         if candidate.health.leaving:
             self._dependencies.targets.record_leaving(candidate.entry)
         match outcome:
@@ -180,8 +206,67 @@
                 self._handle_unknown_outcome(candidate, reason)
         return False
 
+    async def _send(self, candidate: Candidate) -> SendOutcome:
+        sending = self._dependencies.target_client.send(
+            self._call, candidate, self._splitter.last_event_id
+        )
+        limit = self._find_silence_limit(candidate, begun=False)
+        if limit is None:
+            return await sending
+        outcome = await wait_for_outcome(
+            sending, limit, lambda: self._may_give_up(candidate)
+        )
+        if outcome is None:
+            candidate.health.record_failure(_now())
+            return OutcomeUnknown('the target is silent')
+        return outcome
+
+    def _handle_hedged(self, hedged: HedgeOutcome) -> bool:
+        """Handle the outcome of an attempt that may have had two targets."""
+        call = self._call
+        call.target, call.sent_at = hedged.call.target, hedged.call.sent_at
+        match hedged.outcome:
+            case WholeAnswer(answered=answered, body=body):
+                return self._pass_on(answered, body)
+            case NotSent() | NotRun():
+                self._handle_rejection(hedged.outcome)
+            case OutcomeUnknown(reason=reason):
+                self._handle_unknown_outcome(hedged.candidate, reason)
+        return False
+
+    async def _read_part(
+        self, connection: HttpConnection, candidate: Candidate, *, begun: bool
+    ) -> bytes | None:
+        limit = self._find_silence_limit(candidate, begun=begun)
+        if limit is None:
+            return await connection.read_part()
+        return await read_part(connection, limit, lambda: self._may_give_up(candidate))
+
+    def _find_silence_limit(
+        self, candidate: Candidate, *, begun: bool
+    ) -> SilenceLimit | None:
+        return self._continuation.find_limit(
+            candidate, self._uncached_tokens, begun=begun
+        )
+
+    def _may_give_up(self, candidate: Candidate) -> bool:
+        """Return whether the request goes on elsewhere than at a silent target."""
+        now = _now()
+        others = self._selector.list_sendable(now)
+        if not any(other.health.is_available(now) for other in others):
+            return False
+        self._next_planned = self._plan_next(candidate, 'silent')
+        if self._next_planned:
+            seconds = now - max(self._received_at, self._call.sent_at)
+            events = self._splitter.event_count
+            self._dependencies.recorder.record_silent(self._call, seconds, events)
+        return self._next_planned
+
     def _handle_rejection(self, outcome: NotSent | NotRun) -> None:
         call = self._call
+        if call.continued_from is not None:
+            self._handle_missing_copy(outcome)
+            return
         call.attempts -= 1
         call.may_have_run = call.attempts > 0
         match outcome:
@@ -197,15 +282,32 @@
         if isinstance(outcome, NotRun) and not self._take_retry():
             raise self._selector.build_full()
 
+    def _handle_missing_copy(self, outcome: NotSent | NotRun) -> None:
+        """Repeat a request that no copy continues, if it may run more than once."""
+        reason = 'not reached' if isinstance(outcome, NotSent) else 'not there'
+        self._continuation.record_missing(reason)
+        if not (self._call.route.repeatable and self._may_retry()):
+            raise RequestFailed(STATUS_BAD_GATEWAY, 'the copy of the run is missing')
+
     def _handle_unknown_outcome(self, candidate: Candidate, reason: str) -> None:
         call = self._call
         self._dependencies.fatal_requests.record_break(candidate.entry, call.digest)
-        if not (call.route.repeatable and self._may_retry()):
+        planned = self._next_planned or self._plan_next(candidate, reason)
+        self._next_planned = False
+        if not planned:
             raise RequestFailed(STATUS_BAD_GATEWAY, reason)
         self._dependencies.recorder.record_resumed(
             call, reason, self._splitter.last_event_id
         )
 
+    def _plan_next(self, candidate: Candidate, reason: str) -> bool:
+        """Return whether another attempt follows after an unknown outcome."""
+        if self._continuation.plan_next(candidate, reason, self._take_retry):
+            return True
+        # Without a copy, a run that continued is never repeated at a third target.
+        continued = self._call.continued_from is not None
+        return self._call.route.repeatable and not continued and self._may_retry()
+
     def _take_retry(self) -> bool:
         return self._retry_budget.try_acquire(
             _now(), self._dependencies.budgets.router_count
@@ -218,6 +320,8 @@
             else:
                 return await self._forward_whole(answered)
         except ConnectionBroken as error:
+            # The target must no longer work on the request when it is sent again.
+            answered.connection.close()
             answered.health.record_failure(_now())
             self._splitter.drop_partial_event()
             self._handle_unknown_outcome(candidate, repr(error))
@@ -231,6 +335,10 @@
     async def _forward_whole(self, answered: Answered) -> bool:
         body = await answered.connection.read_body()
         self._dependencies.target_client.release(answered)
+        return self._pass_on(answered, body)
+
+    def _pass_on(self, answered: Answered, body: bytes) -> bool:
+        """Pass a complete answer on; return whether no other attempt follows."""
         call = self._call
         self._dependencies.fatal_requests.record_answer(call.digest)
         failed = answered.head.status >= FIRST_FAILURE_STATUS
@@ -238,6 +346,9 @@
             return False
         if not failed:
             answered.health.record_success()
+        if self._response.head_sent:
+            # A second head within a stream that has begun would pass for its content.
+            raise RequestFailed(STATUS_BAD_GATEWAY, 'no stream at the next target')
         self._response.write_whole(answered.head, body)
         self._dependencies.recorder.record_served(
             self._call, answered.head.status, self._splitter.event_count
@@ -263,8 +374,10 @@
         connection = answered.connection
         gaps = _EventGaps()
         gap_recorder = GapRecorder(self._pace, candidate.entry.start_id)
-        while (part := await connection.read_part()) is not None:
-            answered.health.last_received_at = _now()
+        while (
+            part := await self._read_part(connection, candidate, begun=gaps.begun)
+        ) is not None:
+            self._received_at = answered.health.last_received_at = _now()
             known = self._splitter.event_count
             events = self._splitter.feed(part)
             if events:
@@ -272,10 +385,14 @@
                 self._record_start_time(candidate)
                 gap_recorder.record_events(self._splitter.event_count - known, _now())
                 gaps.record_event(_now())
+                self._continuation.record_events()
                 await self._response.write_chunk(events)
+            if self._continuation.disordered:
+                raise ConnectionBroken('an event does not follow the last one')
         if self._splitter.has_partial_event:
             raise ConnectionBroken('the stream ended within an event')
         self._response.end_stream()
+        self._continuation.record_events()
         self._record_event_gaps(gaps.max_gap)
         self._dependencies.target_client.release(answered)
         self._dependencies.fatal_requests.record_answer(self._call.digest)
@@ -292,6 +409,11 @@
     max_gap: float = 0.0
     _last_event_at: float = math.inf
 
+    @property
+    def begun(self) -> bool:
+        """Whether an event was recorded."""
+        return self._last_event_at < math.inf
+
     def record_event(self, now: float) -> None:
         """Record an event; no gap precedes the first one."""
         self.max_gap = max(self.max_gap, now - self._last_event_at)
--- a/packages/fleet/src/ibisport_fleet/request_recorder.py
+++ b/packages/fleet/src/ibisport_fleet/request_recorder.py
@@ -1,6 +1,7 @@
 """Writes a log line and a metric for each decision about a request."""
 
 import asyncio
+from dataclasses import dataclass
 
 from ibisport_fleet.budgets import TokensUnavailable
 from ibisport_fleet.calls import Call
@@ -13,6 +14,23 @@
 OUTCOME_PROCESS_ENDED = 'process_ended'
 
 
+@dataclass(frozen=True, slots=True)
+class BrokenRun:
+    """A run whose target ended, was cut off, or went silent.
+
+    Attributes:
+        target: Incarnation of the target.
+        cause: What was observed.
+        last_event_id: Id of the last event that the caller got, or None.
+        heard_at: Loop time of that event, or of the send.
+    """
+
+    target: str
+    cause: str
+    last_event_id: int | None
+    heard_at: float
+
+
 class RequestRecorder:
     """Records requests in the log and in the metrics."""
 
@@ -88,6 +106,82 @@
             **_describe_send(call),
         )
 
+    def record_copy(self, call: Call) -> None:
+        """Count a copy that was requested for a run."""
+        self._metrics.count_copy(call.service)
+
+    def record_copied_tokens(self, call: Call, tokens: int) -> None:
+        """Count the tokens of a run whose attempt has ended, with a copy."""
+        self._metrics.count_copied_tokens(call.service, tokens)
+
+    def record_continued(self, call: Call, broken: BrokenRun, gap: float) -> None:
+        """Record that a stream goes on at the copy of its run.
+
+        Args:
+            call: The request.
+            broken: The run that broke.
+            gap: Time from the last event before to the first one after, seconds.
+        """
+        self._log.write(
+            Event.stream_continued,
+            request=call.metadata.request_id,
+            route=call.route.name,
+            cause=broken.cause,
+            source=broken.target,
+            target=call.target,
+            last_event=broken.last_event_id,
+            seconds=round(gap, 4),
+        )
+        self._metrics.count_continued(call.service)
+
+    def record_copy_missing(self, call: Call, target: str, reason: str) -> None:
+        """Record that a stream can't go on since its copy isn't there."""
+        self._log.write(
+            Event.copy_missing,
+            request=call.metadata.request_id,
+            route=call.route.name,
+            target=target,
+            reason=reason,
+        )
+
+    def record_silent(self, call: Call, seconds: float, events: int) -> None:
+        """Record that a connection is closed since its target sends nothing.
+
+        Args:
+            call: The request.
+            seconds: How long the target has sent nothing.
+            events: Number of complete events that were forwarded.
+        """
+        self._log.write(
+            Event.target_silent,
+            request=call.metadata.request_id,
+            route=call.route.name,
+            target=call.target,
+            seconds=round(seconds, 4),
+            events=events,
+        )
+
+    def record_hedged(self, call: Call, second: Candidate, seconds: float) -> None:
+        """Record that a second target gets a request beside the first one.
+
+        Args:
+            call: The request; its target is the first one.
+            second: The second target.
+            seconds: How long the first target hasn't answered.
+        """
+        self._log.write(
+            Event.request_hedged,
+            request=call.metadata.request_id,
+            route=call.route.name,
+            source=call.target,
+            target=second.entry.incarnation,
+            seconds=round(seconds, 4),
+        )
+
+    def record_hedge_end(self, call: Call, winner: str) -> None:
+        """Count a request that had two targets at once, by whose answer was used."""
+        self._metrics.count_hedged(call.service, winner)
+
     def record_served(self, call: Call, status: int, events: int) -> None:
         """Record an answer that was forwarded completely."""
         elapsed = asyncio.get_running_loop().time() - call.request.received_at
