Take routers out of rotation that can't serve while others can

A router that reaches neither the lenders nor the store refused its requests with 503 `budget` and stayed ready, although its neighbours had tokens. With Feature.standby it now counts requests and such refusals over 1.5 s, answers readiness checks with 503 once most of at least 12 requests were refused, and closes the connections of its refusals. It asks lenders and the store each 0.25 s and returns with the first answer, or on trial after 3 to 12 s. 402, shortages that a lender reports, full services and failing targets aren't counted.

A loan request for no tokens now tells whether the process lends at all (Loan.lends). A lender that has lost the store and spent its reserve borrows from other lenders for its own callers; without that, it left the rotation in an outage of the store for all.

The tests fail with the guard against flapping removed, with contact not clearing the count, without the loans between lenders, and with answers of lenders ignored.

--- a/features/steps/running_fleet.py
+++ b/features/steps/running_fleet.py
@@ -389,6 +389,7 @@
             store_address=('10.9.0.1', 1),
             bounds=Bounds(1.0, 100.0, 10.0, GRACE_SECONDS),
             regions={'d-0': 'r-0', 'd-1': 'r-1'},
+            features=self._fleet.features,
         )
 
 
@@ -418,6 +419,7 @@
         left: Loop time at which an incarnation first told a router that it leaves.
         pauses: Loop time, router and target of each rejection that asks for a pause.
         catalogue: The catalogue of all routers.
+        features: The optional parts that are in use at all routers.
         started: Whether targets that start from now on are cold.
         cold_counts: Requests within a second, at each arrival at a cold target.
         overruns: Loop time and incarnation of each cold target that was overrun.
@@ -427,6 +429,7 @@
         self.net = net
         service = Service('svc', 100, None, warm_up)
         self.catalogue = replace(CATALOGUE, services={'svc': service})
+        self.features = frozenset()
         self.started = False
         self.cold_counts = []
         self.overruns = []
@@ -521,7 +524,14 @@
     return b'request %d' % number
 
 
-def run_fleet(act, routers=4, targets=6, warm_up=None, change_catalogue=None):
+def run_fleet(
+    act,
+    routers=4,
+    targets=6,
+    warm_up=None,
+    change_catalogue=None,
+    features=(),
+):
     """Start a fleet, run a coroutine on it, and return it.
 
     Args:
@@ -530,11 +540,13 @@
         targets: Number of targets.
         warm_up: How targets warm up that start while the fleet runs, or None.
         change_catalogue: Function that returns a changed catalogue, or None.
+        features: The optional parts that are in use at all routers.
     """
 
     async def play(net):
         random.seed(1)
         fleet = Fleet(net, routers, targets, warm_up)
+        fleet.features = frozenset(features)
         if change_catalogue is not None:
             fleet.catalogue = change_catalogue(fleet.catalogue)
         clock = SimpleNamespace(
--- a/packages/fleet/src/ibisport_fleet/admission.py
+++ b/packages/fleet/src/ibisport_fleet/admission.py
@@ -9,6 +9,7 @@
 STATUS_UNAUTHORIZED = 401
 STATUS_NOT_FOUND = 404
 STATUS_UNAVAILABLE = 503
+REASON_NO_CATALOGUE = 'no_catalogue'
 # A router receives its first catalogue within about this time after its start.
 START_RETRY_AFTER_SECONDS = 0.4
 # Another router can serve the callers of a stopping router at once.
@@ -56,7 +57,7 @@
     """
     if catalogue is None:
         retry_after = draw_jittered_delay(START_RETRY_AFTER_SECONDS)
-        raise Refused(STATUS_UNAVAILABLE, 'no_catalogue', retry_after)
+        raise Refused(STATUS_UNAVAILABLE, REASON_NO_CATALOGUE, retry_after)
     route = catalogue.find_route(metadata.host, metadata.path)
     if route is None:
         raise Refused(STATUS_NOT_FOUND, 'no_route')
--- a/packages/fleet/src/ibisport_fleet/borrowing.py
+++ b/packages/fleet/src/ibisport_fleet/borrowing.py
@@ -8,6 +8,7 @@
 from ibisport_fleet.lenders import rank_lenders
 from ibisport_fleet.loans import Loan, LoanPeer, LoanRequest
 from ibisport_fleet.membership import Member, Membership
+from ibisport_fleet.standby.contact import TokenContact
 
 # A lender that has to write to a slow store itself answers within 0.6 s.
 LOAN_TIMEOUT_SECONDS = 0.7
@@ -24,12 +25,27 @@
     """Borrows tokens for the requests of this router, and returns unused ones."""
 
     def __init__(
-        self, members: Membership, ledger: Ledger, peers: LoanPeer, log: EventLog
+        self,
+        members: Membership,
+        ledger: Ledger,
+        peers: LoanPeer,
+        log: EventLog,
+        contact: TokenContact,
     ) -> None:
+        """Initialize without loans.
+
+        Args:
+            members: The routers that may lend.
+            ledger: The budgets of this router.
+            peers: Carries loan requests to lenders.
+            log: Receives lenders that don't answer.
+            contact: Records that a lender answers.
+        """
         self._members = members
         self._ledger = ledger
         self._peers = peers
         self._log = log
+        self._contact = contact
         self._backoff_until: dict[str, float] = {}
         self._lenders: dict[str, Member] = {}
         self._tasks: set[asyncio.Task[Reservation | Loan | None]] = set()
@@ -56,6 +72,27 @@
             task.add_done_callback(self._settle_abandoned)
             raise
 
+    async def try_contact(self, workspace: str, deadline: float) -> None:
+        """Ask the lenders of a workspace whether they answer, for no tokens.
+
+        Lenders that didn't answer recently are asked too, and are used again if they
+        answer now.
+
+        Args:
+            workspace: Name of the workspace.
+            deadline: Loop time until which answers count.
+        """
+        members = self._members.current
+        others = [
+            members[host]
+            for host in rank_lenders(members, workspace)
+            if host != self._members.own.host
+        ]
+        asked = others[:MAX_LENDERS_PER_REQUEST]
+        await asyncio.gather(
+            *(self._try_lender(member, workspace, deadline) for member in asked)
+        )
+
     async def run_repayments(self) -> None:
         """Return unused borrowed tokens periodically; never returns."""
         while True:
@@ -106,12 +143,28 @@
         loop = asyncio.get_running_loop()
         request = LoanRequest(member.incarnation, workspace, tokens)
         try:
-            return await self._peers.ask(
+            loan = await self._peers.ask(
                 member.address, request, loop.time() + LOAN_TIMEOUT_SECONDS
             )
         except PeerUnavailable as error:
             self._back_off(member, str(error))
             return None
+        if loan.lends:
+            self._contact.record_answer()
+        return loan
+
+    async def _try_lender(
+        self, member: Member, workspace: str, deadline: float
+    ) -> None:
+        request = LoanRequest(member.incarnation, workspace, 0)
+        try:
+            loan = await self._peers.ask(member.address, request, deadline)
+        except PeerUnavailable:
+            # Its failure to answer a request for tokens is in the log already.
+            return
+        if loan.lends:
+            self._backoff_until.pop(member.host, None)
+            self._contact.record_answer()
 
     def _list_lenders(self, workspace: str) -> list[Member]:
         now = asyncio.get_running_loop().time()
--- a/packages/fleet/src/ibisport_fleet/budget_synchronizer.py
+++ b/packages/fleet/src/ibisport_fleet/budget_synchronizer.py
@@ -14,6 +14,7 @@
 """
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
@@ -108,6 +109,7 @@
             process is open.
         proofs: The contact proofs of this process.
         page_seen_at: Boot-clock time at which the page was last read or written.
+        write_answered_at: Boot-clock time at which the store last answered a write.
         knows_lenders: Whether the lenders are known. If so, a host that doesn't lend
             backs off longer, so that their writes come first.
     """
@@ -135,6 +137,7 @@
         self.is_open = False
         self.proofs = ContactProofs(store, clocks)
         self.page_seen_at = 0.0
+        self.write_answered_at = -math.inf
         self.knows_lenders = False
         self._clocks = clocks
         self._started_at = clocks.boot()
@@ -410,7 +413,8 @@
         outcome = await self._store.write(
             self._list_conditions(plan), self._list_puts(plan)
         )
-        latency = self._clocks.boot() - started_at
+        self.write_answered_at = self._clocks.boot()
+        latency = self.write_answered_at - started_at
         self._write_latency += LATENCY_WEIGHT * (latency - self._write_latency)
         self._is_outcome_unknown = False
         if isinstance(outcome, Conflict):
--- a/packages/fleet/src/ibisport_fleet/budgets.py
+++ b/packages/fleet/src/ibisport_fleet/budgets.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Collection
 
 from ibisport_fleet.borrowing import Borrower
 from ibisport_fleet.budget_page import Share
@@ -21,7 +22,9 @@
 from ibisport_fleet.lenders import rank_lenders
 from ibisport_fleet.loans import Loan, LoanPeer, LoanRequest
 from ibisport_fleet.membership import Membership
+from ibisport_fleet.settings import Feature
 from ibisport_fleet.shutdown import Shutdown
+from ibisport_fleet.standby.contact import TokenContact
 from ibisport_fleet.store import Store
 
 PROOF_RENEWAL_INTERVAL_SECONDS = 0.7
@@ -51,16 +54,27 @@
         retry_after: Seconds after which tokens may be available, or None if the
             budget is spent.
         details: State of the budget for the event log.
+        out_of_contact: Whether neither a lender nor the store answered this router
+            since the request asked for tokens.
     """
 
     def __init__(self, retry_after: float | None, **details: float) -> None:
         super().__init__('budget')
         self.retry_after = retry_after
         self.details = details
+        self.out_of_contact = False
+
+
+class _DrawTimeout(TokensUnavailable):
+    """The store didn't answer in time, so what others hold is unknown."""
 
 
 class Budgets:
-    """Reserves tokens before a request runs and settles the cost afterwards."""
+    """Reserves tokens before a request runs and settles the cost afterwards.
+
+    Attributes:
+        contact: When a lender or the store last answered.
+    """
 
     def __init__(
         self,
@@ -70,7 +84,19 @@
         log: EventLog,
         peers: LoanPeer,
         clocks: Clocks = SYSTEM_CLOCKS,
+        features: Collection[Feature] = (),
     ) -> None:
+        """Initialize without tokens.
+
+        Args:
+            members: The routers that share the budgets.
+            store: Holds the budget page.
+            catalogue: Names the budgets.
+            log: Receives failures.
+            peers: Carries loan requests to lenders.
+            clocks: The host's clocks.
+            features: The optional parts that are in use.
+        """
         self._clocks = clocks
         self._members = members
         self._host = members.own.host
@@ -80,10 +106,12 @@
             store, catalogue, log, clocks, members.own, self._lends
         )
         self._ledger = self._synchronizer.ledger
-        self._borrower = Borrower(members, self._ledger, peers, log)
+        self.contact = TokenContact()
+        self._borrower = Borrower(members, self._ledger, peers, log, self.contact)
         self._write_requested = asyncio.Event()
         self._write_done = asyncio.Event()
         self._store_failing = False
+        self._lender_may_borrow = Feature.standby in features
         self._shutdown: Shutdown | None = None
         self._lending_until: dict[str, float] = {}
         self._closing = False
@@ -120,16 +148,16 @@
         Args:
             request: The other router's request, which may also repay tokens.
         """
-        workspace = self._find_workspace(request.workspace)
+        workspace = self._catalogue.find_workspace(request.workspace)
         if workspace is None or request.lender != self._members.own.incarnation:
-            return Loan(0, 0, certain=False)
+            return Loan(0, 0, certain=False, lends=False)
         if request.repaid:
             self._ledger.credit_repayment(workspace.name, request.repaid)
             self._ledger.find(workspace.name).add_demand(
                 -request.repaid, self._clocks.boot()
             )
         if self._has_stopped_lending or not request.tokens:
-            return Loan(0, 0, certain=False)
+            return Loan(0, 0, certain=False, lends=not self._has_stopped_lending)
         self._lending_until[workspace.name] = (
             self._clocks.boot() + LENDER_RETENTION_SECONDS
         )
@@ -155,7 +183,17 @@
         """
         if workspace is None or workspace.budget is None or not tokens:
             return Reservation(None, tokens)
-        if self._lends(workspace.name):
+        started_at = asyncio.get_running_loop().time()
+        try:
+            return await self._reserve_paid(workspace, tokens)
+        except _DrawTimeout as error:
+            error.out_of_contact = self.contact.is_lost_since(started_at)
+            raise
+
+    async def _reserve_paid(self, workspace: Workspace, tokens: int) -> Reservation:
+        if self._lends(workspace.name) and not (
+            self._lender_may_borrow and self._is_short_without_store(workspace, tokens)
+        ):
             return await self._reserve_local(workspace, tokens)
         reservation = self._ledger.reserve_borrowed(workspace.name, tokens)
         if reservation is not None:
@@ -173,6 +211,25 @@
             )
         return await self._reserve_local(workspace, tokens)
 
+    async def try_contact(self, workspace: str, deadline: float) -> None:
+        """Ask lenders and the store for tokens of a workspace, without a request.
+
+        The store is asked for a single token by the write that is repeated while
+        calls fail, so the attempt adds no store calls.
+
+        Args:
+            workspace: Name of the workspace.
+            deadline: Loop time until which answers count.
+        """
+        local_budget = self._ledger.find(workspace)
+        local_budget.wanted += 1
+        self._write_requested.set()
+        try:
+            await self._borrower.try_contact(workspace, deadline)
+            await asyncio.sleep(deadline - asyncio.get_running_loop().time())
+        finally:
+            local_budget.wanted -= 1
+
     async def run_repayments(self) -> None:
         """Return unused borrowed tokens periodically; never returns."""
         await self._borrower.run_repayments()
@@ -218,6 +275,7 @@
         while True:
             started_at = loop.time()
             self._synchronizer.knows_lenders = self._members.listed
+            write_answered_at = self._synchronizer.write_answered_at
             try:
                 await self._synchronizer.synchronize()
             except (StoreError, RecordInvalid) as error:
@@ -230,7 +288,9 @@
             completed, self._write_done = self._write_done, asyncio.Event()
             completed.set()
             self._store_failing = False
-            await self._wait_for_write_request()
+            if self._synchronizer.write_answered_at > write_answered_at:
+                self.contact.record_answer()
+            await _wait_for_event(self._write_requested, WRITE_INTERVAL_SECONDS)
             await asyncio.sleep(started_at + MIN_WRITE_INTERVAL_SECONDS - loop.time())
 
     async def close(self) -> None:
@@ -266,7 +326,7 @@
             async with asyncio.timeout_at(deadline):
                 return await self._wait_for_tokens(workspace, tokens)
         except TimeoutError:
-            raise TokensUnavailable(
+            raise _DrawTimeout(
                 self._estimate_retry_after(),
                 own_used=local_budget.used,
                 own_cap=local_budget.cap,
@@ -300,9 +360,16 @@
             return True
         return rank_lenders(self._members.current, workspace)[0] == self._host
 
-    def _find_workspace(self, name: str) -> Workspace | None:
-        current = self._catalogue.current
-        return None if current is None else current.workspaces.get(name)
+    def _is_short_without_store(self, workspace: Workspace, tokens: int) -> bool:
+        """Return whether a lender has to borrow, as it can't draw tokens itself.
+
+        A lender that has lost the store refused all requests of its own callers once
+        its reserve was spent, although other lenders had tokens.
+        """
+        local_budget = self._ledger.find(workspace.name)
+        return self._store_failing and not local_budget.fits(
+            tokens + local_budget.wanted, self._synchronizer.released
+        )
 
     def _estimate_retry_after(self) -> float:
         """Return the seconds to wait before a retry while the store is unreachable.
@@ -339,13 +406,15 @@
             released=round(self._synchronizer.released, 3),
         )
 
-    async def _wait_for_write_request(self) -> None:
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(WRITE_INTERVAL_SECONDS):
-                await self._write_requested.wait()
-        self._write_requested.clear()
-
     def _record_failure(self, error: FleetError) -> None:
         if not self._store_failing:
             self._store_failing = True
             self._log.write(Event.budget_unknown, reason=repr(error))
+
+
+async def _wait_for_event(event: asyncio.Event, seconds: float) -> None:
+    """Wait until an event is set, at most for some seconds, and clear it."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(seconds):
+            await event.wait()
+    event.clear()
--- a/packages/fleet/src/ibisport_fleet/call_handler.py
+++ b/packages/fleet/src/ibisport_fleet/call_handler.py
@@ -14,8 +14,9 @@
 from ibisport_fleet.prompt_mix import PromptMix
 from ibisport_fleet.response_writer import ResponseWriter
 from ibisport_fleet.retry_budget import RetryBudget
-from ibisport_fleet.settings import Bounds
+from ibisport_fleet.settings import Bounds, Feature
 from ibisport_fleet.shutdown import Shutdown
+from ibisport_fleet.standby.monitor import Standby, Surroundings
 from ibisport_fleet.target_selection import RequestFailed
 
 STATUS_PAYMENT_REQUIRED = 402
@@ -29,6 +30,7 @@
     Attributes:
         in_flight: Number of received requests without a final answer.
         process_ended: Whether the process ends now, with or without running requests.
+        standby: Whether this router is out of the balancer's rotation.
     """
 
     def __init__(self, dependencies: Dependencies) -> None:
@@ -41,12 +43,22 @@
         self.process_ended = False
         self._shutdown: Shutdown | None = None
         self._received_at_by_timer: dict[asyncio.Timeout, float] = {}
+        self.standby = Standby(
+            Surroundings(
+                lambda: dependencies.catalogue.current is not None,
+                dependencies.budgets.try_contact,
+                dependencies.recorder.record_standby,
+            ),
+            enabled=Feature.standby in dependencies.settings.features,
+        )
+        dependencies.budgets.contact.on_answer = self.standby.record_contact
 
     async def handle(self, request: Request, response: ResponseWriter) -> None:
         """Handle one request and return once its answer is written."""
         # Requests that wait for tokens count as well; otherwise a stopping router ends
         # before they are answered.
         self.in_flight += 1
+        self.standby.record_request()
         try:
             await self._handle(request, response)
         finally:
@@ -65,6 +77,7 @@
             )
         except Refused as refusal:
             self._record_refusal(metadata.request_id, refusal)
+            self.standby.record_refusal(refusal)
             response.refuse(
                 refusal.status, refusal.reason, metadata.request_id, refusal.retry_after
             )
@@ -144,6 +157,7 @@
         spent = error.retry_after is None
         status = STATUS_PAYMENT_REQUIRED if spent else STATUS_UNAVAILABLE
         self._dependencies.recorder.record_budget_refusal(call, status, error)
+        self.standby.record_refusal(error, call)
         response.refuse(status, 'budget', call.metadata.request_id, error.retry_after)
 
     def _answer_failure(
--- a/packages/fleet/src/ibisport_fleet/caller_server.py
+++ b/packages/fleet/src/ibisport_fleet/caller_server.py
@@ -105,7 +105,10 @@
         return not response.closing
 
     def _create_response(self, channel: Channel) -> ResponseWriter:
-        return ResponseWriter(channel, self._dialect, lambda: self.stopping)
+        standby = self._handler.standby
+        return ResponseWriter(
+            channel, self._dialect, lambda: self.stopping, lambda: standby.is_active
+        )
 
     def _current_limits(self) -> Limits:
         current = self._catalogue.current
--- a/packages/fleet/src/ibisport_fleet/event_log.py
+++ b/packages/fleet/src/ibisport_fleet/event_log.py
@@ -55,6 +55,8 @@
     budget_opened = 2501
     budget_unknown = 2502
     lender_lost = 2503
+    standby_begun = 2510
+    standby_ended = 2511
     lines_dropped = 2901
 
 
--- a/packages/fleet/src/ibisport_fleet/fleet_view.py
+++ b/packages/fleet/src/ibisport_fleet/fleet_view.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from ibisport_fleet.addresses import Address
-from ibisport_fleet.catalogue import Catalogue
+from ibisport_fleet.catalogue import Catalogue, Workspace
 from ibisport_fleet.errors import RecordInvalid
 from ibisport_fleet.event_log import Event, EventLog
 from ibisport_fleet.store import Change, Item, Listing, Removal
@@ -30,6 +30,10 @@
         self._decode = decode
         self._log = log
 
+    def find_workspace(self, name: str) -> Workspace | None:
+        """Return a workspace of the newest catalogue, or None."""
+        return None if self.current is None else self.current.workspaces.get(name)
+
     def apply_listing(self, listing: Listing, doubtful_until: float) -> None:
         """Apply the catalogue of a listing of its prefix."""
         for item in listing.items:
--- a/packages/fleet/src/ibisport_fleet/loans.py
+++ b/packages/fleet/src/ibisport_fleet/loans.py
@@ -46,11 +46,14 @@
         used: Tokens of the budget known to be spent or reserved.
         certain: Whether the lender reaches the store. If so, no other router can
             provide the tokens sooner.
+        lends: Whether the process that answers is the one that was asked, and lends
+            at all.
     """
 
     tokens: _TokenCount
     used: _TokenCount
     certain: bool
+    lends: bool = True
 
 
 class LoanPeer(Protocol):
--- a/packages/fleet/src/ibisport_fleet/request_recorder.py
+++ b/packages/fleet/src/ibisport_fleet/request_recorder.py
@@ -6,6 +6,7 @@
 from ibisport_fleet.calls import Call
 from ibisport_fleet.event_log import Event, EventLog
 from ibisport_fleet.metrics import Metrics
+from ibisport_fleet.standby.policy import Begun, Ended, Transition
 from ibisport_fleet.target_choice import Candidate
 
 OUTCOME_SERVED = 'served'
@@ -158,6 +159,24 @@
             _name_workspace(call), call.route.name, OUTCOME_PROCESS_ENDED
         )
 
+    def record_standby(self, transition: Transition) -> None:
+        """Record that a standby of this router begins or ends."""
+        match transition:
+            case Begun(cause=cause, refused=refused, requests=requests):
+                self._log.write(
+                    Event.standby_begun,
+                    cause=cause.value,
+                    refused=refused,
+                    requests=requests,
+                )
+            case Ended(cause=cause, seconds=seconds, regained=regained):
+                self._log.write(
+                    Event.standby_ended,
+                    cause=cause.value,
+                    seconds=round(seconds, 3),
+                    regained=regained,
+                )
+
     def record_charged(self, call: Call, tokens: int) -> None:
         """Record the tokens that a request has cost."""
         self._metrics.count_tokens(_name_workspace(call), tokens)
--- a/packages/fleet/src/ibisport_fleet/response_writer.py
+++ b/packages/fleet/src/ibisport_fleet/response_writer.py
@@ -24,6 +24,7 @@
         channel: Channel,
         dialect: Dialect,
         is_stopping: Callable[[], bool],
+        closes_refusals: Callable[[], bool],
     ) -> None:
         """Create the writer of one answer.
 
@@ -33,10 +34,13 @@
             is_stopping: Returns whether the process stops. It is called when the head
                 is written, so that callers whose requests arrived before the stop
                 signal are also told to reconnect elsewhere.
+            closes_refusals: Returns whether a refusal closes the connection, so that
+                the caller reconnects, probably to another router.
         """
         self.head_sent = False
         self.closing = False
         self._is_stopping = is_stopping
+        self._closes_refusals = closes_refusals
         self._channel = channel
         self._dialect = dialect
 
@@ -55,6 +59,7 @@
             request_id: The request's id, if it has one.
             retry_after: Seconds after which to retry, or None to suggest none.
         """
+        self.closing = self.closing or self._closes_refusals()
         body = b'{"error":"%s"}' % reason.encode()
         headers = self._dialect.encode_refusal(request_id, retry_after)
         self._write_head(status, headers, len(body))
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -94,7 +94,12 @@
             log,
         )
         self._budgets = Budgets(
-            self._members, self._store, self._catalogue, log, LoanClient(peers)
+            self._members,
+            self._store,
+            self._catalogue,
+            log,
+            LoanClient(peers),
+            features=settings.features,
         )
         loans = LoanServer(self._budgets.lend)
         handlers = {
@@ -131,7 +136,8 @@
     def is_ready(self) -> bool:
         """Whether the balancer may open new connections."""
         known = self._catalogue.current is not None and len(self._listed_prefixes) > 1
-        return known and not self.stopping
+        on_standby = self._call_handler.standby.is_active
+        return known and not self.stopping and not on_standby
 
     def accept_caller(self) -> Channel:
         """Return the protocol of a caller's new connection."""
@@ -148,6 +154,7 @@
             'members': self._members.run(),
             'repaying': self._budgets.run_repayments(),
             'quarantine': self._fatal_requests.run(),
+            'standby': self._call_handler.standby.run(),
         }
         for name, coroutine in background.items():
             self._spawn(coroutine, name)
@@ -249,6 +256,7 @@
         self._metrics.set_state('connections', len(self._caller_server.connections))
         self._metrics.set_state('routers', self._budgets.router_count)
         self._metrics.set_state('straight_way', self._store_paths.direct_works)
+        self._metrics.set_state('standby', self._call_handler.standby.is_active)
         for name, count in self._fatal_requests.counts.items():
             self._metrics.set_state(name, count)
         if catalogue is not None:
