--- a/features/steps/running_fleet.py
+++ b/features/steps/running_fleet.py
@@ -477,10 +477,10 @@
         left: Loop time at which an incarnation first told a router that it leaves.
         pauses: Loop time, router and target of each rejection that asks for a pause.
         catalogue: The catalogue of all routers.
+        features: The optional parts that are in use at all routers.
         started: Whether targets that start from now on are cold.
         cold_counts: Requests within a second, at each arrival at a cold target.
         overruns: Loop time and incarnation of each cold target that was overrun.
-        features: The optional parts of the routers that are in use.
         bounds: The limits that the routers' settings hold.
         closed: Loop time and target of each connection to a target that ended.
         continuations: Target, number of the first event, and whether the copy was
@@ -590,7 +590,13 @@
 
 
 def run_fleet(
-    act, routers=4, targets=6, warm_up=None, change_catalogue=None, change_fleet=None
+    act,
+    routers=4,
+    targets=6,
+    warm_up=None,
+    change_catalogue=None,
+    change_fleet=None,
+    features=(),
 ):
     """Start a fleet, run a coroutine on it, and return it.
 
@@ -601,11 +607,13 @@
         warm_up: How targets warm up that start while the fleet runs, or None.
         change_catalogue: Function that returns a changed catalogue, or None.
         change_fleet: Function that changes the fleet before its start, or None.
+        features: The optional parts that are in use at all routers.
     """
 
     async def play(net):
         random.seed(1)
         fleet = Fleet(net, routers, targets, warm_up)
+        fleet.features = frozenset(features)
         if change_catalogue is not None:
             fleet.catalogue = change_catalogue(fleet.catalogue)
         if change_fleet is not None:
