--- a/packages/fleet/src/ibisport_fleet/event_log.py
+++ b/packages/fleet/src/ibisport_fleet/event_log.py
@@ -52,6 +52,8 @@
     request_quarantined = 2408
     quarantine_lifted = 2409
     quarantine_unsaved = 2410
+    request_queued = 2420
+    request_not_queued = 2421
     budget_opened = 2501
     budget_unknown = 2502
     lender_lost = 2503
--- a/packages/fleet/src/ibisport_fleet/explain.py
+++ b/packages/fleet/src/ibisport_fleet/explain.py
@@ -30,6 +30,8 @@
     not_allowed = 'no such route or key'
     full = 'targets rejected it or could not be reached'
     no_target = 'no target was known'
+    queue_full = 'too many requests waited at the router'
+    too_late = 'no target could start it before its deadline'
     limited = 'all targets reported a rate limit'
     paused = 'all targets asked for a pause'
     warming_up = 'all targets warmed up after a start'
@@ -46,6 +48,8 @@
 _REFUSALS_WITHOUT_A_SEND = {
     cause.name: cause
     for cause in (
+        Cause.queue_full,
+        Cause.too_late,
         Cause.limited,
         Cause.paused,
         Cause.warming_up,
--- a/packages/fleet/src/ibisport_fleet/metrics.py
+++ b/packages/fleet/src/ibisport_fleet/metrics.py
@@ -28,6 +28,9 @@
         self._duration = _build_histogram(
             'ibisport_request_seconds', 'Time to the last byte.', registry
         )
+        self._queue = _build_histogram(
+            'ibisport_queue_seconds', 'Time that requests waited here.', registry
+        )
         self._store_calls = Gauge(
             'ibisport_store_calls', 'Calls sent to the store.', registry=registry
         )
@@ -73,6 +76,10 @@
         labels = {'workspace': workspace or NO_WORKSPACE, 'route': route}
         self._duration.observe(labels, seconds)
 
+    def observe_queue(self, rank: int, seconds: float) -> None:
+        """Observe how long a queued request of a rank waited."""
+        self._queue.observe({'rank': str(rank)}, seconds)
+
     def set_state(self, name: str, level: float) -> None:
         """Set one value of the router's current state."""
         self._state.set({'name': name}, level)
--- a/packages/fleet/src/ibisport_fleet/request_recorder.py
+++ b/packages/fleet/src/ibisport_fleet/request_recorder.py
@@ -51,6 +51,47 @@
         )
         self._metrics.count_request(name, call.route.name, f'{status} budget')
 
+    def record_queued(self, call: Call, waited: float, reason: str) -> None:
+        """Record the end of a request's wait for its turn at the targets.
+
+        Args:
+            call: The request.
+            waited: Seconds since it was queued.
+            reason: Why it waited.
+        """
+        self._log.write(
+            Event.request_queued,
+            request=call.metadata.request_id,
+            route=call.route.name,
+            workspace=_name_workspace(call),
+            rank=call.urgency,
+            wait=round(waited, 4),
+            reason=reason,
+        )
+        self._metrics.observe_queue(call.urgency, waited)
+
+    def record_queue_refusal(
+        self, call: Call, reason: str, retry_after: float, queued: int
+    ) -> None:
+        """Record a request that is refused instead of being queued or sent.
+
+        Args:
+            call: The request.
+            reason: Why it is refused.
+            retry_after: Seconds after which the caller may retry.
+            queued: Number of requests that wait.
+        """
+        self._log.write(
+            Event.request_not_queued,
+            request=call.metadata.request_id,
+            route=call.route.name,
+            workspace=_name_workspace(call),
+            rank=call.urgency,
+            reason=reason,
+            retry_after=round(retry_after, 3),
+            queued=queued,
+        )
+
     def record_sent(self, call: Call, candidate: Candidate) -> None:
         """Record which target was selected, and the load report behind it."""
         now = asyncio.get_running_loop().time()
