Let requests wait for their turn before they are sent to a target

With the feature `queueing`, RequestForwarder asks the gate before each send of a request that can't have run yet, and the end of a send lets others go. The gate has no estimates of starts yet; load and slots of the targets decide.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -18,6 +18,8 @@
       | 2404  | status=504 reason=timeout                                   | timeout        |
       | 2404  | status=503 reason=full                                      | full           |
       | 2404  | status=503 reason=no_target                                 | no_target      |
+      | 2404  | status=503 reason=queue_full                                | queue_full     |
+      | 2404  | status=503 reason=too_late                                  | too_late       |
       | 2404  | status=503 reason=limited                                   | limited        |
       | 2404  | status=503 reason=paused                                    | paused         |
       | 2404  | status=503 reason=warming_up                                | warming_up     |
--- a/features/steps/running_router.py
+++ b/features/steps/running_router.py
@@ -228,15 +228,18 @@
         service: The store.
         ended_at: Seconds after the signal at which the process ended by itself.
         killed: Whether the process was killed at the end of the grace period.
+        slots: Number of requests that the target runs, as its entry says.
     """
 
-    def __init__(self, net, replies, catalogue=CATALOGUE):
+    def __init__(self, net, replies, catalogue=CATALOGUE, features=()):
         self.net = net
         self.target = ScriptedTarget(list(replies))
         self.service = MemoryService()
         self.ended_at = None
         self.killed = False
+        self.slots = 1_000
         self._catalogue = catalogue
+        self._settings = replace(_build_settings(), features=frozenset(features))
         self._router = None
         self._store = self.service.open_store(ROUTER)
 
@@ -311,15 +314,17 @@
             decode_catalogue=lambda item: self._catalogue,
             decode_target=self._build_entry,
             parse_incarnation=lambda key: key.removeprefix('servers/'),
-            load_settings=_build_settings,
+            load_settings=lambda: self._settings,
         )
         log = EventLog(os.open(os.devnull, os.O_WRONLY))
-        self._router = Router(_build_settings(), adapters, log)
+        self._router = Router(self._settings, adapters, log)
         await self._router.run()
 
     def _build_entry(self, item):
         address = self.target.address
-        return TargetEntry('i-0', 'svc', address, 'd-0', 1_000, False, item.revision)
+        return TargetEntry(
+            'i-0', 'svc', address, 'd-0', self.slots, False, item.revision
+        )
 
     async def _ask_readiness(self):
         try:
@@ -337,7 +342,7 @@
     return site.call(Caller(site).ask(*arguments))
 
 
-def run_until_stopped(replies, act, catalogue=CATALOGUE, stands_still=0.0):
+def run_until_stopped(replies, act, catalogue=CATALOGUE, stands_still=0.0, features=()):
     """Run and stop a router beside ``act``; return it and the result of ``act``.
 
     Args:
@@ -345,6 +350,7 @@
         act: Coroutine function that gets the running router.
         catalogue: The catalogue in the store.
         stands_still: Seconds during which the process can't handle the signal.
+        features: The optional parts that are in use.
     """
 
     async def play(net):
@@ -352,7 +358,7 @@
         clock = SimpleNamespace(
             clock_gettime=lambda clock_id: net.time(), CLOCK_BOOTTIME=0
         )
-        site = RunningRouter(net, replies, catalogue)
+        site = RunningRouter(net, replies, catalogue, features)
         # Leases are computed from the machine's clock, which virtual time doesn't move.
         with mock.patch('ibisport_fleet.clocks.time', clock):
             async with asyncio.timeout(MAX_RUN_SECONDS):
--- a/packages/fleet/src/ibisport_fleet/call_handler.py
+++ b/packages/fleet/src/ibisport_fleet/call_handler.py
@@ -12,9 +12,11 @@
 from ibisport_fleet.forwarding import RequestForwarder
 from ibisport_fleet.http_messages import Request
 from ibisport_fleet.prompt_mix import PromptMix
+from ibisport_fleet.queueing.request_gate import GateSources, RequestGate
+from ibisport_fleet.queueing.start_estimates import StartEstimator
 from ibisport_fleet.response_writer import ResponseWriter
 from ibisport_fleet.retry_budget import RetryBudget
-from ibisport_fleet.settings import Bounds
+from ibisport_fleet.settings import Bounds, Feature
 from ibisport_fleet.shutdown import Shutdown
 from ibisport_fleet.target_selection import RequestFailed
 
@@ -29,6 +31,7 @@
     Attributes:
         in_flight: Number of received requests without a final answer.
         process_ended: Whether the process ends now, with or without running requests.
+        gate: Decides when requests go to targets; None: they go at once.
     """
 
     def __init__(self, dependencies: Dependencies) -> None:
@@ -41,6 +44,9 @@
         self.process_ended = False
         self._shutdown: Shutdown | None = None
         self._received_at_by_timer: dict[asyncio.Timeout, float] = {}
+        # Empty while nothing observes starts: then load and slots decide.
+        self._start_estimators: dict[str, StartEstimator] = {}
+        self.gate = self._build_gate()
 
     async def handle(self, request: Request, response: ResponseWriter) -> None:
         """Handle one request and return once its answer is written."""
@@ -77,6 +83,7 @@
         service_state = ServiceState(
             retry_budget=self.find_retry_budget(call.service),
             prompt_mix=self._prompt_mixes.setdefault(call.service, PromptMix()),
+            gate=self.gate,
         )
         forwarder = RequestForwarder(self._dependencies, service_state, call, response)
         try:
@@ -184,6 +191,8 @@
             shutdown: The planned stop.
         """
         self._shutdown = shutdown
+        if self.gate is not None:
+            self.gate.begin_shutdown(shutdown)
         now = asyncio.get_running_loop().time()
         for timer in self._received_at_by_timer:
             when = timer.when()
@@ -191,6 +200,20 @@
             if when is not None and when > max(now, shutdown.answers_until):
                 timer.reschedule(shutdown.answers_until)
 
+    def _build_gate(self) -> RequestGate | None:
+        dependencies = self._dependencies
+        if Feature.queueing not in dependencies.settings.features:
+            return None
+        sources = GateSources(
+            catalogue=dependencies.catalogue,
+            targets=dependencies.targets,
+            holds=dependencies.holds,
+            regions=dependencies.settings.regions,
+            count_routers=lambda: dependencies.budgets.router_count,
+            find_estimator=self._start_estimators.get,
+        )
+        return RequestGate(sources, dependencies.recorder)
+
     def serves_any_received_by(self, moment: float) -> bool:
         """Whether a request that was received by a loop time is still running."""
         return any(
--- a/packages/fleet/src/ibisport_fleet/dependencies.py
+++ b/packages/fleet/src/ibisport_fleet/dependencies.py
@@ -8,6 +8,7 @@
 from ibisport_fleet.fleet_view import CatalogueView, TargetView
 from ibisport_fleet.metadata import Dialect
 from ibisport_fleet.prompt_mix import PromptMix
+from ibisport_fleet.queueing.request_gate import RequestGate
 from ibisport_fleet.request_recorder import RequestRecorder
 from ibisport_fleet.retry_budget import RetryBudget
 from ibisport_fleet.settings import HostSettings
@@ -56,7 +57,9 @@
     Attributes:
         retry_budget: Limits retries to the service.
         prompt_mix: Statistics of its prompts and answers.
+        gate: Decides when requests go to targets; None: they go at once.
     """
 
     retry_budget: RetryBudget
     prompt_mix: PromptMix
+    gate: RequestGate | None = None
--- a/packages/fleet/src/ibisport_fleet/forwarding.py
+++ b/packages/fleet/src/ibisport_fleet/forwarding.py
@@ -1,6 +1,7 @@
 """Forwards a request to targets until one of them has answered completely."""
 
 import asyncio
+import contextlib
 import math
 from dataclasses import dataclass
 
@@ -47,6 +48,7 @@
         self._response = response
         self._retry_budget = service_state.retry_budget
         self._prompt_mix = service_state.prompt_mix
+        self._gate = service_state.gate
         self._selector = TargetSelector(dependencies, service_state, call)
         self._splitter = EventSplitter(call.metadata.last_event_id)
         self._rejections = 0
@@ -68,12 +70,14 @@
         self._retry_budget.record_request(_now())
         while True:
             self.check_quarantine()
+            await self._wait_for_turn()
             candidate = self._selector.select()
             candidate.health.begin_request(_now())
             self._begin_prefill(candidate.health)
             try:
-                if await self._attempt(candidate):
-                    return
+                with self._count_running():
+                    if await self._attempt(candidate):
+                        return
             finally:
                 candidate.health.end_request()
                 self._end_prefill()
@@ -108,6 +112,25 @@
         resumed = metadata.last_event_id is not None and self._call.route.resumable
         return generated if resumed else metadata.prompt_tokens + generated
 
+    async def _wait_for_turn(self) -> None:
+        """Wait until the request may be sent to a target.
+
+        Raises:
+            RequestFailed: No target can start it in time, or too many requests wait.
+        """
+        if self._gate is None:
+            return
+        refusal = await self._gate.wait_for_turn(self._call)
+        if refusal is not None:
+            raise self._selector.build_failure(
+                refusal.reason.value, refusal.retry_after
+            )
+
+    def _count_running(self) -> contextlib.AbstractContextManager[None]:
+        if self._gate is None:
+            return contextlib.nullcontext()
+        return self._gate.count_running(self._call)
+
     def _begin_prefill(self, health: TargetHealth) -> None:
         """Count the prompt's uncached tokens as pending at its target."""
         parts = self._call.metadata.parts
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -246,6 +246,10 @@
         self._metrics.set_state('targets', len(self._targets.targets))
         self._metrics.set_state('evacuated', len(self._holds.evacuations))
         self._metrics.set_state('in_flight', self.in_flight)
+        gate = self._call_handler.gate
+        if gate is not None:
+            self._metrics.set_state('queued', gate.queued)
+            self._metrics.set_state('queued_bytes', gate.queued_bytes)
         self._metrics.set_state('connections', len(self._caller_server.connections))
         self._metrics.set_state('routers', self._budgets.router_count)
         self._metrics.set_state('straight_way', self._store_paths.direct_works)
