--- a/packages/fleet/src/ibisport_fleet/call_handler.py
+++ b/packages/fleet/src/ibisport_fleet/call_handler.py
@@ -14,6 +14,7 @@
 from ibisport_fleet.http_messages import Request
 from ibisport_fleet.placing.pace import ServicePace
 from ibisport_fleet.prompt_mix import PromptMix
+from ibisport_fleet.queueing.request_gate import GateSources, RequestGate
 from ibisport_fleet.response_writer import ResponseWriter
 from ibisport_fleet.retry_budget import RetryBudget
 from ibisport_fleet.settings import Bounds, Feature
@@ -33,6 +34,7 @@
         in_flight: Number of received requests without a final answer.
         process_ended: Whether the process ends now, with or without running requests.
         standby: Whether this router is out of the balancer's rotation.
+        gate: Decides when requests go to targets; None: they go at once.
     """
 
     def __init__(self, dependencies: Dependencies) -> None:
@@ -55,6 +57,7 @@
             enabled=Feature.standby in dependencies.settings.features,
         )
         dependencies.budgets.contact.on_answer = self.standby.record_contact
+        self.gate = self._build_gate()
 
     @property
     def copies_in_flight(self) -> int:
@@ -99,6 +102,7 @@
             retry_budget=self.find_retry_budget(call.service),
             prompt_mix=self._prompt_mixes.setdefault(call.service, PromptMix()),
             pace=self._paces[call.service],
+            gate=self.gate,
         )
         forwarder = RequestForwarder(self._dependencies, service_state, call, response)
         try:
@@ -207,6 +211,8 @@
             shutdown: The planned stop.
         """
         self._shutdown = shutdown
+        if self.gate is not None:
+            self.gate.begin_shutdown(shutdown)
         now = asyncio.get_running_loop().time()
         for timer in self._received_at_by_timer:
             when = timer.when()
@@ -214,6 +220,20 @@
             if when is not None and when > max(now, shutdown.answers_until):
                 timer.reschedule(shutdown.answers_until)
 
+    def _build_gate(self) -> RequestGate | None:
+        dependencies = self._dependencies
+        if Feature.queueing not in dependencies.settings.features:
+            return None
+        sources = GateSources(
+            catalogue=dependencies.catalogue,
+            targets=dependencies.targets,
+            holds=dependencies.holds,
+            regions=dependencies.settings.regions,
+            count_routers=lambda: dependencies.budgets.router_count,
+            find_estimator=self._paces.get,
+        )
+        return RequestGate(sources, dependencies.recorder)
+
     def serves_any_received_by(self, moment: float) -> bool:
         """Whether a request that was received by a loop time is still running."""
         return any(
--- a/packages/fleet/src/ibisport_fleet/forwarding.py
+++ b/packages/fleet/src/ibisport_fleet/forwarding.py
@@ -1,6 +1,7 @@
 """Forwards a request to targets until one of them has answered completely."""
 
 import asyncio
+import contextlib
 import math
 from dataclasses import dataclass
 
@@ -20,10 +21,10 @@
 from ibisport_fleet.dependencies import Dependencies, ServiceState
 from ibisport_fleet.errors import ConnectionBroken
 from ibisport_fleet.http_connection import HttpConnection
-from ibisport_fleet.placing.backlog import is_crowded
 from ibisport_fleet.placing.pace import GapRecorder
+from ibisport_fleet.placing.prefill import Prefill
 from ibisport_fleet.response_writer import ResponseWriter
-from ibisport_fleet.target_choice import Candidate, TargetHealth
+from ibisport_fleet.target_choice import Candidate
 from ibisport_fleet.target_client import (
     FIRST_FAILURE_STATUS,
     Answered,
@@ -62,6 +63,7 @@
         self._retry_budget = service_state.retry_budget
         self._prompt_mix = service_state.prompt_mix
         self._pace = service_state.pace
+        self._gate = service_state.gate
         self._selector = TargetSelector(dependencies, service_state, call)
         self._continuation = RequestContinuation(
             dependencies, service_state, self._selector, call
@@ -72,10 +74,7 @@
         )
         self._rejections = 0
         self._absent_targets = 0
-        self._uncached_tokens = 0
-        self._prefilling: TargetHealth | None = None
-        self._shows_start_time = False
-        self._copy: tuple[tuple[str, int], int] | None = None
+        self._prefill = Prefill(call, service_state)
         # Whether the next attempt is planned before the present one is given up.
         self._next_planned = False
         self._received_at = 0.0
@@ -94,17 +93,19 @@
         self._retry_budget.record_request(_now())
         while True:
             self.check_quarantine()
+            await self._wait_for_turn()
             candidate = self._continuation.select()
             candidate.health.begin_request(_now())
             # A run that continues reads only what its copy lacks.
             if self._call.continued_from is None:
-                self._begin_prefill(candidate)
+                self._prefill.begin(candidate, _now())
             try:
-                if await self._attempt(candidate):
-                    return
+                with self._count_running():
+                    if await self._attempt(candidate):
+                        return
             finally:
                 candidate.health.end_request()
-                self._end_prefill()
+                self._prefill.end()
                 self._continuation.end_attempt()
 
     def check_quarantine(self) -> None:
@@ -137,47 +138,25 @@
         resumed = metadata.last_event_id is not None and self._call.route.resumable
         return generated if resumed else metadata.prompt_tokens + generated
 
-    def _begin_prefill(self, candidate: Candidate) -> None:
-        """Count the prompt's uncached tokens as pending at its target."""
-        parts = self._call.metadata.parts
-        health = candidate.health
-        # Copies and waiting behind other work hide how long the prompt itself takes.
-        self._shows_start_time = bool(parts) and not (
-            health.pending_prompt_tokens
-            or self._call.cache_source
-            or is_crowded(candidate, _now())
-        )
-        self._uncached_tokens = health.count_uncached_tokens(parts, _now())
-        self._prefilling = health
-        prompt_tokens = sum(part.tokens for part in parts)
-        if self._call.copied_from is not None:
-            copied = health.count_uncached_tokens(parts[:-1], _now())
-            self._copy = self._call.copied_from, copied
-            self._pace.begin_copy(*self._copy)
-        self._prompt_mix.record_prompt(prompt_tokens, self._uncached_tokens, _now())
-        health.pending_prompt_tokens += self._uncached_tokens
-        health.record_parts(parts, _now())
-
-    def _end_prefill(self) -> None:
-        """Stop counting the prompt as pending, after its first event or a failure."""
-        if self._prefilling is not None:
-            self._prefilling.pending_prompt_tokens -= self._uncached_tokens
-            self._prefilling = None
-        if self._copy is not None:
-            self._pace.end_copy(*self._copy)
-            self._copy = None
-
-    def _record_start_time(self, candidate: Candidate) -> None:
-        """Record the time to the first event if it shows what the prompt takes."""
-        if self._shows_start_time:
-            self._shows_start_time = False
-            # Shared parts are usually cached, also those that other routers sent.
-            tokens = self._call.metadata.parts[-1].tokens
-            seconds = _now() - self._call.sent_at
-            self._pace.record_first_event(
-                candidate.entry.start_id, tokens, seconds, _now()
+    async def _wait_for_turn(self) -> None:
+        """Wait until the request may be sent to a target.
+
+        Raises:
+            RequestFailed: No target can start it in time, or too many requests wait.
+        """
+        if self._gate is None:
+            return
+        refusal = await self._gate.wait_for_turn(self._call)
+        if refusal is not None:
+            raise self._selector.build_failure(
+                refusal.reason.value, refusal.retry_after
             )
 
+    def _count_running(self) -> contextlib.AbstractContextManager[None]:
+        if self._gate is None:
+            return contextlib.nullcontext()
+        return self._gate.count_running(self._call)
+
     def _tokens_per_event(self) -> int:
         engine = self._dependencies.find_engine(self._call.service)
         return 1 if engine is None else engine.tokens_per_event
@@ -246,7 +225,7 @@
         self, candidate: Candidate, *, begun: bool
     ) -> SilenceLimit | None:
         return self._continuation.find_limit(
-            candidate, self._uncached_tokens, begun=begun
+            candidate, self._prefill.uncached_tokens, begun=begun
         )
 
     def _may_give_up(self, candidate: Candidate) -> bool:
@@ -381,8 +360,8 @@
             known = self._splitter.event_count
             events = self._splitter.feed(part)
             if events:
-                self._end_prefill()
-                self._record_start_time(candidate)
+                self._prefill.end()
+                self._prefill.record_first_event(candidate, _now())
                 gap_recorder.record_events(self._splitter.event_count - known, _now())
                 gaps.record_event(_now())
                 self._continuation.record_events()
