Decide which load reports routers get and use

Cause: a router sees an engine's load only in answers to its own requests. The health of a target takes the newer of a fed report and an answer's, and adds the requests that this router sent after a fed one.

--- a/packages/fleet/src/ibisport_fleet/event_log.py
+++ b/packages/fleet/src/ibisport_fleet/event_log.py
@@ -42,6 +42,11 @@
     target_limited = 2306
     target_paused = 2307
     domain_evacuated = 2308
+    load_feed_started = 2320
+    load_feed_lost = 2321
+    load_feed_unavailable = 2322
+    load_report_lost = 2323
+    load_report_regained = 2324
     request_refused = 2401
     request_sent = 2402
     request_served = 2403
--- a/packages/fleet/src/ibisport_fleet/settings.py
+++ b/packages/fleet/src/ibisport_fleet/settings.py
@@ -64,6 +64,7 @@
         bounds: Limits that the deployment sets.
         regions: The region of each failure domain.
         features: The optional parts that are in use.
+        engine_address: Address of the engine on this host, or None.
     """
 
     host: str
@@ -76,3 +77,4 @@
     bounds: Bounds
     regions: Mapping[str, str] = field(default_factory=dict)
     features: frozenset[Feature] = frozenset()
+    engine_address: Address | None = None
--- a/packages/fleet/src/ibisport_fleet/target_choice.py
+++ b/packages/fleet/src/ibisport_fleet/target_choice.py
@@ -1,7 +1,7 @@
 """Load and health of targets, and the choice of a target for plain services."""
 
 import itertools
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
@@ -21,6 +21,9 @@
 MAX_CACHED_PARTS = 64
 # Requests last 0.1 to 2 s, so an older report doesn't describe the current load.
 MAX_REPORT_AGE_SECONDS = 2.0
+# Own sends that are compared with the time of a fed report; these are the sends of a
+# few tenths of a second.
+MAX_RECENT_SENDS = 64
 # Backoff after a failure; it doubles with each consecutive failure.
 MIN_BACKOFF_SECONDS = 0.5
 MAX_BACKOFF_SECONDS = 4.0
@@ -66,6 +69,7 @@
         rejected_until: Loop time until which the target is avoided after a rejection.
         leaving: The target has said that it accepts no new requests.
         warm_up: What is known about its warm-up.
+        memory_use: Share of its memory in use, 0 to 1; None without a load feed.
     """
 
     running: int = 0
@@ -84,7 +88,10 @@
     leaving: bool = False
     warm_up: WarmUpState = field(default_factory=WarmUpState)
     _rejection_level: float = 0.0
+    memory_use: float | None = None
     _ramp_limit: int | None = None
+    # Times of the last sends, kept from the first fed report on.
+    _recent_sends: deque[float] | None = None
     _sent_parts: OrderedDict[str, float] = field(default_factory=OrderedDict)
 
     def count_uncached_tokens(self, parts: Sequence[PromptPart], now: float) -> int:
@@ -122,6 +129,24 @@
         self.reported_at = now
         self.running_at_report = self.running
 
+    def record_fed_load(self, load: TargetLoad, measured_at: float) -> None:
+        """Store the load that a feed reports, unless a newer report is known.
+
+        Requests that this router has sent since the report was made aren't part of it.
+
+        Args:
+            load: Requests at the target.
+            measured_at: Loop time before which the report wasn't made.
+        """
+        if self._recent_sends is None:
+            self._recent_sends = deque(maxlen=MAX_RECENT_SENDS)
+        if self.reported_load is not None and measured_at <= self.reported_at:
+            return
+        unreported = sum(sent_at > measured_at for sent_at in self._recent_sends)
+        self.reported_load = load
+        self.reported_at = measured_at
+        self.running_at_report = max(0, self.running - unreported)
+
     def record_success(self) -> None:
         """Reset the failure count and the backoff."""
         self.failures = 0
@@ -176,6 +201,8 @@
         if not self.running:
             self.last_received_at = now
         self.running += 1
+        if self._recent_sends is not None:
+            self._recent_sends.append(now)
 
     def end_request(self) -> None:
         """Count the end of a request at the target."""
