Try known relays again each two seconds; bound the log lines of flapping targets

Cause: after a cut a feed was tried again only each eight seconds, which suits relays without an engine. A target that came and went was logged at each return. Change: a relay that ever sent a datagram is tried again each two seconds at the latest, a new start of a target at once. The time of the last log line outlives a feed.

--- a/features/loadfeed.feature
+++ b/features/loadfeed.feature
@@ -47,6 +47,10 @@
     When the predecessor's last report arrives late
     Then the successor is not taken for leaving, and its own reports are used
 
+  Scenario: A target that comes and goes is logged at most once in ten seconds
+    When a target with a feed is listed and removed each second for a minute
+    Then at most 7 log lines tell of its feed
+
   Scenario: A report of an engine that leaves ends its new requests
     When a feed reports that a target leaves
     Then the target gets no new requests, and no feed any more
@@ -64,6 +68,7 @@
   Scenario: A relay without an engine costs a subscription every eight seconds
     When a relay doesn't answer for 5 minutes
     Then a router sends it at most 42 subscriptions, and one a second once it answers
+    And one in two seconds when it falls silent again
 
   Scenario: The datagrams of a busy fleet are few and small
     When 30 routers get the load of 26 engines, which changes all the time, for 10 s
--- a/features/steps/loadfeed_steps.py
+++ b/features/steps/loadfeed_steps.py
@@ -365,6 +365,31 @@
     assert last[2] - last[1] == last[1] - last[0] == 10, last
 
 
+@then('one in two seconds when it falls silent again')
+def check_after_cut(context):
+    sent = [
+        tenth for tenth in range(3_200, 4_200) if context.feeds.list_due(tenth / 10)
+    ]
+    assert 50 <= len(sent) <= 54, sent
+    assert sent[-1] - sent[-2] == 20, sent
+
+
+@when('a target with a feed is listed and removed each second for a minute')
+def list_and_remove(context):
+    context.feeds, context.changes = make_feeds([]), 0
+    for step in range(600):
+        now = NOW + step / 10
+        if step % 10 == 0:
+            context.feeds.update([make_entry(1)] if step % 20 else [], now)
+        context.feeds.apply_datagram(make_load(step, now), RELAY, now)
+        context.changes += len(context.feeds.list_changes(now))
+
+
+@then('at most {maximum:d} log lines tell of its feed')
+def check_log_lines(context, maximum):
+    assert 1 <= context.changes <= maximum, context.changes
+
+
 @when(
     '{routers:d} routers get the load of {engines:d} engines, '
     'which changes all the time, for 10 s'
--- a/packages/fleet/src/ibisport_fleet/load_feed/subscriptions.py
+++ b/packages/fleet/src/ibisport_fleet/load_feed/subscriptions.py
@@ -3,7 +3,7 @@
 import heapq
 import math
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Sequence, Set
 from dataclasses import dataclass
 
 from ibisport_fleet.addresses import Address
@@ -21,10 +21,12 @@
 # 64 feeds of seven datagrams a second are some 35 kB/s.
 MAX_FEEDS = 64
 INTERVAL_SECONDS = 1.0
-# Subscriptions without any datagram before the interval grows: a relay without an
-# engine to ask never answers, and a link that is cut should be used again soon.
+# Subscriptions without any datagram before the interval grows.
 MAX_UNANSWERED = 3
+# A relay without an engine to ask never answers; one that did is asked more often, so
+# that its feed is back soon after a cut.
 MAX_INTERVAL_SECONDS = 8.0
+MAX_KNOWN_INTERVAL_SECONDS = 2.0
 FRESH_SECONDS = 1.0
 # Relays send at least every 0.5 s; several datagrams in a row are lost with this gap.
 LOST_SECONDS = 2.0
@@ -104,6 +106,8 @@
         self._port = port
         self._feeds: dict[Address, _Feed] = {}
         self._checked_at = -math.inf
+        # Times of the last log lines of feeds that have ended.
+        self._logged_at: dict[Address, float] = {}
 
     def update(self, engines: Sequence[TargetEntry], now: float) -> None:
         """Select the feeds for the current engines.
@@ -116,18 +120,19 @@
             (entry.address[0], self._port): entry
             for entry in select_feeds(self._host, engines)
         }
-        for address in self._feeds.keys() - selected.keys():
-            self._feeds.pop(address)
+        self._drop_feeds(self._feeds.keys() - selected.keys(), now)
         for address, entry in selected.items():
             feed = self._feeds.get(address)
             if feed is None:
+                logged_at = self._logged_at.pop(address, -math.inf)
                 first_at = now + _draw_offset(self._host, entry)
-                self._feeds[address] = _Feed(entry, now, first_at)
-            elif feed.entry.start_id != entry.start_id:
+                self._feeds[address] = _Feed(entry, now, first_at, logged_at=logged_at)
+                continue
+            if feed.entry.start_id != entry.start_id:
                 feed.began_at = now
-                feed.entry = entry
-            else:
-                feed.entry = entry
+                feed.unanswered = 0
+                feed.next_at = min(feed.next_at, now + INTERVAL_SECONDS)
+            feed.entry = entry
 
     def list_due(self, now: float) -> list[tuple[bytes, Address]]:
         """Return the subscriptions to send now, with their receivers."""
@@ -136,7 +141,8 @@
             return []
         datagram = encode_subscription(Subscription(self._router_id, now))
         for _, feed in due:
-            feed.next_at = now + compute_interval(feed.unanswered)
+            known = feed.relay_id is not None
+            feed.next_at = now + compute_interval(feed.unanswered, known=known)
             feed.unanswered += 1
         return [(datagram, address) for address, _ in due]
 
@@ -195,6 +201,16 @@
             changes.append(FeedChange(feed.entry, started, silent_seconds))
         return changes
 
+    def _drop_feeds(self, addresses: Set[Address], now: float) -> None:
+        """Drop feeds, and keep the times of their log lines while they matter."""
+        for address in addresses:
+            self._logged_at[address] = self._feeds.pop(address).logged_at
+        self._logged_at = {
+            address: logged_at
+            for address, logged_at in self._logged_at.items()
+            if now < logged_at + MIN_LOG_INTERVAL_SECONDS
+        }
+
 
 def select_feeds(host: str, engines: Sequence[TargetEntry]) -> list[TargetEntry]:
     """Return the engines whose load a router subscribes to.
@@ -216,11 +232,12 @@
     )
 
 
-def compute_interval(unanswered: int) -> float:
+def compute_interval(unanswered: int, *, known: bool) -> float:
     """Return the time until the next subscription.
 
     Args:
         unanswered: Subscriptions since the last datagram of the relay.
+        known: Whether the relay has sent any datagram to this process.
 
     Returns:
         Seconds.
@@ -228,7 +245,8 @@
     if unanswered < MAX_UNANSWERED:
         return INTERVAL_SECONDS
     growth = 2.0 ** min(unanswered - MAX_UNANSWERED + 1, 8)
-    return min(INTERVAL_SECONDS * growth, MAX_INTERVAL_SECONDS)
+    longest = MAX_KNOWN_INTERVAL_SECONDS if known else MAX_INTERVAL_SECONDS
+    return min(INTERVAL_SECONDS * growth, longest)
 
 
 def _draw_offset(host: str, entry: TargetEntry) -> float:
