Run the load feed in routers and relays

Cause: the decisions on load reports were not used by any program. Change: with Feature.load_feed a relay whose settings name an engine polls it while it has subscribers, and a router subscribes and applies the reports. A relay takes a subscription's arrival from the monotonic clock, since the loop's time may be earlier.

--- a/packages/fleet/src/ibisport_fleet/load_feed/engine_poller.py
+++ b/packages/fleet/src/ibisport_fleet/load_feed/engine_poller.py
@@ -1,6 +1,7 @@
 """Asks the engine on a relay's host for reports while routers subscribe to them."""
 
 import asyncio
+import time
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Protocol
@@ -104,8 +105,9 @@
 
     def handle_datagram(self, datagram: bytes, source: Address) -> None:
         """Apply a subscription, and start polling if it is the first one."""
-        now = asyncio.get_running_loop().time()
-        if self._publisher.apply_subscription(datagram, source, now):
+        # The loop's time is that of the last wait. A datagram may have arrived since,
+        # and would bound the router's clock too high.
+        if self._publisher.apply_subscription(datagram, source, time.monotonic()):
             self._subscribed.set()
 
     async def run(self, udp: DatagramSocket) -> None:
@@ -117,21 +119,31 @@
         loop = asyncio.get_running_loop()
         while True:
             await self._subscribed.wait()
-            if not self._publisher.count_subscribers(loop.time()):
+            if not self._publisher.count_subscribers(time.monotonic()):
                 self._subscribed.clear()
-                self._close()
+                self.close()
                 continue
             started_at = loop.time()
-            report = await self._fetch(started_at + MAX_REPORT_SECONDS)
-            self._record(report)
-            if report is not None:
-                now = loop.time()
-                due = self._publisher.list_datagrams(report, started_at, now)
-                for datagram, receiver in due:
-                    udp.send(datagram, receiver)
+            await self._poll(udp, started_at + MAX_REPORT_SECONDS)
             next_at = started_at + self._schedule.compute_interval()
             await asyncio.sleep(next_at - loop.time())
 
+    def close(self) -> None:
+        """Close the connection to the engine."""
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    async def _poll(self, udp: DatagramSocket, deadline: float) -> None:
+        """Ask for a report, and send it to the subscribers that should get it."""
+        asked_at = time.monotonic()
+        report = await self._fetch(deadline)
+        self._record(report)
+        if report is not None:
+            due = self._publisher.list_datagrams(report, asked_at, time.monotonic())
+            for datagram, receiver in due:
+                udp.send(datagram, receiver)
+
     async def _fetch(self, deadline: float) -> EngineReport | None:
         """Return a report; None if it is missing, late or unreadable."""
         self.polls += 1
@@ -139,18 +151,18 @@
             async with asyncio.timeout_at(deadline):
                 return await self._ask(deadline)
         except (FleetError, TimeoutError):
-            self._close()
+            self.close()
             return None
 
     async def _ask(self, deadline: float) -> EngineReport:
         connection = self._connection
         if connection is None or not connection.reusable:
-            self._close()
+            self.close()
             connection = await open_http_connection(self._engine, deadline)
             self._connection = connection
         answer = await connection.request(self._codec.request_line, self._headers, b'')
         if not connection.keep_alive:
-            self._close()
+            self.close()
         if answer.head.status != HTTPStatus.OK:
             raise RecordInvalid(f'status {answer.head.status} instead of a report')
         return self._codec.decode_report(answer.body)
@@ -161,8 +173,3 @@
         if event is not None:
             host, port = self._engine
             self._log.write(event, engine=f'{host}:{port}')
-
-    def _close(self) -> None:
-        if self._connection is not None:
-            self._connection.close()
-            self._connection = None
--- a/packages/fleet/src/ibisport_fleet/load_feed/feeds.py
+++ b/packages/fleet/src/ibisport_fleet/load_feed/feeds.py
@@ -50,6 +50,7 @@
     try:
         await poller.run(udp)
     finally:
+        poller.close()
         udp.close()
 
 
--- a/packages/fleet/src/ibisport_fleet/load_feed/publisher.py
+++ b/packages/fleet/src/ibisport_fleet/load_feed/publisher.py
@@ -44,7 +44,10 @@
 
 
 class LoadPublisher:
-    """The subscribers of one relay process and what was sent to each."""
+    """The subscribers of one relay process and what was sent to each.
+
+    All times are seconds of one monotonic clock of the relay.
+    """
 
     def __init__(self, relay_id: int) -> None:
         """Start without subscribers.
@@ -62,7 +65,7 @@
         Args:
             datagram: Bytes that have arrived.
             source: Address that sent them.
-            now: Loop time.
+            now: Current time.
 
         Returns:
             Whether the sender has a subscription; false if the datagram is unreadable
@@ -97,8 +100,8 @@
 
         Args:
             report: The engine's newest report.
-            measured_at: Loop time before which the report wasn't made.
-            now: Loop time.
+            measured_at: Time before which the report wasn't made.
+            now: Current time.
         """
         self.count_subscribers(now)
         state = (report.running, report.waiting, report.leaving)
--- a/packages/fleet/src/ibisport_fleet/process.py
+++ b/packages/fleet/src/ibisport_fleet/process.py
@@ -9,6 +9,7 @@
 
 from ibisport_fleet.adapters import Adapters
 from ibisport_fleet.event_log import Event, EventLog
+from ibisport_fleet.load_feed.feeds import run_relay_feed, uses_relay_feed
 from ibisport_fleet.relay import EXIT_MARGIN_SECONDS, Relay, RelayAdapters
 from ibisport_fleet.router import Router
 from ibisport_fleet.settings import HostSettings
@@ -54,7 +55,10 @@
     accept = relay.connections.accept
     listener = await loop.create_server(accept, *settings.peer_address)
     log.write(Event.process_started, host=settings.host, domain=settings.domain)
+    feed = _start_relay_feed(settings, adapters, log)
     await stopped.wait()
+    if feed is not None:
+        feed.cancel()
     killed_at = loop.time() + settings.bounds.stop_grace
     log.write(Event.process_stopping, host=settings.host, in_flight=relay.in_flight)
     listener.close()
@@ -62,6 +66,25 @@
     log.write(Event.process_stopped, host=settings.host)
 
 
+def _start_relay_feed(
+    settings: HostSettings, adapters: RelayAdapters, log: EventLog
+) -> asyncio.Task[None] | None:
+    """Start the load feed if the settings call for it."""
+    if adapters.report_codec is None or not uses_relay_feed(settings):
+        return None
+    coroutine = run_relay_feed(settings, adapters.report_codec, log)
+    task = asyncio.get_running_loop().create_task(coroutine)
+
+    def log_failure(ended: asyncio.Task[None]) -> None:
+        # Store calls are still forwarded without the feed.
+        if not ended.cancelled():
+            reason = repr(ended.exception())
+            log.write(Event.task_failed, task='load feed', reason=reason)
+
+    task.add_done_callback(log_failure)
+    return task
+
+
 async def _run_router(settings: HostSettings, adapters: Adapters) -> bool:
     """Serve, and return whether a background task of the router failed."""
     router = Router(settings, adapters, EventLog())
--- a/packages/fleet/src/ibisport_fleet/relay.py
+++ b/packages/fleet/src/ibisport_fleet/relay.py
@@ -33,6 +33,7 @@
     drop_connection_headers,
     encode_head,
 )
+from ibisport_fleet.load_feed.engine_poller import ReportCodec
 from ibisport_fleet.request_reader import RequestReader
 from ibisport_fleet.settings import HostSettings
 from ibisport_fleet.store import Store, WatchResult
@@ -98,10 +99,12 @@
     Attributes:
         open_store: Opens the store on the direct path.
         watch_codec: Codec of watch calls.
+        report_codec: Codec of engines' load reports; None: the relay has no load feed.
     """
 
     open_store: Callable[[EventLog], Store]
     watch_codec: WatchCodec
+    report_codec: ReportCodec | None = None
 
 
 class Relay:
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Coroutine
-from typing import Any
 
 from ibisport_fleet.adapters import Adapters
 from ibisport_fleet.budgets import Budgets
@@ -16,6 +15,7 @@
 from ibisport_fleet.event_log import Event, EventLog
 from ibisport_fleet.fatal_requests import FatalRequests
 from ibisport_fleet.fleet_view import CatalogueView, TargetView
+from ibisport_fleet.load_feed.feeds import LoadFeeds
 from ibisport_fleet.loans import LoanClient, LoanServer
 from ibisport_fleet.membership import Membership
 from ibisport_fleet.metrics import Metrics
@@ -24,7 +24,7 @@
 from ibisport_fleet.prefix_watch import PrefixWatch, Subscriber, SubscriberGroup
 from ibisport_fleet.readiness import ReadinessServer
 from ibisport_fleet.request_recorder import RequestRecorder
-from ibisport_fleet.settings import HostSettings
+from ibisport_fleet.settings import Feature, HostSettings
 from ibisport_fleet.shutdown import Shutdown, plan_shutdown
 from ibisport_fleet.store_contact import StoreContact
 from ibisport_fleet.store_paths import RelayEndpoint, StorePaths
@@ -118,6 +118,7 @@
                 holds=self._holds,
             )
         )
+        self._load_feeds = LoadFeeds(settings, self._catalogue, self._targets, log)
         self._caller_server = CallerServer(
             self._call_handler, self._catalogue, adapters.dialect, log
         )
@@ -149,6 +150,8 @@
             'repaying': self._budgets.run_repayments(),
             'quarantine': self._fatal_requests.run(),
         }
+        if Feature.load_feed in self._settings.features:
+            background['load feeds'] = self._load_feeds.run()
         for name, coroutine in background.items():
             self._spawn(coroutine, name)
         proof_task = self._spawn(self._budgets.run_proof_renewals(), 'proofs')
@@ -249,6 +252,8 @@
         self._metrics.set_state('connections', len(self._caller_server.connections))
         self._metrics.set_state('routers', self._budgets.router_count)
         self._metrics.set_state('straight_way', self._store_paths.direct_works)
+        if Feature.load_feed in self._settings.features:
+            self._metrics.set_state('load_feeds', self._load_feeds.count_fresh())
         for name, count in self._fatal_requests.counts.items():
             self._metrics.set_state(name, count)
         if catalogue is not None:
@@ -296,7 +301,7 @@
             self._log.write(Event.budget_unknown, reason='not given back in time')
 
     def _spawn(
-        self, coroutine: Coroutine[Any, Any, None], name: str
+        self, coroutine: Coroutine[object, object, None], name: str
     ) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(coroutine, name=name)
         # The event loop itself keeps only weak references to tasks.
