Merge the load feed

A host's slowdown is kept apart from the load, since feeds don't report it and their newer reports would hide it. The states of the metrics are listed in one place.

--- a/packages/fleet/src/ibisport_fleet/forwarding.py
+++ b/packages/fleet/src/ibisport_fleet/forwarding.py
@@ -360,11 +360,9 @@
             known = self._splitter.event_count
             events = self._splitter.feed(part)
             if events:
-                self._prefill.end()
-                self._prefill.record_first_event(candidate, _now())
+                self._record_events(candidate)
                 gap_recorder.record_events(self._splitter.event_count - known, _now())
                 gaps.record_event(_now())
-                self._continuation.record_events()
                 await self._response.write_chunk(events)
             if self._continuation.disordered:
                 raise ConnectionBroken('an event does not follow the last one')
@@ -380,6 +378,12 @@
             self._call, answered.head.status, self._splitter.event_count
         )
 
+    def _record_events(self, candidate: Candidate) -> None:
+        """Record that complete events arrived, of which the first ends the prefill."""
+        self._prefill.end()
+        self._prefill.record_first_event(candidate, _now())
+        self._continuation.record_events()
+
 
 @dataclass(slots=True)
 class _EventGaps:
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Coroutine
-from typing import Any
 
 from ibisport_fleet.adapters import Adapters
 from ibisport_fleet.budgets import Budgets
@@ -16,6 +15,7 @@
 from ibisport_fleet.event_log import Event, EventLog
 from ibisport_fleet.fatal_requests import FatalRequests
 from ibisport_fleet.fleet_view import CatalogueView, TargetView
+from ibisport_fleet.load_feed.feeds import LoadFeeds
 from ibisport_fleet.loans import LoanClient, LoanServer
 from ibisport_fleet.membership import Membership
 from ibisport_fleet.metrics import Metrics
@@ -24,7 +24,7 @@
 from ibisport_fleet.prefix_watch import PrefixWatch, Subscriber, SubscriberGroup
 from ibisport_fleet.readiness import ReadinessServer
 from ibisport_fleet.request_recorder import RequestRecorder
-from ibisport_fleet.settings import HostSettings
+from ibisport_fleet.settings import Feature, HostSettings
 from ibisport_fleet.shutdown import Shutdown, plan_shutdown
 from ibisport_fleet.store_contact import StoreContact
 from ibisport_fleet.store_paths import RelayEndpoint, StorePaths
@@ -123,6 +123,7 @@
                 holds=self._holds,
             )
         )
+        self._load_feeds = LoadFeeds(settings, self._catalogue, self._targets, log)
         self._caller_server = CallerServer(
             self._call_handler, self._catalogue, adapters.dialect, log
         )
@@ -156,6 +157,8 @@
             'quarantine': self._fatal_requests.run(),
             'standby': self._call_handler.standby.run(),
         }
+        if Feature.load_feed in self._settings.features:
+            background['load feeds'] = self._load_feeds.run()
         for name, coroutine in background.items():
             self._spawn(coroutine, name)
         proof_task = self._spawn(self._budgets.run_proof_renewals(), 'proofs')
@@ -249,24 +252,8 @@
                 self._log.write(Event.store_way_regained)
 
     def _dump_metrics(self) -> bytes:
-        catalogue = self._catalogue.current
-        self._metrics.set_state('targets', len(self._targets.targets))
-        self._metrics.set_state('evacuated', len(self._holds.evacuations))
-        self._metrics.set_state('in_flight', self.in_flight)
-        self._metrics.set_state('paced_engines', self._call_handler.paced_engines)
-        gate = self._call_handler.gate
-        if gate is not None:
-            self._metrics.set_state('queued', gate.queued)
-            self._metrics.set_state('queued_bytes', gate.queued_bytes)
-        self._metrics.set_state('connections', len(self._caller_server.connections))
-        self._metrics.set_state('routers', self._budgets.router_count)
-        self._metrics.set_state('straight_way', self._store_paths.direct_works)
-        self._metrics.set_state('copies', self._call_handler.copies_in_flight)
-        self._metrics.set_state('standby', self._call_handler.standby.is_active)
-        for name, count in self._fatal_requests.counts.items():
-            self._metrics.set_state(name, count)
-        if catalogue is not None:
-            self._metrics.set_state('catalogue_version', catalogue.version)
+        for name, level in self._list_states().items():
+            self._metrics.set_state(name, level)
         now = asyncio.get_running_loop().time()
         for prefix, watch in self._watches.items():
             self._metrics.set_unconfirmed(prefix, now - watch.confirmed_at)
@@ -275,6 +262,29 @@
             self._metrics.set_store_calls(kind.value, path, calls)
         return self._metrics.dump()
 
+    def _list_states(self) -> dict[str, float]:
+        handler = self._call_handler
+        states: dict[str, float] = {
+            'targets': len(self._targets.targets),
+            'evacuated': len(self._holds.evacuations),
+            'in_flight': self.in_flight,
+            'paced_engines': handler.paced_engines,
+            'connections': len(self._caller_server.connections),
+            'routers': self._budgets.router_count,
+            'straight_way': self._store_paths.direct_works,
+            'copies': handler.copies_in_flight,
+            'standby': handler.standby.is_active,
+            **self._fatal_requests.counts,
+        }
+        if handler.gate is not None:
+            states['queued'] = handler.gate.queued
+            states['queued_bytes'] = handler.gate.queued_bytes
+        if Feature.load_feed in self._settings.features:
+            states['load_feeds'] = self._load_feeds.count_fresh()
+        if self._catalogue.current is not None:
+            states['catalogue_version'] = self._catalogue.current.version
+        return states
+
     def _list_relays(self) -> list[RelayEndpoint]:
         port = self._settings.peer_address[1]
         relays = [
@@ -310,7 +320,7 @@
             self._log.write(Event.budget_unknown, reason='not given back in time')
 
     def _spawn(
-        self, coroutine: Coroutine[Any, Any, None], name: str
+        self, coroutine: Coroutine[object, object, None], name: str
     ) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(coroutine, name=name)
         # The event loop itself keeps only weak references to tasks.
--- a/packages/fleet/src/ibisport_fleet/target_choice.py
+++ b/packages/fleet/src/ibisport_fleet/target_choice.py
@@ -1,7 +1,8 @@
 """Load and health of targets, and the choice of a target for plain services."""
 
 import itertools
-from collections import OrderedDict
+import math
+from collections import OrderedDict, deque
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
@@ -23,6 +24,9 @@
 MAX_REPORT_AGE_SECONDS = 2.0
 # A host's slowdown changes many times a second.
 MAX_SLOWDOWN_AGE_SECONDS = 0.15
+# Own sends that are compared with the time of a fed report; these are the sends of a
+# few tenths of a second.
+MAX_RECENT_SENDS = 64
 # Backoff after a failure; it doubles with each consecutive failure.
 MIN_BACKOFF_SECONDS = 0.5
 MAX_BACKOFF_SECONDS = 4.0
@@ -68,6 +72,7 @@
         rejected_until: Loop time until which the target is avoided after a rejection.
         leaving: The target has said that it accepts no new requests.
         warm_up: What is known about its warm-up.
+        memory_use: Share of its memory in use, 0 to 1; None without a load feed.
     """
 
     running: int = 0
@@ -85,8 +90,13 @@
     rejected_until: float = 0.0
     leaving: bool = False
     warm_up: WarmUpState = field(default_factory=WarmUpState)
+    _slowdown: float = 1.0
+    _slowdown_at: float = -math.inf
     _rejection_level: float = 0.0
+    memory_use: float | None = None
     _ramp_limit: int | None = None
+    # Times of the last sends, kept from the first fed report on.
+    _recent_sends: deque[float] | None = None
     _sent_parts: OrderedDict[str, float] = field(default_factory=OrderedDict)
 
     def count_uncached_tokens(self, parts: Sequence[PromptPart], now: float) -> int:
@@ -123,16 +133,35 @@
         self.reported_load = load
         self.reported_at = now
         self.running_at_report = self.running
+        # Feeds don't report it, so it outlasts their newer reports.
+        self._slowdown, self._slowdown_at = load.slowdown, now
 
     def find_slowdown(self, now: float) -> float:
         """Return how long work takes on the target's host, relative to usual.
 
         Without a fresh report it is 1.
         """
-        load = self.reported_load
-        if load is None or now - self.reported_at > MAX_SLOWDOWN_AGE_SECONDS:
+        if now - self._slowdown_at > MAX_SLOWDOWN_AGE_SECONDS:
             return 1.0
-        return load.slowdown
+        return self._slowdown
+
+    def record_fed_load(self, load: TargetLoad, measured_at: float) -> None:
+        """Store the load that a feed reports, unless a newer report is known.
+
+        Requests that this router has sent since the report was made aren't part of it.
+
+        Args:
+            load: Requests at the target.
+            measured_at: Loop time before which the report wasn't made.
+        """
+        if self._recent_sends is None:
+            self._recent_sends = deque(maxlen=MAX_RECENT_SENDS)
+        if self.reported_load is not None and measured_at <= self.reported_at:
+            return
+        unreported = sum(sent_at > measured_at for sent_at in self._recent_sends)
+        self.reported_load = load
+        self.reported_at = measured_at
+        self.running_at_report = max(0, self.running - unreported)
 
     def record_success(self) -> None:
         """Reset the failure count and the backoff."""
@@ -188,6 +217,8 @@
         if not self.running:
             self.last_received_at = now
         self.running += 1
+        if self._recent_sends is not None:
+            self._recent_sends.append(now)
 
     def end_request(self) -> None:
         """Count the end of a request at the target."""
