Ask a second lender while the first is silent; lend tokens ahead

A request waited up to 0.7 s for its first lender before it asked the next one, and every request of a borrower waited for a lender. With Feature.standby the second lender is asked after a quarter of the objective (0.06 to 0.25 s) without cancelling the first; a lender that another one was faster than is asked second for 2 s. With each loan the borrower asks for up to half a second of its recent demand; the lender adds at most a quarter of its reserve, and nothing in the last tenth of the budget. Whatever is lent counts as spent at the lender before it answers; a second loan for one request is repaid to its own lender.

A request whose tokens were returned by another one between its check and its loan no longer asks for a loan of no tokens, which every lender refused.

40 generated sequences of faults with late loans overspend nothing. The tests fail if tokens ahead aren't counted at the lender, if a late loan is dropped, if the faster lender isn't preferred, and if a quiet borrower or the last tenth of a budget keeps tokens ahead.

The steps of standby.feature no longer match the sentence of a scenario of stopping.feature, which failed for that reason before this commit.

Scenarios run: standby, docs, records, budgets, shutdowns, stopping, serving, explain, fairness, membership: all passed.

--- a/features/budgets.feature
+++ b/features/budgets.feature
@@ -117,3 +117,48 @@
   Scenario: More routers that start at once cause no more store calls per router
     When 5 routers start at once, and 60 elsewhere
     Then the number of store calls per router is no higher where 60 start
+
+  Scenario: Loans of two lenders and tokens lent ahead never overspend a budget
+    Given routers that share one budget in virtual time
+    When 40 generated sequences of faults and late loans are run, with the standby feature
+    Then no budget was ever overspent
+    And most requests were served while the budget lasted
+
+  Scenario Outline: A second lender is asked after a quarter of the objective, within bounds
+    When the objective of a request is <objective> s
+    Then a second lender is asked after <delay> s
+
+    Examples:
+      | objective | delay |
+      | 0.1       | 0.06  |
+      | 0.535     | 0.1338 |
+      | 5         | 0.25  |
+
+  Scenario: A request doesn't wait for a silent lender while another one answers
+    When the first lender's answers take 0.5 s longer for 4 s, with the standby feature
+    Then requests wait at most 0.15 s and most of them at most 0.01 s
+    And exactly the delivered tokens count as spent
+
+  Scenario: Without the standby feature requests wait for the first lender
+    When the first lender's answers take 0.5 s longer for 4 s, without the standby feature
+    Then most requests wait longer than 0.4 s
+
+  Scenario: Loans whose answers come too late count as spent
+    When the first lender's answers take 2 s longer for 4 s, with the standby feature
+    Then at least the delivered tokens count as spent
+
+  Scenario: Most requests find tokens that were borrowed ahead of demand
+    When requests come for 20 s, with the standby feature
+    Then at least 60 % of the requests wait for no lender
+    And no router holds more than its demand of a second
+    And what routers hold counts as spent at the lender at every moment
+    And no router holds tokens afterwards
+    And exactly the delivered tokens count as spent
+
+  Scenario: Without the standby feature requests borrow their own tokens
+    When requests come for 20 s, without the standby feature
+    Then at most 40 % of the requests wait for no lender
+
+  Scenario: Tokens aren't borrowed ahead from the last tenth of a budget
+    When all but 8 % of a budget is spent, with the standby feature
+    Then no router holds more than the unused rest of a request
--- a/features/standby.feature
+++ b/features/standby.feature
@@ -3,7 +3,7 @@
   Scenario Outline: A standby begins only if most of enough requests were refused
     Given a standby policy
     When <requests> requests arrive within <seconds> s and <refused> are refused for lack of contact
-    Then the router is <state>
+    Then the policy has its router <state>
 
     Examples:
       | requests | seconds | refused | state       |
@@ -30,7 +30,7 @@
     Then it was out of rotation while in contact for less than an eighth of the time
 
   Scenario Outline: A refusal that other routers would repeat causes no standby
-    When a request is refused as <refusal>
+    When a router refuses a request with <refusal>
     Then the local cause is <cause>
 
     Examples:
@@ -78,7 +78,7 @@
 
   Scenario Outline: Routers that have contact stay in rotation
     Given 4 routers behind a balancer, with the standby feature
-    When <fault> for <seconds> s
+    When for <seconds> s <fault>
     Then every router was ready all the time
     And callers got the statuses <statuses>
 
--- a/features/steps/standby_steps.py
+++ b/features/steps/standby_steps.py
@@ -88,7 +88,7 @@
             context.policy.record_contact(Cause.no_contact, now)
 
 
-@then('the router is {state}')
+@then('the policy has its router {state}')
 def check_state(context, state):
     is_active = context.policy.cause is not None
     assert is_active == (state == 'on standby'), context.policy.cause
@@ -216,7 +216,7 @@
         assert simulation.out_in_contact < seconds / 8, simulation
 
 
-@when('a request is refused as {refusal}')
+@when('a router refuses a request with {refusal}')
 def refuse(context, refusal):
     if refusal == '503 budget without contact':
         error = TokensUnavailable(0.2)
@@ -477,7 +477,7 @@
 }
 
 
-@when('{fault} for {seconds:d} s')
+@when('for {seconds:d} s {fault}')
 def apply_fault(context, fault, seconds):
     budget = TOKENS - 1 if fault == 'the budget is spent' else BUDGET
     context.run = _play(context, seconds, FAULTS[fault], budget=budget)
--- a/packages/bench/src/ibisport_bench/budget_world.py
+++ b/packages/bench/src/ibisport_bench/budget_world.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 from collections import Counter
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -18,6 +19,7 @@
 from ibisport_fleet.fleet_view import CatalogueView
 from ibisport_fleet.loans import Loan, LoanRequest
 from ibisport_fleet.membership import Membership
+from ibisport_fleet.settings import Feature
 from ibisport_fleet.shutdown import REFERENCE_GRACE_SECONDS, plan_shutdown
 from ibisport_fleet.store import Item
 
@@ -27,6 +29,8 @@
 # One-way delay between two hosts.
 LINK_SECONDS = 0.001
 BOOT_CLOCK_JUMP_SECONDS = 50_000.0
+# Target for the time to the first byte of all requests.
+OBJECTIVE_SECONDS = 0.5
 
 
 @dataclass(slots=True)
@@ -74,6 +78,7 @@
         try:
             async with asyncio.timeout_at(deadline):
                 loan = await lender.lend(request)
+                await asyncio.sleep(world.answer_delays.get(address[0], 0.0))
         except TimeoutError as error:
             raise PeerUnavailable('no answer in time') from error
         await asyncio.sleep(LINK_SECONDS)
@@ -93,12 +98,21 @@
         outcomes: Number of requests served or refused, by reason.
         apart: Names of the hosts that are cut off from all other hosts.
         lose_loans: Probability that the answer to a loan request is lost.
+        answer_delays: Additional seconds until a host answers a loan request.
+        waits: Seconds that each served request waited for its tokens.
         workspace: The first workspace.
         keeps_boot_ids: Whether machines keep their boot IDs when they lose power, and
             continue with a boot clock that is far ahead.
     """
 
-    def __init__(self, hosts: int, budget: int, seed: int, workspaces: int = 1) -> None:
+    def __init__(
+        self,
+        hosts: int,
+        budget: int,
+        seed: int,
+        workspaces: int = 1,
+        features: Collection[Feature] = (),
+    ) -> None:
         """Build the simulation without starting any process.
 
         Args:
@@ -106,6 +120,7 @@
             budget: Tokens paid for by each workspace.
             seed: Seed of the random faults of the store and of loans.
             workspaces: Number of workspaces.
+            features: The optional parts that are in use at all hosts.
         """
         self.service = MemoryService(seed)
         self.delivered = 0
@@ -113,6 +128,9 @@
         self.outcomes: Counter[str] = Counter()
         self.apart: set[str] = set()
         self.lose_loans = 0.0
+        self.answer_delays: dict[str, float] = {}
+        self.waits: list[float] = []
+        self._features = features
         self.keeps_boot_ids = False
         self.workspace = Workspace('acme', None, budget)
         self._workspaces = [
@@ -140,7 +158,7 @@
     def count_used(self) -> int:
         """Return the tokens that running processes count as spent or reserved."""
         return sum(
-            host.budgets.find_used(self.workspace.name)
+            host.budgets.find_local(self.workspace.name).used
             for host in self._hosts
             if host.budgets is not None
         )
@@ -169,11 +187,18 @@
         for host in self._hosts:
             if host.budgets is not None:
                 counted += sum(
-                    host.budgets.find_used(workspace.name)
+                    host.budgets.find_local(workspace.name).used
                     for workspace in self._workspaces
                 )
         return counted - self.delivered
 
+    def count_borrowed(self, number: int) -> int:
+        """Return the tokens that a host has borrowed and no request has reserved."""
+        budgets = self._hosts[number % len(self._hosts)].budgets
+        return (
+            0 if budgets is None else budgets.find_local(self.workspace.name).borrowed
+        )
+
     def is_running(self, number: int) -> bool:
         """Tell whether a process runs on a host."""
         return self._hosts[number % len(self._hosts)].budgets is not None
@@ -200,6 +225,7 @@
             self._log,
             _PeerClient(self, host.name),
             _build_clocks(host),
+            self._features,
         )
         self._spawn(host, members.run())
         self._spawn(host, host.budgets.run())
@@ -310,11 +336,14 @@
         budgets = host.budgets
         if budgets is None:
             return
+        loop = asyncio.get_running_loop()
+        arrived_at = loop.time()
         try:
-            reservation = await budgets.reserve(workspace, tokens)
+            reservation = await budgets.reserve(workspace, tokens, OBJECTIVE_SECONDS)
         except TokensUnavailable as error:
             self.outcomes['spent' if error.retry_after is None else 'short'] += 1
             return
+        self.waits.append(loop.time() - arrived_at)
         # How much is delivered is unknown until the request ends: count its maximum.
         self._record_delivered(host, workspace, tokens)
         await asyncio.sleep(seconds)
--- a/packages/fleet/src/ibisport_fleet/budget_synchronizer.py
+++ b/packages/fleet/src/ibisport_fleet/budget_synchronizer.py
@@ -171,6 +171,12 @@
         """Return a workspace's account in the last known page."""
         return self._page.find(workspace)
 
+    def estimate_used(self, workspace: str) -> int:
+        """Return the tokens of a budget that are spent or reserved, as far as known."""
+        account = self._page.find(workspace)
+        own = account.shares.get(self._host, Share())
+        return account.used - own.used + self.ledger.find(workspace).used
+
     async def synchronize(self) -> None:
         """Write the state of the ledger to the store."""
         if not self.is_open and self._page_revision is None:
--- a/packages/fleet/src/ibisport_fleet/budgets.py
+++ b/packages/fleet/src/ibisport_fleet/budgets.py
@@ -9,7 +9,6 @@
 from collections.abc import Collection
 
 from ibisport_fleet.borrowing import Borrower
-from ibisport_fleet.budget_page import Share
 from ibisport_fleet.budget_synchronizer import MAX_PAGE_AGE_SECONDS, BudgetSynchronizer
 from ibisport_fleet.calls import draw_jittered_delay
 from ibisport_fleet.cap_planning import compute_max_cap
@@ -18,8 +17,9 @@
 from ibisport_fleet.errors import FleetError, RecordInvalid, StoreError
 from ibisport_fleet.event_log import Event, EventLog
 from ibisport_fleet.fleet_view import CatalogueView
-from ibisport_fleet.ledger import Reservation
+from ibisport_fleet.ledger import LocalBudget, Reservation
 from ibisport_fleet.lenders import rank_lenders
+from ibisport_fleet.loan_planning import is_scarce, limit_ahead
 from ibisport_fleet.loans import Loan, LoanPeer, LoanRequest
 from ibisport_fleet.membership import Membership
 from ibisport_fleet.settings import Feature
@@ -107,7 +107,14 @@
         )
         self._ledger = self._synchronizer.ledger
         self.contact = TokenContact()
-        self._borrower = Borrower(members, self._ledger, peers, log, self.contact)
+        self._borrower = Borrower(
+            members,
+            self._ledger,
+            peers,
+            log,
+            self.contact,
+            plans_ahead=Feature.standby in features,
+        )
         self._write_requested = asyncio.Event()
         self._write_done = asyncio.Event()
         self._store_failing = False
@@ -121,9 +128,9 @@
         """Number of routers that share the budgets, including this one."""
         return self._members.count
 
-    def find_used(self, workspace: str) -> int:
-        """Return the tokens spent or reserved at this router."""
-        return self._ledger.find(workspace).used
+    def find_local(self, workspace: str) -> LocalBudget:
+        """Return this router's part of a budget."""
+        return self._ledger.find(workspace)
 
     def list_lenders(self, workspace: str) -> list[str]:
         """Return the hosts that lend a workspace's tokens, most preferred first."""
@@ -157,7 +164,14 @@
                 -request.repaid, self._clocks.boot()
             )
         if self._has_stopped_lending or not request.tokens:
-            return Loan(0, 0, certain=False, lends=not self._has_stopped_lending)
+            used = self._synchronizer.estimate_used(workspace.name)
+            return Loan(
+                0,
+                0,
+                certain=False,
+                lends=not self._has_stopped_lending,
+                scarce=is_scarce(used, workspace.budget or 0),
+            )
         self._lending_until[workspace.name] = (
             self._clocks.boot() + LENDER_RETENTION_SECONDS
         )
@@ -166,16 +180,29 @@
         except TokensUnavailable as error:
             used = int(error.details.get('used', 0))
             return Loan(0, used, certain=not self._store_failing)
-        reservation.spent = reservation.tokens
-        self._ledger.settle(reservation)
-        return Loan(request.tokens, 0, certain=True)
+        ahead = self._find_ahead(workspace, request.ahead)
+        self._ledger.lend(reservation, ahead, self._clocks.boot())
+        used = self._synchronizer.estimate_used(workspace.name)
+        return Loan(
+            request.tokens + ahead,
+            0,
+            certain=True,
+            scarce=is_scarce(used, workspace.budget or 0),
+        )
 
-    async def reserve(self, workspace: Workspace | None, tokens: int) -> Reservation:
+    async def reserve(
+        self,
+        workspace: Workspace | None,
+        tokens: int,
+        objective: float | None = None,
+    ) -> Reservation:
         """Reserve tokens for a request.
 
         Args:
             workspace: The workspace that pays, or None if the request is free.
             tokens: Maximum cost of the request.
+            objective: Target for the time to the first byte of the answer, seconds, or
+                None to ask one lender after the other.
 
         Raises:
             TokensUnavailable: The budget doesn't cover the request, or tokens can't be
@@ -185,20 +212,23 @@
             return Reservation(None, tokens)
         started_at = asyncio.get_running_loop().time()
         try:
-            return await self._reserve_paid(workspace, tokens)
+            return await self._reserve_paid(workspace, tokens, objective)
         except _DrawTimeout as error:
             error.out_of_contact = self.contact.is_lost_since(started_at)
             raise
 
-    async def _reserve_paid(self, workspace: Workspace, tokens: int) -> Reservation:
+    async def _reserve_paid(
+        self, workspace: Workspace, tokens: int, objective: float | None
+    ) -> Reservation:
         if self._lends(workspace.name) and not (
             self._lender_may_borrow and self._is_short_without_store(workspace, tokens)
         ):
             return await self._reserve_local(workspace, tokens)
+        self._borrower.record_demand(workspace.name, tokens)
         reservation = self._ledger.reserve_borrowed(workspace.name, tokens)
         if reservation is not None:
             return reservation
-        loan = await self._borrower.borrow(workspace.name, tokens)
+        loan = await self._borrower.borrow(workspace.name, tokens, objective)
         if isinstance(loan, Reservation):
             return loan
         if loan is not None and loan.certain:
@@ -327,7 +357,9 @@
                 return await self._wait_for_tokens(workspace, tokens)
         except TimeoutError:
             raise _DrawTimeout(
-                self._estimate_retry_after(),
+                _estimate_retry_after(
+                    self._synchronizer.proofs.expire_at, self._clocks.boot()
+                ),
                 own_used=local_budget.used,
                 own_cap=local_budget.cap,
             ) from None
@@ -360,6 +392,15 @@
             return True
         return rank_lenders(self._members.current, workspace)[0] == self._host
 
+    def _find_ahead(self, workspace: Workspace, asked: int) -> int:
+        """Return the tokens that this lender can spare for a borrower's demand."""
+        used = self._synchronizer.estimate_used(workspace.name)
+        if self._store_failing or is_scarce(used, workspace.budget or 0):
+            return 0
+        local_budget = self._ledger.find(workspace.name)
+        bound = local_budget.compute_bound(self._synchronizer.released)
+        return limit_ahead(asked, bound - local_budget.used - local_budget.wanted)
+
     def _is_short_without_store(self, workspace: Workspace, tokens: int) -> bool:
         """Return whether a lender has to borrow, as it can't draw tokens itself.
 
@@ -371,14 +412,6 @@
             tokens + local_budget.wanted, self._synchronizer.released
         )
 
-    def _estimate_retry_after(self) -> float:
-        """Return the seconds to wait before a retry while the store is unreachable.
-
-        After the contact proofs expire, the bounds grow up to the caps.
-        """
-        remaining = max(0.0, self._synchronizer.proofs.expire_at - self._clocks.boot())
-        return remaining + draw_jittered_delay(SHORTAGE_RETRY_SECONDS)
-
     def _is_exhausted(self, workspace: Workspace, tokens: int) -> bool:
         """Return whether a recent page shows that a draw can't provide the tokens."""
         if self._clocks.boot() - self._synchronizer.page_seen_at > MAX_PAGE_AGE_SECONDS:
@@ -389,10 +422,9 @@
 
     def _build_refusal(self, workspace: Workspace, tokens: int) -> TokensUnavailable:
         account = self._synchronizer.find_account(workspace.name)
-        own = account.shares.get(self._host, Share())
         local_budget = self._ledger.find(workspace.name)
         budget = workspace.budget or 0
-        used = account.used - own.used + local_budget.used
+        used = self._synchronizer.estimate_used(workspace.name)
         is_spent = used + tokens > budget
         return TokensUnavailable(
             None if is_spent else draw_jittered_delay(SHORTAGE_RETRY_SECONDS),
@@ -412,6 +444,17 @@
             self._log.write(Event.budget_unknown, reason=repr(error))
 
 
+def _estimate_retry_after(expire_at: float, now: float) -> float:
+    """Return the seconds to wait before a retry while the store is unreachable.
+
+    Args:
+        expire_at: End of the contact proofs, after which the bounds grow up to the
+            caps.
+        now: Time of the same clock.
+    """
+    return max(0.0, expire_at - now) + draw_jittered_delay(SHORTAGE_RETRY_SECONDS)
+
+
 async def _wait_for_event(event: asyncio.Event, seconds: float) -> None:
     """Wait until an event is set, at most for some seconds, and clear it."""
     with contextlib.suppress(TimeoutError):
--- a/packages/fleet/src/ibisport_fleet/call_handler.py
+++ b/packages/fleet/src/ibisport_fleet/call_handler.py
@@ -108,7 +108,9 @@
     ) -> None:
         forwarder.check_quarantine()
         budgets = self._dependencies.budgets
-        reservation = await budgets.reserve(call.workspace, call.metadata.max_tokens)
+        reservation = await budgets.reserve(
+            call.workspace, call.metadata.max_tokens, call.route.objective
+        )
         try:
             await forwarder.run()
         finally:
--- a/packages/fleet/src/ibisport_fleet/event_log.py
+++ b/packages/fleet/src/ibisport_fleet/event_log.py
@@ -57,6 +57,7 @@
     lender_lost = 2503
     standby_begun = 2510
     standby_ended = 2511
+    lender_late = 2512
     lines_dropped = 2901
 
 
--- a/packages/fleet/src/ibisport_fleet/ledger.py
+++ b/packages/fleet/src/ibisport_fleet/ledger.py
@@ -133,6 +133,21 @@
         local_budget.reserved -= reservation.tokens
         local_budget.settled += min(reservation.spent, reservation.tokens)
 
+    def lend(self, reservation: Reservation, ahead: int, now: float) -> None:
+        """Count a loan as spent.
+
+        Args:
+            reservation: The tokens that the borrower needs.
+            ahead: Tokens that it gets in addition, within the bound of the budget.
+            now: Boot-clock time.
+        """
+        reservation.spent = reservation.tokens
+        self.settle(reservation)
+        if reservation.workspace is not None:
+            local_budget = self.find(reservation.workspace)
+            local_budget.settled += ahead
+            local_budget.add_demand(ahead, now)
+
     def reserve_borrowed(self, workspace: str, tokens: int) -> Reservation | None:
         """Reserve borrowed tokens, or return None if there aren't enough."""
         local_budget = self.find(workspace)
--- a/packages/fleet/src/ibisport_fleet/loans.py
+++ b/packages/fleet/src/ibisport_fleet/loans.py
@@ -29,12 +29,15 @@
         workspace: Name of the workspace whose tokens are lent.
         tokens: Number of tokens requested.
         repaid: Unspent tokens from earlier loans of that process.
+        ahead: Tokens for requests still to come, lent only as far as the lender can
+            spare them.
     """
 
     lender: str
     workspace: str
     tokens: _TokenCount
     repaid: _TokenCount = 0
+    ahead: _TokenCount = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,18 +45,21 @@
     """A lender's answer.
 
     Attributes:
-        tokens: Tokens lent: all that were requested, or 0.
+        tokens: Tokens lent: all that were requested and those lent ahead, or 0.
         used: Tokens of the budget known to be spent or reserved.
         certain: Whether the lender reaches the store. If so, no other router can
             provide the tokens sooner.
         lends: Whether the process that answers is the one that was asked, and lends
             at all.
+        scarce: Whether the budget is nearly spent, so that tokens held ahead of demand
+            should be returned.
     """
 
     tokens: _TokenCount
     used: _TokenCount
     certain: bool
     lends: bool = True
+    scarce: bool = False
 
 
 class LoanPeer(Protocol):
