Prefer engines by their pace, and several of them for a hot part

Cause: a slow engine was preferred for as many shared parts as a fast one, and a part with 18 % of the prompts had one preferred engine, which got up to 5.3 times the mean number of requests. Change: with the feature pace, preferred engines are chosen by rendezvous hashing with weights of 1/pace in powers of 1.5, and a part has as many of them as its share of the service's tokens needs, with hysteresis. Routers that differ in the number still prefer the same engines first.

--- a/packages/fleet/src/ibisport_fleet/cache_sources.py
+++ b/packages/fleet/src/ibisport_fleet/cache_sources.py
@@ -6,12 +6,11 @@
 """
 
 from collections.abc import Sequence
-from functools import partial
 
 from ibisport_fleet.catalogue import Engine
 from ibisport_fleet.metadata import PromptPart
 from ibisport_fleet.placing.copies import CopyTimes
-from ibisport_fleet.rendezvous import compute_score
+from ibisport_fleet.placing.shared_parts import WeighEngine, find_preferred_engines
 from ibisport_fleet.target_choice import Candidate
 
 # Fewer tokens are read in less time than the request for a copy takes.
@@ -87,11 +86,15 @@
     # A few more tokens don't tell where other routers have sent the rest.
     if known >= min(wanted, MIN_FETCHED_TOKENS):
         return source, known
-    return _guess_source(chosen, others, shared), wanted
+    weigh = None if times is None else times.pace.find_weight
+    return _guess_source(chosen, others, shared, weigh), wanted
 
 
 def _guess_source(
-    chosen: Candidate, others: Sequence[Candidate], shared: Sequence[PromptPart]
+    chosen: Candidate,
+    others: Sequence[Candidate],
+    shared: Sequence[PromptPart],
+    weigh: WeighEngine | None,
 ) -> Candidate:
     """Return the engine to which other routers have probably sent the parts.
 
@@ -99,11 +102,8 @@
     parts before may still be cached anywhere else.
     """
     for part in reversed(shared):
-        home = max((chosen, *others), key=partial(_score, part))
+        engines = (chosen, *others)
+        home = find_preferred_engines(engines, part.part_id, 1, weigh)[0]
         if home is not chosen:
             return home
-    return max(others, key=partial(_score, shared[0]))
-
-
-def _score(part: PromptPart, candidate: Candidate) -> int:
-    return compute_score(part.part_id, candidate.entry.incarnation)
+    return find_preferred_engines(others, shared[0].part_id, 1, weigh)[0]
--- a/packages/fleet/src/ibisport_fleet/engine_choice.py
+++ b/packages/fleet/src/ibisport_fleet/engine_choice.py
@@ -10,6 +10,7 @@
 from ibisport_fleet.metadata import PromptPart
 from ibisport_fleet.placing.backlog import estimate_backlog
 from ibisport_fleet.placing.pace import ServicePace
+from ibisport_fleet.placing.shared_parts import find_preferred_engines
 from ibisport_fleet.prompt_mix import EngineSplit
 from ibisport_fleet.rendezvous import compute_score, hash_text
 from ibisport_fleet.target_choice import (
@@ -54,11 +55,18 @@
     shared = parts[:-1]
     # A rate-limited target can't serve all requests of a preferred engine.
     pool = _select_pool(filter_unlimited(candidates), parts, split)
-    preferred = _find_preferred_engine(available, pool, shared)
+    count = 1
+    if pace is not None and shared:
+        part_id = shared[-1].part_id
+        count = pace.shared_parts.count_engines(part_id, len(candidates), now)
+    preferred = _find_preferred_engines(available, pool, shared, count, pace)
 
     own_tokens = parts[-1].tokens if parts else 0
     # Routers with the same list would all choose the first of equal engines.
     spread_key = shared[-1].part_id if shared else origin.host
+    if count > 1:
+        # Each router would send all prompts of a hot part to the same idle engine.
+        spread_key = f'{origin.host}|{now}'
 
     def compute_cost(candidate: Candidate) -> tuple[float, bool, int]:
         entry = candidate.entry
@@ -68,7 +76,7 @@
             cost = pace.compute_start_cost(candidate, cost + own_tokens, now)
         return (
             cost,
-            candidate is not preferred,
+            entry.incarnation not in preferred,
             -compute_score(spread_key, entry.incarnation),
         )
 
@@ -113,37 +121,41 @@
     return engines - long_prompt_engines
 
 
-def _find_preferred_engine(
+def _find_preferred_engines(
     candidates: Sequence[Candidate],
     pool: frozenset[str],
     shared: Sequence[PromptPart],
-) -> Candidate | None:
-    """Return the engine that all routers prefer for the last shared part.
+    count: int,
+    pace: ServicePace | None,
+) -> frozenset[str]:
+    """Return the incarnations that all routers prefer for the last shared part.
 
     The choice is rendezvous hashing among the candidates of the pool.
     """
     if not shared:
-        return None
-    part_id = shared[-1].part_id
+        return frozenset()
     # A target that warms up can't serve all requests of a preferred engine either.
     warm = [
         candidate for candidate in candidates if candidate.health.warm_up.rate is None
     ]
     pooled = [candidate for candidate in warm if candidate.entry.incarnation in pool]
-    return max(
+    preferred = find_preferred_engines(
         pooled or warm or candidates,
-        key=lambda candidate: compute_score(part_id, candidate.entry.incarnation),
+        shared[-1].part_id,
+        count,
+        None if pace is None else pace.find_weight,
     )
+    return frozenset(candidate.entry.incarnation for candidate in preferred)
 
 
 def _estimate_tokens(
     candidate: Candidate,
-    preferred: Candidate | None,
+    preferred: frozenset[str],
     shared: Sequence[PromptPart],
     now: float,
 ) -> float:
     """Return how many tokens an engine reads before this request's own part."""
     backlog = estimate_backlog(candidate, now)
-    if candidate is preferred:
+    if candidate.entry.incarnation in preferred:
         return backlog
     return backlog + candidate.health.count_uncached_tokens(shared, now)
--- a/packages/fleet/src/ibisport_fleet/forwarding.py
+++ b/packages/fleet/src/ibisport_fleet/forwarding.py
@@ -130,6 +130,8 @@
             copied = health.count_uncached_tokens(parts[:-1], _now())
             self._copy = self._call.copied_from, copied
             self._pace.begin_copy(*self._copy)
+        part_id = parts[-2].part_id if len(parts) > 1 else None
+        self._pace.shared_parts.record_prompt(part_id, prompt_tokens, _now())
         self._prompt_mix.record_prompt(prompt_tokens, self._uncached_tokens, _now())
         health.pending_prompt_tokens += self._uncached_tokens
         health.record_parts(parts, _now())
--- a/packages/fleet/src/ibisport_fleet/placing/pace.py
+++ b/packages/fleet/src/ibisport_fleet/placing/pace.py
@@ -10,6 +10,7 @@
 from statistics import median
 
 from ibisport_fleet.placing.backlog import estimate_backlog
+from ibisport_fleet.placing.shared_parts import SharedParts
 from ibisport_fleet.placing.start_times import DEFAULT_MODEL, StartTimes
 from ibisport_fleet.target_choice import Candidate
 
@@ -33,6 +34,12 @@
 PACE_HYSTERESIS = 0.08
 MIN_PACE = 0.1
 USUAL_PACE = 1.0
+# Weights of preferred engines are powers of this factor. Routers measure slightly
+# different paces, and with finer steps they would prefer different engines.
+WEIGHT_FACTOR = 1.5
+MAX_WEIGHT_STEPS = 4
+# A step changes only if the pace is further from it than this; 0.5 is half-way.
+WEIGHT_HYSTERESIS = 0.65
 
 
 @dataclass(slots=True)
@@ -45,6 +52,7 @@
         low: A low quantile of the gaps; None: too few were observed.
         usual: Their median.
         pace: The pace relative to the service.
+        weight_steps: Steps by which shared parts are rather preferred elsewhere.
     """
 
     gaps: deque[float] = field(default_factory=lambda: deque(maxlen=MAX_GAPS))
@@ -52,6 +60,7 @@
     low: float | None = None
     usual: float | None = None
     pace: float = USUAL_PACE
+    weight_steps: int = 0
     _is_measured: bool = True
 
     def record(self, seconds: float, now: float) -> None:
@@ -68,14 +77,30 @@
         self.low = ranked[int(len(ranked) * LOW_QUANTILE)]
         self.usual = median(ranked)
 
+    def compare(self, usual: float) -> None:
+        """Compute the pace relative to the usual gap of the service."""
+        if self.low is None or self.low <= 0:
+            return
+        measured = self.low / usual
+        if abs(measured - self.pace) > PACE_HYSTERESIS:
+            self.pace = max(MIN_PACE, round(measured, PACE_DIGITS))
+        steps = math.log(measured, WEIGHT_FACTOR)
+        if abs(steps - self.weight_steps) > WEIGHT_HYSTERESIS:
+            bounded = min(MAX_WEIGHT_STEPS, max(-MAX_WEIGHT_STEPS, steps))
+            self.weight_steps = round(bounded)
+
 
 class ServicePace:
     """Paces of the engines of one service, as this router observes them.
 
     All is kept in memory only. Without observations each engine has the usual pace.
+
+    Attributes:
+        shared_parts: Demand for the shared parts of the service's prompts.
     """
 
     def __init__(self) -> None:
+        self.shared_parts = SharedParts()
         self._engines: dict[StartId, _EngineGaps] = {}
         self._start_times = StartTimes()
         self._copied_tokens: Counter[StartId] = Counter()
@@ -126,6 +151,11 @@
         engine = self._engines.get(start_id)
         return USUAL_PACE if engine is None else engine.pace
 
+    def find_weight(self, start_id: StartId) -> float:
+        """Return the weight of an engine for shared parts, 1 for the usual pace."""
+        engine = self._engines.get(start_id)
+        return 1.0 if engine is None else float(WEIGHT_FACTOR**-engine.weight_steps)
+
     def find_usual_gap(self, start_id: StartId) -> float | None:
         """Return the usual time between events of a start, seconds; None: unknown."""
         engine = self._engines.get(start_id)
@@ -215,8 +245,7 @@
         # Events that arrive at once have no gap between them.
         if usual > 0:
             for engine in self._engines.values():
-                if engine.low is not None:
-                    engine.pace = _round_pace(engine.low / usual, engine.pace)
+                engine.compare(usual)
 
 
 @dataclass(slots=True)
@@ -242,9 +271,3 @@
             seconds = (now - self._begun_at) / self._events
             self.pace.record_gap(self.start_id, seconds, now)
         self._begun_at, self._events = now, 0
-
-
-def _round_pace(measured: float, known: float) -> float:
-    if abs(measured - known) <= PACE_HYSTERESIS:
-        return known
-    return max(MIN_PACE, round(measured, PACE_DIGITS))
