Keep targets that fail fast or lose answers from attracting requests

A request that ran out of time left no trace, so a target that lost all answers looked idle again. Timers run slightly early, so without a tolerance most time-outs weren't counted.

--- a/features/steps/running_fleet.py
+++ b/features/steps/running_fleet.py
@@ -74,6 +74,7 @@
 COLD_FACTOR = 1.5
 COLD_SLACK = 5
 MAX_RUN_SECONDS = 300.0
+NO_FEATURES = frozenset()
 TARGET_PREFIX = 'servers/'
 CATALOGUE_KEY = 'op/config'
 EVACUATION_PREFIX = 'op/evacuate/'
@@ -125,6 +126,9 @@
         rejection: Its answer to them.
         reject_stride: Of how many requests it rejects one.
         retry_after: Retry-After value of its rejections, or None.
+        break_stride: Of how many requests it breaks the connection of one after the
+            head of the answer; 0: of none.
+        loss_stride: Of how many requests it never answers one; 0: it answers all.
         leaves: Whether all of its answers say that it leaves.
         reports_load: Whether its answers report how many requests it runs.
         cold_until: Loop time until which it warms up, and crashes if it is overrun.
@@ -139,6 +143,8 @@
         self.rejection = REJECTED
         self.reject_stride = 1
         self.retry_after = None
+        self.break_stride = 0
+        self.loss_stride = 0
         self.leaves = False
         self.reports_load = False
         self.cold_until = 0.0
@@ -317,6 +323,12 @@
         if self.rejects and self._request_count % self.reject_stride == 0:
             channel.write(self._reject(request))
             return
+        if self.loss_stride and self._request_count % self.loss_stride == 0:
+            await asyncio.Future()
+        if self.break_stride and self._request_count % self.break_stride == 0:
+            channel.write(self._make_head(STREAM_HEAD, request))
+            channel.abort()
+            return
         if request.body.startswith(FATAL):
             channel.write(self._make_head(STREAM_HEAD, request))
             await asyncio.sleep(FATAL_AFTER_SECONDS)
@@ -389,6 +401,7 @@
             store_address=('10.9.0.1', 1),
             bounds=Bounds(1.0, 100.0, 10.0, GRACE_SECONDS),
             regions={'d-0': 'r-0', 'd-1': 'r-1'},
+            features=self._fleet.features,
         )
 
 
@@ -421,10 +434,12 @@
         started: Whether targets that start from now on are cold.
         cold_counts: Requests within a second, at each arrival at a cold target.
         overruns: Loop time and incarnation of each cold target that was overrun.
+        features: The optional parts that routers use.
     """
 
-    def __init__(self, net, routers, targets, warm_up=None):
+    def __init__(self, net, routers, targets, warm_up=None, features=NO_FEATURES):
         self.net = net
+        self.features = features
         service = Service('svc', 100, None, warm_up)
         self.catalogue = replace(CATALOGUE, services={'svc': service})
         self.started = False
@@ -521,7 +536,14 @@
     return b'request %d' % number
 
 
-def run_fleet(act, routers=4, targets=6, warm_up=None, change_catalogue=None):
+def run_fleet(
+    act,
+    routers=4,
+    targets=6,
+    warm_up=None,
+    change_catalogue=None,
+    features=NO_FEATURES,
+):
     """Start a fleet, run a coroutine on it, and return it.
 
     Args:
@@ -530,11 +552,12 @@
         targets: Number of targets.
         warm_up: How targets warm up that start while the fleet runs, or None.
         change_catalogue: Function that returns a changed catalogue, or None.
+        features: The optional parts that routers use.
     """
 
     async def play(net):
         random.seed(1)
-        fleet = Fleet(net, routers, targets, warm_up)
+        fleet = Fleet(net, routers, targets, warm_up, features)
         if change_catalogue is not None:
             fleet.catalogue = change_catalogue(fleet.catalogue)
         clock = SimpleNamespace(
--- a/packages/fleet/src/ibisport_fleet/forwarding.py
+++ b/packages/fleet/src/ibisport_fleet/forwarding.py
@@ -11,6 +11,7 @@
 from ibisport_fleet.placing.backlog import is_crowded
 from ibisport_fleet.placing.pace import GapRecorder
 from ibisport_fleet.response_writer import ResponseWriter
+from ibisport_fleet.settings import Feature
 from ibisport_fleet.sse import EventSplitter
 from ibisport_fleet.target_choice import Candidate, TargetHealth
 from ibisport_fleet.target_client import (
@@ -32,6 +33,8 @@
 # Targets that are found to be gone before it fails. Each costs a round trip, and says
 # nothing about the load of the service.
 MAX_ABSENT_TARGETS = 8
+# The event loop runs timers up to its clock's resolution early.
+TIMER_TOLERANCE_SECONDS = 0.005
 
 
 class RequestForwarder:
@@ -50,6 +53,7 @@
         self._retry_budget = service_state.retry_budget
         self._prompt_mix = service_state.prompt_mix
         self._pace = service_state.pace
+        self._avoids_failing = Feature.pace in dependencies.settings.features
         self._selector = TargetSelector(dependencies, service_state, call)
         self._splitter = EventSplitter(call.metadata.last_event_id)
         self._rejections = 0
@@ -168,9 +172,13 @@
         call.sent_at = _now()
         self._dependencies.recorder.record_sent(call, candidate)
         call.may_have_run = True
-        outcome = await self._dependencies.target_client.send(
-            call, candidate, self._splitter.last_event_id
-        )
+        try:
+            outcome = await self._dependencies.target_client.send(
+                call, candidate, self._splitter.last_event_id
+            )
+        except asyncio.CancelledError:
+            self._record_timeout(candidate)
+            raise
         if candidate.health.leaving:
             self._dependencies.targets.record_leaving(candidate.entry)
         match outcome:
@@ -182,6 +190,19 @@
                 self._handle_unknown_outcome(candidate, reason)
         return False
 
+    def _record_timeout(self, candidate: Candidate) -> None:
+        """Record a failure of a target that has sent nothing by the deadline.
+
+        Its request ends then, which would make a target that loses answers look idle.
+        """
+        due = self._call.deadline - TIMER_TOLERANCE_SECONDS
+        if self._avoids_failing and _now() >= due:
+            candidate.health.record_failure(_now())
+
+    def _find_success_time(self) -> float | None:
+        """Return when the request was sent if that decides what its success shows."""
+        return self._call.sent_at if self._avoids_failing else None
+
     def _handle_rejection(self, outcome: NotSent | NotRun) -> None:
         call = self._call
         call.attempts -= 1
@@ -239,7 +260,7 @@
         if failed and call.route.repeatable and self._may_retry():
             return False
         if not failed:
-            answered.health.record_success()
+            answered.health.record_success(self._find_success_time())
         self._response.write_whole(answered.head, body)
         self._dependencies.recorder.record_served(
             self._call, answered.head.status, self._splitter.event_count
@@ -281,7 +302,7 @@
         self._record_event_gaps(gaps.max_gap)
         self._dependencies.target_client.release(answered)
         self._dependencies.fatal_requests.record_answer(self._call.digest)
-        answered.health.record_success()
+        answered.health.record_success(self._find_success_time())
         self._dependencies.recorder.record_served(
             self._call, answered.head.status, self._splitter.event_count
         )
--- a/packages/fleet/src/ibisport_fleet/target_choice.py
+++ b/packages/fleet/src/ibisport_fleet/target_choice.py
@@ -1,6 +1,7 @@
 """Load and health of targets, and the choice of a target for plain services."""
 
 import itertools
+import math
 from collections import OrderedDict
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -57,6 +58,7 @@
         running_at_report: Value of ``running`` at that time.
         failures: Consecutive failures.
         backoff_until: Loop time until which the target is avoided.
+        failed_at: Loop time of the last failure.
         replaced: Another incarnation has answered at the target's address.
         pending_prompt_tokens: Tokens that the target has yet to read, of prompts
             that this router has sent.
@@ -76,6 +78,7 @@
     running_at_report: int = 0
     failures: int = 0
     backoff_until: float = 0.0
+    failed_at: float = -math.inf
     replaced: bool = False
     pending_prompt_tokens: int = 0
     last_received_at: float = 0.0
@@ -134,9 +137,18 @@
             return 1.0
         return load.slowdown
 
-    def record_success(self) -> None:
-        """Reset the failure count and the backoff."""
-        self.failures = 0
+    def record_success(self, sent_at: float | None = None) -> None:
+        """Reset the backoff, and the failure count or a part of it.
+
+        Args:
+            sent_at: Loop time at which the request was sent. A request that was sent
+                before the last failure doesn't show that the target works again. A
+                later one takes back one failure, so the backoff grows at a target that
+                fails every second request. None: the count starts anew.
+        """
+        if sent_at is not None and sent_at <= self.failed_at:
+            return
+        self.failures = 0 if sent_at is None else max(0, self.failures - 1)
         self.backoff_until = 0.0
 
     def record_failure(self, now: float) -> None:
@@ -144,6 +156,7 @@
         backoff = MIN_BACKOFF_SECONDS * 2**self.failures
         self.failures = min(self.failures + 1, 8)
         self.backoff_until = now + min(backoff, MAX_BACKOFF_SECONDS)
+        self.failed_at = now
 
     def pause_until(self, until: float) -> None:
         """Send no requests before a loop time, and few at once afterwards."""
