Log and count what is learned of paces and hot parts

Cause: operators couldn't see which engines a router takes for slow, nor which shared parts it spreads. A test runs routers with the feature on against a target whose events take three times as long.

--- a/features/pacedchoice.feature
+++ b/features/pacedchoice.feature
@@ -41,3 +41,13 @@
     Given 9 engines of the paces 1.0, 1.0, 2.4
     When 8 routers place prompts at 0.7 of the engines' capacity for 20 seconds
     Then the slowest of a hundred prompts start in half the time, others no later
+
+  Scenario: Running routers learn the pace of a target from its streams
+    When 4 routers send streams to 6 targets, of which the second one takes 3 times as long
+    Then with the feature pace it gets less than half as many streams as without
+    And each router knows the paces of 5 targets or more
+
+  Scenario: Changes of paces and hot parts are logged without flooding the log
+    Given 9 engines of the paces 1.0, 1.0, 2.4
+    When the changes of the paces and of a part that becomes hot are logged twice in 10 seconds
+    Then there is one line for each slow engine and one for the part, without its id
--- a/features/steps/pacedchoice_steps.py
+++ b/features/steps/pacedchoice_steps.py
@@ -5,13 +5,19 @@
 import math
 import random
 from collections import Counter
+from types import SimpleNamespace
 
 from behave import given, then, when
 from engines import build_engine
+from running_fleet import START_SECONDS as FLEET_START_SECONDS
+from running_fleet import make_body, run_fleet
 
 from ibisport_fleet.engine_choice import choose_engine
+from ibisport_fleet.event_log import Event
 from ibisport_fleet.metadata import PromptPart, TargetLoad
+from ibisport_fleet.placing.change_log import ChangeLog
 from ibisport_fleet.placing.pace import ServicePace
+from ibisport_fleet.settings import Feature
 from ibisport_fleet.target_choice import Origin
 
 GAP_SECONDS = 0.02
@@ -21,6 +27,10 @@
 ORIGIN = Origin('router-1', 'd')
 # Arrivals take this share of the time in which the engines could read them.
 OVERLOAD = 0.8
+HOT_PART = 'hot-part'
+STREAM_INTERVAL_SECONDS = 0.02
+STREAM_SECONDS = 15
+LEARNED_AT_SECONDS = FLEET_START_SECONDS + 5
 
 
 @given('{count:d} engines of the paces {paces}')
@@ -215,3 +225,70 @@
         assert paced[rank] < plain[rank], share
     slowest = int(0.99 * len(plain))
     assert paced[slowest] < plain[slowest] / 2, paced[-1]
+
+
+@when(
+    '{routers:d} routers send streams to {targets:d} targets,'
+    ' of which the second one takes {factor:d} times as long'
+)
+def send_streams(context, routers, targets, factor):
+    def act_on(known):
+        async def act(fleet):
+            fleet.request_headers = 'Prompt-Prefix: own:400\r\n'
+            for target in fleet.targets:
+                target.reports_load = True
+            fleet.targets[1].event_factor = factor
+            await fleet.press(STREAM_INTERVAL_SECONDS, STREAM_SECONDS, make_body)
+            for router in fleet.routers:
+                state = router.router._call_handler
+                known.append(state.paced_engines)
+
+        return act
+
+    context.known, context.counts = [], []
+    for features in (frozenset(), frozenset((Feature.pace,))):
+        context.known.clear()
+        fleet = run_fleet(act_on(context.known), routers, targets, features=features)
+        count, _ = fleet.count_arrivals(fleet.targets[1], LEARNED_AT_SECONDS)
+        context.counts.append(count)
+
+
+@then('with the feature pace it gets less than half as many streams as without')
+def check_stream_share(context):
+    plain, paced = context.counts
+    # A pace that is learned but not passed to the choice changes nothing.
+    assert paced < plain / 2, context.counts
+
+
+@then('each router knows the paces of {count:d} targets or more')
+def check_known(context, count):
+    assert min(context.known) >= count, context.known
+
+
+@when(
+    'the changes of the paces and of a part that becomes hot are logged twice'
+    ' in {seconds:d} seconds'
+)
+def log_changes(context, seconds):
+    context.lines = []
+    log = SimpleNamespace(
+        write=lambda event, **details: context.lines.append((event, details))
+    )
+    change_log = ChangeLog(log)
+    parts = context.pace.shared_parts
+    for _ in range(50):
+        parts.record_prompt(HOT_PART, MEAN_TOKENS, context.now)
+    for later in (0, seconds - 1):
+        parts.changes[HOT_PART] = parts.count_engines(
+            HOT_PART, len(context.engines), context.now
+        )
+        change_log.write('svc', context.pace, context.now + later)
+
+
+@then('there is one line for each slow engine and one for the part, without its id')
+def check_lines(context):
+    # A pace near a limit would fill the log, and a part's id is the callers' own.
+    slow = sum(pace > 1 for pace in context.paces)
+    counts = Counter(event for event, _ in context.lines)
+    assert counts == {Event.engine_paced: slow, Event.part_spread: 1}, counts
+    assert HOT_PART not in str(context.lines)
--- a/features/steps/running_fleet.py
+++ b/features/steps/running_fleet.py
@@ -126,6 +126,7 @@
         rejection: Its answer to them.
         reject_stride: Of how many requests it rejects one.
         retry_after: Retry-After value of its rejections, or None.
+        event_factor: How many times as long its events take.
         break_stride: Of how many requests it breaks the connection of one after the
             head of the answer; 0: of none.
         loss_stride: Of how many requests it never answers one; 0: it answers all.
@@ -143,6 +144,7 @@
         self.rejection = REJECTED
         self.reject_stride = 1
         self.retry_after = None
+        self.event_factor = 1
         self.break_stride = 0
         self.loss_stride = 0
         self.leaves = False
@@ -340,7 +342,7 @@
             channel.write(head + b'Content-Length: 1\r\n\r\nx')
             return
         channel.write(self._make_head(STREAM_HEAD, request))
-        factor = SLOW_FACTOR if request.body == SLOW else 1
+        factor = SLOW_FACTOR if request.body == SLOW else self.event_factor
         for number in range(1, EVENTS + 1):
             await asyncio.sleep(EVENT_INTERVAL_SECONDS * factor)
             channel.write(encode_event(number))
@@ -435,11 +437,13 @@
         cold_counts: Requests within a second, at each arrival at a cold target.
         overruns: Loop time and incarnation of each cold target that was overrun.
         features: The optional parts that routers use.
+        request_headers: Lines that callers add to the heads of their requests.
     """
 
     def __init__(self, net, routers, targets, warm_up=None, features=NO_FEATURES):
         self.net = net
         self.features = features
+        self.request_headers = ''
         service = Service('svc', 100, None, warm_up)
         self.catalogue = replace(CATALOGUE, services={'svc': service})
         self.started = False
@@ -523,7 +527,7 @@
         request = (
             f'POST /{kind}/x HTTP/1.1\r\nHost: h.example\r\n'
             f'Attempt-Id: n{self._request_count}\r\nAuthorization: Bearer {KEY}\r\n'
-            f'Content-Length: {len(body)}\r\n\r\n'
+            f'{self.request_headers}Content-Length: {len(body)}\r\n\r\n'
         ).encode()
         caller = Caller(self, router.address)
         answer = await caller.ask(request + body)
--- a/packages/fleet/src/ibisport_fleet/call_handler.py
+++ b/packages/fleet/src/ibisport_fleet/call_handler.py
@@ -213,6 +213,12 @@
         """Number of engines whose pace is known."""
         return sum(pace.known_engines for pace in self._paces.values())
 
+    @property
+    def spread_parts(self) -> int:
+        """Number of shared parts that are preferred at several engines."""
+        now = asyncio.get_running_loop().time()
+        return sum(pace.shared_parts.count_spread(now) for pace in self._paces.values())
+
     def find_retry_budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
         found = self._retry_budgets.get(service)
--- a/packages/fleet/src/ibisport_fleet/event_log.py
+++ b/packages/fleet/src/ibisport_fleet/event_log.py
@@ -42,6 +42,8 @@
     target_limited = 2306
     target_paused = 2307
     domain_evacuated = 2308
+    engine_paced = 2310
+    part_spread = 2311
     request_refused = 2401
     request_sent = 2402
     request_served = 2403
--- a/packages/fleet/src/ibisport_fleet/placing/pace.py
+++ b/packages/fleet/src/ibisport_fleet/placing/pace.py
@@ -77,17 +77,23 @@
         self.low = ranked[int(len(ranked) * LOW_QUANTILE)]
         self.usual = median(ranked)
 
-    def compare(self, usual: float) -> None:
-        """Compute the pace relative to the usual gap of the service."""
+    def compare(self, usual: float) -> bool:
+        """Compute the pace and the weight; return whether the weight has changed.
+
+        Args:
+            usual: The usual gap of the service, seconds.
+        """
         if self.low is None or self.low <= 0:
-            return
+            return False
         measured = self.low / usual
         if abs(measured - self.pace) > PACE_HYSTERESIS:
             self.pace = max(MIN_PACE, round(measured, PACE_DIGITS))
         steps = math.log(measured, WEIGHT_FACTOR)
-        if abs(steps - self.weight_steps) > WEIGHT_HYSTERESIS:
-            bounded = min(MAX_WEIGHT_STEPS, max(-MAX_WEIGHT_STEPS, steps))
-            self.weight_steps = round(bounded)
+        bounded = min(MAX_WEIGHT_STEPS, max(-MAX_WEIGHT_STEPS, steps))
+        if abs(bounded - self.weight_steps) <= WEIGHT_HYSTERESIS:
+            return False
+        self.weight_steps = round(bounded)
+        return True
 
 
 class ServicePace:
@@ -97,10 +103,12 @@
 
     Attributes:
         shared_parts: Demand for the shared parts of the service's prompts.
+        changes: Starts whose weight for shared parts has changed.
     """
 
     def __init__(self) -> None:
         self.shared_parts = SharedParts()
+        self.changes: set[StartId] = set()
         self._engines: dict[StartId, _EngineGaps] = {}
         self._start_times = StartTimes()
         self._copied_tokens: Counter[StartId] = Counter()
@@ -236,6 +244,7 @@
             for start_id, engine in self._engines.items()
             if engine.recorded_at >= oldest
         }
+        self.changes &= self._engines.keys()
         for engine in self._engines.values():
             engine.measure()
         lows = [
@@ -244,8 +253,9 @@
         usual = median(lows) if lows else 0.0
         # Events that arrive at once have no gap between them.
         if usual > 0:
-            for engine in self._engines.values():
-                engine.compare(usual)
+            for start_id, engine in self._engines.items():
+                if engine.compare(usual):
+                    self.changes.add(start_id)
 
 
 @dataclass(slots=True)
--- a/packages/fleet/src/ibisport_fleet/placing/shared_parts.py
+++ b/packages/fleet/src/ibisport_fleet/placing/shared_parts.py
@@ -38,11 +38,11 @@
     """Demand for the shared parts of a service's prompts at this router.
 
     Attributes:
-        spread: Ids of the parts that are preferred at several engines.
+        changes: Ids of parts whose number of engines has changed, with that number.
     """
 
     def __init__(self) -> None:
-        self.spread: set[str] = set()
+        self.changes: dict[str, int] = {}
         self._total = _PartDemand()
         self._parts: OrderedDict[str, _PartDemand] = OrderedDict()
 
@@ -61,8 +61,15 @@
         self._parts.move_to_end(part_id)
         _add(part, tokens, now)
         if len(self._parts) > MAX_PARTS:
-            oldest, _ = self._parts.popitem(last=False)
-            self.spread.discard(oldest)
+            self._parts.popitem(last=False)
+
+    def count_spread(self, now: float) -> int:
+        """Return how many parts of recent prompts are preferred at several engines."""
+        oldest = now - DECAY_SECONDS
+        return sum(
+            part.engines > 1 and part.updated_at >= oldest
+            for part in self._parts.values()
+        )
 
     def count_engines(self, part_id: str, engines: int, now: float) -> int:
         """Return at how many engines a part is preferred.
@@ -81,15 +88,12 @@
         _decay(part, now)
         _decay(self._total, now)
         needed = 1.0
-        if part.prompts >= MIN_PROMPTS:
+        if part.prompts >= MIN_PROMPTS and self._total.tokens > 0:
             needed = part.tokens / self._total.tokens * engines
         least = part.engines - 1 - SHRINK_HYSTERESIS
         if not least < needed <= part.engines + GROWTH_HYSTERESIS:
             part.engines = max(1, min(engines, math.ceil(needed)))
-        if part.engines > 1:
-            self.spread.add(part_id)
-        else:
-            self.spread.discard(part_id)
+            self.changes[part_id] = part.engines
         return part.engines
 
 
--- a/packages/fleet/src/ibisport_fleet/request_recorder.py
+++ b/packages/fleet/src/ibisport_fleet/request_recorder.py
@@ -6,6 +6,8 @@
 from ibisport_fleet.calls import Call
 from ibisport_fleet.event_log import Event, EventLog
 from ibisport_fleet.metrics import Metrics
+from ibisport_fleet.placing.change_log import ChangeLog
+from ibisport_fleet.placing.pace import ServicePace
 from ibisport_fleet.target_choice import Candidate
 
 OUTCOME_SERVED = 'served'
@@ -19,6 +21,7 @@
     def __init__(self, log: EventLog, metrics: Metrics) -> None:
         self._log = log
         self._metrics = metrics
+        self._pace_log = ChangeLog(log)
 
     def record_refused(
         self, request_id: str, status: int, reason: str, version: int | None
@@ -70,6 +73,12 @@
             left=round(call.remaining_seconds(now), 3),
         )
 
+    def record_pace(self, service: str, pace: ServicePace) -> None:
+        """Record changes of the paces of a service's engines since the last time."""
+        if pace.changes or pace.shared_parts.changes:
+            now = asyncio.get_running_loop().time()
+            self._pace_log.write(service, pace, now)
+
     def record_first_byte(self, call: Call) -> None:
         """Record that the answer has begun."""
         elapsed = asyncio.get_running_loop().time() - call.request.received_at
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -247,6 +247,7 @@
         self._metrics.set_state('evacuated', len(self._holds.evacuations))
         self._metrics.set_state('in_flight', self.in_flight)
         self._metrics.set_state('paced_engines', self._call_handler.paced_engines)
+        self._metrics.set_state('spread_parts', self._call_handler.spread_parts)
         self._metrics.set_state('connections', len(self._caller_server.connections))
         self._metrics.set_state('routers', self._budgets.router_count)
         self._metrics.set_state('straight_way', self._store_paths.direct_works)
--- a/packages/fleet/src/ibisport_fleet/target_selection.py
+++ b/packages/fleet/src/ibisport_fleet/target_selection.py
@@ -127,7 +127,10 @@
             return choose_plain_target(candidates, origin, now)
         parts = self._call.metadata.parts
         split = self._prompt_mix.split
-        return choose_engine(candidates, parts, now, split, origin, self._pace)
+        pace = self._pace
+        if pace is not None:
+            self._dependencies.recorder.record_pace(self._call.service, pace)
+        return choose_engine(candidates, parts, now, split, origin, pace)
 
     def _find_cache_source(
         self, chosen: Candidate, candidates: Sequence[Candidate], now: float
