--- a/features/steps/running_fleet.py
+++ b/features/steps/running_fleet.py
@@ -76,6 +76,7 @@
 COLD_FACTOR = 1.5
 COLD_SLACK = 5
 MAX_RUN_SECONDS = 300.0
+NO_FEATURES = frozenset()
 TARGET_PREFIX = 'servers/'
 CATALOGUE_KEY = 'op/config'
 EVACUATION_PREFIX = 'op/evacuate/'
@@ -127,6 +128,10 @@
         rejection: Its answer to them.
         reject_stride: Of how many requests it rejects one.
         retry_after: Retry-After value of its rejections, or None.
+        event_factor: How many times as long its events take.
+        break_stride: Of how many requests it breaks the connection of one after the
+            head of the answer; 0: of none.
+        loss_stride: Of how many requests it never answers one; 0: it answers all.
         leaves: Whether all of its answers say that it leaves.
         reports_load: Whether its answers report how many requests it runs.
         cold_until: Loop time until which it warms up, and crashes if it is overrun.
@@ -145,6 +150,9 @@
         self.rejection = REJECTED
         self.reject_stride = 1
         self.retry_after = None
+        self.event_factor = 1
+        self.break_stride = 0
+        self.loss_stride = 0
         self.leaves = False
         self.reports_load = False
         self.cold_until = 0.0
@@ -330,6 +338,12 @@
         if self.rejects and self._request_count % self.reject_stride == 0:
             channel.write(self._reject(request))
             return
+        if self.loss_stride and self._request_count % self.loss_stride == 0:
+            await asyncio.Future()
+        if self.break_stride and self._request_count % self.break_stride == 0:
+            channel.write(self._make_head(STREAM_HEAD, request))
+            channel.abort()
+            return
         if request.body.startswith(FATAL):
             channel.write(self._make_head(STREAM_HEAD, request))
             await asyncio.sleep(FATAL_AFTER_SECONDS)
@@ -355,7 +369,7 @@
         if self.hangs_after == BEFORE_HEAD:
             await _hang(self, BEFORE_HEAD)
         channel.write(self._make_head(STREAM_HEAD, request))
-        factor = SLOW_FACTOR if request.body == SLOW else 1
+        factor = SLOW_FACTOR if request.body == SLOW else self.event_factor
         for number in range(first, EVENTS + 1):
             await _hang(self, number - 1)
             await asyncio.sleep(EVENT_INTERVAL_SECONDS * factor)
@@ -485,10 +499,13 @@
         closed: Loop time and target of each connection to a target that ended.
         continuations: Target, number of the first event, and whether the copy was
             there, of each request that names a copy.
+        request_headers: Lines that callers add to the heads of their requests.
     """
 
-    def __init__(self, net, routers, targets, warm_up=None):
+    def __init__(self, net, routers, targets, warm_up=None, features=NO_FEATURES):
         self.net = net
+        self.features = features
+        self.request_headers = ''
         service = Service('svc', 100, None, warm_up)
         self.catalogue = replace(CATALOGUE, services={'svc': service})
         self.started = False
@@ -496,7 +513,6 @@
         self.overruns = []
         self.service = MemoryService()
         self.log = EventLog(os.open(os.devnull, os.O_WRONLY))
-        self.features = frozenset()
         self.bounds = BOUNDS
         self.closed = []
         self.continuations = []
@@ -576,7 +592,7 @@
         request = (
             f'POST /{kind}/x HTTP/1.1\r\nHost: h.example\r\n'
             f'Attempt-Id: n{self._request_count}\r\nAuthorization: Bearer {KEY}\r\n'
-            f'{extra}Content-Length: {len(body)}\r\n\r\n'
+            f'{extra}{self.request_headers}Content-Length: {len(body)}\r\n\r\n'
         ).encode()
         caller = Caller(self, router.address)
         answer = await caller.ask(request + body)
@@ -596,7 +612,7 @@
     warm_up=None,
     change_catalogue=None,
     change_fleet=None,
-    features=(),
+    features=NO_FEATURES,
 ):
     """Start a fleet, run a coroutine on it, and return it.
 
@@ -612,8 +628,7 @@
 
     async def play(net):
         random.seed(1)
-        fleet = Fleet(net, routers, targets, warm_up)
-        fleet.features = frozenset(features)
+        fleet = Fleet(net, routers, targets, warm_up, frozenset(features))
         if change_catalogue is not None:
             fleet.catalogue = change_catalogue(fleet.catalogue)
         if change_fleet is not None:
--- a/packages/fleet/src/ibisport_fleet/dependencies.py
+++ b/packages/fleet/src/ibisport_fleet/dependencies.py
@@ -59,6 +59,11 @@
         service = services.get(service_name)
         return None if service is None else service.engine
 
+    def find_tokens_per_event(self, service_name: str) -> int:
+        """Return the most tokens that an event of a service's streams may hold."""
+        engine = self.find_engine(service_name)
+        return 1 if engine is None else engine.tokens_per_event
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceState:
--- a/packages/fleet/src/ibisport_fleet/event_log.py
+++ b/packages/fleet/src/ibisport_fleet/event_log.py
@@ -42,6 +42,8 @@
     target_limited = 2306
     target_paused = 2307
     domain_evacuated = 2308
+    engine_paced = 2310
+    part_spread = 2311
     load_feed_started = 2320
     load_feed_lost = 2321
     load_feed_unavailable = 2322
--- a/packages/fleet/src/ibisport_fleet/forwarding.py
+++ b/packages/fleet/src/ibisport_fleet/forwarding.py
@@ -1,7 +1,6 @@
 """Forwards a request to targets until one of them has answered completely."""
 
 import asyncio
-import contextlib
 import math
 from dataclasses import dataclass
 
@@ -23,7 +22,9 @@
 from ibisport_fleet.http_connection import HttpConnection
 from ibisport_fleet.placing.pace import GapRecorder
 from ibisport_fleet.placing.prefill import Prefill
+from ibisport_fleet.queueing.request_turn import RequestTurn
 from ibisport_fleet.response_writer import ResponseWriter
+from ibisport_fleet.settings import Feature
 from ibisport_fleet.target_choice import Candidate
 from ibisport_fleet.target_client import (
     FIRST_FAILURE_STATUS,
@@ -45,6 +46,8 @@
 # Targets that are found to be gone before it fails. Each costs a round trip, and says
 # nothing about the load of the service.
 MAX_ABSENT_TARGETS = 8
+# The event loop runs timers up to its clock's resolution early.
+TIMER_TOLERANCE_SECONDS = 0.005
 
 
 class RequestForwarder:
@@ -63,8 +66,9 @@
         self._retry_budget = service_state.retry_budget
         self._prompt_mix = service_state.prompt_mix
         self._pace = service_state.pace
-        self._gate = service_state.gate
+        self._avoids_failing = Feature.pace in dependencies.settings.features
         self._selector = TargetSelector(dependencies, service_state, call)
+        self._turn = RequestTurn(service_state.gate, self._selector, call)
         self._continuation = RequestContinuation(
             dependencies, service_state, self._selector, call
         )
@@ -93,14 +97,14 @@
         self._retry_budget.record_request(_now())
         while True:
             self.check_quarantine()
-            await self._wait_for_turn()
+            await self._turn.wait()
             candidate = self._continuation.select()
             candidate.health.begin_request(_now())
             # A run that continues reads only what its copy lacks.
             if self._call.continued_from is None:
                 self._prefill.begin(candidate, _now())
             try:
-                with self._count_running():
+                with self._turn.count_running():
                     if await self._attempt(candidate):
                         return
             finally:
@@ -132,35 +136,11 @@
         event_count = self._splitter.event_count
         if not event_count:
             return 0
-        generated = min(
-            metadata.max_output_tokens, event_count * self._tokens_per_event()
-        )
+        stride = self._dependencies.find_tokens_per_event(self._call.service)
+        generated = min(metadata.max_output_tokens, event_count * stride)
         resumed = metadata.last_event_id is not None and self._call.route.resumable
         return generated if resumed else metadata.prompt_tokens + generated
 
-    async def _wait_for_turn(self) -> None:
-        """Wait until the request may be sent to a target.
-
-        Raises:
-            RequestFailed: No target can start it in time, or too many requests wait.
-        """
-        if self._gate is None:
-            return
-        refusal = await self._gate.wait_for_turn(self._call)
-        if refusal is not None:
-            raise self._selector.build_failure(
-                refusal.reason.value, refusal.retry_after
-            )
-
-    def _count_running(self) -> contextlib.AbstractContextManager[None]:
-        if self._gate is None:
-            return contextlib.nullcontext()
-        return self._gate.count_running(self._call)
-
-    def _tokens_per_event(self) -> int:
-        engine = self._dependencies.find_engine(self._call.service)
-        return 1 if engine is None else engine.tokens_per_event
-
     async def _attempt(self, candidate: Candidate) -> bool:
         call = self._call
         call.tried.add(candidate.entry.start_id)
@@ -173,7 +153,11 @@
         call.may_have_run = True
         if self._hedged_sender.applies:
             return self._handle_hedged(await self._hedged_sender.send(candidate))
-        outcome = await self._send(candidate)
+        try:
+            outcome = await self._send(candidate)
+        except asyncio.CancelledError:
+            self._record_timeout(candidate)
+            raise
         if candidate.health.leaving:
             self._dependencies.targets.record_leaving(candidate.entry)
         match outcome:
@@ -241,6 +225,19 @@
             self._dependencies.recorder.record_silent(self._call, seconds, events)
         return self._next_planned
 
+    def _record_timeout(self, candidate: Candidate) -> None:
+        """Record a failure of a target that has sent nothing by the deadline.
+
+        Its request ends then, which would make a target that loses answers look idle.
+        """
+        due = self._call.deadline - TIMER_TOLERANCE_SECONDS
+        if self._avoids_failing and _now() >= due:
+            candidate.health.record_failure(_now())
+
+    def _find_success_time(self) -> float | None:
+        """Return when the request was sent if that decides what its success shows."""
+        return self._call.sent_at if self._avoids_failing else None
+
     def _handle_rejection(self, outcome: NotSent | NotRun) -> None:
         call = self._call
         if call.continued_from is not None:
@@ -324,7 +321,7 @@
         if failed and call.route.repeatable and self._may_retry():
             return False
         if not failed:
-            answered.health.record_success()
+            answered.health.record_success(self._find_success_time())
         if self._response.head_sent:
             # A second head within a stream that has begun would pass for its content.
             raise RequestFailed(STATUS_BAD_GATEWAY, 'no stream at the next target')
@@ -373,7 +370,7 @@
         self._record_event_gaps(gaps.max_gap)
         self._dependencies.target_client.release(answered)
         self._dependencies.fatal_requests.record_answer(self._call.digest)
-        answered.health.record_success()
+        answered.health.record_success(self._find_success_time())
         self._dependencies.recorder.record_served(
             self._call, answered.head.status, self._splitter.event_count
         )
--- a/packages/fleet/src/ibisport_fleet/placing/prefill.py
+++ b/packages/fleet/src/ibisport_fleet/placing/prefill.py
@@ -47,6 +47,8 @@
             self._copy = self._call.copied_from, copied
             self._pace.begin_copy(*self._copy)
         prompt_tokens = sum(part.tokens for part in parts)
+        part_id = parts[-2].part_id if len(parts) > 1 else None
+        self._pace.shared_parts.record_prompt(part_id, prompt_tokens, now)
         self._prompt_mix.record_prompt(prompt_tokens, self.uncached_tokens, now)
         health.pending_prompt_tokens += self.uncached_tokens
         health.record_parts(parts, now)
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -269,6 +269,7 @@
             'evacuated': len(self._holds.evacuations),
             'in_flight': self.in_flight,
             'paced_engines': handler.paced_engines,
+            'spread_parts': handler.spread_parts,
             'connections': len(self._caller_server.connections),
             'routers': self._budgets.router_count,
             'straight_way': self._store_paths.direct_works,
