Plan copies without listing targets, and test answers of other runs

Cause: each stream listed all targets before it was known whether it needs a copy, and no test showed that a continuation answered for another run isn't passed on. Change: may_need_copy decides from the request and the engine alone, before targets are listed. The stand-in target can name another run in its answer.

--- a/features/continuation.feature
+++ b/features/continuation.feature
@@ -95,6 +95,12 @@
       | -1     |
       | 100    |
 
+  # An answer of another run must not be taken for the rest of the stream.
+  Scenario: The answer of another run isn't passed on
+    Given engines with copies and a route that can't be resumed
+    When the target of a stream crashes after 3 events and its copy answers for another run
+    Then the caller gets 3 events and a broken stream
+
   # A run that nobody waits for must not occupy an engine.
   Scenario: A caller disconnects while its stream continues
     Given engines with copies and a route that can't be resumed
--- a/features/steps/continuation_steps.py
+++ b/features/steps/continuation_steps.py
@@ -252,6 +252,18 @@
     _crash_and(context, events, shift)
 
 
+@when(
+    'the target of a stream crashes after {events:d} events '
+    'and its copy answers for another run'
+)
+def answer_for_other_run(context, events):
+    def change(fleet):
+        for target in fleet.targets:
+            target.other_run = b'another'
+
+    _crash_and(context, events, change)
+
+
 def _crash_and(context, events, change):
     async def disturb(fleet, asking):
         await wait_for_event(events)
--- a/features/steps/running_fleet.py
+++ b/features/steps/running_fleet.py
@@ -132,6 +132,7 @@
         cold_until: Loop time until which it warms up, and crashes if it is overrun.
         answer_seconds: How long its plain answers take, or None: as usual.
         hangs_after: Events after which its answers stop; BEFORE_HEAD, or None: never.
+        other_run: The run that its answers to continued runs name, or None.
         id_offset: Added to the ids of the events of runs that continue here.
         copies: Events that arrived of the runs of other targets, by the run's id.
     """
@@ -151,6 +152,7 @@
         self.hangs_after = None
         self.answer_seconds = None
         self.id_offset = 0
+        self.other_run = None
         self.copies = {}
         self._cold_arrivals = []
         self._request_count = 0
@@ -345,6 +347,7 @@
     async def _stream(self, request, channel):
         first = int(request.find(b'last-event-id') or 0) + 1
         offset = 0
+        run_id = None
         if request.find(b'kv-from') is not None:
             holds = _holds_copy(self, request)
             self._fleet.continuations.append((self.incarnation, first, holds))
@@ -352,9 +355,11 @@
                 channel.write(self._make_head(REJECTED, request))
                 return
             offset = self.id_offset
+            run_id = self.other_run
         if self.hangs_after == BEFORE_HEAD:
             await _hang(self, BEFORE_HEAD)
-        channel.write(self._make_head(STREAM_HEAD, request))
+        head = STREAM_HEAD if run_id is None else STREAM_HEAD.replace(b'{id}', run_id)
+        channel.write(self._make_head(head, request))
         factor = SLOW_FACTOR if request.body == SLOW else 1
         for number in range(first, EVENTS + 1):
             await _hang(self, number - 1)
--- a/packages/fleet/src/ibisport_fleet/continuation/copies.py
+++ b/packages/fleet/src/ibisport_fleet/continuation/copies.py
@@ -90,9 +90,16 @@
         )
 
 
+def may_need_copy(call: Call, engine: Engine) -> bool:
+    """Return whether a request is a stream that only a copy can continue."""
+    route = call.route
+    continuable = engine.backups and bool(call.metadata.request_id)
+    return continuable and route.kind is RouteKind.stream and not route.resumable
+
+
 def plan_copy(
     call: Call,
-    engine: Engine | None,
+    engine: Engine,
     usual_gap: float | None,
     sources_per_router: float,
 ) -> CopyPlan | None:
@@ -103,14 +110,12 @@
 
     Args:
         call: The request.
-        engine: Capacity of the engines; None: the targets are no engines.
+        engine: Capacity of the engines.
         usual_gap: Usual gap between two events of the source, seconds, or None.
         sources_per_router: Engines of the service over the routers in front of it.
     """
     route, metadata = call.route, call.metadata
-    if engine is None or not engine.backups or not metadata.request_id:
-        return None
-    if route.kind is not RouteKind.stream or route.resumable:
+    if not may_need_copy(call, engine):
         return None
     tokens = metadata.max_tokens
     seconds = tokens * engine.copy_seconds_per_token
--- a/packages/fleet/src/ibisport_fleet/continuation/request.py
+++ b/packages/fleet/src/ibisport_fleet/continuation/request.py
@@ -6,7 +6,12 @@
 
 from ibisport_fleet.calls import Call
 from ibisport_fleet.catalogue import RouteKind
-from ibisport_fleet.continuation.copies import CopyPlan, plan_copy, select_backup
+from ibisport_fleet.continuation.copies import (
+    CopyPlan,
+    may_need_copy,
+    plan_copy,
+    select_backup,
+)
 from ibisport_fleet.continuation.event_sequence import SequencedSplitter
 from ibisport_fleet.continuation.silence import compute_gap_limit, compute_start_limit
 from ibisport_fleet.continuation.waiting import SilenceLimit
@@ -172,7 +177,8 @@
     def _begin_copy(self, source: Candidate) -> None:
         dependencies, call = self._dependencies, self._call
         engine = dependencies.find_engine(call.service)
-        if engine is None or not self._enabled:
+        # Listing the targets takes longest, so streams without need are left out first.
+        if engine is None or not self._enabled or not may_need_copy(call, engine):
             return
         candidates = self._selector.list_sendable(_now())
         usual_gap = self._paces.find_usual_gap(source.entry.start_id)
