Let the soak continue streams, and catch wrong continuations

Cause: the soak's targets knew no copies, so no run with real processes showed that continued streams hold each event once.

Change: targets copy runs to the target that a request names and continue them for Kv-From.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -8,6 +8,12 @@
     When the soak only restarts all routers, with seed 3 for 30 seconds
     Then no check finds a violation
 
+  # Continued streams must not lose, double or mix up events.
+  Scenario: Streams that continue at copies violate no check
+    When the soak breaks answers with copies and hedging, with seed 2 for 30 seconds
+    Then no check finds a violation
+    And streams have continued
+
   Scenario: Each check catches its mutant
     When the soak runs seed 8 for 20 seconds with each mutant
     Then each mutant is caught by its check
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,5 +1,6 @@
 """Steps that run the command line of the soak test."""
 
+import re
 import subprocess
 import sys
 from concurrent.futures import ThreadPoolExecutor
@@ -30,6 +31,22 @@
     ]
 
 
+@when(
+    'the soak breaks answers with copies and hedging, '
+    'with seed {seed:d} for {seconds:d} seconds'
+)
+def run_features(context, seed, seconds):
+    arguments = ('--seed', seed, '--seconds', seconds, '--only', 'harm_target')
+    context.runs = [_run_soak(*arguments, '--features', 'copies,hedging')]
+
+
+@then('streams have continued')
+def check_continued(context):
+    output = context.runs[0].stdout
+    continued = re.search(r'(\d+) continued', output)
+    assert continued is not None and int(continued.group(1)), output
+
+
 @when('the soak only restarts all routers, with seed {seed:d} for {seconds:d} seconds')
 def run_restarts(context, seed, seconds):
     context.runs = [
--- a/packages/bench/src/ibisport_bench/soak/__main__.py
+++ b/packages/bench/src/ibisport_bench/soak/__main__.py
@@ -1,6 +1,7 @@
 """Command line of the soak test."""
 
 import argparse
+import os
 import shutil
 import sys
 import tempfile
@@ -15,11 +16,16 @@
 )
 from ibisport_bench.soak.mutants import MUTANTS
 from ibisport_bench.soak.run import RunOptions, Verdict, run_seed
+from ibisport_platform.settings import FEATURES_VARIABLE
 
 
 def main() -> int:
     """Run the seeds one after the other; return 1 if any of them failed."""
     arguments = parse_arguments()
+    # The routers' processes inherit it.
+    os.environ[FEATURES_VARIABLE] = (
+        MUTANTS[arguments.mutant].features if arguments.mutant else arguments.features
+    )
     logs: Path = arguments.logs or Path(tempfile.mkdtemp(prefix='soak-'))
     # A mutant only misbehaves visibly under its own kind of fault.
     only = MUTANTS[arguments.mutant].fault_kind if arguments.mutant else arguments.only
@@ -41,6 +47,7 @@
     parser.add_argument('--seconds', type=float, default=30.0)
     parser.add_argument('--routers', type=int, default=3)
     parser.add_argument('--logs', type=Path, help='folder for logs of failed seeds')
+    parser.add_argument('--features', default='', help='optional parts of the routers')
     parser.add_argument(
         '--mutant', choices=sorted(MUTANTS), help='router that must fail'
     )
--- a/packages/bench/src/ibisport_bench/soak/evidence.py
+++ b/packages/bench/src/ibisport_bench/soak/evidence.py
@@ -129,6 +129,7 @@
         ended: Clock at its end.
         complete: Whether the whole answer was written.
         broken_off: Whether the target itself aborted the answer.
+        continued: Whether it goes on with the copy of an earlier run.
         named: Clock when the head of the answer advertised a rate limit; infinity if
             it didn't.
     """
@@ -141,6 +142,7 @@
     ended: float = math.inf
     complete: bool = False
     broken_off: bool = False
+    continued: bool = False
     named: float = math.inf
 
 
--- a/packages/bench/src/ibisport_bench/soak/run.py
+++ b/packages/bench/src/ibisport_bench/soak/run.py
@@ -53,6 +53,7 @@
         lines = [
             f'seed {self.seed}: {len(journal.asks)} requests {dict(kinds)}, '
             f'statuses {dict(statuses)}, {len(journal.runs)} runs, '
+            f'{sum(run.continued for run in journal.runs)} continued, '
             f'{len(journal.starts)} starts, held up {journal.lag:.2f} s',
             f'  faults {dict(faults)}, killed at the end of the grace: {len(killed)}',
             f'  violations: {len(self.violations)}',
--- a/packages/bench/src/ibisport_bench/soak/site.py
+++ b/packages/bench/src/ibisport_bench/soak/site.py
@@ -11,7 +11,7 @@
 from ibisport_bench.soak.evidence import Cause, Journal, Kind, read_clock
 from ibisport_bench.soak.links import Address, Link
 from ibisport_bench.soak.processes import Host
-from ibisport_bench.soak.targets import Target
+from ibisport_bench.soak.targets import COPY_LIFETIME_SECONDS, CopyStore, Target
 from ibisport_bench.standins.memory_store import MemoryService
 from ibisport_fleet.catalogue import (
     Catalogue,
@@ -37,6 +37,8 @@
 PLAIN, ENGINE = 'plain', 'engine'
 PLAIN_SLOTS, ENGINE_SLOTS = 64, 40
 ENGINE_MEMORY = 100_000
+# Slow enough that engines fetch no cached parts from each other.
+COPY_SECONDS_PER_TOKEN = 1e-5
 DOMAINS = ('domain-1', 'domain-2', 'domain-3')
 ROUTE_TIME_LIMIT_SECONDS = 20.0
 MAX_TARGETS = 3
@@ -87,6 +89,7 @@
         self._folder = folder
         self._journal = journal
         self._version = 1
+        self._copies = CopyStore()
         self._warm_up = warm_up
         self.service = MemoryService(seed)
         self._server = StoreServer(
@@ -179,7 +182,9 @@
             draining=False,
             revision=0,
         )
-        return Target(entry, link, self.service, self._journal, self._warm_up)
+        return Target(
+            entry, link, self.service, self._journal, self._warm_up, self._copies
+        )
 
     def _make_catalogue(self, version: int) -> Catalogue:
         routes = [
@@ -194,7 +199,14 @@
         probe_route = make_route(
             'mark', f'/mark/{version}/', RouteKind.idempotent, PLAIN
         )
-        engine = Engine(ENGINE_SLOTS, ENGINE_MEMORY, 1)
+        engine = Engine(
+            ENGINE_SLOTS,
+            ENGINE_MEMORY,
+            1,
+            COPY_SECONDS_PER_TOKEN,
+            backups=True,
+            copy_lifetime_seconds=COPY_LIFETIME_SECONDS,
+        )
         return Catalogue(
             version=version,
             revision=0,
--- a/packages/bench/src/ibisport_bench/soak/targets.py
+++ b/packages/bench/src/ibisport_bench/soak/targets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 from dataclasses import dataclass, replace
 from urllib.parse import parse_qsl
@@ -32,6 +33,8 @@
 from ibisport_fleet.targets import TargetEntry
 from ibisport_platform.headers import (
     EXPECT_INSTANCE,
+    KV_BACKUP,
+    KV_FROM,
     LAST_EVENT_ID,
     MISDIRECTED,
     NOT_EXECUTED,
@@ -57,6 +60,8 @@
 # plus the slack, as the platform documents.
 COLD_FACTOR = 1.5
 COLD_SLACK = 5
+# How long a target keeps a copy after its last part.
+COPY_LIFETIME_SECONDS = 5.0
 # uvloop raises RuntimeError on a write to a closed connection.
 CONNECTION_ERRORS = (
     ConnectionError,
@@ -84,6 +89,35 @@
     pause_seconds: float | None = None
 
 
+class CopyStore:
+    """The copies of runs that all targets hold, by address and id of the run."""
+
+    def __init__(self) -> None:
+        self._copied_at: dict[tuple[bytes | None, bytes], float] = {}
+
+    def put(self, backup: bytes | None, run_id: bytes) -> None:
+        """Record that a part of a run arrived at its backup, if it has one."""
+        if backup is not None:
+            self._copied_at[backup, run_id] = read_clock()
+
+    def drop(self, backup: bytes | None, run_id: bytes) -> None:
+        """Drop the copy of a run that has ended successfully."""
+        self._copied_at.pop((backup, run_id), None)
+
+    def drop_all(self, address: bytes) -> None:
+        """Drop the copies at a target that ends."""
+        self._copied_at = {
+            key: copied_at
+            for key, copied_at in self._copied_at.items()
+            if key[0] != address
+        }
+
+    def holds(self, address: bytes, run_id: bytes) -> bool:
+        """Return whether the target with an address still holds a copy."""
+        copied_at = self._copied_at.get((address, run_id), -math.inf)
+        return read_clock() - copied_at < COPY_LIFETIME_SECONDS
+
+
 class Target:
     """A target behind a link; each start is a new incarnation.
 
@@ -103,7 +137,9 @@
         service: MemoryService,
         journal: Journal,
         warm_up: WarmUp | None,
+        copies: CopyStore,
     ) -> None:
+        self._copies = copies
         self.name = entry.incarnation
         self.entry = entry
         self.link = link
@@ -173,12 +209,18 @@
         self._journal.record_fault(
             Cause.target, incarnation, 'ended'
         ).ended = read_clock()
+        self._copies.drop_all(self._encoded_address)
         self.link.close()
         if self._server is not None:
             self._server.close()
         for writer in tuple(self._writers):
             writer.transport.abort()
 
+    @property
+    def _encoded_address(self) -> bytes:
+        host, port = self.entry.address
+        return b'%b:%d' % (host.encode(), port)
+
     async def _announce(self) -> None:
         await self._wait_for_store()
         self._seq += 1
@@ -224,6 +266,7 @@
             self._journal.leavings.append(arrival)
         run = Run(request_id, self.entry.incarnation, read_clock(), '')
         run.seal = f'{run.target}.{len(self._journal.runs)}'
+        run.continued = KV_FROM in head.headers
         run.after = int(head.headers.get(LAST_EVENT_ID, b'0'))
         self._journal.runs.append(run)
         self._in_flight += 1
@@ -237,6 +280,10 @@
         expected = head.headers.get(EXPECT_INSTANCE, b'').decode()
         if expected and expected != self.entry.incarnation:
             return MISDIRECTED
+        if KV_FROM in head.headers:
+            holder, _, run_id = head.headers[KV_FROM].partition(b'/')
+            is_here = holder == self._encoded_address
+            return 0 if is_here and self._copies.holds(holder, run_id) else 503
         is_full = self._in_flight >= self.entry.slots
         rejects = self._random.random() < self.faults.reject_share
         return 503 if is_full or rejects else 0
@@ -287,16 +334,21 @@
             return None
         headers.append((b'transfer-encoding', b'chunked'))
         self._record_advertised_limit(run)
-        lines = b''.join(b'%b: %b\r\n' % pair for pair in headers)
-        writer.write(b'HTTP/1.1 200 OK\r\n' + lines + HEAD_END[2:])
+        writer.write(_encode_stream_head(headers))
+        backup = head.headers.get(KV_BACKUP)
+        run_id = run.request_id.encode()
+        # The events are those of the run that the request names.
+        source = head.headers.get(KV_FROM, b'').partition(b'/')[2] or run_id
         for number in range(run.after + 1, events + 1):
+            self._copies.put(backup, run_id)
             await asyncio.sleep(interval)
             if reader.at_eof() or writer.is_closing():
                 raise ConnectionResetError
             if number == break_at:
                 return self._break_off(run, writer)
-            event = make_event(run.request_id, number)
+            event = make_event(source.decode(), number)
             writer.write(b'%x\r\n%b\r\n' % (len(event), event))
+        self._copies.drop(backup, run_id)
         writer.write(b'0\r\n\r\n')
         run.complete = True
 
@@ -345,3 +397,8 @@
             Cause.target, run.target, 'broke off'
         ).ended = read_clock()
         writer.transport.abort()
+
+
+def _encode_stream_head(headers: list[tuple[bytes, bytes]]) -> bytes:
+    lines = b''.join(b'%b: %b\r\n' % pair for pair in headers)
+    return b'HTTP/1.1 200 OK\r\n' + lines + HEAD_END[2:]
