Return tokens held ahead after a refusal by a lender

A lender that couldn't cover a loan answered without saying that tokens are scarce, so the borrower kept what it held ahead of demand, which may be what other requests lacked. Such an answer now says so. The test fails without the change.

--- a/features/budgets.feature
+++ b/features/budgets.feature
@@ -159,6 +159,20 @@
     When requests come for 20 s, without the standby feature
     Then at most 40 % of the requests wait for no lender
 
-  Scenario: Tokens aren't borrowed ahead from the last tenth of a budget
-    When all but 8 % of a budget is spent, with the standby feature
+  Scenario Outline: Tokens aren't borrowed ahead from the last tenth of a budget
+    When all but <rest> % of a budget is spent, with the standby feature
     Then no router holds more than the unused rest of a request
+
+    Examples:
+      | rest |
+      | 8    |
+      | 1    |
+
+  Scenario Outline: A refused borrower returns what it holds ahead of demand
+    When a lender is asked for <tokens> tokens
+    Then it lends <lent> tokens and says that the budget is <state>
+
+    Examples:
+      | tokens  | lent | state      |
+      | 1000    | 1000 | sufficient |
+      | 2000000 | 0    | scarce     |
--- a/features/steps/budgets_steps.py
+++ b/features/steps/budgets_steps.py
@@ -15,6 +15,7 @@
 from ibisport_fleet.budget_synchronizer import PAGE_KEY
 from ibisport_fleet.lenders import rank_lenders
 from ibisport_fleet.loan_planning import AHEAD_SECONDS, compute_second_lender_delay
+from ibisport_fleet.loans import LoanRequest
 from ibisport_fleet.settings import Feature
 
 BUDGET = 1_000_000
@@ -712,3 +713,25 @@
 @then('no router holds more than the unused rest of a request')
 def check_scarce(context):
     assert max(context.held_after) < REQUEST_TOKENS, context.held_after
+
+
+@when('a lender is asked for {tokens:d} tokens')
+def ask_lender(context, tokens):
+    async def run():
+        world, lenders, _ = await _start_borrowers(STANDBY)
+        lender = world.find_host(lenders[0]).budgets
+        incarnation = (
+            decode_page(world.service.items[PAGE_KEY].content)
+            .sessions[lenders[0]]
+            .incarnation
+        )
+        return await lender.lend(LoanRequest(incarnation, 'acme', tokens))
+
+    context.loan = run_virtually(run())
+
+
+@then('it lends {tokens:d} tokens and says that the budget is {state}')
+def check_loan(context, tokens, state):
+    assert context.loan.lends
+    assert context.loan.tokens == tokens, context.loan
+    assert context.loan.scarce == (state == 'scarce'), context.loan
--- a/packages/fleet/src/ibisport_fleet/budgets.py
+++ b/packages/fleet/src/ibisport_fleet/budgets.py
@@ -179,7 +179,8 @@
             reservation = await self._reserve_local(workspace, request.tokens)
         except TokensUnavailable as error:
             used = int(error.details.get('used', 0))
-            return Loan(0, used, certain=not self._store_failing)
+            # What other routers hold ahead of demand is missing here.
+            return Loan(0, used, certain=not self._store_failing, scarce=True)
         ahead = self._find_ahead(workspace, request.ahead)
         self._ledger.lend(reservation, ahead, self._clocks.boot())
         used = self._synchronizer.estimate_used(workspace.name)
