--- a/features/standby.feature
+++ b/features/standby.feature
@@ -18,6 +18,17 @@
     When each sixth of 60 refused requests is followed by an answer of a lender
     Then no standby begins
 
+  Scenario Outline: An answer that comes late is no contact
+    When a lender answers <seconds> s after it was asked
+    Then contact since the question is <contact>
+
+    Examples:
+      | seconds | contact |
+      | 0.05    | there   |
+      | 0.25    | there   |
+      | 0.5     | lost    |
+      | 3.0     | lost    |
+
   Scenario: A router without contact returns on trial, later after each standby
     Given a standby policy
     When all of 50 requests a second are refused for 60 s
--- a/features/steps/standby_steps.py
+++ b/features/steps/standby_steps.py
@@ -12,11 +12,13 @@
 from running_router import KEY, Caller
 
 from ibisport_bench.memory_transport import Link
+from ibisport_bench.virtual_network import run_on_net
 from ibisport_fleet.admission import Refused
 from ibisport_fleet.budgets import TokensUnavailable
 from ibisport_fleet.catalogue import Workspace
 from ibisport_fleet.lenders import rank_lenders
 from ibisport_fleet.settings import Feature
+from ibisport_fleet.standby.contact import TokenContact
 from ibisport_fleet.standby.policy import (
     ATTEMPT_INTERVAL_SECONDS,
     Begun,
@@ -554,3 +556,20 @@
     refused = context.run.list_refused()
     assert refused
     assert not any(answer.closes for answer in refused)
+
+
+@when('a lender answers {seconds:g} s after it was asked')
+def answer_late(context, seconds):
+    async def ask(net):
+        contact = TokenContact()
+        asked_at = net.time()
+        await asyncio.sleep(seconds)
+        contact.record_answer(asked_at)
+        return contact.is_lost_since(asked_at)
+
+    context.contact_lost = run_on_net(ask)
+
+
+@then('contact since the question is {contact}')
+def check_contact(context, contact):
+    assert context.contact_lost == (contact == 'lost')
--- a/packages/fleet/src/ibisport_fleet/borrowing.py
+++ b/packages/fleet/src/ibisport_fleet/borrowing.py
@@ -275,9 +275,10 @@
         )
         if ahead:
             self._asking_ahead.add(workspace)
+        asked_at = loop.time()
         try:
             loan = await self._peers.ask(
-                member.address, request, loop.time() + LOAN_TIMEOUT_SECONDS
+                member.address, request, asked_at + LOAN_TIMEOUT_SECONDS
             )
         except PeerUnavailable as error:
             self._back_off(member, str(error))
@@ -285,7 +286,7 @@
         finally:
             if ahead:
                 self._asking_ahead.discard(workspace)
-        self._record_answer(workspace, loan)
+        self._record_answer(workspace, loan, asked_at)
         if loan.tokens and borrowing.is_done:
             # Another lender was faster. The tokens count as spent at this one until
             # they are repaid.
@@ -296,6 +297,7 @@
         self, member: Member, workspace: str, deadline: float
     ) -> None:
         request = LoanRequest(member.incarnation, workspace, 0)
+        asked_at = asyncio.get_running_loop().time()
         try:
             loan = await self._peers.ask(member.address, request, deadline)
         except PeerUnavailable:
@@ -303,12 +305,12 @@
             return
         if loan.lends:
             self._backoff_until.pop(member.host, None)
-        self._record_answer(workspace, loan)
+        self._record_answer(workspace, loan, asked_at)
 
-    def _record_answer(self, workspace: str, loan: Loan) -> None:
+    def _record_answer(self, workspace: str, loan: Loan, asked_at: float) -> None:
         if not loan.lends:
             return
-        self._contact.record_answer()
+        self._contact.record_answer(asked_at)
         demand = self._demands.get(workspace)
         if demand is not None:
             demand.scarce = loan.scarce
@@ -358,16 +360,16 @@
 
     async def _repay(self, lender: Member, workspace: str, tokens: int) -> None:
         request = LoanRequest(lender.incarnation, workspace, 0, tokens)
-        loop = asyncio.get_running_loop()
+        asked_at = asyncio.get_running_loop().time()
         try:
             loan = await self._peers.ask(
-                lender.address, request, loop.time() + LOAN_TIMEOUT_SECONDS
+                lender.address, request, asked_at + LOAN_TIMEOUT_SECONDS
             )
         except PeerUnavailable as error:
             # Whether the lender credited them is unknown, so they count as spent.
             self._back_off(lender, str(error))
             return
-        self._record_answer(workspace, loan)
+        self._record_answer(workspace, loan, asked_at)
 
     def _settle_abandoned(self, task: asyncio.Task[Reservation | Loan | None]) -> None:
         reservation = None if task.cancelled() or task.exception() else task.result()
--- a/packages/fleet/src/ibisport_fleet/budget_synchronizer.py
+++ b/packages/fleet/src/ibisport_fleet/budget_synchronizer.py
@@ -110,6 +110,7 @@
         proofs: The contact proofs of this process.
         page_seen_at: Boot-clock time at which the page was last read or written.
         write_answered_at: Boot-clock time at which the store last answered a write.
+        answer_seconds: How long that answer took.
         knows_lenders: Whether the lenders are known. If so, a host that doesn't lend
             backs off longer, so that their writes come first.
     """
@@ -138,6 +139,7 @@
         self.proofs = ContactProofs(store, clocks)
         self.page_seen_at = 0.0
         self.write_answered_at = -math.inf
+        self.answer_seconds = 0.0
         self.knows_lenders = False
         self._clocks = clocks
         self._started_at = clocks.boot()
@@ -421,6 +423,7 @@
         )
         self.write_answered_at = self._clocks.boot()
         latency = self.write_answered_at - started_at
+        self.answer_seconds = latency
         self._write_latency += LATENCY_WEIGHT * (latency - self._write_latency)
         self._is_outcome_unknown = False
         if isinstance(outcome, Conflict):
--- a/packages/fleet/src/ibisport_fleet/budgets.py
+++ b/packages/fleet/src/ibisport_fleet/budgets.py
@@ -320,7 +320,8 @@
             completed.set()
             self._store_failing = False
             if self._synchronizer.write_answered_at > write_answered_at:
-                self.contact.record_answer()
+                asked_at = loop.time() - self._synchronizer.answer_seconds
+                self.contact.record_answer(asked_at)
             await _wait_for_event(self._write_requested, WRITE_INTERVAL_SECONDS)
             await asyncio.sleep(started_at + MIN_WRITE_INTERVAL_SECONDS - loop.time())
 
--- a/packages/fleet/src/ibisport_fleet/standby/contact.py
+++ b/packages/fleet/src/ibisport_fleet/standby/contact.py
@@ -4,6 +4,10 @@
 import math
 from collections.abc import Callable
 
+# Routers answer each other within some ms. A link that is full answers seconds late,
+# and most requests behind it are refused although all answers arrive in the end.
+MAX_ANSWER_SECONDS = 0.3
+
 
 class TokenContact:
     """When a lender, or the store for a write, last answered this router.
@@ -16,9 +20,16 @@
         self.on_answer: Callable[[], None] | None = None
         self._answered_at = -math.inf
 
-    def record_answer(self) -> None:
-        """Record an answer that arrives now."""
-        self._answered_at = asyncio.get_running_loop().time()
+    def record_answer(self, asked_at: float) -> None:
+        """Record an answer that arrives now, unless it is late.
+
+        Args:
+            asked_at: Loop time at which it was asked for.
+        """
+        now = asyncio.get_running_loop().time()
+        if now - asked_at > MAX_ANSWER_SECONDS:
+            return
+        self._answered_at = now
         if self.on_answer is not None:
             self.on_answer()
 
