Continue streams only once they have begun; give up late first events more rarely

Change: a run is continued only after an event of it has come. The limit before the first event is at least 1.5 times the time that one first event in twenty exceeds. The example of a crash after no event is replaced by a scenario that is stricter: no other target may get the request.

--- a/features/continuation.feature
+++ b/features/continuation.feature
@@ -10,11 +10,18 @@
 
     Examples:
       | fault     | events |
-      | crashes   | 0      |
+      | crashes   | 1      |
       | crashes   | 3      |
       | is reset  | 3      |
       | hangs     | 3      |
 
+  # No part of a run was sent before its first event. The engine that is asked for the
+  # copy may lose answers too, and has then run the request a second time.
+  Scenario: A stream that has not begun isn't continued
+    Given engines with copies and a route that can't be resumed
+    When the target of a stream crashes after 0 events
+    Then no other target gets the request
+
   # A silent target without a copy would lose a stream that may yet go on.
   Scenario: A stream whose copy is unknown waits for its silent target
     Given engines without copies and a route that can't be resumed
@@ -63,6 +70,11 @@
       | 0     | 0.5       | 0.025 | 0.3   | 0.5    | 0.9    |
       | 0     | 0         | none  | none  | none   | none   |
 
+  # A second prompt for each late first event would add to an overload.
+  Scenario: Where most first events are late, few targets count as silent
+    When one first event in 20 takes longer than 2 s
+    Then a target is silent 3 s after a request was sent, by an objective of 0.5 s
+
   # Repeating such a request without a copy would run it twice.
   Scenario Outline: A stream without its copy ends, and no third target runs it
     Given engines with copies and a route that can't be resumed
--- a/features/steps/continuation_steps.py
+++ b/features/steps/continuation_steps.py
@@ -14,6 +14,7 @@
 from ibisport_fleet.calls import Call
 from ibisport_fleet.catalogue import Engine, RouteKind, Workspace
 from ibisport_fleet.continuation.copies import CopiesInFlight, plan_copy, select_backup
+from ibisport_fleet.continuation.hedging import AnswerTimes
 from ibisport_fleet.continuation.silence import compute_gap_limit, compute_start_limit
 from ibisport_fleet.event_log import Event
 from ibisport_fleet.http_messages import Request
@@ -326,6 +327,12 @@
     assert (line['source'], line['target']) == (source, holder), line
 
 
+@then('no other target gets the request')
+def check_not_continued(context):
+    assert len(context.fleet.arrivals) == 1, context.fleet.arrivals
+    assert not context.fleet.continuations
+
+
 @then('the budget is charged for the prompt once and for each event once')
 def check_charged(context):
     charged = PROMPT_TOKENS + EVENTS * TOKENS_PER_EVENT
@@ -573,6 +580,22 @@
     )
 
 
+@when('one first event in 20 takes longer than {seconds:g} s')
+def record_start_times(context, seconds):
+    times = AnswerTimes()
+    for number in range(40):
+        times.record(seconds if number < 38 else 2 * seconds, number / 10)
+    context.late = times.find_late_seconds(4.0)
+
+
+@then(
+    'a target is silent {limit:g} s after a request was sent, by an objective of {s:g} s'
+)
+def check_start_limit(context, limit, s):
+    route = replace(make_route('stream', RouteKind.stream), objective=s)
+    assert math.isclose(compute_start_limit(route, s / 2, context.late), limit)
+
+
 @then('a target is silent after {within} within a stream and {before} before it')
 def check_limits(context, within, before):
     expected = (_parse_seconds(within), _parse_seconds(before))
--- a/packages/fleet/src/ibisport_fleet/continuation/request.py
+++ b/packages/fleet/src/ibisport_fleet/continuation/request.py
@@ -67,6 +67,7 @@
         self._continuations = 0
         self._missing = ''
         self._heard_at = 0.0
+        self._begun = False
 
     @property
     def disordered(self) -> bool:
@@ -92,6 +93,7 @@
             call.cache_source = None
             self._dependencies.holds.record_send(holder, _now())
         self._heard_at = _now()
+        self._begun = False
         self._begin_copy(candidate)
         return candidate
 
@@ -136,6 +138,9 @@
     def record_events(self) -> None:
         """Record that events, or the end of the stream, came from the last target."""
         now = _now()
+        if not self._begun:
+            self._begun = True
+            self._record_start_time(now)
         broken = self._broken
         if broken is not None and self._call.continued_from is not None:
             gap = now - broken.heard_at
@@ -143,6 +148,11 @@
             self._broken = None
         self._heard_at = now
 
+    def record_silent(self) -> None:
+        """Record that a silent target is given up."""
+        if not self._begun:
+            self._record_start_time(_now())
+
     def record_missing(self, reason: str) -> None:
         """Record that the engine of the last send holds no copy."""
         call = self._call
@@ -170,10 +180,16 @@
         if begun or not resumable:
             return None
         estimate = self._pace.estimate_start_seconds(candidate, uncached_tokens, now)
-        limit = compute_start_limit(call.route, estimate)
+        late = self._dependencies.start_times[call.service].find_late_seconds(now)
+        limit = compute_start_limit(call.route, estimate, late)
         sent_at = call.sent_at
         return None if limit is None else SilenceLimit(sent_at + limit, limit)
 
+    def _record_start_time(self, now: float) -> None:
+        """Record the time to the first event, or until the target is given up."""
+        start_times = self._dependencies.start_times[self._call.service]
+        start_times.record(now - self._call.sent_at, now)
+
     def _begin_copy(self, source: Candidate) -> None:
         dependencies, call = self._dependencies, self._call
         engine = dependencies.find_engine(call.service)
@@ -203,9 +219,9 @@
         now = _now()
         engine = self._dependencies.find_engine(self._call.service)
         lifetime = 0.0 if engine is None else engine.copy_lifetime_seconds
-        begun = self.splitter.event_count > 0
-        # The run may begin late at a busy engine, but from then on it sends parts.
-        if begun and lifetime and now - self._heard_at > lifetime:
+        # An engine sends parts of a run only once it has begun. Another engine that is
+        # asked for a copy that never was might run the request a second time.
+        if not self._begun or (lifetime and now - self._heard_at > lifetime):
             return None
         wanted = copy.backup.entry
         for candidate in self._selector.list_sendable(now):
--- a/packages/fleet/src/ibisport_fleet/dependencies.py
+++ b/packages/fleet/src/ibisport_fleet/dependencies.py
@@ -36,6 +36,7 @@
         holds: Reasons for which targets may not get requests.
         copies: Copies of runs that this router has in flight.
         answer_times: Times of the recent answers of plain services, by service.
+        start_times: Times to the recent first events of streams, by service.
     """
 
     settings: HostSettings
@@ -51,6 +52,9 @@
     answer_times: defaultdict[str, AnswerTimes] = field(
         default_factory=lambda: defaultdict(AnswerTimes)
     )
+    start_times: defaultdict[str, AnswerTimes] = field(
+        default_factory=lambda: defaultdict(AnswerTimes)
+    )
 
     def find_engine(self, service_name: str) -> Engine | None:
         """Return the capacity of a service's engines; None: it has none."""
--- a/packages/fleet/src/ibisport_fleet/forwarding.py
+++ b/packages/fleet/src/ibisport_fleet/forwarding.py
@@ -223,6 +223,7 @@
             seconds = now - max(self._received_at, self._call.sent_at)
             events = self._splitter.event_count
             self._dependencies.recorder.record_silent(self._call, seconds, events)
+            self._continuation.record_silent()
         return self._next_planned
 
     def _record_timeout(self, candidate: Candidate) -> None:
