Let lending ahead of demand be a part of its own; match a mutant to its method

Tokens that borrowers hold ahead are lost to the budget when they are killed. Change: Feature.lending switches both on and isn't set in deploy/system.toml. The scenarios of loans use it; no check changes. The soak's mutant lend-without-end takes the parameter that Budgets.reserve has since the second lender; without it the mutant failed every request, so the check that must catch it saw no spending.

--- a/features/budgets.feature
+++ b/features/budgets.feature
@@ -120,7 +120,7 @@
 
   Scenario: Loans of two lenders and tokens lent ahead never overspend a budget
     Given routers that share one budget in virtual time
-    When 40 generated sequences of faults and late loans are run, with the standby feature
+    When 40 generated sequences of faults and late loans are run, with the lending feature
     Then no budget was ever overspent
     And most requests were served while the budget lasted
 
@@ -135,32 +135,32 @@
       | 5         | 0.25  |
 
   Scenario: A request doesn't wait for a silent lender while another one answers
-    When the first lender's answers take 0.5 s longer for 4 s, with the standby feature
+    When the first lender's answers take 0.5 s longer for 4 s, with the lending feature
     Then requests wait at most 0.15 s and most of them at most 0.01 s
     And exactly the delivered tokens count as spent
 
-  Scenario: Without the standby feature requests wait for the first lender
-    When the first lender's answers take 0.5 s longer for 4 s, without the standby feature
+  Scenario: Without the lending feature requests wait for the first lender
+    When the first lender's answers take 0.5 s longer for 4 s, without the lending feature
     Then most requests wait longer than 0.4 s
 
   Scenario: Loans whose answers come too late count as spent
-    When the first lender's answers take 2 s longer for 4 s, with the standby feature
+    When the first lender's answers take 2 s longer for 4 s, with the lending feature
     Then at least the delivered tokens count as spent
 
   Scenario: Most requests find tokens that were borrowed ahead of demand
-    When requests come for 20 s, with the standby feature
+    When requests come for 20 s, with the lending feature
     Then at least 60 % of the requests wait for no lender
     And no router holds more than its demand of a second
     And what routers hold counts as spent at the lender at every moment
     And no router holds tokens afterwards
     And exactly the delivered tokens count as spent
 
-  Scenario: Without the standby feature requests borrow their own tokens
-    When requests come for 20 s, without the standby feature
+  Scenario: Without the lending feature requests borrow their own tokens
+    When requests come for 20 s, without the lending feature
     Then at most 40 % of the requests wait for no lender
 
   Scenario Outline: Tokens aren't borrowed ahead from the last tenth of a budget
-    When all but <rest> % of a budget is spent, with the standby feature
+    When all but <rest> % of a budget is spent, with the lending feature
     Then no router holds more than the unused rest of a request
 
     Examples:
--- a/features/steps/budgets_steps.py
+++ b/features/steps/budgets_steps.py
@@ -64,7 +64,7 @@
 LOAN_STEPS = _generate_steps(
     strategies.sampled_from(('late loans', 'very late loans')) | FAULTS
 )
-STANDBY = frozenset((Feature.standby,))
+LENDING = frozenset((Feature.standby, Feature.lending))
 
 
 # The event loop keeps only weak references to tasks.
@@ -201,10 +201,10 @@
 
 @when(
     '{count:d} generated sequences of faults and late loans are run, '
-    'with the standby feature'
+    'with the lending feature'
 )
 def play_loan_mixtures(context, count):
-    _play_sequences(context, count, LOAN_STEPS, STANDBY)
+    _play_sequences(context, count, LOAN_STEPS, LENDING)
 
 
 def _play_sequences(context, count, sequences, features):
@@ -603,11 +603,11 @@
 
 @when(
     "the first lender's answers take {delay:g} s longer for {seconds:g} s, "
-    '{word} the standby feature'
+    '{word} the lending feature'
 )
 def delay_loans(context, delay, seconds, word):
     async def run():
-        features = STANDBY if word == 'with' else ()
+        features = LENDING if word == 'with' else ()
         world, lenders, borrowers = await _start_borrowers(features)
         world.answer_delays = {lenders[0]: delay}
         await _send_to(world, borrowers, seconds)
@@ -642,10 +642,10 @@
     assert context.world.delivered <= BUDGET
 
 
-@when('requests come for {seconds:g} s, {word} the standby feature')
+@when('requests come for {seconds:g} s, {word} the lending feature')
 def send_steadily(context, seconds, word):
     async def run():
-        features = STANDBY if word == 'with' else ()
+        features = LENDING if word == 'with' else ()
         world, _, borrowers = await _start_borrowers(features, budget=10 * BUDGET)
         context.held = []
         context.uncounted = []
@@ -698,10 +698,10 @@
     assert not any(context.held_after), context.held_after
 
 
-@when('all but {percent:d} % of a budget is spent, with the standby feature')
+@when('all but {percent:d} % of a budget is spent, with the lending feature')
 def spend_most(context, percent):
     async def run():
-        world, _, borrowers = await _start_borrowers(STANDBY)
+        world, _, borrowers = await _start_borrowers(LENDING)
         while world.delivered < BUDGET * (100 - percent) / 100:
             await _send_to(world, borrowers, 0.1)
         await _send_to(world, borrowers, 0.8, per_second=5)
@@ -718,7 +718,7 @@
 @when('a lender is asked for {tokens:d} tokens')
 def ask_lender(context, tokens):
     async def run():
-        world, lenders, _ = await _start_borrowers(STANDBY)
+        world, lenders, _ = await _start_borrowers(LENDING)
         lender = world.find_host(lenders[0]).budgets
         incarnation = (
             decode_page(world.service.items[PAGE_KEY].content)
--- a/packages/bench/src/ibisport_bench/soak/mutants.py
+++ b/packages/bench/src/ibisport_bench/soak/mutants.py
@@ -97,7 +97,10 @@
     """Grant every reservation without asking for a budget."""
 
     async def reserve(
-        self: Budgets, workspace: Workspace | None, tokens: int
+        self: Budgets,
+        workspace: Workspace | None,
+        tokens: int,
+        objective: float | None = None,
     ) -> Reservation:
         return Reservation(None, tokens)
 
--- a/packages/fleet/src/ibisport_fleet/budgets.py
+++ b/packages/fleet/src/ibisport_fleet/budgets.py
@@ -113,7 +113,7 @@
             peers,
             log,
             self.contact,
-            plans_ahead=Feature.standby in features,
+            plans_ahead=Feature.lending in features,
         )
         self._write_requested = asyncio.Event()
         self._write_done = asyncio.Event()
--- a/packages/fleet/src/ibisport_fleet/settings.py
+++ b/packages/fleet/src/ibisport_fleet/settings.py
@@ -15,6 +15,7 @@
         pace: Engines are chosen by their observed pace and the demand for prompts.
         queueing: Less urgent requests wait while targets are crowded.
         standby: A router that can't serve leaves the balancer's rotation.
+        lending: A second lender is asked in time, and tokens are lent ahead.
         copies: Streams continue at an engine that holds a copy of their memory.
         hedging: A late request that may run twice is sent to a second target.
     """
@@ -23,6 +24,7 @@
     pace = 'pace'
     queueing = 'queueing'
     standby = 'standby'
+    lending = 'lending'
     copies = 'copies'
     hedging = 'hedging'
 
