--- a/packages/fleet/src/ibisport_fleet/budgets.py
+++ b/packages/fleet/src/ibisport_fleet/budgets.py
@@ -55,7 +55,7 @@
             budget is spent.
         details: State of the budget for the event log.
         out_of_contact: Whether neither a lender nor the store answered this router
-            since the request asked for tokens.
+            promptly since the request asked for tokens.
     """
 
     def __init__(self, retry_after: float | None, **details: float) -> None:
