--- a/packages/fleet/src/ibisport_fleet/metadata.py
+++ b/packages/fleet/src/ibisport_fleet/metadata.py
@@ -34,6 +34,8 @@
         parts: The prompt in order; the last part belongs to this request alone.
         last_event_id: Id of the last event of a stream that the caller has received,
             or None.
+        resumed_id: Id of the caller's request that brought the stream's first event;
+            None: not given.
     """
 
     request_id: str
@@ -45,6 +47,7 @@
     max_output_tokens: int
     parts: tuple[PromptPart, ...]
     last_event_id: int | None
+    resumed_id: str | None = None
 
     @property
     def max_tokens(self) -> int:
--- a/packages/fleet/src/ibisport_fleet/targets.py
+++ b/packages/fleet/src/ibisport_fleet/targets.py
@@ -24,6 +24,7 @@
         revision: The store's revision of the entry.
         started_at_ms: Unix time of the start in milliseconds; 0 if not given.
         cold_seconds: Time until the target is warm, from the write of the entry on.
+        software_version: Version of the target's software.
     """
 
     incarnation: str
@@ -35,6 +36,7 @@
     revision: int
     started_at_ms: int = 0
     cold_seconds: float = 0.0
+    software_version: str = ''
 
     @property
     def start_id(self) -> tuple[str, int]:
