--- a/features/steps/running_fleet.py
+++ b/features/steps/running_fleet.py
@@ -140,6 +140,8 @@
         other_run: The run that its answers to continued runs name, or None.
         id_offset: Added to the ids of the events of runs that continue here.
         copies: Events that arrived of the runs of other targets, by the run's id.
+        software_version: Version of its software, from its next start on; the data of
+            its events ends with it.
     """
 
     def __init__(self, fleet, number):
@@ -162,6 +164,7 @@
         self.id_offset = 0
         self.other_run = None
         self.copies = {}
+        self.software_version = ''
         self._cold_arrivals = []
         self._request_count = 0
         self._running = 0
@@ -185,6 +188,7 @@
             100,
             False,
             0,
+            software_version=self.software_version,
         )
         await self._listen()
         if self._fleet.started:
@@ -374,12 +378,14 @@
             await _hang(self, BEFORE_HEAD)
         head = STREAM_HEAD if run_id is None else STREAM_HEAD.replace(b'{id}', run_id)
         channel.write(self._make_head(head, request))
+        version = self._entry.software_version
+        mark = f' {version}' if version else ''
         factor = SLOW_FACTOR if request.body == SLOW else self.event_factor
         for number in range(first, EVENTS + 1):
             await _hang(self, number - 1)
             await asyncio.sleep(EVENT_INTERVAL_SECONDS * factor)
             self._copy_run(request, number)
-            channel.write(encode_event(number + offset))
+            channel.write(encode_event(number + offset, mark))
         self._copy_run(request, None)
         channel.write(END)
 
--- a/features/steps/running_router.py
+++ b/features/steps/running_router.py
@@ -54,9 +54,9 @@
 END = b'0\r\n\r\n'
 
 
-def encode_event(number):
-    """Return an event of a stream, encoded as a chunk."""
-    text = b'id: %d\ndata: d%d\n\n' % (number, number)
+def encode_event(number, mark=''):
+    """Return an event of a stream, encoded as a chunk; its data ends with a mark."""
+    text = b'id: %d\ndata: d%d%b\n\n' % (number, number, mark.encode())
     return b'%x\r\n%b\r\n' % (len(text), text)
 
 
--- /dev/null
+++ b/features/steps/streamversions_steps.py
@@ -0,0 +1,254 @@
+"""Steps on streams that go on beside targets of other software versions."""
+
+import asyncio
+import re
+from dataclasses import dataclass, field
+
+from behave import given, then, when
+from running_fleet import EVENT_INTERVAL_SECONDS, run_fleet
+from running_router import KEY
+
+EVENT = re.compile(rb'id: (\d+)\ndata: d\d+ (\S+)\n\n')
+LAST_EVENT = 8
+# Callers come back within some milliseconds.
+RETURN_SECONDS = 0.005
+STATUS = re.compile(rb'HTTP/1.1 (\d+)')
+RETRY_AFTER = re.compile(rb'\r\nretry-after: (\S+)\r\n', re.IGNORECASE)
+SETTLED_SECONDS = 6.0
+RESTART_SECONDS = 1.0
+CUT_OFF_STREAMS = 20
+
+
+@dataclass
+class Stream:
+    """What a caller has of one stream.
+
+    Attributes:
+        name: Id of the request that brought its first event.
+        events: Pairs of the id and the version of each event.
+        statuses: Status of the answer to each request, or None.
+        refused_after: Seconds until the last answer without an event, or None.
+        retry_after: The Retry-After value of that answer, or None.
+    """
+
+    name: str
+    events: list = field(default_factory=list)
+    statuses: list = field(default_factory=list)
+    refused_after: float | None = None
+    retry_after: bytes | None = None
+
+    @property
+    def versions(self):
+        """The versions that its events are of."""
+        return {version for _, version in self.events}
+
+    @property
+    def is_whole(self):
+        """Whether it has each event once, in order."""
+        ids = [number for number, _ in self.events]
+        return ids == list(range(1, LAST_EVENT + 1))
+
+
+class StreamCaller:
+    """Begins and takes up streams of one fleet."""
+
+    def __init__(self, fleet):
+        self._fleet = fleet
+        self._requests = 0
+
+    async def begin(self, router, leave_after=None):
+        """Begin a stream; leave it after some events, if given."""
+        stream = Stream(self._make_name())
+        await self._receive(router, stream, stream.name, '', leave_after)
+        return stream
+
+    async def take_up(self, router, stream, resumes=True):
+        """Go on with a stream after its last event."""
+        await asyncio.sleep(RETURN_SECONDS)
+        last = stream.events[-1][0] if stream.events else None
+        extra = '' if last is None else f'Last-Event-Id: {last}\r\n'
+        if resumes is True:
+            resumes = stream.name
+        if resumes is not None and last is not None:
+            extra += f'Resumes: {resumes}\r\n'
+        await self._receive(router, stream, self._make_name(), extra, None)
+
+    def _make_name(self):
+        self._requests += 1
+        return f'c{self._requests}'
+
+    async def _receive(self, router, stream, name, extra, leave_after):
+        sent_at = self._fleet.now
+        known = len(stream.events)
+        try:
+            connection = await asyncio.open_connection(*router.address)
+        except ConnectionRefusedError:
+            stream.statuses.append(None)
+            return
+        connection[1].write(
+            (
+                f'POST /stream/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {name}\r\n'
+                f'Authorization: Bearer {KEY}\r\n{extra}Content-Length: 2\r\n\r\nab'
+            ).encode()
+        )
+        content = await _read_answer(connection[0], leave_after)
+        connection[1].close()
+        stream.events += _parse_events(content)
+        status = STATUS.match(content)
+        stream.statuses.append(None if status is None else int(status.group(1)))
+        if len(stream.events) == known:
+            stream.refused_after = self._fleet.now - sent_at
+            told = RETRY_AFTER.search(content)
+            stream.retry_after = None if told is None else told.group(1)
+
+
+async def _read_answer(reader, leave_after):
+    """Return the bytes of an answer, or those until some events are there."""
+    content = b''
+    try:
+        while not _is_enough(content, leave_after) and (
+            data := await reader.read(65_536)
+        ):
+            content += data
+    except ConnectionError:
+        return content
+    return content
+
+
+def _is_enough(content, leave_after):
+    plain = b'content-length' in content.lower() and b'\r\n\r\n' in content
+    if plain or content.endswith(b'\r\n0\r\n\r\n'):
+        return True
+    return leave_after is not None and len(_parse_events(content)) >= leave_after
+
+
+def _parse_events(content):
+    chunks = re.sub(rb'[0-9a-f]+\r\n(id: \d+\ndata: [^\n]*\n\n)\r\n', rb'\1', content)
+    return [
+        (int(number), version.decode()) for number, version in EVENT.findall(chunks)
+    ]
+
+
+@given(
+    '{routers:d} routers, and {targets:d} targets of each of the versions '
+    '{first} and {second}'
+)
+def prepare_fleet(context, routers, targets, first, second):
+    context.sizes = routers, 2 * targets
+    context.versions = [version for _ in range(targets) for version in (first, second)]
+
+
+def play(context, act):
+    """Run a coroutine on the fleet; keep the streams that it returns."""
+
+    def set_versions(fleet):
+        for target, version in zip(fleet.targets, context.versions, strict=True):
+            target.software_version = version
+
+    async def run(fleet):
+        context.streams = await act(fleet, StreamCaller(fleet))
+
+    context.fleet = run_fleet(run, *context.sizes, change_fleet=set_versions)
+
+
+def call_all(fleet, coroutines):
+    """Run coroutines on the callers' host; return their results."""
+    return asyncio.gather(*(fleet.call(coroutine) for coroutine in coroutines))
+
+
+async def wait_for_events(count):
+    """Wait until shortly after targets have sent some events."""
+    await asyncio.sleep(EVENT_INTERVAL_SECONDS * (count + 0.5))
+
+
+@when('targets break off {count:d} streams after {events:d} events')
+def break_off(context, count, events):
+    async def act(fleet, caller):
+        streams = []
+        for _ in range(count // len(fleet.routers)):
+            begun = call_all(fleet, map(caller.begin, fleet.routers))
+            await wait_for_events(events)
+            for target in fleet.targets:
+                target.reset()
+            streams += await begun
+            # Targets are avoided for a while after a break.
+            await asyncio.sleep(SETTLED_SECONDS)
+        return streams
+
+    play(context, act)
+
+
+@when(
+    'callers drop {count:d} streams after {events:d} events '
+    'and take them up at other routers'
+)
+def drop_and_take_up(context, count, events):
+    async def act(fleet, caller):
+        async def move(number):
+            first = fleet.routers[number % len(fleet.routers)]
+            second = fleet.routers[(number + 1) % len(fleet.routers)]
+            stream = await caller.begin(first, events)
+            await caller.take_up(second, stream)
+            return stream
+
+        return await call_all(fleet, map(move, range(count)))
+
+    play(context, act)
+
+
+@when('routers are killed under {count:d} streams after {events:d} events')
+def kill_routers(context, count, events):
+    async def act(fleet, caller):
+        async def move(killed, number):
+            stream = await caller.begin(killed)
+            others = [router for router in fleet.routers if router is not killed]
+            await caller.take_up(others[number % len(others)], stream)
+            return stream
+
+        streams = []
+        for router in fleet.routers:
+            numbers = range(count // len(fleet.routers))
+            begun = call_all(fleet, (move(router, number) for number in numbers))
+            await wait_for_events(events)
+            router.kill()
+            streams += await begun
+            router.start()
+            await asyncio.sleep(SETTLED_SECONDS)
+        return streams
+
+    play(context, act)
+
+
+@when(
+    'a router is cut off from the store, the targets restart as {version}, '
+    'and streams are taken up there'
+)
+def cut_off_router(context, version):
+    async def act(fleet, caller):
+        fleet.service.faults.cut.add(fleet.routers[0].host)
+        for target in fleet.targets[: len(fleet.targets) // 2]:
+            target.software_version = version
+            target.crash(RESTART_SECONDS)
+        await asyncio.sleep(SETTLED_SECONDS)
+        return await call_all(
+            fleet, (move(fleet, caller, 2) for _ in range(CUT_OFF_STREAMS))
+        )
+
+    async def move(fleet, caller, events):
+        stream = await caller.begin(fleet.routers[1], events)
+        await caller.take_up(fleet.routers[0], stream)
+        return stream
+
+    play(context, act)
+
+
+@then('no caller holds events of two versions')
+def check_versions(context):
+    mixed = [stream for stream in context.streams if len(stream.versions) > 1]
+    assert not mixed, (len(mixed), len(context.streams), mixed[:2])
+
+
+@then('at least half of the streams are whole')
+def check_whole(context):
+    whole = sum(stream.is_whole for stream in context.streams)
+    assert 2 * whole >= len(context.streams), (whole, context.streams[:5])
