Go on with a broken stream only at targets with the software that began it

Cause: the version of a target's software was dropped with its entry, so the retry within an answer, and the choice of the engine that gets a copy of a run, took all targets of a service for alike. Change: the first event binds a request to the build (service and version) of its target. One rule, permits(), says which targets may run a request; the choice of targets, the choice of a copy's engine and the send itself ask it. Bytes of a target whose id has restarted in the list are dropped before they are passed on. A stream whose version is listed no longer ends at once, without a Retry-After. New scenarios on copies and restarts under an id each fail without their check; without the choice by version alone the guard at the send keeps the first one. Streams that callers take up at another router are not mended yet.

--- a/features/steps/running_fleet.py
+++ b/features/steps/running_fleet.py
@@ -406,6 +406,15 @@
                     del target.copies[run_id]
 
 
+def register_restart(target, version):
+    """Register a target as if it had restarted under its id with another version."""
+    restarted_at = target._entry.started_at_ms + 1
+    target._entry = replace(
+        target._entry, started_at_ms=restarted_at, software_version=version
+    )
+    target.write_entry()
+
+
 async def _hang(target, events):
     """Never return if a target hangs after this number of events."""
     if target.hangs_after is not None and events >= target.hangs_after:
--- a/features/steps/streamversions_steps.py
+++ b/features/steps/streamversions_steps.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import re
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from behave import given, then, when
-from running_fleet import EVENT_INTERVAL_SECONDS, run_fleet
-from running_router import KEY
+from running_fleet import EVENT_INTERVAL_SECONDS, register_restart, run_fleet
+from running_router import KEY, make_route
+
+from ibisport_fleet.catalogue import Engine, RouteKind
+from ibisport_fleet.settings import Feature
 
 EVENT = re.compile(rb'id: (\d+)\ndata: d\d+ (\S+)\n\n')
 LAST_EVENT = 8
@@ -17,6 +20,9 @@
 SETTLED_SECONDS = 6.0
 RESTART_SECONDS = 1.0
 CUT_OFF_STREAMS = 20
+ENGINE = Engine(64, 100_000, 5, 1e-5, backups=True, copy_lifetime_seconds=5.0)
+OBJECTIVE_SECONDS = 0.5
+USAGE = 'Token-Usage: 100,40\r\n'
 
 
 @dataclass
@@ -88,7 +94,8 @@
         connection[1].write(
             (
                 f'POST /stream/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {name}\r\n'
-                f'Authorization: Bearer {KEY}\r\n{extra}Content-Length: 2\r\n\r\nab'
+                f'Authorization: Bearer {KEY}\r\n{USAGE}{extra}'
+                f'Content-Length: 2\r\n\r\nab'
             ).encode()
         )
         content = await _read_answer(connection[0], leave_after)
@@ -138,10 +145,28 @@
     context.versions = [version for _ in range(targets) for version in (first, second)]
 
 
+@given('engines that copy runs, of the versions {versions}')
+def use_copies(context, versions):
+    context.versions = versions.split()
+    context.copies = True
+
+
+def _use_engines(catalogue):
+    route = replace(
+        make_route('stream', RouteKind.stream, resumable=False),
+        objective=OBJECTIVE_SECONDS,
+    )
+    service = replace(catalogue.services['svc'], engine=ENGINE)
+    return replace(catalogue, routes=(route,), services={'svc': service})
+
+
 def play(context, act):
     """Run a coroutine on the fleet; keep the streams that it returns."""
 
     def set_versions(fleet):
+        if 'copies' in context:
+            fleet.features = frozenset((Feature.copies,))
+            fleet.catalogue = _use_engines(fleet.catalogue)
         for target, version in zip(fleet.targets, context.versions, strict=True):
             target.software_version = version
 
@@ -242,6 +267,82 @@
     play(context, act)
 
 
+@when('targets crash under {count:d} streams after {events:d} events')
+def crash_targets(context, count, events):
+    async def act(fleet, caller):
+        streams = []
+        for number in range(count):
+            router = fleet.routers[number % len(fleet.routers)]
+            begun = fleet.call(caller.begin(router))
+            await wait_for_events(events)
+            for target in find_running(fleet):
+                target.crash(RESTART_SECONDS)
+            streams.append(await begun)
+            await asyncio.sleep(SETTLED_SECONDS)
+        return streams
+
+    play(context, act)
+
+
+def find_running(fleet):
+    """Return the target that the last request reached, in a list."""
+    last = fleet.arrivals[-1].target
+    return [target for target in fleet.targets if target.incarnation == last]
+
+
+@when('the targets restart under their ids as {version} within a stream')
+def restart_under_ids(context, version):
+    async def act(fleet, caller):
+        begun = fleet.call(caller.begin(fleet.routers[0]))
+        await wait_for_events(2)
+        for target in fleet.targets:
+            register_restart(target, version)
+        return [await begun]
+
+    play(context, act)
+
+
+@when('all targets of the version of a stream end within it')
+def end_version(context):
+    async def act(fleet, caller):
+        begun = fleet.call(caller.begin(fleet.routers[0]))
+        await wait_for_events(2)
+        ended = find_running(fleet)[0].software_version
+        for target in fleet.targets:
+            if target.software_version == ended:
+                target.crash(2 * SETTLED_SECONDS)
+        ended_at = fleet.now
+        stream = await begun
+        context.seconds = fleet.now - ended_at
+        return [stream]
+
+    play(context, act)
+
+
+@then('the caller gets no event after the restart was known')
+def check_no_event(context):
+    stream = context.streams[0]
+    assert 2 <= len(stream.events) <= 3 and len(stream.versions) == 1, stream
+
+
+@then('the stream breaks off within {seconds:g} s')
+def check_break(context, seconds):
+    stream = context.streams[0]
+    assert not stream.is_whole and len(stream.versions) == 1, stream
+    assert context.seconds <= seconds, context.seconds
+
+
+@then('at least one of the streams went on at a copy')
+def check_copies(context):
+    assert any(stream.is_whole for stream in context.streams), context.streams[:3]
+    assert context.fleet.continuations
+
+
+@then('none of the streams went on at a copy')
+def check_no_copy(context):
+    assert not context.fleet.continuations, context.fleet.continuations
+
+
 @then('no caller holds events of two versions')
 def check_versions(context):
     mixed = [stream for stream in context.streams if len(stream.versions) > 1]
--- a/features/streamversions.feature
+++ b/features/streamversions.feature
@@ -26,3 +26,28 @@
     Given 4 routers, and 2 targets of each of the versions v1 and v1
     When a router is cut off from the store, the targets restart as v2, and streams are taken up there
     Then no caller holds events of two versions
+
+  # The copy of a run was made and used at an engine of any version.
+  Scenario Outline: A stream goes on only at a copy with its version
+    Given 4 routers, and 2 targets of each of the versions v1 and v2
+    And engines that copy runs, of the versions <versions>
+    When targets crash under 20 streams after 3 events
+    Then no caller holds events of two versions
+    And <share> of the streams went on at a copy
+
+    Examples:
+      | versions    | share        |
+      | v1 v2 v1 v2 | at least one |
+      | v1 v2 v3 v4 | none         |
+
+  # A list that is older than the target passed events of its next start on.
+  Scenario: A target that restarted under its id with another version is not believed
+    Given 4 routers, and 2 targets of each of the versions v1 and v2
+    When the targets restart under their ids as v3 within a stream
+    Then the caller gets no event after the restart was known
+
+  # A wait for targets that may never come back is no honest time to return.
+  Scenario: A stream whose version serves no longer ends at once
+    Given 4 routers, and 2 targets of each of the versions v1 and v2
+    When all targets of the version of a stream end within it
+    Then the stream breaks off within 0.5 s
--- a/packages/fleet/src/ibisport_fleet/calls.py
+++ b/packages/fleet/src/ibisport_fleet/calls.py
@@ -11,6 +11,7 @@
 from ibisport_fleet.catalogue import Route, Workspace
 from ibisport_fleet.http_messages import Request
 from ibisport_fleet.metadata import RequestMetadata, RunCopy
+from ibisport_fleet.stream_versions.origin import NotBegun, StreamOrigin
 
 # Route ranks that are distinguished within one workspace rank.
 ROUTE_RANKS = 3
@@ -39,6 +40,7 @@
         copied_from: Start id of that engine while copies are counted, or None.
         backup: Address of the engine that gets a copy of the run's memory, or None.
         continued_from: The copy with which the last send continues the run, or None.
+        origin: Where its stream began.
     """
 
     request: Request
@@ -57,6 +59,7 @@
     copied_from: tuple[str, int] | None = None
     backup: Address | None = None
     continued_from: RunCopy | None = None
+    origin: StreamOrigin = field(default_factory=NotBegun)
 
     @cached_property
     def digest(self) -> str:
--- a/packages/fleet/src/ibisport_fleet/continuation/request.py
+++ b/packages/fleet/src/ibisport_fleet/continuation/request.py
@@ -20,6 +20,7 @@
 from ibisport_fleet.request_recorder import BrokenRun
 from ibisport_fleet.settings import Feature
 from ibisport_fleet.sse import EventSplitter
+from ibisport_fleet.stream_versions.origin import Begun, permits
 from ibisport_fleet.target_choice import Candidate
 from ibisport_fleet.target_selection import TargetSelector
 
@@ -196,7 +197,13 @@
         # Listing the targets takes longest, so streams without need are left out first.
         if engine is None or not self._enabled or not may_need_copy(call, engine):
             return
-        candidates = self._selector.list_sendable(_now())
+        # Only an engine with the same software may continue the run.
+        origin = Begun(source.entry.build)
+        candidates = [
+            candidate
+            for candidate in self._selector.list_sendable(_now())
+            if permits(origin, candidate.entry)
+        ]
         usual_gap = self._pace.find_usual_gap(source.entry.start_id)
         routers = max(1, dependencies.budgets.router_count)
         plan = plan_copy(call, engine, usual_gap, len(candidates) / routers)
--- a/packages/fleet/src/ibisport_fleet/forwarding.py
+++ b/packages/fleet/src/ibisport_fleet/forwarding.py
@@ -19,12 +19,14 @@
 )
 from ibisport_fleet.dependencies import Dependencies, ServiceState
 from ibisport_fleet.errors import ConnectionBroken
+from ibisport_fleet.fleet_view import TargetView
 from ibisport_fleet.http_connection import HttpConnection
 from ibisport_fleet.placing.pace import GapRecorder
 from ibisport_fleet.placing.prefill import Prefill
 from ibisport_fleet.queueing.request_turn import RequestTurn
 from ibisport_fleet.response_writer import ResponseWriter
 from ibisport_fleet.settings import Feature
+from ibisport_fleet.stream_versions.origin import Begun, NotBegun
 from ibisport_fleet.target_choice import Candidate
 from ibisport_fleet.target_client import (
     FIRST_FAILURE_STATUS,
@@ -355,6 +357,7 @@
             part := await self._read_part(connection, candidate, begun=gaps.begun)
         ) is not None:
             self._received_at = answered.health.last_received_at = _now()
+            _check_software(self._dependencies.targets, candidate)
             known = self._splitter.event_count
             events = self._splitter.feed(part)
             if events:
@@ -378,6 +381,8 @@
 
     def _record_events(self, candidate: Candidate) -> None:
         """Record that complete events arrived, of which the first ends the prefill."""
+        if isinstance(self._call.origin, NotBegun):
+            self._call.origin = Begun(candidate.entry.build)
         self._prefill.end()
         self._prefill.record_first_event(candidate, _now())
         self._continuation.record_events()
@@ -401,5 +406,15 @@
         self._last_event_at = now
 
 
+def _check_software(targets: TargetView, candidate: Candidate) -> None:
+    """Check that the bytes of a target are of the software that was chosen.
+
+    Raises:
+        ConnectionBroken: The target has restarted under its id.
+    """
+    if targets.targets.is_superseded(candidate.entry):
+        raise ConnectionBroken('the target has restarted')
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/fleet/src/ibisport_fleet/target_client.py
+++ b/packages/fleet/src/ibisport_fleet/target_client.py
@@ -10,6 +10,7 @@
 from ibisport_fleet.http_connection import HttpConnection
 from ibisport_fleet.http_messages import AnswerHead
 from ibisport_fleet.metadata import AnswerMetadata, Dialect, SendMetadata
+from ibisport_fleet.stream_versions.origin import permits
 from ibisport_fleet.target_choice import Candidate, TargetHealth
 from ibisport_fleet.target_limits import TargetLimits
 from ibisport_fleet.target_pauses import apply_pause
@@ -94,11 +95,15 @@
     ) -> SendOutcome:
         """Send a request to one target and wait for the head of its answer.
 
+        A stream that has begun is sent only to targets with the same software.
+
         Args:
             call: The request.
             candidate: The target.
             last_event_id: Id of the last event that the caller got, or None.
         """
+        if not permits(call.origin, candidate.entry):
+            return NotSent('the stream began with other software')
         candidate.health.awaiting += 1
         try:
             return await self._send(call, candidate, last_event_id)
--- a/packages/fleet/src/ibisport_fleet/target_selection.py
+++ b/packages/fleet/src/ibisport_fleet/target_selection.py
@@ -11,6 +11,7 @@
 from ibisport_fleet.engine_choice import choose_engine
 from ibisport_fleet.placing.copies import CopyTimes
 from ibisport_fleet.settings import Feature
+from ibisport_fleet.stream_versions.origin import Begun, permits
 from ibisport_fleet.target_choice import Candidate, Origin, choose_plain_target
 from ibisport_fleet.target_holds import Hold, describe_unavailable
 
@@ -93,25 +94,30 @@
             return self._build_unavailable(listed, holds, now)
         return self.build_failure('full', draw_jittered_delay(FULL_RETRY_AFTER_SECONDS))
 
-    def build_failure(self, reason: str, retry_after: float) -> RequestFailed:
+    def build_failure(self, reason: str, retry_after: float | None) -> RequestFailed:
         """Return the failure of the request: 503 only if no target may have run it.
 
         Args:
             reason: A short description for logs and callers.
-            retry_after: Seconds after which the caller may retry, if it didn't run.
+            retry_after: Seconds after which the caller may retry, if it didn't run;
+                None to suggest none.
         """
         if self._call.may_have_run:
             return RequestFailed(STATUS_BAD_GATEWAY, reason)
         return RequestFailed(STATUS_UNAVAILABLE, reason, retry_after)
 
     def _list_targets(self) -> list[Candidate]:
-        """Return the targets of the service in the regions that the request allows."""
-        dependencies, allowed = self._dependencies, self._call.regions
-        regions = dependencies.settings.regions
+        """Return the targets of the service that the request allows.
+
+        Its regions and the software that began its stream limit them.
+        """
+        call, dependencies = self._call, self._dependencies
+        allowed, regions = call.regions, dependencies.settings.regions
         return [
             candidate
-            for candidate in dependencies.targets.list_candidates(self._call.service)
-            if allowed is None or regions.get(candidate.entry.domain) in allowed
+            for candidate in dependencies.targets.list_candidates(call.service)
+            if (allowed is None or regions.get(candidate.entry.domain) in allowed)
+            and permits(call.origin, candidate.entry)
         ]
 
     def _build_unavailable(
@@ -124,6 +130,9 @@
             holds: Why each of them may not get a request; None: it may.
             now: Loop time.
         """
+        if not listed and isinstance(self._call.origin, Begun):
+            # Nothing tells whether targets with this software will serve again.
+            return self.build_failure('version_gone', None)
         tried = [candidate.entry.start_id in self._call.tried for candidate in listed]
         unavailable = describe_unavailable(holds, tried, now)
         return self.build_failure(unavailable.reason, unavailable.retry_after)
--- a/packages/fleet/src/ibisport_fleet/targets.py
+++ b/packages/fleet/src/ibisport_fleet/targets.py
@@ -10,6 +10,19 @@
 RETURN_GRACE_SECONDS = 2.3
 
 
+@dataclass(frozen=True, slots=True)
+class Build:
+    """The software that a target runs.
+
+    Attributes:
+        service: Name of the service.
+        version: Version of the software within the service.
+    """
+
+    service: str
+    version: str
+
+
 @dataclass(frozen=True, slots=True)
 class TargetEntry:
     """One incarnation of a target, as it registered itself.
@@ -43,6 +56,11 @@
         """Identifies one start of a target; a restart resets its health."""
         return self.incarnation, self.started_at_ms
 
+    @property
+    def build(self) -> Build:
+        """The software that the target runs."""
+        return Build(self.service, self.software_version)
+
 
 class TargetList:
     """All known targets.
@@ -84,6 +102,13 @@
             and not known.draining
         )
 
+    def is_superseded(self, entry: TargetEntry) -> bool:
+        """Return whether the list has another start or build under the entry's id."""
+        known = self._entries.get(entry.incarnation)
+        return known is not None and (
+            known.start_id != entry.start_id or known.build != entry.build
+        )
+
     def put(self, entry: TargetEntry) -> None:
         """Add or replace an entry that the store contains.
 
