Share the UDP socket of a router between kinds of messages

Cause: routers need short messages to each other about the streams that they began, and the socket at the peers' port belonged to the load feed. Change: DatagramSocket and its opening move out of the load feed; a DatagramEndpoint owns the socket and hands datagrams to handlers by their first byte. RouterLinks holds what reaches other processes. A router binds the port without the load feed too.

--- a/features/steps/loadfeedprograms_steps.py
+++ b/features/steps/loadfeedprograms_steps.py
@@ -17,6 +17,7 @@
 from running_router import CATALOGUE
 
 from ibisport_fleet.catalogue import Engine, Service
+from ibisport_fleet.datagrams import DatagramEndpoint
 from ibisport_fleet.event_log import Event
 from ibisport_fleet.fleet_view import CatalogueView, TargetView
 from ibisport_fleet.load_feed.feeds import LoadFeeds, run_relay_feed
@@ -105,9 +106,11 @@
     targets.targets.put(ENTRY)
     catalogue = CatalogueView('key', decode_catalogue, log)
     catalogue.current = ENGINES
-    feeds = LoadFeeds(make_settings(ROUTER_IP, port), catalogue, targets, log)
+    settings = make_settings(ROUTER_IP, port)
+    endpoint = DatagramEndpoint(settings.peer_address, log)
+    feeds = LoadFeeds(settings, catalogue, targets, endpoint, log)
     health = targets.find_health(ENTRY.start_id)
-    return SimpleNamespace(log=log, feeds=feeds, health=health)
+    return SimpleNamespace(log=log, feeds=feeds, health=health, endpoint=endpoint)
 
 
 async def wait_for(condition, seconds):
@@ -149,6 +152,7 @@
     settings = make_settings(RELAY_IP, context.port, engine)
     relay = run_relay_feed(settings, PlatformReportCodec(), context.relay_log)
     context.relay_task = context.loop.create_task(relay)
+    context.loop.create_task(context.router.endpoint.run())
     context.router_task = context.loop.create_task(context.router.feeds.run())
 
 
--- a/packages/fleet/src/ibisport_fleet/load_feed/engine_poller.py
+++ b/packages/fleet/src/ibisport_fleet/load_feed/engine_poller.py
@@ -7,10 +7,10 @@
 from typing import Protocol
 
 from ibisport_fleet.addresses import Address
+from ibisport_fleet.datagrams import DatagramSocket
 from ibisport_fleet.errors import FleetError, RecordInvalid
 from ibisport_fleet.event_log import Event, EventLog
 from ibisport_fleet.http_connection import HttpConnection, open_http_connection
-from ibisport_fleet.load_feed.datagram_socket import DatagramSocket
 from ibisport_fleet.load_feed.messages import EngineReport
 from ibisport_fleet.load_feed.publisher import POLL_INTERVAL_SECONDS, LoadPublisher
 
--- a/packages/fleet/src/ibisport_fleet/load_feed/feeds.py
+++ b/packages/fleet/src/ibisport_fleet/load_feed/feeds.py
@@ -2,21 +2,19 @@
 
 import asyncio
 import secrets
-from collections.abc import Callable
 
 from ibisport_fleet.addresses import Address
+from ibisport_fleet.datagrams import DatagramEndpoint, open_socket
 from ibisport_fleet.event_log import Event, EventLog
 from ibisport_fleet.fleet_view import CatalogueView, TargetView
-from ibisport_fleet.load_feed.datagram_socket import DatagramSocket
 from ibisport_fleet.load_feed.engine_poller import EnginePoller, ReportCodec
+from ibisport_fleet.load_feed.messages import VERSION
 from ibisport_fleet.load_feed.publisher import LoadPublisher
 from ibisport_fleet.load_feed.subscriptions import FedLoad, FeedSubscriptions
 from ibisport_fleet.metadata import TargetLoad
 from ibisport_fleet.settings import Feature, HostSettings
 from ibisport_fleet.targets import TargetEntry
 
-# The process before on this host may hold the port until its end.
-BIND_BACKOFF_SECONDS = 1.0
 # Subscriptions are due at any time of a second, so that they don't arrive all at once.
 TICK_SECONDS = 0.1
 UPDATE_INTERVAL_SECONDS = 1.0
@@ -46,7 +44,7 @@
         return
     publisher = LoadPublisher(secrets.randbits(ID_BITS))
     poller = EnginePoller(settings.engine_address, codec, publisher, log)
-    udp = await _open_socket(settings.peer_address, poller.handle_datagram, log)
+    udp = await open_socket(settings.peer_address, poller.handle_datagram, log)
     try:
         await poller.run(udp)
     finally:
@@ -62,6 +60,7 @@
         settings: HostSettings,
         catalogue: CatalogueView,
         targets: TargetView,
+        endpoint: DatagramEndpoint,
         log: EventLog,
     ) -> None:
         """Prepare without feeds.
@@ -70,9 +69,11 @@
             settings: The settings of the router.
             catalogue: Tells which services run engines.
             targets: The known targets, whose health is updated.
+            endpoint: Sends subscriptions and receives reports.
             log: Receives the start and the loss of feeds.
         """
-        self._address = settings.peer_address
+        self._endpoint = endpoint
+        endpoint.add_handler(VERSION, self.handle_datagram)
         self._catalogue = catalogue
         self._targets = targets
         self._log = log
@@ -86,21 +87,17 @@
 
     async def run(self) -> None:
         """Keep the feeds of all engines, forever."""
-        udp = await _open_socket(self._address, self.handle_datagram, self._log)
         loop = asyncio.get_running_loop()
         update_at = loop.time()
-        try:
-            while True:
-                now = loop.time()
-                if now >= update_at:
-                    self._subscriptions.update(self._list_engines(), now)
-                    update_at = now + UPDATE_INTERVAL_SECONDS
-                for datagram, receiver in self._subscriptions.list_due(now):
-                    udp.send(datagram, receiver)
-                self._log_changes(now)
-                await asyncio.sleep(TICK_SECONDS)
-        finally:
-            udp.close()
+        while True:
+            now = loop.time()
+            if now >= update_at:
+                self._subscriptions.update(self._list_engines(), now)
+                update_at = now + UPDATE_INTERVAL_SECONDS
+            for datagram, receiver in self._subscriptions.list_due(now):
+                self._endpoint.send(datagram, receiver)
+            self._log_changes(now)
+            await asyncio.sleep(TICK_SECONDS)
 
     def handle_datagram(self, datagram: bytes, source: Address) -> None:
         """Apply the report of a datagram to the health of its target."""
@@ -148,21 +145,3 @@
     if report.leaving:
         health.leaving = True
         targets.record_leaving(entry)
-
-
-async def _open_socket(
-    address: Address, handle: Callable[[bytes, Address], None], log: EventLog
-) -> DatagramSocket:
-    """Return a bound socket; try again until the address is free.
-
-    Without its socket a process works as it does without feeds.
-    """
-    reported = False
-    while True:
-        try:
-            return DatagramSocket(address, handle)
-        except OSError as error:
-            if not reported:
-                log.write(Event.load_feed_unavailable, reason=repr(error))
-            reported = True
-        await asyncio.sleep(BIND_BACKOFF_SECONDS)
--- a/packages/fleet/src/ibisport_fleet/load_feed/messages.py
+++ b/packages/fleet/src/ibisport_fleet/load_feed/messages.py
@@ -10,8 +10,9 @@
 import msgspec
 from msgspec import Meta, Struct
 
+from ibisport_fleet.datagrams import MAX_DATAGRAM_BYTES
+
 VERSION = 1
-MAX_DATAGRAM_BYTES = 256
 MICROSECONDS = 1_000_000
 PER_MILLE = 1_000
 
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -19,11 +19,11 @@
 from ibisport_fleet.loans import LoanClient, LoanServer
 from ibisport_fleet.membership import Membership
 from ibisport_fleet.metrics import Metrics
-from ibisport_fleet.notices import Notifier
-from ibisport_fleet.peers import PeerClient, PeerServer
+from ibisport_fleet.peers import PeerServer
 from ibisport_fleet.prefix_watch import PrefixWatch, Subscriber, SubscriberGroup
 from ibisport_fleet.readiness import ReadinessServer
 from ibisport_fleet.request_recorder import RequestRecorder
+from ibisport_fleet.router_links import build_router_links
 from ibisport_fleet.settings import Feature, HostSettings
 from ibisport_fleet.shutdown import Shutdown, plan_shutdown
 from ibisport_fleet.store_contact import StoreContact
@@ -81,15 +81,21 @@
         self._members = Membership(
             settings.host, settings.peer_address, self._store, log, read_boot_clock
         )
-        peers = PeerClient(self._pool)
-        notifier = Notifier(self._members, peers, log)
+        self._links = build_router_links(
+            self._members, self._pool, settings.peer_address, log
+        )
         self._fatal_requests = FatalRequests(
-            self._members, self._store, notifier, self._pool, self._targets, log
+            self._members,
+            self._store,
+            self._links.notifier,
+            self._pool,
+            self._targets,
+            log,
         )
         self._holds = build_target_holds(
             self._members,
             (self._catalogue, self._targets),
-            notifier,
+            self._links.notifier,
             adapters.evacuation_prefix,
             log,
         )
@@ -98,7 +104,7 @@
             self._store,
             self._catalogue,
             log,
-            LoanClient(peers),
+            LoanClient(self._links.peers),
             features=settings.features,
         )
         loans = LoanServer(self._budgets.lend)
@@ -123,7 +129,9 @@
                 holds=self._holds,
             )
         )
-        self._load_feeds = LoadFeeds(settings, self._catalogue, self._targets, log)
+        self._load_feeds = LoadFeeds(
+            settings, self._catalogue, self._targets, self._links.datagrams, log
+        )
         self._caller_server = CallerServer(
             self._call_handler, self._catalogue, adapters.dialect, log
         )
@@ -156,6 +164,7 @@
             'repaying': self._budgets.run_repayments(),
             'quarantine': self._fatal_requests.run(),
             'standby': self._call_handler.standby.run(),
+            'datagrams': self._links.datagrams.run(),
         }
         if Feature.load_feed in self._settings.features:
             background['load feeds'] = self._load_feeds.run()
