Go on with a stream that its caller takes up only at the software that began it

Cause: what a router knew of a stream ended with its answer, and passed to no other router; Resumes was not read. Last-Event-Id went to any target. Change: a request that takes a stream up may go to no target until the build that began the stream is known. Each router remembers the streams that it began and sends one datagram for each to two others, which a hash ring selects by the stream's id. The router that a caller comes back to looks there. Without a record, it goes on only where the service has had one version for twice the time limit on a list known without a gap, and current. Otherwise it answers 503 at once; with a Retry-After only if some router didn't answer, since another one may reach it. A route of several services keeps a stream at its service. Records are limited in number (32,768) and by twice the time limit of the route.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -25,6 +25,8 @@
       | 2404  | status=503 reason=warming_up                                | warming_up     |
       | 2404  | status=503 reason=evacuated                                 | evacuated      |
       | 2404  | status=503 reason=quarantined                               | quarantined    |
+      | 2404  | status=503 reason=version_unknown                           | version_unknown |
+      | 2404  | status=503 reason=version_gone                              | version_gone   |
       | 2404  | status=502 reason=ConnectionBroken                          | broken         |
       | 2403  | status=500                                                  | target_failed  |
       | 2405  | events=3                                                    | caller_left    |
--- a/features/steps/running_fleet.py
+++ b/features/steps/running_fleet.py
@@ -23,7 +23,7 @@
 )
 
 from ibisport_bench.standins.memory_store import MemoryService
-from ibisport_bench.virtual_network import run_on_net
+from ibisport_bench.virtual_network import VirtualDatagrams, run_on_net
 from ibisport_fleet.adapters import Adapters
 from ibisport_fleet.catalogue import (
     Catalogue,
@@ -142,6 +142,7 @@
         copies: Events that arrived of the runs of other targets, by the run's id.
         software_version: Version of its software, from its next start on; the data of
             its events ends with it.
+        service: The service that it belongs to.
     """
 
     def __init__(self, fleet, number):
@@ -165,6 +166,7 @@
         self.other_run = None
         self.copies = {}
         self.software_version = ''
+        self.service = 'svc'
         self._cold_arrivals = []
         self._request_count = 0
         self._running = 0
@@ -182,7 +184,7 @@
         self.incarnation = f'i-{self._number}-{self._starts}'
         self._entry = TargetEntry(
             self.incarnation,
-            'svc',
+            self.service,
             (f'10.1.0.{self._number}', 8_000),
             self.domain,
             100,
@@ -657,7 +659,10 @@
             clock_gettime=lambda clock_id: net.time(), CLOCK_BOOTTIME=0
         )
         # Leases are computed from the machine's clock, which virtual time doesn't move.
-        with mock.patch('ibisport_fleet.clocks.time', clock):
+        with (
+            mock.patch('ibisport_fleet.clocks.time', clock),
+            mock.patch('ibisport_fleet.datagrams.DatagramSocket', VirtualDatagrams),
+        ):
             async with asyncio.timeout(MAX_RUN_SECONDS):
                 await fleet.start()
                 await act(fleet)
--- a/features/steps/streamversions_steps.py
+++ b/features/steps/streamversions_steps.py
@@ -3,12 +3,19 @@
 import asyncio
 import re
 from dataclasses import dataclass, field, replace
+from functools import partial
 
 from behave import given, then, when
-from running_fleet import EVENT_INTERVAL_SECONDS, register_restart, run_fleet
+from running_fleet import (
+    CATALOGUE_KEY,
+    EVENT_INTERVAL_SECONDS,
+    register_restart,
+    run_fleet,
+)
 from running_router import KEY, make_route
 
-from ibisport_fleet.catalogue import Engine, RouteKind
+from ibisport_bench.memory_transport import Link
+from ibisport_fleet.catalogue import Engine, RouteKind, Service, ServiceShare
 from ibisport_fleet.settings import Feature
 
 EVENT = re.compile(rb'id: (\d+)\ndata: d\d+ (\S+)\n\n')
@@ -22,6 +29,15 @@
 CUT_OFF_STREAMS = 20
 ENGINE = Engine(64, 100_000, 5, 1e-5, backups=True, copy_lifetime_seconds=5.0)
 OBJECTIVE_SECONDS = 0.5
+SILENT = Link(delay=1_000.0)
+# The Resumes header that a caller sends, or None, by its name in scenarios.
+HEADERS = {
+    'its first request': lambda stream: stream.name,
+    'no Resumes': lambda stream: None,
+    'an empty Resumes': lambda stream: '',
+    'a Resumes that nobody knows': lambda stream: 'x' + stream.name,
+    'a Resumes of 3,000 bytes': lambda stream: 'x' * 3_000,
+}
 USAGE = 'Token-Usage: 100,40\r\n'
 
 
@@ -62,9 +78,9 @@
         self._fleet = fleet
         self._requests = 0
 
-    async def begin(self, router, leave_after=None):
+    async def begin(self, router, leave_after=None, name=None):
         """Begin a stream; leave it after some events, if given."""
-        stream = Stream(self._make_name())
+        stream = Stream(name or self._make_name())
         await self._receive(router, stream, stream.name, '', leave_after)
         return stream
 
@@ -142,6 +158,7 @@
 )
 def prepare_fleet(context, routers, targets, first, second):
     context.sizes = routers, 2 * targets
+    context.second_service = None
     context.versions = [version for _ in range(targets) for version in (first, second)]
 
 
@@ -169,6 +186,10 @@
             fleet.catalogue = _use_engines(fleet.catalogue)
         for target, version in zip(fleet.targets, context.versions, strict=True):
             target.software_version = version
+            if version == context.second_service:
+                target.service = 'svc2'
+        if context.second_service:
+            fleet.catalogue = _use_services(fleet.catalogue)
 
     async def run(fleet):
         context.streams = await act(fleet, StreamCaller(fleet))
@@ -343,6 +364,107 @@
     assert not context.fleet.continuations, context.fleet.continuations
 
 
+@given('the versions have been listed for {seconds:d} s')
+def wait_before(context, seconds):
+    context.listed_seconds = seconds
+
+
+@given('a router that was cut off from the store {seconds:d} s ago')
+def cut_store(context, seconds):
+    context.cut_store_seconds = seconds
+
+
+@given('the targets of {version} belong to a second service of the route')
+def split_route(context, version):
+    context.second_service = version
+
+
+@given('the route is moved away from the first service while streams are away')
+def move_route(context):
+    context.moves_route = True
+
+
+@given('callers that use one id for all streams')
+def use_one_id(context):
+    context.name = 'same'
+
+
+@given('a router that is cut off from the other routers')
+def cut_links(context):
+    context.cut_links = True
+
+
+@when('streams are taken up at {place} router with {header}')
+def take_up_with(context, place, header):
+    name = context.name if 'name' in context else None
+
+    async def act(fleet, caller):
+        first = fleet.routers[0 if place == 'the same' else 1]
+        await _disturb(context, fleet)
+        begins = (caller.begin(first, 2, name) for _ in range(CUT_OFF_STREAMS))
+        streams = await call_all(fleet, begins)
+        context.runs = len(fleet.arrivals)
+        if 'moves_route' in context:
+            await _move_route(fleet)
+        named = map(HEADERS[header], streams)
+        await call_all(
+            fleet, map(partial(caller.take_up, fleet.routers[0]), streams, named)
+        )
+        return streams
+
+    play(context, act)
+
+
+async def _disturb(context, fleet):
+    if 'listed_seconds' in context:
+        await asyncio.sleep(context.listed_seconds)
+    if 'cut_store_seconds' in context:
+        fleet.service.faults.cut.add(fleet.routers[0].host)
+        await asyncio.sleep(context.cut_store_seconds)
+    if 'cut_links' in context:
+        _cut_links(fleet, fleet.routers[0])
+
+
+async def _move_route(fleet):
+    """Publish a catalogue whose routes lead only to the second service."""
+    routes = [
+        replace(route, shares=(ServiceShare('svc2', 1.0),))
+        for route in fleet.catalogue.routes
+    ]
+    fleet.catalogue = replace(fleet.catalogue, version=2, routes=tuple(routes))
+    fleet.service.put(CATALOGUE_KEY, b'')
+    await asyncio.sleep(1.0)
+
+
+def _use_services(catalogue):
+    shares = (ServiceShare('svc', 1.0), ServiceShare('svc2', 1.0))
+    services = {name: Service(name, 100, None) for name in ('svc', 'svc2')}
+    routes = [replace(route, shares=shares) for route in catalogue.routes]
+    return replace(catalogue, routes=tuple(routes), services=services)
+
+
+def _cut_links(fleet, router):
+    for other in fleet.routers:
+        if other is not router:
+            fleet.net.links[router.host, other.host] = SILENT
+            fleet.net.links[other.host, router.host] = SILENT
+
+
+@then('each is refused with 503 within {seconds:g} s, {told}, and no target gets it')
+def check_refused(context, seconds, told):
+    assert len(context.fleet.arrivals) == context.runs
+    for stream in context.streams:
+        assert stream.statuses[-1] == 503, stream
+        assert stream.refused_after <= seconds, stream
+        assert (stream.retry_after is not None) == (told == 'with a Retry-After')
+
+
+@then('all streams are whole')
+def check_all_whole(context):
+    broken = [stream for stream in context.streams if not stream.is_whole]
+    assert not broken, (len(broken), broken[:2])
+
+
 @then('no caller holds events of two versions')
 def check_versions(context):
     mixed = [stream for stream in context.streams if len(stream.versions) > 1]
@@ -353,3 +475,11 @@
 def check_whole(context):
     whole = sum(stream.is_whole for stream in context.streams)
     assert 2 * whole >= len(context.streams), (whole, context.streams[:5])
+
+
+@then('only streams of the second service are whole')
+def check_second_service(context):
+    for stream in context.streams:
+        expected = stream.versions == {context.second_service}
+        assert stream.is_whole == expected, stream
+        assert expected or stream.statuses[-1] == 503, stream
--- a/features/streamversions.feature
+++ b/features/streamversions.feature
@@ -51,3 +51,75 @@
     Given 4 routers, and 2 targets of each of the versions v1 and v2
     When all targets of the version of a stream end within it
     Then the stream breaks off within 0.5 s
+
+  # A stream whose version wasn't known went on at any version.
+  Scenario Outline: A stream that can't be matched to a version is refused at once
+    Given 4 routers, and 2 targets of each of the versions v1 and v2
+    When streams are taken up at another router with <header>
+    Then each is refused with 503 within 0.1 s, without a Retry-After, and no target gets it
+
+    Examples:
+      | header                      |
+      | no Resumes                  |
+      | an empty Resumes            |
+      | a Resumes that nobody knows |
+      | a Resumes of 3,000 bytes    |
+
+  # A router that can't ask others waited for them, or took its guess for certain.
+  Scenario: A router that reaches no other one refuses streams of others
+    Given 4 routers, and 2 targets of each of the versions v1 and v2
+    And a router that is cut off from the other routers
+    When streams are taken up at another router with its first request
+    Then each is refused with 503 within 0.5 s, with a Retry-After, and no target gets it
+
+  # Where versions can't differ, callers that name no stream lost it.
+  Scenario: A stream without a name goes on where one version has served for long
+    Given 4 routers, and 2 targets of each of the versions v1 and v1
+    And the versions have been listed for 31 s
+    When streams are taken up at another router with no Resumes
+    Then all streams are whole
+
+  # Another version may have left while a stream of it was on its way back.
+  Scenario: A stream without a name is refused where the list is too young
+    Given 4 routers, and 2 targets of each of the versions v1 and v1
+    When streams are taken up at another router with no Resumes
+    Then each is refused with 503 within 0.1 s, without a Retry-After, and no target gets it
+
+  # The router that began a stream asked others, or refused it when they were away.
+  Scenario: A router takes up its own streams without asking others
+    Given 4 routers, and 2 targets of each of the versions v1 and v2
+    And a router that is cut off from the other routers
+    When streams are taken up at the same router with its first request
+    Then all streams are whole
+
+  # An old list lacks the version that began the stream.
+  Scenario: A stream without a name is refused where the list may be old
+    Given 4 routers, and 2 targets of each of the versions v1 and v1
+    And the versions have been listed for 31 s
+    And a router that was cut off from the store 4 s ago
+    When streams are taken up at another router with no Resumes
+    Then each is refused with 503 within 0.1 s, without a Retry-After, and no target gets it
+
+  # The second stream with an id was continued at the version of the first.
+  Scenario: Streams with the same id are refused if they began at two versions
+    Given 4 routers, and 2 targets of each of the versions v1 and v2
+    And callers that use one id for all streams
+    When streams are taken up at another router with its first request
+    Then each is refused with 503 within 0.1 s, without a Retry-After, and no target gets it
+
+  # Each request draws one of the services of its route anew.
+  Scenario: A stream goes on at the service of its route that began it
+    Given 4 routers, and 2 targets of each of the versions v1 and v2
+    And the targets of v2 belong to a second service of the route
+    When streams are taken up at another router with its first request
+    Then no caller holds events of two versions
+    And all streams are whole
+
+  # A stream must not go on where the route doesn't lead any more.
+  Scenario: A stream is refused if its route has left the service that began it
+    Given 4 routers, and 2 targets of each of the versions v1 and v2
+    And the targets of v2 belong to a second service of the route
+    And the route is moved away from the first service while streams are away
+    When streams are taken up at another router with its first request
+    Then no caller holds events of two versions
+    And only streams of the second service are whole
--- a/packages/bench/src/ibisport_bench/virtual_network.py
+++ b/packages/bench/src/ibisport_bench/virtual_network.py
@@ -62,18 +62,56 @@
         """Return at once: closing takes no time."""
 
 
+class VirtualDatagrams:
+    """A UDP socket of the network, in place of ``DatagramSocket``.
+
+    Attributes:
+        address: IP address and port.
+        host: The host that it belongs to.
+    """
+
+    def __init__(
+        self, address: Address, handle: Callable[[bytes, Address], None]
+    ) -> None:
+        self.address = address
+        self.host = _HOST.get()
+        self._net = cast(VirtualNetwork, asyncio.get_running_loop())
+        self._handle = handle
+        self._net.datagram_sockets[address] = self
+
+    def send(self, datagram: bytes, receiver: Address) -> None:
+        """Send a datagram; it is lost if nobody listens."""
+        other = self._net.datagram_sockets.get(receiver)
+        if other is None:
+            return
+        delay = self._net.find_link(self.host, other.host).delay
+        self._net.call_later(delay, other.receive, datagram, self.address)
+
+    def receive(self, datagram: bytes, source: Address) -> None:
+        """Handle a datagram, unless the socket was closed meanwhile."""
+        if self._net.datagram_sockets.get(self.address) is self:
+            self._handle(datagram, source)
+
+    def close(self) -> None:
+        """Receive no more datagrams."""
+        if self._net.datagram_sockets.get(self.address) is self:
+            del self._net.datagram_sockets[self.address]
+
+
 class VirtualNetwork(VirtualLoop):
     """An event loop in virtual time with its own network.
 
     Attributes:
         links: Links by source and destination host; all others have the defaults.
         listeners: Open listeners by address.
+        datagram_sockets: Open UDP sockets by address.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.links: dict[tuple[str, str], Link] = {}
         self.listeners: dict[Address, Listener] = {}
+        self.datagram_sockets: dict[Address, VirtualDatagrams] = {}
         self._endpoints: list[MemoryTransport] = []
         self._tasks: dict[asyncio.Task[Any], str] = {}
         self._ports = itertools.count(FIRST_FREE_PORT)
@@ -156,6 +194,9 @@
         for endpoint in self._endpoints:
             if endpoint.host == host:
                 endpoint.close_on_exit()
+        for datagrams in tuple(self.datagram_sockets.values()):
+            if datagrams.host == host:
+                datagrams.close()
 
     def _cancel_tasks(self, host: str) -> list[asyncio.Task[Any]]:
         tasks = [task for task, owner in self._tasks.items() if owner == host]
--- a/packages/fleet/src/ibisport_fleet/admission.py
+++ b/packages/fleet/src/ibisport_fleet/admission.py
@@ -1,10 +1,11 @@
 """Admission control: matches requests to routes, or refuses them at once."""
 
 from ibisport_fleet.calls import Call, draw_jittered_delay, draw_service
-from ibisport_fleet.catalogue import Catalogue, Route, Workspace
+from ibisport_fleet.catalogue import Catalogue, Route, RouteKind, Workspace
 from ibisport_fleet.http_messages import Request
 from ibisport_fleet.metadata import RequestMetadata
 from ibisport_fleet.shutdown import Shutdown
+from ibisport_fleet.stream_versions.origin import NotBegun, StreamOrigin, Unknown
 
 STATUS_UNAUTHORIZED = 401
 STATUS_NOT_FOUND = 404
@@ -79,9 +80,15 @@
         version=catalogue.version,
         workspace=workspace,
         deadline=deadline,
+        origin=_find_origin(metadata, route),
     )
 
 
+def _find_origin(metadata: RequestMetadata, route: Route) -> StreamOrigin:
+    is_begun = route.kind is RouteKind.stream and metadata.last_event_id is not None
+    return Unknown() if is_begun else NotBegun()
+
+
 def _draw_stopping_retry_after(request: Request, shutdown: Shutdown) -> float:
     """Return the retry delay of a caller that this process can't serve any more."""
     if request.connected_at <= shutdown.accepts_until:
--- a/packages/fleet/src/ibisport_fleet/call_handler.py
+++ b/packages/fleet/src/ibisport_fleet/call_handler.py
@@ -20,11 +20,14 @@
 from ibisport_fleet.settings import Bounds, Feature
 from ibisport_fleet.shutdown import Shutdown
 from ibisport_fleet.standby.monitor import Standby, Surroundings
+from ibisport_fleet.stream_versions.directory import Found, NotFound
+from ibisport_fleet.stream_versions.origin import Begun, Unknown
 from ibisport_fleet.target_selection import RequestFailed
 
 STATUS_PAYMENT_REQUIRED = 402
 STATUS_UNAVAILABLE = 503
 STATUS_TIMEOUT = 504
+UNANSWERED_RETRY_AFTER_SECONDS = 0.25
 
 
 class CallHandler:
@@ -98,24 +101,55 @@
     async def _serve_before_deadline(
         self, call: Call, response: ResponseWriter
     ) -> None:
-        service_state = ServiceState(
-            retry_budget=self.find_retry_budget(call.service),
-            prompt_mix=self._prompt_mixes.setdefault(call.service, PromptMix()),
-            pace=self._paces[call.service],
-            gate=self.gate,
-        )
-        forwarder = RequestForwarder(self._dependencies, service_state, call, response)
+        forwarder: RequestForwarder | None = None
         try:
             async with self._limit_time(call):
+                await self._resolve_origin(call)
+                forwarder = self._build_forwarder(call, response)
                 await self._reserve_and_forward(call, forwarder)
         except (TokensUnavailable, RequestFailed) as error:
             self._answer_error(call, response, error)
         except TimeoutError:
             self._answer_failure(call, response, self._build_timeout_failure(call))
         except asyncio.CancelledError:
-            self._record_interruption(call, forwarder.forwarded_events)
+            events = 0 if forwarder is None else forwarder.forwarded_events
+            self._record_interruption(call, events)
             raise
 
+    async def _resolve_origin(self, call: Call) -> None:
+        """Bind a request that takes a stream up to the software that began it.
+
+        Raises:
+            RequestFailed: That isn't known, or the route doesn't lead there any more.
+        """
+        if not isinstance(call.origin, Unknown):
+            return
+        begun_at = asyncio.get_running_loop().time()
+        finding = await self._dependencies.streams.find(call)
+        self._dependencies.recorder.record_origin(call, finding, begun_at)
+        match finding:
+            case Found(build=build):
+                if build.service not in {share.service for share in call.route.shares}:
+                    raise RequestFailed(STATUS_UNAVAILABLE, 'version_gone')
+                call.origin, call.service = Begun(build), build.service
+            case NotFound(reason='unanswered'):
+                # Another router may reach those that know.
+                delay = draw_jittered_delay(UNANSWERED_RETRY_AFTER_SECONDS)
+                raise RequestFailed(STATUS_UNAVAILABLE, 'version_unknown', delay)
+            case NotFound():
+                raise RequestFailed(STATUS_UNAVAILABLE, 'version_unknown')
+
+    def _build_forwarder(
+        self, call: Call, response: ResponseWriter
+    ) -> RequestForwarder:
+        service_state = ServiceState(
+            retry_budget=self.find_retry_budget(call.service),
+            prompt_mix=self._prompt_mixes.setdefault(call.service, PromptMix()),
+            pace=self._paces[call.service],
+            gate=self.gate,
+        )
+        return RequestForwarder(self._dependencies, service_state, call, response)
+
     async def _reserve_and_forward(
         self, call: Call, forwarder: RequestForwarder
     ) -> None:
--- a/packages/fleet/src/ibisport_fleet/dependencies.py
+++ b/packages/fleet/src/ibisport_fleet/dependencies.py
@@ -16,6 +16,7 @@
 from ibisport_fleet.request_recorder import RequestRecorder
 from ibisport_fleet.retry_budget import RetryBudget
 from ibisport_fleet.settings import HostSettings
+from ibisport_fleet.stream_versions.directory import StreamDirectory
 from ibisport_fleet.target_client import TargetClient
 from ibisport_fleet.target_holds import TargetHolds
 
@@ -34,6 +35,7 @@
         recorder: Logs and counts decisions.
         fatal_requests: Quarantine of requests that crash targets.
         holds: Reasons for which targets may not get requests.
+        streams: The software that began recent streams.
         copies: Copies of runs that this router has in flight.
         answer_times: Times of the recent answers of plain services, by service.
         start_times: Times to the recent first events of streams, by service.
@@ -48,6 +50,7 @@
     recorder: RequestRecorder
     fatal_requests: FatalRequests
     holds: TargetHolds
+    streams: StreamDirectory
     copies: CopiesInFlight = field(default_factory=CopiesInFlight)
     answer_times: defaultdict[str, AnswerTimes] = field(
         default_factory=lambda: defaultdict(AnswerTimes)
--- a/packages/fleet/src/ibisport_fleet/event_log.py
+++ b/packages/fleet/src/ibisport_fleet/event_log.py
@@ -65,6 +65,8 @@
     copy_missing = 2431
     target_silent = 2432
     request_hedged = 2433
+    stream_origin_found = 2434
+    stream_origin_unknown = 2435
     budget_opened = 2501
     budget_unknown = 2502
     lender_lost = 2503
--- a/packages/fleet/src/ibisport_fleet/explain.py
+++ b/packages/fleet/src/ibisport_fleet/explain.py
@@ -37,6 +37,8 @@
     warming_up = 'all targets warmed up after a start'
     evacuated = 'operators have evacuated the domains of all targets'
     quarantined = 'the request had crashed targets'
+    version_unknown = 'the software that began its stream was not known'
+    version_gone = 'no target had the software that began its stream'
     timeout = 'the time limit ran out'
     target_failed = 'the target answered with a failure'
     broken = 'the answer broke off or could not be used'
@@ -55,6 +57,8 @@
         Cause.warming_up,
         Cause.evacuated,
         Cause.quarantined,
+        Cause.version_unknown,
+        Cause.version_gone,
     )
 }
 
--- a/packages/fleet/src/ibisport_fleet/fleet_view.py
+++ b/packages/fleet/src/ibisport_fleet/fleet_view.py
@@ -8,8 +8,9 @@
 from ibisport_fleet.errors import RecordInvalid
 from ibisport_fleet.event_log import Event, EventLog
 from ibisport_fleet.store import Change, Item, Listing, Removal
+from ibisport_fleet.stream_versions.build_history import BuildHistory
 from ibisport_fleet.target_choice import Candidate, TargetHealth
-from ibisport_fleet.targets import TargetEntry, TargetList
+from ibisport_fleet.targets import Build, TargetEntry, TargetList
 
 
 class CatalogueView:
@@ -83,9 +84,16 @@
         # without a change is logged once.
         self._unreadable: dict[str, bytes] = {}
         self._listed = False
+        self._builds = BuildHistory()
+
+    def find_only_build(self, service: str, since: float) -> Build | None:
+        """Return the only build of a service since a loop time; None: not known."""
+        listed = (entry.build for entry in self.targets.entries)
+        return self._builds.find_only(service, listed, since)
 
     def apply_listing(self, listing: Listing, doubtful_until: float) -> None:
         """Apply a full listing; missing entries may have lapsed in an outage."""
+        self._builds.restart(asyncio.get_running_loop().time())
         entries = [
             entry for item in listing.items if (entry := self._decode_entry(item))
         ]
@@ -154,8 +162,12 @@
         ]
 
     def _drop_lapsed(self) -> None:
-        for incarnation in self.targets.drop_lapsed(asyncio.get_running_loop().time()):
-            self._log.write(Event.target_gone, target=incarnation, reason='lapsed')
+        now = asyncio.get_running_loop().time()
+        for entry in self.targets.drop_lapsed(now):
+            self._builds.record(entry.build, now)
+            self._log.write(
+                Event.target_gone, target=entry.incarnation, reason='lapsed'
+            )
             self._drop_stale_health()
 
     def _drop_stale_health(self) -> None:
@@ -176,11 +188,17 @@
             if self._unreadable.get(item.key) != item.content:
                 self._log.write(Event.record_refused, reason=str(error)[:200])
             self._unreadable[item.key] = item.content
-            self.targets.drop(self._parse_incarnation(item.key))
+            self._drop(self._parse_incarnation(item.key))
             return None
         self._unreadable.pop(item.key, None)
         return entry
 
+    def _drop(self, incarnation: str) -> None:
+        known = self.targets.find(incarnation)
+        if known is not None:
+            self._builds.record(known.build, asyncio.get_running_loop().time())
+        self.targets.drop(incarnation)
+
     def _apply_entry(self, item: Item) -> None:
         entry = self._decode_entry(item)
         if entry is None:
@@ -207,6 +225,7 @@
         if known is not None and known.revision >= entry.revision:
             return
         now = asyncio.get_running_loop().time()
+        self._builds.record((known or entry).build, now)
         warm_up = self.find_health(entry.start_id).warm_up
         is_new = known is None or known.start_id != entry.start_id
         if is_new and not first_listing:
@@ -221,6 +240,9 @@
             self.targets.mark_lapsed(incarnation, doubtful_until)
             self._log.write(Event.target_lapsed, target=incarnation, revision=revision)
             return
+        known = self.targets.find(incarnation)
+        if known is not None:
+            self._builds.record(known.build, asyncio.get_running_loop().time())
         self.targets.remove(incarnation)
         self._drop_stale_health()
         self._log.write(Event.target_gone, target=incarnation, revision=revision)
--- a/packages/fleet/src/ibisport_fleet/forwarding.py
+++ b/packages/fleet/src/ibisport_fleet/forwarding.py
@@ -382,7 +382,9 @@
     def _record_events(self, candidate: Candidate) -> None:
         """Record that complete events arrived, of which the first ends the prefill."""
         if isinstance(self._call.origin, NotBegun):
-            self._call.origin = Begun(candidate.entry.build)
+            build = candidate.entry.build
+            self._call.origin = Begun(build)
+            self._dependencies.streams.record(self._call, build)
         self._prefill.end()
         self._prefill.record_first_event(candidate, _now())
         self._continuation.record_events()
--- a/packages/fleet/src/ibisport_fleet/metrics.py
+++ b/packages/fleet/src/ibisport_fleet/metrics.py
@@ -27,6 +27,11 @@
             'Streams that went on at the copy of their run.',
             registry=registry,
         )
+        self._taken_up = Counter(
+            'ibisport_taken_up_streams',
+            'Streams that callers took up, by how their software is known.',
+            registry=registry,
+        )
         self._copies = Counter(
             'ibisport_copies', 'Copies of runs that were started.', registry=registry
         )
@@ -82,6 +87,14 @@
         """Count a stream that went on at a copy."""
         self._continued.inc({'service': service})
 
+    def count_taken_up(self, source: str) -> None:
+        """Count a stream that its caller took up.
+
+        Args:
+            source: How the software that began it is known, or why it isn't.
+        """
+        self._taken_up.inc({'source': source})
+
     def count_copy(self, service: str) -> None:
         """Count a copy that was requested."""
         self._copies.inc({'service': service})
--- a/packages/fleet/src/ibisport_fleet/request_recorder.py
+++ b/packages/fleet/src/ibisport_fleet/request_recorder.py
@@ -10,6 +10,7 @@
 from ibisport_fleet.placing.change_log import ChangeLog
 from ibisport_fleet.placing.pace import ServicePace
 from ibisport_fleet.standby.policy import Begun, Ended, Transition
+from ibisport_fleet.stream_versions.directory import Finding, Found, NotFound
 from ibisport_fleet.target_choice import Candidate
 
 OUTCOME_SERVED = 'served'
@@ -160,6 +161,38 @@
             **_describe_send(call),
         )
 
+    def record_origin(self, call: Call, finding: Finding, begun_at: float) -> None:
+        """Record whether the software is known that began a stream taken up.
+
+        Args:
+            call: The request that takes it up.
+            finding: What is known.
+            begun_at: Loop time from which on it was searched for.
+        """
+        seconds = asyncio.get_running_loop().time() - begun_at
+        fields = {
+            'request': call.metadata.request_id,
+            'route': call.route.name,
+            'resumes': call.metadata.resumed_id,
+            'seconds': round(seconds, 4),
+        }
+        match finding:
+            case Found(build=build, source=source, age=age):
+                self._log.write(
+                    Event.stream_origin_found,
+                    **fields,
+                    service=build.service,
+                    software=build.version,
+                    source=source,
+                    age=round(age, 3),
+                )
+                self._metrics.count_taken_up(source)
+            case NotFound(reason=reason, asked=asked):
+                self._log.write(
+                    Event.stream_origin_unknown, **fields, reason=reason, asked=asked
+                )
+                self._metrics.count_taken_up(reason)
+
     def record_copy(self, call: Call) -> None:
         """Count a copy that was requested for a run."""
         self._metrics.count_copy(call.service)
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -9,7 +9,6 @@
 from ibisport_fleet.caller_server import CallerServer
 from ibisport_fleet.channel import Channel
 from ibisport_fleet.clocks import read_boot_clock
-from ibisport_fleet.connection_pool import ConnectionPool
 from ibisport_fleet.dependencies import Dependencies
 from ibisport_fleet.errors import RecordInvalid
 from ibisport_fleet.event_log import Event, EventLog
@@ -28,6 +27,7 @@
 from ibisport_fleet.shutdown import Shutdown, plan_shutdown
 from ibisport_fleet.store_contact import StoreContact
 from ibisport_fleet.store_paths import RelayEndpoint, StorePaths
+from ibisport_fleet.stream_versions.directory import StreamDirectory
 from ibisport_fleet.target_client import TargetClient
 from ibisport_fleet.target_holds import build_target_holds
 from ibisport_fleet.watch_schedule import WatchSchedule, plan_router_watch
@@ -76,19 +76,16 @@
             settings.store_address, settings.domain, self._list_relays
         )
         self._store = adapters.open_store(self._store_paths, log)
-        self._pool = ConnectionPool()
         self._metrics = Metrics()
         self._members = Membership(
             settings.host, settings.peer_address, self._store, log, read_boot_clock
         )
-        self._links = build_router_links(
-            self._members, self._pool, settings.peer_address, log
-        )
+        self._links = build_router_links(self._members, settings.peer_address, log)
         self._fatal_requests = FatalRequests(
             self._members,
             self._store,
             self._links.notifier,
-            self._pool,
+            self._links.pool,
             self._targets,
             log,
         )
@@ -108,8 +105,12 @@
             features=settings.features,
         )
         loans = LoanServer(self._budgets.lend)
+        self._streams = StreamDirectory(
+            settings, self._links, self._targets, self._read_targets_confirmed_at
+        )
         handlers = {
             **loans.handlers,
+            **self._streams.handlers,
             **self._fatal_requests.handlers,
             **self._holds.limits.handlers,
         }
@@ -121,12 +122,13 @@
                 catalogue=self._catalogue,
                 targets=self._targets,
                 target_client=TargetClient(
-                    adapters.dialect, self._pool, self._holds.limits, self._log
+                    adapters.dialect, self._links.pool, self._holds.limits, self._log
                 ),
                 budgets=self._budgets,
                 recorder=RequestRecorder(log, self._metrics),
                 fatal_requests=self._fatal_requests,
                 holds=self._holds,
+                streams=self._streams,
             )
         )
         self._load_feeds = LoadFeeds(
@@ -284,6 +286,7 @@
             'straight_way': self._store_paths.direct_works,
             'copies': handler.copies_in_flight,
             'standby': handler.standby.is_active,
+            'stream_records': len(self._streams.records),
             **self._fatal_requests.counts,
         }
         if handler.gate is not None:
@@ -295,6 +298,9 @@
             states['catalogue_version'] = self._catalogue.current.version
         return states
 
+    def _read_targets_confirmed_at(self) -> float:
+        return self._watches[self._adapters.target_prefix].confirmed_at
+
     def _list_relays(self) -> list[RelayEndpoint]:
         port = self._settings.peer_address[1]
         relays = [
--- a/packages/fleet/src/ibisport_fleet/router_links.py
+++ b/packages/fleet/src/ibisport_fleet/router_links.py
@@ -17,31 +17,34 @@
 
     Attributes:
         members: The listed routers.
+        pool: Opens and keeps connections, also to targets.
         peers: Asks other routers over connections.
         notifier: Notifies all other routers over connections.
         datagrams: Sends and receives datagrams.
     """
 
     members: Membership
+    pool: ConnectionPool
     peers: PeerClient
     notifier: Notifier
     datagrams: DatagramEndpoint
 
 
 def build_router_links(
-    members: Membership, pool: ConnectionPool, address: Address, log: EventLog
+    members: Membership, address: Address, log: EventLog
 ) -> RouterLinks:
     """Assemble the links of a router.
 
     Args:
         members: The listed routers.
-        pool: Opens and keeps connections.
         address: Address of this router for other processes.
         log: Receives failures.
     """
+    pool = ConnectionPool()
     peers = PeerClient(pool)
     return RouterLinks(
         members,
+        pool,
         peers,
         Notifier(members, peers, log),
         DatagramEndpoint(address, log),
--- /dev/null
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/build_history.py
@@ -0,0 +1,52 @@
+"""Remembers which builds of a service were listed, to tell when only one was."""
+
+import math
+from collections.abc import Iterable
+
+from ibisport_fleet.targets import Build
+
+# Builds that are no longer listed; far more than services have within their streams.
+MAX_FORMER_BUILDS = 4_096
+
+
+class BuildHistory:
+    """The builds that were listed since the list has been known without a gap."""
+
+    def __init__(self) -> None:
+        """Create a history without any list."""
+        self._known_since = math.inf
+        self._last_listed: dict[Build, float] = {}
+
+    def restart(self, now: float) -> None:
+        """Forget the time before a full listing, since builds may be missed there."""
+        self._known_since = now
+
+    def record(self, build: Build, now: float) -> None:
+        """Record that a build is listed, or was until now."""
+        self._last_listed.pop(build, None)
+        self._last_listed[build] = now
+        if len(self._last_listed) > MAX_FORMER_BUILDS:
+            oldest = next(iter(self._last_listed))
+            # What is forgotten can't be told from what was never listed.
+            self._known_since = max(self._known_since, self._last_listed.pop(oldest))
+
+    def find_only(
+        self, service: str, listed: Iterable[Build], since: float
+    ) -> Build | None:
+        """Return the only build of a service since a loop time.
+
+        Args:
+            service: Name of the service.
+            listed: The builds that are listed now, of any service.
+            since: Loop time.
+
+        Returns:
+            The build; None: there were several or none, or it isn't known.
+        """
+        if self._known_since > since:
+            return None
+        builds = {
+            build for build, at in self._last_listed.items() if at >= since
+        }.union(listed)
+        found = [build for build in builds if build.service == service]
+        return found[0] if len(found) == 1 else None
--- a/packages/fleet/src/ibisport_fleet/targets.py
+++ b/packages/fleet/src/ibisport_fleet/targets.py
@@ -169,11 +169,11 @@
         newest = self._departed_starts.get(entry.incarnation, -1)
         self._departed_starts[entry.incarnation] = max(newest, entry.started_at_ms)
 
-    def drop_lapsed(self, now: float) -> list[str]:
-        """Remove lapsed entries after their deadline; return their incarnations."""
+    def drop_lapsed(self, now: float) -> list[TargetEntry]:
+        """Remove lapsed entries after their deadline, and return them."""
         if not self._lapsed or now < self._lapsed_until:
             return []
-        dropped = list(self._lapsed)
-        for incarnation in dropped:
-            self.remove(incarnation)
+        dropped = list(self._lapsed.values())
+        for entry in dropped:
+            self.remove(entry.incarnation)
         return dropped
