Let soak runs have two software versions, and callers that take streams up

Cause: the stand-ins wrote the same version for every target, and the soak's callers never took a stream up, so no run could show the incident ORDER. Change: targets of two versions serve side by side, and a restarted one has any of them. Callers come back within 0.1 s, at any router, with streams that broke off, and leave a quarter of those that can be resumed to take them up elsewhere. Two checks: ORDER (events of one stream are of one version) and TAKE_UP (at undisturbed routers, with two targets of the version, streams go on at least half as often as new ones begin).

--- a/packages/bench/src/ibisport_bench/soak/callers.py
+++ b/packages/bench/src/ibisport_bench/soak/callers.py
@@ -16,7 +16,7 @@
 )
 from ibisport_bench.soak.processes import Host
 from ibisport_bench.soak.targets import FATAL_PARAMETER
-from ibisport_platform.headers import HOST, SEAL
+from ibisport_platform.headers import HOST, LAST_EVENT_ID, RESUMES, SEAL
 from ibisport_platform.stand_in_records import encode_request_headers
 
 SITE_HOST = 'soak.example'
@@ -38,6 +38,10 @@
 KINDS = (Kind.read, Kind.once, Kind.talk, Kind.resume)
 KIND_WEIGHTS = (2, 3, 5, 3)
 FATAL_REQUEST_INTERVAL_SECONDS = 0.25
+# Share of the streams that callers leave to take them up at another router.
+LEAVE_SHARE = 0.25
+MAX_RETURNS = 3
+RETURN_SECONDS = (0.002, 0.1)
 CONNECTION_ERRORS = (
     OSError,
     EOFError,
@@ -138,6 +142,8 @@
             duration = self._random.uniform(MIN_STREAM_SECONDS, MAX_STREAM_SECONDS)
             request.events = max(1, int(duration / interval))
             request.prompt = self._random.randint(1, MAX_PROMPT_TOKENS)
+        if kind is Kind.resume and self._random.random() < LEAVE_SHARE:
+            request.leave_after = self._random.randint(1, request.events)
         request.path = (
             f'/{kind.value}/{request.request_id}'
             f'?events={request.events}&pause={interval}'
@@ -199,6 +205,29 @@
         return Connection(host, start, reader, writer, read_clock())
 
     async def _send(self, host: Host, request: RequestRecord) -> None:
+        """Send a request; take its stream up elsewhere while it breaks off."""
+        await self._send_once(host, request)
+        for _ in range(MAX_RETURNS):
+            stays = request.whole or request.kind is not Kind.resume
+            if stays or not request.last_event:
+                return
+            await asyncio.sleep(self._random.uniform(*RETURN_SECONDS))
+            request = self._make_return(request)
+            await self._send_once(self._random.choice(self._hosts), request)
+
+    def _make_return(self, request: RequestRecord) -> RequestRecord:
+        return RequestRecord(
+            self._make_id(),
+            request.kind,
+            request.path,
+            request.workspace,
+            request.prompt,
+            request.events,
+            resumes=request.resumes or request.request_id,
+            after=request.last_event,
+        )
+
+    async def _send_once(self, host: Host, request: RequestRecord) -> None:
         connection = await self._acquire_connection(host)
         if connection is None:
             return
@@ -209,6 +238,9 @@
             request.request_id, key, tokens, REQUEST_TIMEOUT_SECONDS
         )
         headers.append((HOST, SITE_HOST.encode()))
+        if request.resumes:
+            headers.append((RESUMES, request.resumes.encode()))
+            headers.append((LAST_EVENT_ID, b'%d' % request.after))
         method = 'GET' if request.kind is Kind.mark else 'POST'
         connection.writer.write(
             encode_message(f'{method} {request.path} HTTP/1.1', headers, b'x')
@@ -249,5 +281,8 @@
         request.seal = head.headers.get(SEAL, b'').decode()
         async for chunk in read_body(connection.reader, head):
             request.body += chunk
+            if request.leave_after and request.last_event >= request.leave_after:
+                request.left = True
+                return False
         request.whole = True
         return head.keeps_open
--- a/packages/bench/src/ibisport_bench/soak/checks.py
+++ b/packages/bench/src/ibisport_bench/soak/checks.py
@@ -9,6 +9,7 @@
 from ibisport_bench.soak.analysis import RECOVERY_SECONDS, Evidence, Violation
 from ibisport_bench.soak.catalogue_checks import check_back, check_late
 from ibisport_bench.soak.evidence import (
+    EVENT_END,
     NOT_EXECUTED_STATUSES,
     AdvertisedLimit,
     Journal,
@@ -19,6 +20,7 @@
     make_body,
 )
 from ibisport_bench.soak.site import GRACE_SECONDS
+from ibisport_bench.soak.stream_checks import check_order, check_taken_up
 from ibisport_bench.soak.target_checks import (
     check_evacuations,
     check_leavings,
@@ -58,7 +60,6 @@
 # Rejections that routers must not send, since every version of the catalogue allows
 # all requests except version probes.
 REJECTION_STATUSES = frozenset((400, 401, 403, 404, 413, 431))
-EVENT_END = b'\n\n'
 
 
 def check_lost(evidence: Evidence) -> Iterator[Violation]:
@@ -69,7 +70,7 @@
         # of that connection.
         was_read = bool(runs) or request.ended - request.sent > CLOSE_RACE_SECONDS
         if (
-            not request.whole
+            not (request.whole or request.left)
             and was_read
             and not is_loss_allowed(evidence, request, runs)
         ):
@@ -156,7 +157,7 @@
 
 def is_authentic(request: RequestRecord, runs: list[Run]) -> bool:
     """Whether a success has the body and seal that a target sent for the request."""
-    expected = make_body(request.request_id, request.events)
+    expected = make_body(request.request_id, request.events, request.after)
     whole = (
         request.body == expected if request.whole else expected.startswith(request.body)
     )
@@ -169,7 +170,9 @@
     for request in evidence.journal.asks:
         events = request.body.count(EVENT_END) if request.events else 0
         if request.status == STATUS_OK and events:
-            spent[request.workspace] += request.prompt + events
+            # The prompt of a stream that is taken up was charged when it began.
+            prompt = 0 if request.resumes else request.prompt
+            spent[request.workspace] += prompt + events
     for workspace, budget in evidence.journal.budgets.items():
         if spent[workspace] > budget:
             description = f'{workspace}: {spent[workspace]} tokens of {budget}'
@@ -313,6 +316,8 @@
     'COLD': check_overruns,
     'EVAC': check_evacuations,
     'RECOVER': check_recovery,
+    'ORDER': check_order,
+    'TAKE_UP': check_taken_up,
 }
 
 
--- a/packages/bench/src/ibisport_bench/soak/evidence.py
+++ b/packages/bench/src/ibisport_bench/soak/evidence.py
@@ -9,6 +9,7 @@
 from enum import Enum
 
 STREAM_TOKENS_PER_EVENT = 1
+EVENT_END = b'\n\n'
 # Statuses by which an answer says that its request was not and will not be executed.
 NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -96,6 +97,11 @@
         body: Body of the answer.
         whole: Whether the answer's framing is complete.
         cut: Whether the connection ended before the answer did.
+        resumes: Id of the request that began the stream that this one takes up, or
+            empty.
+        after: The last event that the caller has of that stream.
+        leave_after: Events after which the caller leaves; 0: it stays.
+        left: Whether the caller itself has left.
     """
 
     request_id: str
@@ -114,6 +120,15 @@
     body: bytes = b''
     whole: bool = False
     cut: bool = False
+    resumes: str = ''
+    after: int = 0
+    leave_after: int = 0
+    left: bool = False
+
+    @property
+    def last_event(self) -> int:
+        """The last event of the stream that the caller has; 0: none."""
+        return self.after + self.body.count(EVENT_END)
 
 
 @dataclass(slots=True)
@@ -219,6 +234,23 @@
     ended: float = math.inf
 
 
+@dataclass(slots=True)
+class Life:
+    """One start of a target.
+
+    Attributes:
+        service: Its service.
+        version: Version of its software.
+        begun: Clock at its start.
+        ended: Clock at its end, or from which it takes no new requests.
+    """
+
+    service: str
+    version: str
+    begun: float
+    ended: float = math.inf
+
+
 @dataclass(frozen=True, slots=True)
 class Crash:
     """The crash of a target that ran a fatal request.
@@ -264,6 +296,7 @@
         runs: Executions of requests at targets.
         faults: Faults and planned work.
         starts: Starts of processes.
+        lives: Starts of targets, by incarnation.
         versions: Clock when the store had accepted each version of the catalogue.
         drains: Clock when the store had accepted that a target drains.
         limits: Rate limits that targets advertised.
@@ -282,6 +315,7 @@
     runs: list[Run] = field(default_factory=list)
     faults: list[Fault] = field(default_factory=list)
     starts: list[Start] = field(default_factory=list)
+    lives: dict[str, Life] = field(default_factory=dict)
     versions: dict[int, float] = field(default_factory=dict)
     drains: dict[str, float] = field(default_factory=dict)
     limits: list[AdvertisedLimit] = field(default_factory=list)
@@ -324,8 +358,9 @@
     return f'id: {number}\ndata: {request_id} {digest}\n\n'.encode()
 
 
-def make_body(request_id: str, events: int) -> bytes:
-    """Return the body of the whole answer to a request."""
+def make_body(request_id: str, events: int, after: int = 0) -> bytes:
+    """Return the body of the whole answer to a request, from an event on."""
     if not events:
         return f'{request_id} '.encode() + make_event(request_id, 0)
-    return b''.join(make_event(request_id, number + 1) for number in range(events))
+    numbers = range(after + 1, events + 1)
+    return b''.join(make_event(request_id, number) for number in numbers)
--- a/packages/bench/src/ibisport_bench/soak/mutants.py
+++ b/packages/bench/src/ibisport_bench/soak/mutants.py
@@ -16,6 +16,7 @@
     shift_continuations,
 )
 from ibisport_bench.soak.patching import patch
+from ibisport_bench.soak.stream_mutants import forget_streams, go_on_anywhere
 from ibisport_fleet.budget_synchronizer import BudgetSynchronizer
 from ibisport_fleet.budgets import Budgets
 from ibisport_fleet.catalogue import Route, Workspace
@@ -215,6 +216,8 @@
         'WHOLE', 'harm_target', partial(shift_continuations, -1), 'copies'
     ),
     'other-run': Mutant('WHOLE', 'harm_target', continue_other_run, 'copies'),
+    'go-on-anywhere': Mutant('ORDER', 'harm_target', go_on_anywhere),
+    'forget-streams': Mutant('TAKE_UP', 'reload', forget_streams),
     'never-end': Mutant('ENDS', 'roll_one', never_end),
 }
 
--- a/packages/bench/src/ibisport_bench/soak/site.py
+++ b/packages/bench/src/ibisport_bench/soak/site.py
@@ -11,7 +11,12 @@
 from ibisport_bench.soak.evidence import Cause, Journal, Kind, read_clock
 from ibisport_bench.soak.links import Address, Link
 from ibisport_bench.soak.processes import Host
-from ibisport_bench.soak.targets import COPY_LIFETIME_SECONDS, CopyStore, Target
+from ibisport_bench.soak.targets import (
+    COPY_LIFETIME_SECONDS,
+    VERSIONS,
+    CopyStore,
+    Target,
+)
 from ibisport_bench.standins.memory_store import MemoryService
 from ibisport_fleet.catalogue import (
     Catalogue,
@@ -181,6 +186,7 @@
             slots=PLAIN_SLOTS if service == PLAIN else ENGINE_SLOTS,
             draining=False,
             revision=0,
+            software_version=VERSIONS[index % len(VERSIONS)],
         )
         return Target(
             entry, link, self.service, self._journal, self._warm_up, self._copies
--- a/packages/bench/src/ibisport_bench/soak/targets.py
+++ b/packages/bench/src/ibisport_bench/soak/targets.py
@@ -12,6 +12,7 @@
     Cause,
     Crash,
     Journal,
+    Life,
     Overrun,
     RequestedPause,
     Run,
@@ -48,6 +49,8 @@
 from ibisport_platform.stand_in_records import encode_target
 
 POLL_INTERVAL_SECONDS = 0.1
+# Software versions that serve side by side; a restarted target has any of them.
+VERSIONS = ('v1', 'v2')
 # The query parameter of a fatal request: seconds after which its target crashes.
 FATAL_PARAMETER = 'crash'
 # Three heartbeats of a target, after which the platform drops its entry.
@@ -162,11 +165,19 @@
     async def start(self) -> None:
         """Listen, and write the entry of a new incarnation to the store."""
         number = next(self._numbers)
-        self.entry = replace(
-            self.entry, incarnation=f'{self.name}-{number}', draining=False
-        )
+        version = self.entry.software_version
         if number > 1:
             self.become_cold()
+            version = self._random.choice(VERSIONS)
+        self.entry = replace(
+            self.entry,
+            incarnation=f'{self.name}-{number}',
+            draining=False,
+            software_version=version,
+        )
+        self._journal.lives[self.entry.incarnation] = Life(
+            self.entry.service, version, read_clock()
+        )
         self._server = await asyncio.start_server(self._serve, *self.link.sink)
         await self.link.open()
         await self._announce()
@@ -186,6 +197,7 @@
         self.entry = replace(self.entry, draining=True)
         await self._announce()
         self._journal.drains[self.entry.incarnation] = read_clock()
+        self._end_life()
         await asyncio.sleep(self._random.uniform(*SERVE_AFTER_DRAIN_SECONDS))
         self.end()
         await self.remove_entry()
@@ -193,6 +205,7 @@
     async def leave(self) -> None:
         """Say in answers only that it leaves, keep serving for a while, and stop."""
         self.leaves = True
+        self._end_life()
         await asyncio.sleep(self._random.uniform(*SERVE_AFTER_DRAIN_SECONDS))
         self.end()
         self.leaves = False
@@ -209,6 +222,7 @@
         self._journal.record_fault(
             Cause.target, incarnation, 'ended'
         ).ended = read_clock()
+        self._end_life()
         self._copies.drop_all(self._encoded_address)
         self.link.close()
         if self._server is not None:
@@ -216,6 +230,10 @@
         for writer in tuple(self._writers):
             writer.transport.abort()
 
+    def _end_life(self) -> None:
+        life = self._journal.lives[self.entry.incarnation]
+        life.ended = min(life.ended, read_clock())
+
     @property
     def _encoded_address(self) -> bytes:
         host, port = self.entry.address
