Say resume for what callers do with a broken stream

Change: names, comments, the metric ibisport_resumed_streams, the soak's check RESUME and scenario texts say resume. No check or bound changes.

--- a/features/steps/streamversions_steps.py
+++ b/features/steps/streamversions_steps.py
@@ -77,7 +77,7 @@
 
 
 class StreamCaller:
-    """Begins and takes up streams of one fleet."""
+    """Begins and resumes streams of one fleet."""
 
     def __init__(self, fleet):
         self._fleet = fleet
@@ -89,7 +89,7 @@
         await self._receive(router, stream, stream.name, '', leave_after)
         return stream
 
-    async def take_up(self, router, stream, resumes=True):
+    async def resume(self, router, stream, resumes=True):
         """Go on with a stream after its last event."""
         await asyncio.sleep(RETURN_SECONDS)
         last = stream.events[-1][0] if stream.events else None
@@ -231,15 +231,15 @@
 
 @when(
     'callers drop {count:d} streams after {events:d} events '
-    'and take them up at other routers'
+    'and resume them at other routers'
 )
-def drop_and_take_up(context, count, events):
+def drop_and_resume(context, count, events):
     async def act(fleet, caller):
         async def move(number):
             first = fleet.routers[number % len(fleet.routers)]
             second = fleet.routers[(number + 1) % len(fleet.routers)]
             stream = await caller.begin(first, events)
-            await caller.take_up(second, stream)
+            await caller.resume(second, stream)
             return stream
 
         return await call_all(fleet, map(move, range(count)))
@@ -253,7 +253,7 @@
         async def move(killed, number):
             stream = await caller.begin(killed)
             others = [router for router in fleet.routers if router is not killed]
-            await caller.take_up(others[number % len(others)], stream)
+            await caller.resume(others[number % len(others)], stream)
             return stream
 
         streams = []
@@ -272,7 +272,7 @@
 
 @when(
     'a router is cut off from the store, the targets restart as {version}, '
-    'and {streams} are taken up there'
+    'and {streams} are resumed there'
 )
 def cut_off_router(context, version, streams):
     async def act(fleet, caller):
@@ -289,7 +289,7 @@
 
     async def move(fleet, caller, events):
         stream = await caller.begin(fleet.routers[1], events)
-        await caller.take_up(fleet.routers[0], stream, NAMES_SENT[streams](stream))
+        await caller.resume(fleet.routers[0], stream, NAMES_SENT[streams](stream))
         return stream
 
     play(context, act)
@@ -401,8 +401,8 @@
     context.cut_links = True
 
 
-@when('streams are taken up at {place} router with {header}')
-def take_up_with(context, place, header):
+@when('streams are resumed at {place} router with {header}')
+def resume_with(context, place, header):
     name = context.name if 'name' in context else None
 
     async def act(fleet, caller):
@@ -415,7 +415,7 @@
             await _move_route(fleet)
         named = map(HEADERS[header], streams)
         await call_all(
-            fleet, map(partial(caller.take_up, fleet.routers[0]), streams, named)
+            fleet, map(partial(caller.resume, fleet.routers[0]), streams, named)
         )
         return streams
 
@@ -503,7 +503,7 @@
 
 async def _move_on(fleet, caller):
     stream = await caller.begin(fleet.routers[0])
-    await caller.take_up(fleet.routers[1], stream)
+    await caller.resume(fleet.routers[1], stream)
     return stream
 
 
--- a/features/streamversions.feature
+++ b/features/streamversions.feature
@@ -8,9 +8,9 @@
     And at least half of the streams are whole
 
   # Another router chose among the targets of all versions.
-  Scenario: A stream that its caller takes up at another router goes on at its version
+  Scenario: A stream that its caller resumes at another router goes on at its version
     Given 4 routers, and 2 targets of each of the versions v1 and v2
-    When callers drop 40 streams after 2 events and take them up at other routers
+    When callers drop 40 streams after 2 events and resume them at other routers
     Then no caller holds events of two versions
     And at least half of the streams are whole
 
@@ -24,7 +24,7 @@
   # A router with an old list continued streams of a version that it didn't know.
   Scenario: A router that is cut off from the store doesn't continue a newer version
     Given 4 routers, and 2 targets of each of the versions v1 and v1
-    When a router is cut off from the store, the targets restart as v2, and streams are taken up there
+    When a router is cut off from the store, the targets restart as v2, and streams are resumed there
     Then no caller holds events of two versions
 
   # The copy of a run was made and used at an engine of any version.
@@ -55,7 +55,7 @@
   # A stream whose version wasn't known went on at any version.
   Scenario Outline: A stream that can't be matched to a version is refused at once
     Given 4 routers, and 2 targets of each of the versions v1 and v2
-    When streams are taken up at another router with <header>
+    When streams are resumed at another router with <header>
     Then each is refused with 503 within 0.1 s, without a Retry-After, and no target gets it
 
     Examples:
@@ -69,34 +69,34 @@
   Scenario: A router that reaches no other one refuses streams of others
     Given 4 routers, and 2 targets of each of the versions v1 and v2
     And a router that is cut off from the other routers
-    When streams are taken up at another router with its first request
+    When streams are resumed at another router with its first request
     Then each is refused with 503 within 0.5 s, with a Retry-After, and no target gets it
 
   # Where versions can't differ, callers that name no stream lost it.
   Scenario: A stream without a name goes on where one version has served for long
     Given 4 routers, and 2 targets of each of the versions v1 and v1
     And the versions have been listed for 31 s
-    When streams are taken up at another router with no Resumes
+    When streams are resumed at another router with no Resumes
     Then all streams are whole
 
   # Another version may have left while a stream of it was on its way back.
   Scenario: A stream without a name is refused where the list is too young
     Given 4 routers, and 2 targets of each of the versions v1 and v1
-    When streams are taken up at another router with no Resumes
+    When streams are resumed at another router with no Resumes
     Then each is refused with 503 within 0.1 s, without a Retry-After, and no target gets it
 
   # The router that began a stream asked others, or refused it when they were away.
-  Scenario: A router takes up its own streams without asking others
+  Scenario: A router resumes its own streams without asking others
     Given 4 routers, and 2 targets of each of the versions v1 and v2
     And a router that is cut off from the other routers
-    When streams are taken up at the same router with its first request
+    When streams are resumed at the same router with its first request
     Then all streams are whole
 
   # An old list lacks the version that began the stream.
   Scenario: A stream without a name is refused where the list may be old
     Given 4 routers, and 2 targets of each of the versions v1 and v1
     And the versions have been listed for 31 s
-    When a router is cut off from the store, the targets restart as v2, and streams without a name are taken up there
+    When a router is cut off from the store, the targets restart as v2, and streams without a name are resumed there
     Then no caller holds events of two versions
     And each is refused with 503 within 0.1 s, without a Retry-After
 
@@ -105,7 +105,7 @@
     Given 4 routers, and 2 targets of each of the versions v1 and v1
     And the versions have been listed for 31 s
     And a router that has restarted 6 s ago
-    When streams are taken up at another router with <header>
+    When streams are resumed at another router with <header>
     Then all streams are whole
 
     Examples:
@@ -138,14 +138,14 @@
   Scenario: Streams with the same id are refused if they began at two versions
     Given 4 routers, and 2 targets of each of the versions v1 and v2
     And callers that use one id for all streams
-    When streams are taken up at another router with its first request
+    When streams are resumed at another router with its first request
     Then each is refused with 503 within 0.1 s, without a Retry-After, and no target gets it
 
   # Each request draws one of the services of its route anew.
   Scenario: A stream goes on at the service of its route that began it
     Given 4 routers, and 2 targets of each of the versions v1 and v2
     And the targets of v2 belong to a second service of the route
-    When streams are taken up at another router with its first request
+    When streams are resumed at another router with its first request
     Then no caller holds events of two versions
     And all streams are whole
 
@@ -154,6 +154,6 @@
     Given 4 routers, and 2 targets of each of the versions v1 and v2
     And the targets of v2 belong to a second service of the route
     And the route is moved away from the first service while streams are away
-    When streams are taken up at another router with its first request
+    When streams are resumed at another router with its first request
     Then no caller holds events of two versions
     And only streams of the second service are whole
--- a/packages/bench/src/ibisport_bench/soak/checks.py
+++ b/packages/bench/src/ibisport_bench/soak/checks.py
@@ -20,7 +20,7 @@
     make_body,
 )
 from ibisport_bench.soak.site import GRACE_SECONDS
-from ibisport_bench.soak.stream_checks import check_order, check_taken_up
+from ibisport_bench.soak.stream_checks import check_order, check_resumed
 from ibisport_bench.soak.target_checks import (
     check_evacuations,
     check_leavings,
@@ -170,7 +170,7 @@
     for request in evidence.journal.asks:
         events = request.body.count(EVENT_END) if request.events else 0
         if request.status == STATUS_OK and events:
-            # The prompt of a stream that is taken up was charged when it began.
+            # The prompt of a resumed stream was charged when it began.
             prompt = 0 if request.resumes else request.prompt
             spent[request.workspace] += prompt + events
     for workspace, budget in evidence.journal.budgets.items():
@@ -317,7 +317,7 @@
     'EVAC': check_evacuations,
     'RECOVER': check_recovery,
     'ORDER': check_order,
-    'TAKE_UP': check_taken_up,
+    'RESUME': check_resumed,
 }
 
 
--- a/packages/bench/src/ibisport_bench/soak/evidence.py
+++ b/packages/bench/src/ibisport_bench/soak/evidence.py
@@ -97,7 +97,7 @@
         body: Body of the answer.
         whole: Whether the answer's framing is complete.
         cut: Whether the connection ended before the answer did.
-        resumes: Id of the request that began the stream that this one takes up, or
+        resumes: Id of the request that began the stream that this one resumes, or
             empty.
         after: The last event that the caller has of that stream.
         leave_after: Events after which the caller leaves; 0: it stays.
--- a/packages/bench/src/ibisport_bench/soak/mutants.py
+++ b/packages/bench/src/ibisport_bench/soak/mutants.py
@@ -217,7 +217,7 @@
     ),
     'other-run': Mutant('WHOLE', 'harm_target', continue_other_run, 'copies'),
     'go-on-anywhere': Mutant('ORDER', 'harm_target', go_on_anywhere),
-    'forget-streams': Mutant('TAKE_UP', 'reload', forget_streams),
+    'forget-streams': Mutant('RESUME', 'reload', forget_streams),
     'never-end': Mutant('ENDS', 'roll_one', never_end),
 }
 
--- a/packages/bench/src/ibisport_bench/soak/stream_checks.py
+++ b/packages/bench/src/ibisport_bench/soak/stream_checks.py
@@ -9,7 +9,7 @@
 from ibisport_bench.soak.site import ENGINE
 
 # Of fewer streams, a share says little.
-MIN_TAKEN_UP = 12
+MIN_RESUMED = 12
 MIN_SHARE_OF_NEW = 0.5
 MIN_TARGETS = 2
 
@@ -43,27 +43,27 @@
     }
 
 
-def check_taken_up(evidence: Evidence) -> Iterator[Violation]:
-    """Streams that are taken up go on about as often as new streams begin."""
+def check_resumed(evidence: Evidence) -> Iterator[Violation]:
+    """Streams that callers resume go on about as often as new streams begin."""
     streams = [request for request in evidence.journal.asks if request.kind.streams]
     undisturbed = [
         request
         for request in streams
         if evidence.is_undisturbed(request, request.sent, request.sent)
     ]
-    taken_up = [
+    resumed = [
         request
         for request in undisturbed
         if request.resumes and _has_targets(evidence, request)
     ]
     new = [request for request in undisturbed if not request.resumes]
-    if len(taken_up) < MIN_TAKEN_UP or not new:
+    if len(resumed) < MIN_RESUMED or not new:
         return
-    share = _compute_begun_share(taken_up)
+    share = _compute_begun_share(resumed)
     required = MIN_SHARE_OF_NEW * _compute_begun_share(new)
     if share < required:
         yield Violation(
-            'TAKE_UP', f'{share:.3f} of {len(taken_up)} went on, {required:.3f} needed'
+            'RESUME', f'{share:.3f} of {len(resumed)} went on, {required:.3f} needed'
         )
 
 
--- a/packages/fleet/src/ibisport_fleet/call_handler.py
+++ b/packages/fleet/src/ibisport_fleet/call_handler.py
@@ -117,7 +117,7 @@
             raise
 
     async def _resolve_origin(self, call: Call) -> None:
-        """Bind a request that takes a stream up to the software that began it.
+        """Bind a request that resumes a stream to the software that began it.
 
         Raises:
             RequestFailed: That isn't known, or the route doesn't lead there any more.
--- a/packages/fleet/src/ibisport_fleet/metrics.py
+++ b/packages/fleet/src/ibisport_fleet/metrics.py
@@ -27,9 +27,9 @@
             'Streams that went on at the copy of their run.',
             registry=registry,
         )
-        self._taken_up = Counter(
-            'ibisport_taken_up_streams',
-            'Streams that callers took up, by how their software is known.',
+        self._resumed = Counter(
+            'ibisport_resumed_streams',
+            'Streams that callers resumed, by how their software is known.',
             registry=registry,
         )
         self._copies = Counter(
@@ -87,13 +87,13 @@
         """Count a stream that went on at a copy."""
         self._continued.inc({'service': service})
 
-    def count_taken_up(self, source: str) -> None:
-        """Count a stream that its caller took up.
+    def count_resumed(self, source: str) -> None:
+        """Count a stream that its caller resumed.
 
         Args:
             source: How the software that began it is known, or why it isn't.
         """
-        self._taken_up.inc({'source': source})
+        self._resumed.inc({'source': source})
 
     def count_copy(self, service: str) -> None:
         """Count a copy that was requested."""
--- a/packages/fleet/src/ibisport_fleet/request_recorder.py
+++ b/packages/fleet/src/ibisport_fleet/request_recorder.py
@@ -162,10 +162,10 @@
         )
 
     def record_origin(self, call: Call, finding: Finding, begun_at: float) -> None:
-        """Record whether the software is known that began a stream taken up.
+        """Record whether the software is known that began a resumed stream.
 
         Args:
-            call: The request that takes it up.
+            call: The request that resumes it.
             finding: What is known.
             begun_at: Loop time from which on it was searched for.
         """
@@ -186,12 +186,12 @@
                     source=source,
                     age=round(age, 3),
                 )
-                self._metrics.count_taken_up(source)
+                self._metrics.count_resumed(source)
             case NotFound(reason=reason, asked=asked):
                 self._log.write(
                     Event.stream_origin_unknown, **fields, reason=reason, asked=asked
                 )
-                self._metrics.count_taken_up(reason)
+                self._metrics.count_resumed(reason)
 
     def record_copy(self, call: Call) -> None:
         """Count a copy that was requested for a run."""
--- a/packages/fleet/src/ibisport_fleet/stream_versions/directory.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/directory.py
@@ -1,4 +1,4 @@
-"""Finds out with which software a stream began that its caller takes up.
+"""Finds out with which software a stream began that its caller resumes.
 
 A caller may come back at any router within milliseconds, also after the router that
 began its stream has ended. While a service has several versions, each router therefore
@@ -148,7 +148,7 @@
             self._unsent.pop(compute_key(call, call.metadata.request_id), None)
 
     async def find(self, call: Call) -> Finding:
-        """Return the software that began the stream that a request takes up."""
+        """Return the software that began the stream that a request resumes."""
         resumed_id = call.metadata.resumed_id
         key = compute_key(call, resumed_id) if resumed_id else None
         window = _compute_window(call)
