Rely on the list of targets only if other routers' lists agree

Change: the age of the list counts from the begin of the last answered call, by the boot clock. Answers have the builds that a list shows: all lists together have to show one, and some other router must have answered if there is one. Other answers are read in the background.

--- a/features/steps/streamrecords_steps.py
+++ b/features/steps/streamrecords_steps.py
@@ -161,9 +161,8 @@
         context.history.restart(float(anew.group(1)))
 
 
-@then('at 40 s the only version since 10 s is {version}')
-def check_only(context, version):
-    only = context.history.find_only('svc', context.listed, 10.0)
-    assert (None if only is None else only.version) == (
-        None if version == 'none' else version
-    ), only
+@then('at 40 s the versions since 10 s are: {version}')
+def check_versions(context, version):
+    found = context.history.find('svc', context.listed, 10.0)
+    names = 'not known' if found is None else ' '.join(sorted(b.version for b in found))
+    assert names == version, found
--- a/features/steps/streamversions_steps.py
+++ b/features/steps/streamversions_steps.py
@@ -376,6 +376,11 @@
     context.listed_seconds = seconds
 
 
+@given('the store has been down for {seconds:d} s')
+def stop_store(context, seconds):
+    context.store_down_seconds = seconds
+
+
 @given('a router that has restarted {seconds:d} s ago')
 def restart_router(context, seconds):
     context.restarted_seconds = seconds
@@ -425,6 +430,9 @@
 async def _disturb(context, fleet):
     if 'listed_seconds' in context:
         await asyncio.sleep(context.listed_seconds)
+    if 'store_down_seconds' in context:
+        fleet.service.faults.down = True
+        await asyncio.sleep(context.store_down_seconds)
     if 'restarted_seconds' in context:
         fleet.routers[0].kill()
         fleet.routers[0].start()
--- a/features/streamrecords.feature
+++ b/features/streamrecords.feature
@@ -31,16 +31,15 @@
     Then for 500 streams the routers with the records are among those that are asked
 
   # A version that came and went while the list wasn't read would be overlooked.
-  Scenario Outline: One version is certain only on a list known without a gap
+  Scenario Outline: Which versions were listed is known only without a gap
     Given a list known since 0 s, with <history>
-    Then at 40 s the only version since 10 s is <version>
+    Then at 40 s the versions since 10 s are: <versions>
 
     Examples:
-      | history                                        | version |
-      | v1                                             | v1      |
-      | v1 and v2                                      | none    |
-      | v1, and v2 until 5 s                           | v1      |
-      | v1, and v2 until 15 s                          | none    |
-      | v1, and another service's v2                   | v1      |
-      | v1, listed anew at 20 s                        | none    |
-      | nothing                                        | none    |
+      | history                                        | versions  |
+      | v1                                             | v1        |
+      | v1 and v2                                      | v1 v2     |
+      | v1, and v2 until 5 s                           | v1        |
+      | v1, and v2 until 15 s                          | v1 v2     |
+      | v1, and another service's v2                   | v1        |
+      | v1, listed anew at 20 s                        | not known |
--- a/features/streamversions.feature
+++ b/features/streamversions.feature
@@ -100,6 +100,29 @@
     Then no caller holds events of two versions
     And each is refused with 503 within 0.1 s, without a Retry-After
 
+  # While the store is away, no list shows the targets that have started.
+  Scenario: A stream without a name is refused while no list is current
+    Given 4 routers, and 2 targets of each of the versions v1 and v1
+    And the versions have been listed for 31 s
+    And the store has been down for 6 s
+    When streams are resumed at another router with no Resumes
+    Then each is refused with 503 within 0.1 s, without a Retry-After, and no target gets it
+
+  # Waiting for the word of others would refuse all streams of a site with one router.
+  Scenario: A single router needs no others to know that one version served
+    Given 1 routers, and 2 targets of each of the versions v1 and v1
+    And the versions have been listed for 31 s
+    When streams are resumed at the same router with no Resumes
+    Then all streams are whole
+
+  # A router with an old list took it for complete, though it reached no other router.
+  Scenario: A stream without a name is refused by a router that reaches no other one
+    Given 4 routers, and 2 targets of each of the versions v1 and v1
+    And the versions have been listed for 31 s
+    And a router that is cut off from the other routers
+    When streams are resumed at another router with no Resumes
+    Then each is refused with 503 within 0.5 s, without a Retry-After, and no target gets it
+
   # A router that had just started refused streams, since its own list was too young.
   Scenario Outline: A router that has just started learns from others that one version served
     Given 4 routers, and 2 targets of each of the versions v1 and v1
--- a/packages/fleet/src/ibisport_fleet/fleet_view.py
+++ b/packages/fleet/src/ibisport_fleet/fleet_view.py
@@ -1,7 +1,7 @@
 """This router's copies of the catalogue and of the list of targets."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Set
 
 from ibisport_fleet.addresses import Address
 from ibisport_fleet.catalogue import Catalogue, Workspace
@@ -86,9 +86,13 @@
         self._listed = False
         self._builds = BuildHistory()
 
-    def find_only_build(self, service: str, since: float) -> Build | None:
-        """Return the only build of a service since a loop time; None: not known."""
-        return self._builds.find_only(service, self.targets.builds, since)
+    def list_builds(self, service: str, since: float) -> Set[Build] | None:
+        """Return the builds of a service that were listed since a loop time.
+
+        Returns:
+            The builds; None if the list wasn't known all the time.
+        """
+        return self._builds.find(service, self.targets.builds, since)
 
     def apply_listing(self, listing: Listing, doubtful_until: float) -> None:
         """Apply a full listing; missing entries may have lapsed in an outage."""
--- a/packages/fleet/src/ibisport_fleet/prefix_watch.py
+++ b/packages/fleet/src/ibisport_fleet/prefix_watch.py
@@ -1,10 +1,12 @@
 """Delivers the keys of a prefix, and then every change of them, to a subscriber."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
+from ibisport_fleet.clocks import read_boot_clock
 from ibisport_fleet.errors import (
     ChangesTooLong,
     HistoryLost,
@@ -58,6 +60,8 @@
 
     Attributes:
         confirmed_at: Loop time of the last answer, when the known state was current.
+        current_at: Boot-clock time at which the last answered call began. Its answer
+            may have waited since then, while this process was suspended.
     """
 
     def __init__(
@@ -80,6 +84,7 @@
             plan_schedule: Returns the schedule of the next watch.
         """
         self.confirmed_at = asyncio.get_running_loop().time()
+        self.current_at = -math.inf
         self._plan_schedule = plan_schedule
         self._store = store
         self._prefix = prefix
@@ -112,11 +117,12 @@
 
     async def _update_once(self, on_listed: Callable[[], None]) -> None:
         schedule = self._plan_schedule()
+        called_at = read_boot_clock()
         if self._revision is None:
             listing = await self._store.scan(self._prefix, shared=schedule.shared)
             if listing.revision < self._max_revision:
                 raise StoreUnavailable(f'stale listing of revision {listing.revision}')
-            self._record_answer()
+            self._record_answer(called_at)
             self._subscriber.apply_listing(listing, self._contact.doubtful_until)
             self._revision = self._max_revision = listing.revision
             self._listed_bytes = sum(len(item.content) for item in listing.items)
@@ -126,7 +132,7 @@
         max_bytes = self._listed_bytes + MAX_EXCESS_BYTES
         options = WatchOptions(schedule.wait, max_bytes, schedule.shared)
         result = await self._store.watch(self._prefix, self._revision, options)
-        self._record_answer()
+        self._record_answer(called_at)
         for change in result.changes:
             self._subscriber.apply_change(change, self._contact.doubtful_until)
         self._revision = max(self._revision, result.revision)
@@ -136,7 +142,8 @@
             now = asyncio.get_running_loop().time()
             await asyncio.sleep(started_at + schedule.min_interval - now)
 
-    def _record_answer(self) -> None:
+    def _record_answer(self, called_at: float) -> None:
+        self.current_at = called_at
         self.confirmed_at = asyncio.get_running_loop().time()
         outage = self._contact.record_answer(self.confirmed_at)
         self._backoff = MIN_BACKOFF_SECONDS
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -106,7 +106,7 @@
         )
         loans = LoanServer(self._budgets.lend)
         self._streams = StreamDirectory(
-            settings, self._links, self._targets, self._read_targets_confirmed_at
+            settings, self._links, self._targets, self._compute_list_age
         )
         handlers = {
             **loans.handlers,
@@ -298,8 +298,10 @@
             states['catalogue_version'] = self._catalogue.current.version
         return states
 
-    def _read_targets_confirmed_at(self) -> float:
-        return self._watches[self._adapters.target_prefix].confirmed_at
+    def _compute_list_age(self) -> float:
+        """Return how long ago the list of targets was current, seconds."""
+        watch = self._watches[self._adapters.target_prefix]
+        return read_boot_clock() - watch.current_at
 
     def _list_relays(self) -> list[RelayEndpoint]:
         port = self._settings.peer_address[1]
--- a/packages/fleet/src/ibisport_fleet/stream_versions/build_history.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/build_history.py
@@ -1,7 +1,8 @@
-"""Remembers which builds of a service were listed, to tell when only one was."""
+"""Remembers which builds of a service were listed lately."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
+from itertools import takewhile
 
 from ibisport_fleet.targets import Build
 
@@ -15,6 +16,7 @@
     def __init__(self) -> None:
         """Create a history without any list."""
         self._known_since = math.inf
+        # Ordered by time.
         self._last_listed: dict[Build, float] = {}
 
     def restart(self, now: float) -> None:
@@ -30,10 +32,10 @@
             # What is forgotten can't be told from what was never listed.
             self._known_since = max(self._known_since, self._last_listed.pop(oldest))
 
-    def find_only(
+    def find(
         self, service: str, listed: Iterable[Build], since: float
-    ) -> Build | None:
-        """Return the only build of a service since a loop time.
+    ) -> Set[Build] | None:
+        """Return the builds of a service that were listed since a loop time.
 
         Args:
             service: Name of the service.
@@ -41,12 +43,12 @@
             since: Loop time.
 
         Returns:
-            The build; None: there were several or none, or it isn't known.
+            The builds; None if the list wasn't known all the time.
         """
         if self._known_since > since:
             return None
-        builds = {
-            build for build, at in self._last_listed.items() if at >= since
-        }.union(listed)
-        found = [build for build in builds if build.service == service]
-        return found[0] if len(found) == 1 else None
+        former = takewhile(
+            lambda item: item[1] >= since, reversed(self._last_listed.items())
+        )
+        builds = {build for build, _ in former}.union(listed)
+        return {build for build in builds if build.service == service}
--- a/packages/fleet/src/ibisport_fleet/stream_versions/directory.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/directory.py
@@ -49,6 +49,9 @@
 ANSWER_TIMEOUT_SECONDS = 0.25
 # Streams in progress at a router, at the most.
 MAX_UNSENT = 4_096
+# A list is read by calls that wait for changes one after the other, so its last answer
+# may have begun that long ago although it is current.
+LIST_AGE_FACTOR = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,8 +61,7 @@
     Attributes:
         build: The software.
         source: How it is known: by a record of this router (``own``) or of another one
-            (``peer``), or since there was no other software, as this router (``only``)
-            or another one (``peer_only``) knows.
+            (``peer``), or since there was no other software (``only``).
         age: Seconds since it was recorded.
     """
 
@@ -98,7 +100,7 @@
         settings: HostSettings,
         links: RouterLinks,
         targets: TargetView,
-        read_confirmed_at: Callable[[], float],
+        compute_list_age: Callable[[], float],
     ) -> None:
         """Create an empty directory.
 
@@ -106,14 +108,16 @@
             settings: The settings of this router.
             links: Reaches the other routers.
             targets: The listed targets.
-            read_confirmed_at: Returns the loop time at which the list was current.
+            compute_list_age: Returns how long ago the list was current, seconds.
         """
         self.records = StreamRecords()
-        self._max_list_age = settings.bounds.max_propagation_delay
+        delay = settings.bounds.max_propagation_delay
+        self._max_list_age = LIST_AGE_FACTOR * delay
         self._links = links
         self._targets = targets
-        self._read_confirmed_at = read_confirmed_at
+        self._compute_list_age = compute_list_age
         self._ring = HashRing()
+        self._tasks: set[asyncio.Task[StreamAnswer | None]] = set()
         # Streams in progress that no other router knows, with their expiry.
         self._unsent: OrderedDict[bytes, tuple[Build, float]] = OrderedDict()
         links.datagrams.add_handler(KIND, self._handle_begun)
@@ -137,7 +141,7 @@
         now = asyncio.get_running_loop().time()
         self.records.put(key, build, now, now + window)
         self._unsent[key] = build, now + window
-        if self._find_only_build((build.service,), window) is None:
+        if self._list_builds((build.service,), window) != (build,):
             self._send_unsent(now)
         elif len(self._unsent) > MAX_UNSENT:
             self._unsent.popitem(last=False)
@@ -155,18 +159,16 @@
         services = tuple(share.service for share in call.route.shares)
         query = StreamQuery(key, services, window)
         own = self._answer(query)
-        if own.recorded and own.build is None:
-            return NotFound('unrecorded')
-        if own.build is not None and (own.recorded or key is None):
-            return Found(own.build, 'own' if own.recorded else 'only', own.age)
+        if own.recorded:
+            return _judge_record(own, 'own', 0)
         seed = key or compute_key(call, call.metadata.request_id)
         finding = await self._ask_members(seed, query, own)
         match finding:
             case Found(build=build, source='peer') if key is not None:
                 now = asyncio.get_running_loop().time()
                 self.records.put(key, build, now, now + window)
-            case NotFound() if key is None:
-                return NotFound('unnamed', finding.asked)
+            case NotFound(asked=asked) if key is None:
+                return NotFound('unnamed', asked)
         return finding
 
     async def _ask_members(
@@ -174,19 +176,16 @@
     ) -> Finding:
         """Ask the routers that may know a stream.
 
-        A record decides at once. What routers conclude from their lists decides if no
-        router that answers has a record.
+        A record decides at once. Without one, all lists together decide, so that no
+        router relies on its own while others know more.
         """
         members = self._select_members(seed, ASKED_ROUTERS)
         answers = await self._gather_answers(members, query)
         if answers and answers[-1].recorded:
-            return _judge_record(answers[-1], len(members))
-        builds = {
-            answer.build for answer in (own, *answers) if answer.build is not None
-        }
-        if len(builds) == 1:
-            source = 'peer_only' if own.build is None else 'only'
-            return Found(builds.pop(), source)
+            return _judge_record(answers[-1], 'peer', len(members))
+        builds = {build for answer in (own, *answers) for build in answer.builds or ()}
+        if len(builds) == 1 and (answers or not members):
+            return Found(builds.pop(), 'only')
         is_certain = self._links.members.listed and len(answers) == len(members)
         reason = 'unrecorded' if is_certain else 'unanswered'
         return NotFound(reason, len(members))
@@ -200,17 +199,17 @@
             asyncio.ensure_future(self._ask(member, query, deadline))
             for member in members
         ]
+        # Their connections stay usable if the other answers are read as well.
+        self._tasks.update(tasks)
         answers: list[StreamAnswer] = []
-        try:
-            for answering in asyncio.as_completed(tasks):
-                answer = await answering
-                if answer is not None:
-                    answers.append(answer)
-                    if answer.recorded:
-                        break
-        finally:
-            for task in tasks:
-                task.cancel()
+        for task in tasks:
+            task.add_done_callback(self._tasks.discard)
+        for answering in asyncio.as_completed(tasks):
+            answer = await answering
+            if answer is not None:
+                answers.append(answer)
+                if answer.recorded:
+                    break
         return answers
 
     async def _ask(
@@ -230,21 +229,28 @@
             now = asyncio.get_running_loop().time()
             record = self.records.find(query.key, now)
             if record is not None:
-                age = now - record.recorded_at
-                return StreamAnswer(record.build, recorded=True, age=age)
-        return StreamAnswer(self._find_only_build(query.services, query.window))
+                builds = () if record.build is None else (record.build,)
+                return StreamAnswer(builds, recorded=True, age=now - record.recorded_at)
+        return StreamAnswer(self._list_builds(query.services, query.window))
 
-    def _find_only_build(
+    def _list_builds(
         self, services: tuple[str, ...], window: float
-    ) -> Build | None:
-        """Return the only software that can have begun a stream, or None.
+    ) -> tuple[Build, ...] | None:
+        """Return the software that may have begun a stream; None: not known.
 
         A list that isn't current may lack newer software.
         """
-        now = asyncio.get_running_loop().time()
-        if now - self._read_confirmed_at() > self._max_list_age or len(services) > 1:
+        if self._compute_list_age() > self._max_list_age:
             return None
-        return self._targets.find_only_build(services[0], now - window)
+        since = asyncio.get_running_loop().time() - window
+        found: list[Build] = []
+        for service in services:
+            builds = self._targets.list_builds(service, since)
+            if builds is None:
+                return None
+            found.extend(builds)
+        # Two are as many as it takes to know that the list doesn't tell.
+        return tuple(found[:2])
 
     def _select_members(self, key: bytes, count: int) -> list[Member]:
         members = self._links.members
@@ -253,6 +259,8 @@
 
     def _send_unsent(self, now: float) -> None:
         for key, (build, expires_at) in self._unsent.items():
+            if expires_at <= now:
+                continue
             datagram = encode_begun(StreamBegun(key, build, expires_at - now))
             if datagram is None:
                 continue
@@ -270,10 +278,10 @@
         return msgspec.json.encode(self._answer(decode_message(content, StreamQuery)))
 
 
-def _judge_record(answer: StreamAnswer, asked: int) -> Finding:
-    if answer.build is None:
+def _judge_record(answer: StreamAnswer, source: str, asked: int) -> Finding:
+    if not answer.builds:
         return NotFound('unrecorded', asked)
-    return Found(answer.build, 'peer', answer.age)
+    return Found(answer.builds[0], source, answer.age)
 
 
 def _compute_window(call: Call) -> float:
--- a/packages/fleet/src/ibisport_fleet/stream_versions/messages.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/messages.py
@@ -61,13 +61,14 @@
     """The answer to a query.
 
     Attributes:
-        build: The software that began the stream; None: not known.
-        recorded: Whether there is a record of the stream. Otherwise the service had no
-            other software.
+        builds: The software that may have begun the stream, none if two streams with
+            its id began with different software; None: not known.
+        recorded: Whether there is a record of the stream. Otherwise the list of targets
+            tells the builds.
         age: Seconds since the router that answers recorded it.
     """
 
-    build: Build | None
+    builds: tuple[Build, ...] | None
     recorded: bool = False
     age: float = 0.0
 
