Let a fault of the soak that fails end the run

Cause: the error of a fault's task was raised again in a done callback, which asyncio only logs, so the run went on with fewer faults and looked calm. Change: the first error is kept and raised by inject_faults. Evidence: the new scenario failed on the code before, which ended without the error after 5 s.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -17,3 +17,8 @@
   Scenario: Each check catches its mutant
     When the soak runs seed 8 for 20 seconds with each mutant
     Then each mutant is caught by its check
+
+  # A fault that failed was only logged, so a run without it looked calm.
+  Scenario: A fault that fails ends the run
+    When the soak reloads a router of a site without routers
+    Then the run ends with the error of the fault
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,12 +1,18 @@
 """Steps that run the command line of the soak test."""
 
+import asyncio
 import re
 import subprocess
 import sys
 from concurrent.futures import ThreadPoolExecutor
+from types import SimpleNamespace
+from unittest import mock
 
 from behave import then, when
 
+from ibisport_bench.soak import fault_injection
+from ibisport_bench.soak.evidence import Journal, read_clock
+from ibisport_bench.soak.fault_injection import FaultInjector
 from ibisport_bench.soak.mutants import MUTANTS
 
 # A run takes the given seconds, then the time until the last faults and answers have
@@ -73,3 +79,25 @@
 def _describe(run):
     command = ' '.join(run.args)
     return '\n'.join((command, run.stdout[-6000:], run.stderr[-2000:]))
+
+
+@when('the soak reloads a router of a site without routers')
+def inject_failing_fault(context):
+    site = SimpleNamespace(routers=[])
+    injector = FaultInjector(site, None, Journal(), 1, 'reload')
+    with mock.patch.object(fault_injection, 'FIRST_FAULT_DELAY_SECONDS', 0.0):
+        context.error = asyncio.run(find_error(injector))
+
+
+async def find_error(injector):
+    """Return the error with which the injection of faults for 5 s ends, or None."""
+    try:
+        await injector.inject_faults(read_clock() + 5.0)
+    except IndexError as error:
+        return error
+    return None
+
+
+@then('the run ends with the error of the fault')
+def check_error(context):
+    assert isinstance(context.error, IndexError), context.error
--- a/packages/bench/src/ibisport_bench/soak/fault_injection.py
+++ b/packages/bench/src/ibisport_bench/soak/fault_injection.py
@@ -94,6 +94,7 @@
         self._schedule_random = random.Random(f'order {seed}')
         self._random = random.Random(f'plan {seed}')
         self._tasks: set[asyncio.Task[None]] = set()
+        self._error: BaseException | None = None
         self._fatal_requests = 0
         self._target_faults = TargetFaultInjector(site, journal, self._random)
         # A single kind leaves routers otherwise undisturbed, which checks with time
@@ -111,7 +112,12 @@
         )
 
     async def inject_faults(self, until: float) -> None:
-        """Inject faults until a clock time, then wait until all of them have ended."""
+        """Inject faults until a clock time, then wait until all of them have ended.
+
+        Raises:
+            Exception: The error of a fault that failed. Without it, a run with fewer
+                faults than drawn would pass for one that withstood them.
+        """
         kinds, weights = list(self._weights), list(self._weights.values())
         await asyncio.sleep(FIRST_FAULT_DELAY_SECONDS)
         while kinds and read_clock() < until:
@@ -120,8 +126,10 @@
             await asyncio.sleep(
                 self._schedule_random.expovariate(1 / self._mean_interval)
             )
+            self._raise_error()
         while self._tasks:
             await asyncio.wait(self._tasks)
+        self._raise_error()
 
     def _inject(self, kind: str) -> Awaitable[None]:
         target_fault = getattr(self._target_faults, kind, None)
@@ -142,8 +150,12 @@
 
     def _finish(self, task: asyncio.Future[None]) -> None:
         self._tasks.discard(task)
-        # Raises errors of the soak itself, which must not pass as a run without faults.
-        task.result()
+        if not task.cancelled() and self._error is None:
+            self._error = task.exception()
+
+    def _raise_error(self) -> None:
+        if self._error is not None:
+            raise self._error
 
     def _draw_uniform(self, span: tuple[float, float]) -> float:
         return self._random.uniform(*span)
