--- a/features/steps/continuation_steps.py
+++ b/features/steps/continuation_steps.py
@@ -8,7 +8,8 @@
 import msgspec
 from behave import given, then, when
 from engines import build_engine
-from running_fleet import BEFORE_HEAD, BOUNDS, EVENT_INTERVAL_SECONDS, EVENTS, run_fleet
+from fleet_targets import BEFORE_HEAD, EVENT_INTERVAL_SECONDS, EVENTS
+from running_fleet import BOUNDS, run_fleet
 from running_router import make_route
 
 from ibisport_fleet.calls import Call
--- a/features/steps/leavingtargets_steps.py
+++ b/features/steps/leavingtargets_steps.py
@@ -4,7 +4,8 @@
 import os
 
 from behave import then, when
-from running_fleet import RESTART_SECONDS, START_SECONDS, make_body, run_fleet
+from fleet_targets import RESTART_SECONDS
+from running_fleet import START_SECONDS, make_body, run_fleet
 
 from ibisport_fleet.event_log import EventLog
 from ibisport_fleet.fleet_view import TargetView
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -3,7 +3,8 @@
 import asyncio
 
 from behave import given, then, when
-from running_fleet import CONVERGENCE_SECONDS, FATAL, SLOW, START_SECONDS, run_fleet
+from fleet_targets import FATAL, SLOW
+from running_fleet import CONVERGENCE_SECONDS, START_SECONDS, run_fleet
 
 from ibisport_bench.memory_transport import Link
 from ibisport_fleet.quarantine import CRASH_THRESHOLD
--- a/features/steps/quickfailures_steps.py
+++ b/features/steps/quickfailures_steps.py
@@ -4,7 +4,8 @@
 from dataclasses import replace
 
 from behave import given, then, when
-from running_fleet import FAILED, REJECTED, START_SECONDS, make_body, run_fleet
+from fleet_targets import FAILED, REJECTED
+from running_fleet import START_SECONDS, make_body, run_fleet
 from running_router import TIME_LIMIT_SECONDS
 
 from ibisport_fleet.settings import Feature
--- a/features/steps/standby_steps.py
+++ b/features/steps/standby_steps.py
@@ -6,9 +6,10 @@
 from itertools import pairwise
 
 from behave import given, then, when
+from fleet_targets import REJECTED
 from hypothesis import HealthCheck, settings, strategies
 from hypothesis import given as forall
-from running_fleet import CATALOGUE, REJECTED, run_fleet
+from running_fleet import CATALOGUE, run_fleet
 from running_router import KEY, Caller
 
 from ibisport_bench.memory_transport import Link
--- a/features/steps/streamversions_steps.py
+++ b/features/steps/streamversions_steps.py
@@ -6,13 +6,8 @@
 from functools import partial
 
 from behave import given, then, when
-from running_fleet import (
-    CATALOGUE_KEY,
-    EVENT_INTERVAL_SECONDS,
-    register_as,
-    register_restart,
-    run_fleet,
-)
+from fleet_targets import EVENT_INTERVAL_SECONDS, register_as, register_restart
+from running_fleet import CATALOGUE_KEY, run_fleet
 from running_router import make_route
 from stream_callers import StreamCaller
 
--- a/features/steps/warmingtargets_steps.py
+++ b/features/steps/warmingtargets_steps.py
@@ -8,17 +8,11 @@
 
 from behave import given, then, when
 from engines import build_engine
+from fleet_targets import COLD_FACTOR, COLD_SLACK, RESTART_SECONDS
 from followers import open_null_log
 from hypothesis import HealthCheck, settings, strategies
 from hypothesis import given as forall
-from running_fleet import (
-    COLD_FACTOR,
-    COLD_SLACK,
-    RESTART_SECONDS,
-    START_SECONDS,
-    make_body,
-    run_fleet,
-)
+from running_fleet import START_SECONDS, make_body, run_fleet
 
 from ibisport_bench.virtual_time import run_virtually
 from ibisport_fleet.catalogue import Service, WarmUp
