Split the steps on budgets into faults, budgets and loans

The generated faults are now shared fixtures in budget_faults.py, and the steps on loans are in lending_steps.py.

--- a/features/steps/budgets_steps.py
+++ b/features/steps/budgets_steps.py
@@ -2,9 +2,24 @@
 
 import asyncio
 import random
-from statistics import mean, median
+from statistics import mean
 
 from behave import given, then, when
+from budget_faults import (
+    BUDGET,
+    LENDING,
+    LOAN_STEPS,
+    RECOVERY_SECONDS,
+    REQUEST_TOKENS,
+    STEPS,
+    STORE_SLOWDOWN,
+    WORKSPACES,
+    measure_stranded,
+    run_faults,
+    run_until_third_spent,
+    send_mixed_requests,
+    send_usual_requests,
+)
 from hypothesis import HealthCheck, settings, strategies
 from hypothesis import given as forall
 
@@ -14,178 +29,6 @@
 from ibisport_fleet.budget_page import decode_page
 from ibisport_fleet.budget_synchronizer import PAGE_KEY
 from ibisport_fleet.lenders import rank_lenders
-from ibisport_fleet.loan_planning import AHEAD_SECONDS, compute_second_lender_delay
-from ibisport_fleet.loans import LoanRequest
-from ibisport_fleet.settings import Feature
-
-BUDGET = 1_000_000
-REQUEST_TOKENS = 2_000
-WORKSPACES = 24
-# Factor on the duration of store calls: 10 ms instead of 4.
-STORE_SLOWDOWN = 2.5
-RECOVERY_SECONDS = 12.0
-KILL_SECONDS = 0.002
-
-FAULTS = strategies.sampled_from(
-    (
-        'kill',
-        'kill all',
-        'lose power',
-        'lose power of all',
-        'stop',
-        'roll',
-        'roll all',
-        'cut',
-        'cut all',
-        'apart',
-        'down',
-        'slow',
-        'lose',
-        'late',
-        'lose loans',
-    )
-)
-
-
-def _generate_steps(faults):
-    return strategies.lists(
-        strategies.tuples(
-            faults,
-            strategies.integers(0, 4),
-            strategies.floats(0.2, 9.0, allow_nan=False),
-        ),
-        min_size=1,
-        max_size=6,
-    )
-
-
-STEPS = _generate_steps(FAULTS)
-# A lender that answers late makes borrowers ask two lenders for one request.
-LOAN_STEPS = _generate_steps(
-    strategies.sampled_from(('late loans', 'very late loans')) | FAULTS
-)
-LENDING = frozenset((Feature.standby, Feature.lending))
-
-
-# The event loop keeps only weak references to tasks.
-RESTART_TASKS = set()
-
-
-async def _send_mixed_requests(world, seconds, per_second, rng):
-    """Send requests of various costs to random hosts for some seconds."""
-    for _ in range(int(seconds * per_second)):
-        tokens = rng.choice((500, REQUEST_TOKENS, 9_000, 40_000))
-        world.ask(rng.randrange(5), tokens, rng.random(), rng.uniform(0.05, 3.0))
-        await asyncio.sleep(1 / per_second)
-
-
-async def _send_usual_requests(world, count, rng):
-    """Send requests of the usual cost to random hosts, 30 per second."""
-    for _ in range(count):
-        world.ask(rng.randrange(5), REQUEST_TOKENS, 0.9, 0.3)
-        await asyncio.sleep(1 / 30)
-
-
-def _start_rolling_restart(world, fault, number):
-    """Stop one host's process, or all in turn, while requests continue."""
-
-    async def leave(turn, number):
-        await asyncio.sleep(0.25 * turn)
-        await world.roll(number, 3.3)
-
-    hosts = [number] if fault == 'roll' else range(5)
-    for turn, host in enumerate(hosts):
-        RESTART_TASKS.add(asyncio.get_running_loop().create_task(leave(turn, host)))
-
-
-async def _inject_fault(world, fault, number, seconds, rng):
-    await _inject_process_fault(world, fault, number, seconds)
-    _inject_store_fault(world, fault, number)
-    await _send_mixed_requests(world, seconds, 20, rng)
-    faults = world.service.faults
-    faults.cut, faults.down, faults.slow = set(), False, 1.0
-    faults.lose = faults.late = world.lose_loans = 0.0
-    world.answer_delays = {}
-    world.apart = set()
-
-
-async def _inject_process_fault(world, fault, number, seconds):
-    match fault:
-        case 'kill':
-            world.kill(number)
-        case 'kill all':
-            for host in range(5):
-                world.kill(host)
-        case 'lose power' | 'lose power of all':
-            for host in [number] if fault == 'lose power' else range(5):
-                world.cut_power(host, seconds / 3)
-        case 'stop':
-            await world.stop(number)
-        case 'roll' | 'roll all':
-            _start_rolling_restart(world, fault, number)
-
-
-def _inject_store_fault(world, fault, number):
-    faults = world.service.faults
-    match fault:
-        case 'cut':
-            faults.cut = {world.names[number]}
-        case 'cut all':
-            faults.cut = set(world.names)
-        case 'apart':
-            world.apart = {world.names[number], world.names[0]}
-        case 'lose loans':
-            world.lose_loans = 0.3
-        case 'late loans':
-            world.answer_delays = {world.names[number]: 0.3}
-        case 'very late loans':
-            world.answer_delays = {world.names[number]: 0.9}
-        case 'down':
-            faults.down = True
-        case 'slow':
-            faults.slow = 60.0
-        case 'lose':
-            faults.lose = 0.3
-        case 'late':
-            faults.late = 0.3
-
-
-async def _run_faults(steps, seed, features=()):
-    # The product draws its random delays from the global generator.
-    random.seed(seed)
-    world = BudgetWorld(hosts=5, budget=BUDGET, seed=seed, features=features)
-    rng = random.Random(seed)
-    world.start_all()
-    await asyncio.sleep(0.5)
-    for fault, number, seconds in steps:
-        await _inject_fault(world, fault, number, seconds, rng)
-        assert world.delivered <= BUDGET, (world.delivered, steps)
-        await _send_mixed_requests(world, 1.0, 20, rng)
-    assert world.delivered <= BUDGET, (world.delivered, steps)
-    return world
-
-
-async def _run_until_third_spent(per_second=30):
-    random.seed(3)
-    world = BudgetWorld(hosts=5, budget=BUDGET, seed=3)
-    rng = random.Random(3)
-    world.start_all()
-    await asyncio.sleep(0.5)
-    while world.delivered < BUDGET // 3:
-        world.ask(rng.randrange(5), REQUEST_TOKENS, 0.9, 0.3)
-        await asyncio.sleep(1 / per_second)
-    await asyncio.sleep(1.0)
-    return world
-
-
-def _measure_stranded(world):
-    """Return the tokens that count as spent at any host but were not delivered.
-
-    Loans count as spent at the lender and are delivered at the borrower, so only the
-    sum over all hosts is meaningful.
-    """
-    page = decode_page(world.service.items[PAGE_KEY].content)
-    return page.find('acme').closed + world.count_used() - world.delivered
 
 
 @given('routers that share one budget in virtual time')
@@ -217,7 +60,7 @@
     )
     @forall(sequences, strategies.integers(0, 10_000))
     def play(steps, seed):
-        world = run_virtually(_run_faults(steps, seed, features))
+        world = run_virtually(run_faults(steps, seed, features))
         context.served += world.outcomes['served']
         context.sequences += 1
 
@@ -242,10 +85,10 @@
         rng = random.Random(7)
         world.start_all()
         await asyncio.sleep(0.5)
-        await _send_mixed_requests(world, 3.0, 30, rng)
+        await send_mixed_requests(world, 3.0, 30, rng)
         for host in range(5):
             world.kill(host)
-        await _send_mixed_requests(world, 4.0, 100, rng)
+        await send_mixed_requests(world, 4.0, 100, rng)
         return world
 
     context.run_world = run
@@ -272,7 +115,7 @@
 
 @given('5 routers that have spent a third of a budget')
 def spend_third(context):
-    context.prepare = _run_until_third_spent
+    context.prepare = run_until_third_spent
 
 
 @when('all of them are killed at once and start again')
@@ -340,7 +183,7 @@
 
 @then('less than {percent:d} % of the budget is stranded')
 def check_stranded(context, percent):
-    stranded = _measure_stranded(context.world)
+    stranded = measure_stranded(context.world)
     assert 0 <= stranded < BUDGET * percent / 100, stranded
 
 
@@ -351,7 +194,7 @@
         world.outcomes.clear()
         world.service.faults.slow = 60.0
         rng = random.Random(5)
-        await _send_usual_requests(world, 150, rng)
+        await send_usual_requests(world, 150, rng)
         await asyncio.sleep(1.0)
         return world
 
@@ -384,13 +227,13 @@
 
 @then('at least the tokens that callers may have received count as spent')
 def check_charged(context):
-    assert _measure_stranded(context.world) >= 0
+    assert measure_stranded(context.world) >= 0
 
 
 @given('5 routers that reach each other but not the store')
 def cut_store(context):
     async def run():
-        world = await _run_until_third_spent()
+        world = await run_until_third_spent()
         world.service.faults.down = True
         # The lender's contact proof has expired by then.
         await asyncio.sleep(3.0)
@@ -405,7 +248,7 @@
     async def run():
         world = await context.prepare()
         rng = random.Random(5)
-        await _send_usual_requests(world, seconds * 30, rng)
+        await send_usual_requests(world, seconds * 30, rng)
         await asyncio.sleep(1.0)
         return world
 
@@ -420,7 +263,7 @@
 @given('5 routers that lose half of the answers to loans')
 def lose_loans(context):
     async def run():
-        world = await _run_until_third_spent()
+        world = await run_until_third_spent()
         world.lose_loans = 0.5
         return world
 
@@ -431,12 +274,12 @@
 def check_lost(context):
     page = decode_page(context.world.service.items[PAGE_KEY].content)
     assert page.find('acme').held <= BUDGET
-    assert _measure_stranded(context.world) >= 0
+    assert measure_stranded(context.world) >= 0
 
 
 @given('5 routers that share a budget without faults')
 def start_calm(context):
-    context.prepare = _run_until_third_spent
+    context.prepare = run_until_third_spent
 
 
 @then('the store is called less than {max_rate:g} times a second in all')
@@ -445,7 +288,7 @@
         world = await context.prepare()
         rng = random.Random(5)
         before = world.service.calls
-        await _send_usual_requests(world, 300, rng)
+        await send_usual_requests(world, 300, rng)
         return world.service.calls - before
 
     # The simulated store counts a request and its answer separately.
@@ -570,168 +413,3 @@
 def check_calls_a_request(context, calls, requests):
     found = [report.calls for report in context.reports]
     assert max(found) <= calls / requests, found
-
-
-@when('the objective of a request is {objective:g} s')
-def set_objective(context, objective):
-    context.delay = compute_second_lender_delay(objective)
-
-
-@then('a second lender is asked after {delay:g} s')
-def check_delay(context, delay):
-    assert round(context.delay, 4) == delay, context.delay
-
-
-async def _start_borrowers(features, seed=3, budget=BUDGET):
-    """Return a world, its lenders and the numbers of the routers that don't lend."""
-    random.seed(seed)
-    world = BudgetWorld(hosts=5, budget=budget, seed=seed, features=features)
-    world.start_all()
-    await asyncio.sleep(3.0)
-    lenders = world.list_lenders(0)
-    borrowers = [
-        number for number, name in enumerate(world.names) if name not in lenders
-    ]
-    return world, lenders, borrowers
-
-
-async def _send_to(world, numbers, seconds, per_second=60):
-    for _ in range(int(seconds * per_second)):
-        world.ask(random.choice(numbers), REQUEST_TOKENS, 0.9, 0.2)
-        await asyncio.sleep(1 / per_second)
-
-
-@when(
-    "the first lender's answers take {delay:g} s longer for {seconds:g} s, "
-    '{word} the lending feature'
-)
-def delay_loans(context, delay, seconds, word):
-    async def run():
-        features = LENDING if word == 'with' else ()
-        world, lenders, borrowers = await _start_borrowers(features)
-        world.answer_delays = {lenders[0]: delay}
-        await _send_to(world, borrowers, seconds)
-        world.answer_delays = {}
-        await asyncio.sleep(RECOVERY_SECONDS)
-        return world
-
-    context.world = run_virtually(run())
-
-
-@then('requests wait at most {longest:g} s and most of them at most {usual:g} s')
-def check_waits(context, longest, usual):
-    waits = context.world.waits
-    assert len(waits) > 100
-    assert max(waits) <= longest, max(waits)
-    assert median(waits) <= usual, median(waits)
-
-
-@then('most requests wait longer than {seconds:g} s')
-def check_long_waits(context, seconds):
-    assert median(context.world.waits) > seconds, median(context.world.waits)
-
-
-@then('exactly the delivered tokens count as spent')
-def check_exact(context):
-    assert _measure_stranded(context.world) == 0, _measure_stranded(context.world)
-
-
-@then('at least the delivered tokens count as spent')
-def check_at_least(context):
-    assert _measure_stranded(context.world) >= 0
-    assert context.world.delivered <= BUDGET
-
-
-@when('requests come for {seconds:g} s, {word} the lending feature')
-def send_steadily(context, seconds, word):
-    async def run():
-        features = LENDING if word == 'with' else ()
-        world, _, borrowers = await _start_borrowers(features, budget=10 * BUDGET)
-        context.held = []
-        context.uncounted = []
-        sending = asyncio.create_task(_send_to(world, borrowers, seconds))
-        while not sending.done():
-            await asyncio.sleep(0.01)
-            held = [world.count_borrowed(number) for number in borrowers]
-            context.held.append(held)
-            context.uncounted.append(sum(held) - _measure_stranded(world))
-        await asyncio.sleep(RECOVERY_SECONDS)
-        context.held_after = [world.count_borrowed(number) for number in borrowers]
-        return world
-
-    context.world = run_virtually(run())
-
-
-@then('at least {percent:d} % of the requests wait for no lender')
-def check_no_wait(context, percent):
-    context.served_locally = _measure_local(context.world)
-    assert context.served_locally * 100 >= percent, context.served_locally
-
-
-@then('at most {percent:d} % of the requests wait for no lender')
-def check_wait(context, percent):
-    assert _measure_local(context.world) * 100 <= percent, _measure_local(context.world)
-
-
-def _measure_local(world):
-    """Return the share of requests without a wait, once the reserves have grown."""
-    waits = world.waits[len(world.waits) // 2 :]
-    return sum(not wait for wait in waits) / len(waits)
-
-
-@then('no router holds more than its demand of a second')
-def check_held(context):
-    # The unused parts of running requests add to the demand of half a second.
-    rate = 60 / 3 * REQUEST_TOKENS
-    assert AHEAD_SECONDS < 1
-    held = max(max(borrowed) for borrowed in context.held)
-    assert 0 < held <= rate, held
-
-
-@then('what routers hold counts as spent at the lender at every moment')
-def check_counted_at_lender(context):
-    assert max(context.uncounted) <= 0, max(context.uncounted)
-
-
-@then('no router holds tokens afterwards')
-def check_nothing_held(context):
-    assert not any(context.held_after), context.held_after
-
-
-@when('all but {percent:d} % of a budget is spent, with the lending feature')
-def spend_most(context, percent):
-    async def run():
-        world, _, borrowers = await _start_borrowers(LENDING)
-        while world.delivered < BUDGET * (100 - percent) / 100:
-            await _send_to(world, borrowers, 0.1)
-        await _send_to(world, borrowers, 0.8, per_second=5)
-        return [world.count_borrowed(number) for number in borrowers]
-
-    context.held_after = run_virtually(run())
-
-
-@then('no router holds more than the unused rest of a request')
-def check_scarce(context):
-    assert max(context.held_after) < REQUEST_TOKENS, context.held_after
-
-
-@when('a lender is asked for {tokens:d} tokens')
-def ask_lender(context, tokens):
-    async def run():
-        world, lenders, _ = await _start_borrowers(LENDING)
-        lender = world.find_host(lenders[0]).budgets
-        incarnation = (
-            decode_page(world.service.items[PAGE_KEY].content)
-            .sessions[lenders[0]]
-            .incarnation
-        )
-        return await lender.lend(LoanRequest(incarnation, 'acme', tokens))
-
-    context.loan = run_virtually(run())
-
-
-@then('it lends {tokens:d} tokens and says that the budget is {state}')
-def check_loan(context, tokens, state):
-    assert context.loan.lends
-    assert context.loan.tokens == tokens, context.loan
-    assert context.loan.scarce == (state == 'scarce'), context.loan
