--- a/features/steps/streamversions_steps.py
+++ b/features/steps/streamversions_steps.py
@@ -6,20 +6,19 @@
 from functools import partial
 
 from behave import given, then, when
+from copying_engines import ENGINE, OBJECTIVE_SECONDS
 from fleet_targets import EVENT_INTERVAL_SECONDS, register_as, register_restart
 from running_fleet import CATALOGUE_KEY, run_fleet
 from running_router import make_route
 from stream_callers import StreamCaller
 
 from ibisport_bench.memory_transport import Link
-from ibisport_fleet.catalogue import Engine, RouteKind, Service, ServiceShare
+from ibisport_fleet.catalogue import RouteKind, Service, ServiceShare
 from ibisport_fleet.settings import Feature
 
 SETTLED_SECONDS = 6.0
 RESTART_SECONDS = 1.0
 CUT_OFF_STREAMS = 20
-ENGINE = Engine(64, 100_000, 5, 1e-5, backups=True, copy_lifetime_seconds=5.0)
-OBJECTIVE_SECONDS = 0.5
 SILENT = Link(delay=1_000.0)
 # The Resumes header that a caller sends, or None, by its name in scenarios.
 HEADERS = {
