--- a/packages/bench/src/ibisport_bench/soak/run.py
+++ b/packages/bench/src/ibisport_bench/soak/run.py
@@ -50,12 +50,15 @@
             for start in journal.starts
             if start.killed and start.told < start.ended
         ]
+        resumed = [request for request in journal.asks if request.resumes]
+        went_on = sum(request.last_event > request.after for request in resumed)
         lines = [
             f'seed {self.seed}: {len(journal.asks)} requests {dict(kinds)}, '
             f'statuses {dict(statuses)}, {len(journal.runs)} runs, '
             f'{sum(run.continued for run in journal.runs)} continued, '
             f'{len(journal.starts)} starts, held up {journal.lag:.2f} s',
             f'  faults {dict(faults)}, killed at the end of the grace: {len(killed)}',
+            f'  {went_on} of {len(resumed)} resumed streams went on',
             f'  violations: {len(self.violations)}',
         ]
         lines += [
