--- a/packages/fleet/src/ibisport_fleet/calls.py
+++ b/packages/fleet/src/ibisport_fleet/calls.py
@@ -11,6 +11,7 @@
 from ibisport_fleet.catalogue import Route, Workspace
 from ibisport_fleet.http_messages import Request
 from ibisport_fleet.metadata import RequestMetadata, RunCopy
+from ibisport_fleet.rendezvous import hash_text
 from ibisport_fleet.stream_versions.origin import NotBegun, StreamOrigin
 
 # Route ranks that are distinguished within one workspace rank.
@@ -76,6 +77,15 @@
         hasher.update(request.body)
         return hasher.hexdigest()
 
+    @cached_property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return hashes of the prompt parts that other requests may have in common.
+
+        That is all but the last part, which belongs to this request alone.
+        """
+        parts = dict.fromkeys(part.part_id for part in self.metadata.parts[:-1])
+        return tuple(f'{hash_text(part_id):016x}' for part_id in parts)
+
     @property
     def regions(self) -> frozenset[str] | None:
         """Return the regions whose targets may serve the request; None: all."""
--- a/packages/fleet/src/ibisport_fleet/crash_detection.py
+++ b/packages/fleet/src/ibisport_fleet/crash_detection.py
@@ -14,6 +14,7 @@
 GATHERING_SECONDS = 0.01
 # Bounds the size of the message to other routers.
 MAX_DIGESTS = 1_000
+MAX_LOGGED_DIGESTS = 16
 CONNECT_TIMEOUT_SECONDS = 0.35
 
 
@@ -64,10 +65,13 @@
         digests = self._broken_requests.pop(entry.start_id)
         if not crashed:
             return
+        reported = tuple(sorted(digests))[:MAX_DIGESTS]
         self._log.write(
-            Event.target_ended, target=entry.incarnation, requests=len(digests)
+            Event.target_ended,
+            target=entry.incarnation,
+            requests=len(digests),
+            digests=reported[:MAX_LOGGED_DIGESTS],
         )
-        reported = tuple(sorted(digests))[:MAX_DIGESTS]
         self._report(TargetCrash(entry.incarnation, reported))
 
     async def _has_crashed(self, entry: TargetEntry) -> bool:
--- a/packages/fleet/src/ibisport_fleet/request_recorder.py
+++ b/packages/fleet/src/ibisport_fleet/request_recorder.py
@@ -16,6 +16,7 @@
 OUTCOME_SERVED = 'served'
 OUTCOME_CALLER_LEFT = 'caller_left'
 OUTCOME_PROCESS_ENDED = 'process_ended'
+MAX_LOGGED_PARTS = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,6 +124,7 @@
             Event.request_sent,
             request=call.metadata.request_id,
             digest=call.digest,
+            parts=call.shared_parts[:MAX_LOGGED_PARTS],
             route=call.route.name,
             version=call.version,
             workspace=_name_workspace(call),
