--- a/features/steps/fleet_targets.py
+++ b/features/steps/fleet_targets.py
@@ -16,6 +16,8 @@
 # A request with this body crashes the target that runs it, this long after its start.
 FATAL = b'fatal'
 FATAL_AFTER_SECONDS = 0.09
+# Any part but the last of a prompt that crashes the target that begins to answer.
+FATAL_PART = b'fa7a1'
 SEAL = b'Response-Seal: s\r\n'
 REJECTED = (
     b'HTTP/1.1 503 Full\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\n'
@@ -304,9 +306,10 @@
             channel.write(self._make_head(STREAM_HEAD, request))
             channel.abort()
             return
-        if request.body.startswith(FATAL):
+        if request.body.startswith(FATAL) or _has_fatal_part(request):
             channel.write(self._make_head(STREAM_HEAD, request))
             await asyncio.sleep(FATAL_AFTER_SECONDS)
+            self._fleet.fatal_ends.append(self._net.time())
             self.crash()
             return
         if request.body != SLOW and not request.target.startswith(b'/stream/'):
@@ -382,6 +385,11 @@
     target.write_entry()
 
 
+def _has_fatal_part(request):
+    parts = (request.find(b'prompt-prefix') or b'').split(b',')[:-1]
+    return FATAL_PART in {part.partition(b':')[0] for part in parts}
+
+
 async def _hang(target, events):
     """Never return if a target hangs after this number of events."""
     if target.hangs_after is not None and events >= target.hangs_after:
--- a/features/steps/running_fleet.py
+++ b/features/steps/running_fleet.py
@@ -134,6 +134,7 @@
         targets: Each on its host.
         arrivals: All requests that reached targets.
         ends: Loop time and incarnation of each crash of a target.
+        fatal_ends: Loop time of each crash that a request caused.
         answers: Bodies of requests with the answers to them.
         told: Loop time at which an incarnation first named a limit to a router.
         left: Loop time at which an incarnation first told a router that it leaves.
@@ -166,6 +167,7 @@
         self.continuations = []
         self.arrivals = []
         self.ends = []
+        self.fatal_ends = []
         self.answers = []
         self.told = {}
         self.left = {}
@@ -220,7 +222,8 @@
         Args:
             pause: Seconds from one request to the next.
             seconds: Duration.
-            body: Body of the requests, or a function that maps their number to it.
+            body: Body of the requests, or a function that maps their number to it,
+                or to it and additional lines of the head.
             kind: Name of the route.
         """
         until = self.now + seconds
@@ -228,8 +231,9 @@
         requests = []
         while self.now < until:
             content = body if isinstance(body, bytes) else body(number)
+            message = content if isinstance(content, tuple) else (content, '')
             router = self.routers[number % len(self.routers)]
-            requests.append(self.call(self.ask(router, kind, content)))
+            requests.append(self.call(self.ask(router, kind, *message)))
             number += 1
             await asyncio.sleep(pause)
         await asyncio.wait(requests)
