Move the quarantine's modules into a package of their own

No change of behaviour: quarantine, quarantine_store, crash_detection and fatal_requests are now policy, page, crash_detection and fatal_requests of ibisport_fleet.quarantine. The scenarios on the quarantine pass.

--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -7,7 +7,7 @@
 from running_fleet import CONVERGENCE_SECONDS, START_SECONDS, run_fleet
 
 from ibisport_bench.memory_transport import Link
-from ibisport_fleet.quarantine import CRASH_THRESHOLD
+from ibisport_fleet.quarantine.policy import CRASH_THRESHOLD
 
 OTHERS_INTERVAL_SECONDS = 0.08
 FATAL_INTERVAL_SECONDS = 0.25
--- a/features/steps/quarantinepage_steps.py
+++ b/features/steps/quarantinepage_steps.py
@@ -9,8 +9,8 @@
 from ibisport_bench.standins.memory_store import MemoryService
 from ibisport_bench.virtual_time import run_virtually
 from ibisport_fleet.membership import SHARED_PREFIX
-from ibisport_fleet.quarantine import Quarantine, TargetCrash
-from ibisport_fleet.quarantine_store import PAGE_KEY, QuarantineStore, decode_page
+from ibisport_fleet.quarantine.page import PAGE_KEY, QuarantineStore, decode_page
+from ibisport_fleet.quarantine.policy import Quarantine, TargetCrash
 
 LISTING_INTERVAL_SECONDS = 1.5
 SETTLING_SECONDS = 10.0
--- a/packages/bench/src/ibisport_bench/soak/mutants.py
+++ b/packages/bench/src/ibisport_bench/soak/mutants.py
@@ -22,10 +22,10 @@
 from ibisport_fleet.catalogue import Route, Workspace
 from ibisport_fleet.errors import RecordInvalid
 from ibisport_fleet.evacuations import Evacuations
-from ibisport_fleet.fatal_requests import FatalRequests
 from ibisport_fleet.fleet_view import CatalogueView, TargetView
 from ibisport_fleet.forwarding import RequestForwarder
 from ibisport_fleet.ledger import Reservation
+from ibisport_fleet.quarantine.fatal_requests import FatalRequests
 from ibisport_fleet.response_writer import ResponseWriter
 from ibisport_fleet.router import Router
 from ibisport_fleet.store import Change, Item
--- a/packages/fleet/src/ibisport_fleet/dependencies.py
+++ b/packages/fleet/src/ibisport_fleet/dependencies.py
@@ -7,11 +7,11 @@
 from ibisport_fleet.catalogue import Engine
 from ibisport_fleet.continuation.copies import CopiesInFlight
 from ibisport_fleet.continuation.hedging import AnswerTimes
-from ibisport_fleet.fatal_requests import FatalRequests
 from ibisport_fleet.fleet_view import CatalogueView, TargetView
 from ibisport_fleet.metadata import Dialect
 from ibisport_fleet.placing.pace import ServicePace
 from ibisport_fleet.prompt_mix import PromptMix
+from ibisport_fleet.quarantine.fatal_requests import FatalRequests
 from ibisport_fleet.queueing.request_gate import RequestGate
 from ibisport_fleet.request_recorder import RequestRecorder
 from ibisport_fleet.retry_budget import RetryBudget
--- /dev/null
+++ b/packages/fleet/src/ibisport_fleet/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Stops sending what crashes targets."""
--- a/packages/fleet/src/ibisport_fleet/crash_detection.py
+++ b/packages/fleet/src/ibisport_fleet/quarantine/crash_detection.py
@@ -7,7 +7,7 @@
 from ibisport_fleet.errors import ConnectionFailed, NobodyListens
 from ibisport_fleet.event_log import Event, EventLog
 from ibisport_fleet.fleet_view import TargetView
-from ibisport_fleet.quarantine import TargetCrash
+from ibisport_fleet.quarantine.policy import TargetCrash
 from ibisport_fleet.targets import TargetEntry
 
 # The connections to a crashing target break within a millisecond of each other.
--- a/packages/fleet/src/ibisport_fleet/fatal_requests.py
+++ b/packages/fleet/src/ibisport_fleet/quarantine/fatal_requests.py
@@ -11,14 +11,14 @@
 import msgspec
 
 from ibisport_fleet.connection_pool import ConnectionPool
-from ibisport_fleet.crash_detection import CrashDetector
 from ibisport_fleet.event_log import Event, EventLog
 from ibisport_fleet.fleet_view import TargetView
 from ibisport_fleet.membership import Membership
 from ibisport_fleet.notices import Notifier
 from ibisport_fleet.peers import PeerHandler, decode_message
-from ibisport_fleet.quarantine import Quarantine, TargetCrash
-from ibisport_fleet.quarantine_store import QuarantineStore
+from ibisport_fleet.quarantine.crash_detection import CrashDetector
+from ibisport_fleet.quarantine.page import QuarantineStore
+from ibisport_fleet.quarantine.policy import Quarantine, TargetCrash
 from ibisport_fleet.store import Store
 from ibisport_fleet.targets import TargetEntry
 
--- a/packages/fleet/src/ibisport_fleet/quarantine_store.py
+++ b/packages/fleet/src/ibisport_fleet/quarantine/page.py
@@ -10,7 +10,7 @@
 from ibisport_fleet.calls import draw_jittered_delay
 from ibisport_fleet.errors import RecordInvalid, StoreError
 from ibisport_fleet.event_log import Event, EventLog
-from ibisport_fleet.quarantine import MAX_QUARANTINED, Quarantine
+from ibisport_fleet.quarantine.policy import MAX_QUARANTINED, Quarantine
 from ibisport_fleet.store import (
     Condition,
     Conflict,
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -12,7 +12,6 @@
 from ibisport_fleet.dependencies import Dependencies
 from ibisport_fleet.errors import RecordInvalid
 from ibisport_fleet.event_log import Event, EventLog
-from ibisport_fleet.fatal_requests import FatalRequests
 from ibisport_fleet.fleet_view import CatalogueView, TargetView
 from ibisport_fleet.load_feed.feeds import LoadFeeds
 from ibisport_fleet.loans import LoanClient, LoanServer
@@ -20,6 +19,7 @@
 from ibisport_fleet.metrics import Metrics
 from ibisport_fleet.peers import PeerServer
 from ibisport_fleet.prefix_watch import PrefixWatch, Subscriber, SubscriberGroup
+from ibisport_fleet.quarantine.fatal_requests import FatalRequests
 from ibisport_fleet.readiness import ReadinessServer
 from ibisport_fleet.request_recorder import RequestRecorder
 from ibisport_fleet.router_links import build_router_links
