Quarantine prompt parts that crash targets, not only whole requests

Cause: a crash was counted against the digest of a whole request only. Requests with one fatal prompt part in common never share a digest, so each crashed its targets anew. Class: a suspicion keyed by identity where the cause is a property that many requests share.

Change: requests and the shared parts of their prompts are keys of one suspicion. Crash notices name the parts of the requests whose answers had at most begun.

--- a/features/quarantineparts.feature
+++ b/features/quarantineparts.feature
@@ -14,6 +14,7 @@
       | disturbance                               |
       | without other faults                      |
       | while other targets crash                 |
+      | while the store is down                   |
       | as the first part of their prompts        |
       | with a first part that all requests have  |
       | while all routers are killed once         |
--- a/features/steps/quarantinepage_steps.py
+++ b/features/steps/quarantinepage_steps.py
@@ -9,8 +9,9 @@
 from ibisport_bench.standins.memory_store import MemoryService
 from ibisport_bench.virtual_time import run_virtually
 from ibisport_fleet.membership import SHARED_PREFIX
+from ibisport_fleet.quarantine.crashes import TargetCrash
 from ibisport_fleet.quarantine.page import PAGE_KEY, QuarantineStore, decode_page
-from ibisport_fleet.quarantine.policy import Quarantine, TargetCrash
+from ibisport_fleet.quarantine.policy import Quarantine
 
 LISTING_INTERVAL_SECONDS = 1.5
 SETTLING_SECONDS = 10.0
@@ -24,7 +25,7 @@
 
 @given('an empty quarantine')
 def make_quarantine(context):
-    context.quarantine = Quarantine(_read_stopped_clock)
+    context.quarantine = Quarantine(_read_stopped_clock, _read_stopped_clock)
 
 
 @when('{crashes:d} targets each crash under {count:d} different requests')
@@ -52,7 +53,7 @@
     quarantine = context.quarantine
     for target in ('i-1', 'i-2'):
         quarantine.record_crash(TargetCrash(target, (FIRST,)))
-    assert quarantine.record_answer(FIRST)
+    assert quarantine.record_answer(FIRST, ()).lifted
     for target in ('i-3', 'i-4'):
         quarantine.record_crash(TargetCrash(target, (FIRST,)))
 
@@ -72,7 +73,7 @@
 
     def __init__(self, service, number):
         self.store = service.open_store(f'router-{number}')
-        self.quarantine = Quarantine(_read_stopped_clock)
+        self.quarantine = Quarantine(_read_stopped_clock, _read_stopped_clock)
         self.page_store = QuarantineStore(self.quarantine, self.store, open_null_log())
         loop = asyncio.get_running_loop()
         self.tasks = [loop.create_task(self.page_store.run())]
--- a/packages/bench/src/ibisport_bench/soak/mutants.py
+++ b/packages/bench/src/ibisport_bench/soak/mutants.py
@@ -154,7 +154,7 @@
 
 def send_fatal() -> None:
     """Send requests that crash targets like any other."""
-    patch(FatalRequests, 'find_remaining_seconds', lambda fatal, digest: None)
+    patch(FatalRequests, 'find_remaining_seconds', lambda fatal, call: None)
 
 
 def overlook_limits() -> None:
--- a/packages/fleet/src/ibisport_fleet/calls.py
+++ b/packages/fleet/src/ibisport_fleet/calls.py
@@ -11,6 +11,7 @@
 from ibisport_fleet.catalogue import Route, Workspace
 from ibisport_fleet.http_messages import Request
 from ibisport_fleet.metadata import RequestMetadata, RunCopy
+from ibisport_fleet.quarantine.keys import PART_PREFIX
 from ibisport_fleet.rendezvous import hash_text
 from ibisport_fleet.stream_versions.origin import NotBegun, StreamOrigin
 
@@ -79,12 +80,12 @@
 
     @cached_property
     def shared_parts(self) -> tuple[str, ...]:
-        """Return hashes of the prompt parts that other requests may have in common.
+        """Return keys of the prompt parts that other requests may have in common.
 
         That is all but the last part, which belongs to this request alone.
         """
         parts = dict.fromkeys(part.part_id for part in self.metadata.parts[:-1])
-        return tuple(f'{hash_text(part_id):016x}' for part_id in parts)
+        return tuple(f'{PART_PREFIX}{hash_text(part_id):016x}' for part_id in parts)
 
     @property
     def regions(self) -> frozenset[str] | None:
--- a/packages/fleet/src/ibisport_fleet/continuation/hedged_send.py
+++ b/packages/fleet/src/ibisport_fleet/continuation/hedged_send.py
@@ -129,7 +129,7 @@
                 self._call.attempts -= 1
             case OutcomeUnknown():
                 self._dependencies.fatal_requests.record_break(
-                    unused.candidate.entry, self._call.digest
+                    unused.candidate.entry, self._call
                 )
 
     def _record_end(self, last: HedgeOutcome, *, is_first_running: bool) -> None:
@@ -155,6 +155,9 @@
         others = self._selector.list_sendable(now)
         if not any(other.health.is_available(now) for other in others):
             return None
+        fatal_requests = self._dependencies.fatal_requests
+        if fatal_requests.find_remaining_seconds(self._call) is not None:
+            return None
         if not self._may_retry():
             return None
         second = self._selector.select()
--- a/packages/fleet/src/ibisport_fleet/event_log.py
+++ b/packages/fleet/src/ibisport_fleet/event_log.py
@@ -59,6 +59,7 @@
     request_quarantined = 2408
     quarantine_lifted = 2409
     quarantine_unsaved = 2410
+    part_probed = 2411
     request_queued = 2420
     request_not_queued = 2421
     stream_continued = 2430
--- a/packages/fleet/src/ibisport_fleet/forwarding.py
+++ b/packages/fleet/src/ibisport_fleet/forwarding.py
@@ -23,6 +23,7 @@
 from ibisport_fleet.http_connection import HttpConnection
 from ibisport_fleet.placing.pace import GapRecorder
 from ibisport_fleet.placing.prefill import Prefill
+from ibisport_fleet.quarantine.request_guard import RequestGuard
 from ibisport_fleet.queueing.request_turn import RequestTurn
 from ibisport_fleet.response_writer import ResponseWriter
 from ibisport_fleet.settings import Feature
@@ -70,6 +71,7 @@
         self._pace = service_state.pace
         self._avoids_failing = Feature.pace in dependencies.settings.features
         self._selector = TargetSelector(dependencies, service_state, call)
+        self._guard = RequestGuard(dependencies.fatal_requests, self._selector, call)
         self._turn = RequestTurn(service_state.gate, self._selector, call)
         self._continuation = RequestContinuation(
             dependencies, service_state, self._selector, call
@@ -101,6 +103,7 @@
             self.check_quarantine()
             await self._turn.wait()
             candidate = self._continuation.select()
+            self._guard.begin_send()
             candidate.health.begin_request(_now())
             # A run that continues reads only what its copy lacks.
             if self._call.continued_from is None:
@@ -121,11 +124,7 @@
         Raises:
             RequestFailed: The request is quarantined to protect other targets.
         """
-        retry_after = self._dependencies.fatal_requests.find_remaining_seconds(
-            self._call.digest
-        )
-        if retry_after is not None:
-            raise self._selector.build_failure('quarantined', retry_after)
+        self._guard.check()
 
     def count_tokens(self) -> int:
         """Return the tokens to charge for the request.
@@ -271,7 +270,7 @@
 
     def _handle_unknown_outcome(self, candidate: Candidate, reason: str) -> None:
         call = self._call
-        self._dependencies.fatal_requests.record_break(candidate.entry, call.digest)
+        self._guard.record_break(candidate.entry)
         planned = self._next_planned or self._plan_next(candidate, reason)
         self._next_planned = False
         if not planned:
@@ -320,8 +319,8 @@
     def _pass_on(self, answered: Answered, body: bytes) -> bool:
         """Pass a complete answer on; return whether no other attempt follows."""
         call = self._call
-        self._dependencies.fatal_requests.record_answer(call.digest)
         failed = answered.head.status >= FIRST_FAILURE_STATUS
+        self._guard.record_answer(failed=failed)
         if failed and call.route.repeatable and self._may_retry():
             return False
         if not failed:
@@ -374,7 +373,7 @@
         self._continuation.record_events()
         self._record_event_gaps(gaps.max_gap)
         self._dependencies.target_client.release(answered)
-        self._dependencies.fatal_requests.record_answer(self._call.digest)
+        self._guard.record_answer()
         answered.health.record_success(self._find_success_time())
         self._dependencies.recorder.record_served(
             self._call, answered.head.status, self._splitter.event_count
@@ -386,6 +385,7 @@
             build = candidate.entry.build
             self._call.origin = Begun(build)
             self._dependencies.streams.record_begin(self._call, build)
+        self._guard.record_events(_now())
         self._prefill.end()
         self._prefill.record_first_event(candidate, _now())
         self._continuation.record_events()
--- a/packages/fleet/src/ibisport_fleet/quarantine/crash_detection.py
+++ b/packages/fleet/src/ibisport_fleet/quarantine/crash_detection.py
@@ -7,13 +7,14 @@
 from ibisport_fleet.errors import ConnectionFailed, NobodyListens
 from ibisport_fleet.event_log import Event, EventLog
 from ibisport_fleet.fleet_view import TargetView
-from ibisport_fleet.quarantine.policy import TargetCrash
+from ibisport_fleet.quarantine.crashes import TargetCrash
 from ibisport_fleet.targets import TargetEntry
 
 # The connections to a crashing target break within a millisecond of each other.
 GATHERING_SECONDS = 0.01
-# Bounds the size of the message to other routers.
+# Bound the size of the message to other routers.
 MAX_DIGESTS = 1_000
+MAX_PARTS = 1_000
 MAX_LOGGED_DIGESTS = 16
 CONNECT_TIMEOUT_SECONDS = 0.35
 
@@ -43,16 +44,25 @@
         self._targets = targets
         self._log = log
         self._report = report
-        self._broken_requests: dict[tuple[str, int], set[str]] = {}
+        # Parts of broken requests, by start id and digest.
+        self._broken_requests: dict[tuple[str, int], dict[str, tuple[str, ...]]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def record_break(self, entry: TargetEntry, digest: str) -> None:
-        """Record that a connection broke before the request's answer was complete."""
+    def record_break(
+        self, entry: TargetEntry, digest: str, parts: tuple[str, ...]
+    ) -> None:
+        """Record that a connection broke before the request's answer was complete.
+
+        Args:
+            entry: The target.
+            digest: The request.
+            parts: Parts of its prompt that may have caused it.
+        """
         broken = self._broken_requests.get(entry.start_id)
         if broken is not None:
-            broken.add(digest)
+            broken[digest] = parts
             return
-        self._broken_requests[entry.start_id] = {digest}
+        self._broken_requests[entry.start_id] = {digest: parts}
         task = asyncio.get_running_loop().create_task(self._check(entry))
         # The event loop keeps only weak references to tasks.
         self._tasks.add(task)
@@ -62,17 +72,18 @@
         await asyncio.sleep(GATHERING_SECONDS)
         planned = not self._targets.targets.is_serving(entry)
         crashed = not planned and await self._has_crashed(entry)
-        digests = self._broken_requests.pop(entry.start_id)
+        broken = self._broken_requests.pop(entry.start_id)
         if not crashed:
             return
-        reported = tuple(sorted(digests))[:MAX_DIGESTS]
+        digests = tuple(sorted(broken))[:MAX_DIGESTS]
         self._log.write(
             Event.target_ended,
             target=entry.incarnation,
-            requests=len(digests),
-            digests=reported[:MAX_LOGGED_DIGESTS],
+            requests=len(broken),
+            digests=digests[:MAX_LOGGED_DIGESTS],
         )
-        self._report(TargetCrash(entry.incarnation, reported))
+        parts = _limit_parts({digest: broken[digest] for digest in digests})
+        self._report(TargetCrash(entry.incarnation, digests, parts))
 
     async def _has_crashed(self, entry: TargetEntry) -> bool:
         deadline = asyncio.get_running_loop().time() + CONNECT_TIMEOUT_SECONDS
@@ -85,3 +96,16 @@
             return False
         self._pool.release(connection, None)
         return False
+
+
+def _limit_parts(
+    parts_by_digest: dict[str, tuple[str, ...]],
+) -> dict[str, tuple[str, ...]]:
+    """Return the parts of as many requests as one message holds."""
+    limited = {}
+    left = MAX_PARTS
+    for digest, parts in parts_by_digest.items():
+        left -= len(parts)
+        if parts and left >= 0:
+            limited[digest] = parts
+    return limited
--- /dev/null
+++ b/packages/fleet/src/ibisport_fleet/quarantine/keys.py
@@ -0,0 +1,8 @@
+"""Keys under which requests are suspected: the whole request, or a prompt part."""
+
+PART_PREFIX = 'part-'
+
+
+def is_part(key: str) -> bool:
+    """Return whether a key stands for a prompt part that requests may share."""
+    return key.startswith(PART_PREFIX)
