Prefer the part that explains most crashes, and test what crashes show

Cause: a key explained the crashes of another one that had as many of its own, and a tie between two parts was never resolved by a later crash. Generated histories found a fatal part that was hidden behind sound ones beyond its fifth crash. Change: only a key with more crashes explains others; a crash under a quarantined part lifts those that it explains.

--- a/packages/fleet/src/ibisport_fleet/quarantine/policy.py
+++ b/packages/fleet/src/ibisport_fleet/quarantine/policy.py
@@ -149,6 +149,8 @@
         findings = Findings()
         for key in reported & self._entries.keys():
             self._entries[key].record_crash(crash.target, now)
+        for key in reported & self._entries.keys():
+            self._lift_explained(key, findings)
         self._judge(reported, findings)
         return findings
 
@@ -252,10 +254,16 @@
         entry.crashed_targets |= targets
         entry.probe_at = entry.since + FIRST_PROBE_SECONDS
         findings.quarantined.append(key)
-        for other in tuple(self._entries):
-            if other != key and self._is_explained(other, key):
-                self._entries.pop(other)
-                findings.lifted[other] = LiftReason.explained
+        self._lift_explained(key, findings)
+
+    def _lift_explained(self, cause: str, findings: Findings) -> None:
+        """Lift the quarantined keys whose crashes a quarantined key explains."""
+        if cause not in self._entries:
+            return
+        for key in tuple(self._entries):
+            if key != cause and self._is_explained(key, cause):
+                self._entries.pop(key)
+                findings.lifted[key] = LiftReason.explained
 
     def _drop_expired(self) -> None:
         now = self._read_wall_clock()
@@ -273,6 +281,8 @@
         now = self._read_loop_time()
         answered_at = self._known_answers.find(key, now)
         targets = self._gather(key).targets
+        if len(targets) < CRASH_THRESHOLD:
+            return False
         explained: set[str] = set()
         for other, entry in self._entries.items():
             if other != key and _explains(other, entry.crashed_targets, key, targets):
@@ -304,9 +314,9 @@
 ) -> bool:
     """Return whether a cause is the better explanation of the crashes under a key.
 
-    It isn't where the key explains all crashes of the cause as well. Of a part and a
-    request with the same crashes, the part explains them: several requests had it.
+    It is if it explains more of them. Of a part and a request with the same crashes,
+    the part explains them: several requests had it.
     """
     if is_part(cause) and not is_part(key):
         return True
-    return not cause_targets <= targets
+    return len(cause_targets) > len(targets)
