Lend unused shares of targets' rate limits to routers with most callers

Callers saw: while most new connections go to one router and targets name a limit, that router refuses most requests, though the targets have room. Cause: each router keeps a fixed share of a target's rate, whoever has the callers. Class: what is divided by the number of routers binds where demand is uneven. Change: a router that is short asks the other senders for their unused shares, for a second each; the sends of a share keep their distance through a loan. The modules on rate limits move into the package rate_shares.

--- a/features/steps/ratelimit_steps.py
+++ b/features/steps/ratelimit_steps.py
@@ -15,8 +15,8 @@
 from ibisport_fleet.engine_choice import choose_engine
 from ibisport_fleet.errors import PeerUnavailable
 from ibisport_fleet.metadata import PromptPart
-from ibisport_fleet.rate_limit import RateLimit, compute_send_interval
-from ibisport_fleet.target_limits import (
+from ibisport_fleet.rate_shares.limit import RateLimit, compute_send_interval
+from ibisport_fleet.rate_shares.target_limits import (
     LIMIT_LIFETIME_SECONDS,
     LIMITS_PATH,
     LimitNotice,
@@ -95,7 +95,8 @@
         members = SimpleNamespace(own=SimpleNamespace(host='router-0'), hosts=HOSTS)
         self.notices = []
         notifier = SimpleNamespace(notify=lambda *notice: self.notices.append(notice))
-        self.limits = TargetLimits(members, targets, notifier, open_null_log())
+        links = SimpleNamespace(members=members, notifier=notifier, peers=None)
+        self.limits = TargetLimits(links, targets, open_null_log())
 
     @property
     def rate(self):
--- a/features/steps/targetlimits_steps.py
+++ b/features/steps/targetlimits_steps.py
@@ -69,11 +69,11 @@
 def check_windows(context):
     allowed = FACTOR * context.rate * WINDOW_SECONDS + SLACK
     for target in context.fleet.targets[: context.limited]:
-        largest = _find_largest_window(context, target.incarnation)
+        largest = find_largest_window(context, target.incarnation)
         assert largest <= allowed, (largest, allowed, target.incarnation)
 
 
-def _find_largest_window(context, incarnation):
+def find_largest_window(context, incarnation):
     """Return the maximum number of requests within a window.
 
     Only requests of routers that know the limit count, and only windows that end
--- a/packages/bench/src/ibisport_bench/soak/mutants.py
+++ b/packages/bench/src/ibisport_bench/soak/mutants.py
@@ -26,11 +26,11 @@
 from ibisport_fleet.forwarding import RequestForwarder
 from ibisport_fleet.ledger import Reservation
 from ibisport_fleet.quarantine.fatal_requests import FatalRequests
+from ibisport_fleet.rate_shares.target_limits import TargetLimits
 from ibisport_fleet.response_writer import ResponseWriter
 from ibisport_fleet.router import Router
 from ibisport_fleet.store import Change, Item
 from ibisport_fleet.target_choice import Candidate, TargetHealth
-from ibisport_fleet.target_limits import TargetLimits
 from ibisport_fleet.target_selection import RequestFailed
 from ibisport_fleet.target_warm_ups import TargetWarmUps
 from ibisport_fleet.targets import TargetEntry
--- a/packages/fleet/src/ibisport_fleet/event_log.py
+++ b/packages/fleet/src/ibisport_fleet/event_log.py
@@ -42,6 +42,7 @@
     target_limited = 2306
     target_paused = 2307
     domain_evacuated = 2308
+    shares_borrowed = 2309
     engine_paced = 2310
     part_spread = 2311
     load_feed_started = 2320
--- a/packages/fleet/src/ibisport_fleet/fleet_view.py
+++ b/packages/fleet/src/ibisport_fleet/fleet_view.py
@@ -7,6 +7,7 @@
 from ibisport_fleet.catalogue import Catalogue, Workspace
 from ibisport_fleet.errors import RecordInvalid
 from ibisport_fleet.event_log import Event, EventLog
+from ibisport_fleet.rate_shares.limit import RateLimit
 from ibisport_fleet.store import Change, Item, Listing, Removal
 from ibisport_fleet.stream_versions.build_history import BuildHistory
 from ibisport_fleet.target_choice import Candidate, TargetHealth
@@ -127,6 +128,19 @@
             self._health[start_id] = health
         return health
 
+    def list_limits(self) -> dict[str, RateLimit]:
+        """Return the known rate limits, by the target's incarnation."""
+        limits = {
+            entry.incarnation: self.find_health(entry.start_id).limit
+            for entry in self.targets.entries
+        }
+        return {target: limit for target, limit in limits.items() if limit is not None}
+
+    def find_limit(self, incarnation: str) -> RateLimit | None:
+        """Return the rate limit of a target, or None if none is known."""
+        entry = self.targets.find(incarnation)
+        return None if entry is None else self.find_health(entry.start_id).limit
+
     def record_leaving(self, entry: TargetEntry) -> None:
         """Send a target no new requests, since it has said in an answer that it leaves.
 
--- /dev/null
+++ b/packages/fleet/src/ibisport_fleet/rate_shares/__init__.py
@@ -0,0 +1,1 @@
+"""Divides the rate limits that targets report among the routers."""
--- a/packages/fleet/src/ibisport_fleet/target_limits.py
+++ b/packages/fleet/src/ibisport_fleet/rate_shares/target_limits.py
@@ -12,10 +12,12 @@
 from ibisport_fleet.errors import PeerUnavailable
 from ibisport_fleet.event_log import Event, EventLog
 from ibisport_fleet.fleet_view import TargetView
-from ibisport_fleet.membership import Membership
-from ibisport_fleet.notices import Notifier
 from ibisport_fleet.peers import PeerHandler, decode_message
-from ibisport_fleet.rate_limit import RateLimit, compute_send_interval
+from ibisport_fleet.rate_shares.borrower import ShareBorrower
+from ibisport_fleet.rate_shares.demand import Demand
+from ibisport_fleet.rate_shares.lender import OwnShare, ShareLender
+from ibisport_fleet.rate_shares.limit import RateLimit, compute_send_interval
+from ibisport_fleet.router_links import RouterLinks
 from ibisport_fleet.target_choice import Candidate, TargetHealth
 
 LIMITS_PATH = b'/limits'
@@ -46,30 +48,44 @@
 class TargetLimits:
     """Applies the rate limits of targets and exchanges them with other routers."""
 
-    def __init__(
-        self,
-        members: Membership,
-        targets: TargetView,
-        notifier: Notifier,
-        log: EventLog,
-    ) -> None:
+    def __init__(self, links: RouterLinks, targets: TargetView, log: EventLog) -> None:
         """Create an instance without known limits.
 
         Args:
-            members: The routers that share a limit.
+            links: The routers that share a limit, and the ways to reach them.
             targets: Listed targets; their health holds the limits.
-            notifier: Sends notices to the other routers.
             log: Receives changes of limits.
         """
-        self._members = members
+        self._members = links.members
         self._targets = targets
-        self._notifier = notifier
+        self._notifier = links.notifier
         self._log = log
+        self._demand = Demand()
+        self._lender = ShareLender(
+            self._demand, self._list_own_shares, asyncio.get_running_loop().time
+        )
+        self._borrower = ShareBorrower(links, targets, self._lender.is_short, log)
 
     @property
     def handlers(self) -> Mapping[bytes, PeerHandler]:
-        """Handlers of other routers' notices, by path."""
-        return {LIMITS_PATH: self._handle_notice}
+        """Handlers of other routers' messages, by path."""
+        return {LIMITS_PATH: self._handle_notice, **self._lender.handlers}
+
+    async def run(self) -> None:
+        """Borrow shares of other routers while they are needed, until cancelled."""
+        await self._borrower.run()
+
+    def record_refusal(self, candidates: Sequence[Candidate], now: float) -> None:
+        """Record a request that no target may get now, and borrow shares of them.
+
+        Args:
+            candidates: The limited targets that could serve it.
+            now: Loop time.
+        """
+        self._demand.record_request(now)
+        self._borrower.request(
+            [candidate.entry.incarnation for candidate in candidates]
+        )
 
     def may_send(self, candidate: Candidate, now: float) -> bool:
         """Return whether this router may send a request to a target now."""
@@ -103,10 +119,16 @@
     def record_send(self, candidate: Candidate, now: float) -> None:
         """Count a request that is sent to a target."""
         limit = candidate.health.limit
-        if limit is not None:
-            limit.next_send_at = now + self._compute_candidate_interval(
-                candidate, limit
-            )
+        if limit is None:
+            return
+        self._demand.record_request(now)
+        share = limit.find_borrowed(now)
+        # A borrowed share goes first: it ends soon.
+        if share is not None and share.next_send_at <= now:
+            share.next_send_at = now + share.interval
+            share.used = True
+            return
+        limit.next_send_at = now + self._compute_candidate_interval(candidate, limit)
 
     def find_next_send(self, candidate: Candidate) -> float:
         """Return the loop time of this router's next send; infinite: it has no share.
@@ -114,9 +136,12 @@
         The target must have a limit.
         """
         limit = candidate.health.limit
-        if limit is None or isinf(self._compute_candidate_interval(candidate, limit)):
+        if limit is None:
             return inf
-        return limit.next_send_at
+        interval = self._compute_candidate_interval(candidate, limit)
+        own = inf if isinf(interval) else limit.next_send_at
+        share = limit.find_borrowed(asyncio.get_running_loop().time())
+        return own if share is None else min(own, share.next_send_at)
 
     def apply_answer(
         self, call: Call, health: TargetHealth, rate: float | None
@@ -168,9 +193,23 @@
         interval = self._compute_interval(target, rate)
         # The random offset spreads routers that learn of the limit at the same time.
         next_send_at = now + (interval * random.random() if isfinite(interval) else 0.0)
+        limit = RateLimit(rate, now, _draw_expiry(now), next_send_at)
         if known is not None and isfinite(known.next_send_at):
-            next_send_at = max(next_send_at, known.next_send_at)
-        return RateLimit(rate, now, _draw_expiry(now), next_send_at)
+            limit.next_send_at = max(next_send_at, known.next_send_at)
+            limit.borrower, limit.lent_until = known.borrower, known.lent_until
+        return limit
+
+    def _list_own_shares(self) -> Mapping[str, OwnShare]:
+        """Return this router's shares, by target."""
+        shares = {
+            target: OwnShare(limit, self._compute_interval(target, limit.rate))
+            for target, limit in self._targets.list_limits().items()
+        }
+        return {
+            target: share
+            for target, share in shares.items()
+            if isfinite(share.interval)
+        }
 
     def _compute_candidate_interval(
         self, candidate: Candidate, limit: RateLimit
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -90,9 +90,8 @@
             log,
         )
         self._holds = build_target_holds(
-            self._members,
+            self._links,
             (self._catalogue, self._targets),
-            self._links.notifier,
             adapters.evacuation_prefix,
             log,
         )
@@ -165,6 +164,7 @@
             'members': self._members.run(),
             'repaying': self._budgets.run_repayments(),
             'quarantine': self._fatal_requests.run(),
+            'rate shares': self._holds.limits.run(),
             'standby': self._call_handler.standby.run(),
             'datagrams': self._links.datagrams.run(),
         }
--- a/packages/fleet/src/ibisport_fleet/target_choice.py
+++ b/packages/fleet/src/ibisport_fleet/target_choice.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from ibisport_fleet.metadata import PromptPart, TargetLoad
-from ibisport_fleet.rate_limit import RateLimit
+from ibisport_fleet.rate_shares.limit import RateLimit
 from ibisport_fleet.rendezvous import compute_score
 from ibisport_fleet.targets import TargetEntry
 from ibisport_fleet.warm_up import WarmUpState
--- a/packages/fleet/src/ibisport_fleet/target_client.py
+++ b/packages/fleet/src/ibisport_fleet/target_client.py
@@ -10,9 +10,9 @@
 from ibisport_fleet.http_connection import HttpConnection
 from ibisport_fleet.http_messages import AnswerHead
 from ibisport_fleet.metadata import AnswerMetadata, Dialect, SendMetadata
+from ibisport_fleet.rate_shares.target_limits import TargetLimits
 from ibisport_fleet.stream_versions.origin import permits
 from ibisport_fleet.target_choice import Candidate, TargetHealth
-from ibisport_fleet.target_limits import TargetLimits
 from ibisport_fleet.target_pauses import apply_pause
 
 # Connecting takes less than 10 ms between failure domains. A lost packet is sent again
--- a/packages/fleet/src/ibisport_fleet/target_holds.py
+++ b/packages/fleet/src/ibisport_fleet/target_holds.py
@@ -11,10 +11,9 @@
 from ibisport_fleet.evacuations import Evacuations
 from ibisport_fleet.event_log import EventLog
 from ibisport_fleet.fleet_view import CatalogueView, TargetView
-from ibisport_fleet.membership import Membership
-from ibisport_fleet.notices import Notifier
+from ibisport_fleet.rate_shares.target_limits import TargetLimits
+from ibisport_fleet.router_links import RouterLinks
 from ibisport_fleet.target_choice import Candidate
-from ibisport_fleet.target_limits import TargetLimits
 from ibisport_fleet.target_warm_ups import TargetWarmUps
 
 NO_TARGET_RETRY_AFTER_SECONDS = 0.5
@@ -113,20 +112,39 @@
         self.limits.record_send(candidate, now)
         self._warm_ups.record_send(candidate, now)
 
+    def record_refusal(
+        self,
+        candidates: Sequence[Candidate],
+        holds: Sequence[Hold | None],
+        now: float,
+    ) -> None:
+        """Record a request that no target may get now.
+
+        Args:
+            candidates: The targets of its service.
+            holds: Why each of them may not get it; None: it got it before.
+            now: Loop time.
+        """
+        limited = [
+            candidate
+            for candidate, hold in zip(candidates, holds, strict=True)
+            if isinstance(hold, RateLimited)
+        ]
+        if limited:
+            self.limits.record_refusal(limited, now)
+
 
 def build_target_holds(
-    members: Membership,
+    links: RouterLinks,
     views: tuple[CatalogueView, TargetView],
-    notifier: Notifier,
     evacuation_prefix: str,
     log: EventLog,
 ) -> TargetHolds:
     """Assemble the components that know why targets may not get requests.
 
     Args:
-        members: The routers that share rates.
+        links: The routers that share rates, and the ways to reach them.
         views: This router's copies of the catalogue and of the list of targets.
-        notifier: Sends notices to the other routers.
         evacuation_prefix: Prefix of the keys of evacuations.
         log: Receives changes.
     """
@@ -134,8 +152,8 @@
     evacuations = Evacuations(evacuation_prefix, log)
     return TargetHolds(
         evacuations,
-        TargetLimits(members, targets, notifier, log),
-        TargetWarmUps(members, catalogue, evacuations),
+        TargetLimits(links, targets, log),
+        TargetWarmUps(links.members, catalogue, evacuations),
     )
 
 
--- a/packages/fleet/src/ibisport_fleet/target_selection.py
+++ b/packages/fleet/src/ibisport_fleet/target_selection.py
@@ -133,6 +133,7 @@
         if not listed and isinstance(self._call.origin, Begun):
             # Nothing tells whether targets with this software will serve again.
             return self.build_failure('version_gone', None)
+        self._dependencies.holds.record_refusal(listed, holds, now)
         tried = [candidate.entry.start_id in self._call.tried for candidate in listed]
         unavailable = describe_unavailable(holds, tried, now)
         return self.build_failure(unavailable.reason, unavailable.retry_after)
