Give up answers that bring bytes without an end

Callers saw: one target in trouble could take a router's memory, and its time from all other callers, until a request's deadline. Cause: the HTTP parser bounds neither heads, trailers, interim answers nor the framing of chunks, and a stream's event was kept whole and searched anew with each part. Class: a reader that bounds what it understands, not what it gets.

--- /dev/null
+++ b/features/steps/endlessanswers_steps.py
@@ -0,0 +1,121 @@
+"""Steps on answers without an end."""
+
+import asyncio
+import tracemalloc
+
+from behave import then, when
+
+from ibisport_fleet.errors import AnswerInvalid, ConnectionBroken
+from ibisport_fleet.http_connection import open_http_connection
+from ibisport_fleet.sse import EventSplitter
+
+MIB = 1_048_576
+PART = b'x' * 4_096
+HEAD = b'HTTP/1.1 200 OK\r\n'
+CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+# What is sent first, and then again and again.
+ENDLESS = {
+    'one header': (HEAD + b'X-Long: ', PART),
+    'headers': (HEAD, b'X-Name: value\r\n' * 256),
+    'trailers': (CHUNKED + b'1\r\nx\r\n0\r\n', b'X-Name: value\r\n' * 256),
+    'interim answers': (b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 128),
+    'a status line': (b'HTTP/1.1 200 ', PART),
+    'a chunk extension': (CHUNKED + b'1;x=', PART),
+    'no HTTP': (b'', PART),
+}
+TIMEOUT_SECONDS = 20.0
+# More than any bound: a sender that gets this far was read without an end.
+MAX_PARTS = 16_384
+
+
+class _Server:
+    """Sends a head and then parts without end."""
+
+    def __init__(self, head, part, count=MAX_PARTS):
+        self.sent = 0
+        self._pieces = (head, part, count)
+
+    async def serve(self, reader, writer):
+        """Answer on one connection."""
+        head, part, count = self._pieces
+        try:
+            writer.write(head)
+            for _ in range(count):
+                writer.write(part)
+                await writer.drain()
+                self.sent += len(part)
+        except ConnectionError:
+            writer.close()
+
+
+async def _request(server):
+    listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
+    loop = asyncio.get_running_loop()
+    address = listener.sockets[0].getsockname()
+    connection = await open_http_connection(address, loop.time() + 1.0)
+    try:
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            return await connection.request(b'GET / HTTP/1.1', (), b'')
+    finally:
+        connection.close()
+        listener.close()
+
+
+@when('a target sends {kind} without end')
+def send_endless(context, kind):
+    context.server = _Server(*ENDLESS[kind])
+    tracemalloc.start()
+    try:
+        asyncio.run(_request(context.server))
+    except ConnectionBroken as error:
+        context.failure = error
+    finally:
+        context.peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+
+
+@then(
+    'the request fails after at most {size:d} MiB, in at most {memory:d} MiB of memory'
+)
+def check_given_up(context, size, memory):
+    assert isinstance(context.failure, AnswerInvalid), context.failure
+    # The kernel buffers some megabytes that the router doesn't read.
+    assert context.server.sent <= (size + 8) * MIB, context.server.sent
+    assert context.peak <= memory * MIB, context.peak
+
+
+@when('a stream brings an event of 64 MiB in parts of 4 KiB')
+def send_endless_event(context):
+    context.splitter = splitter = EventSplitter()
+    context.fed = 0
+    context.failure = None
+    while context.fed < 64 * MIB and context.failure is None:
+        try:
+            splitter.feed(PART)
+        except AnswerInvalid as error:
+            context.failure = error
+        context.fed += len(PART)
+
+
+@then('it fails after at most {size:d} MiB')
+def check_event(context, size):
+    assert context.failure is not None
+    assert context.fed <= size * MIB, context.fed
+
+
+@when('a target sends 40,000 chunks of one byte')
+def send_small_chunks(context):
+    server = _Server(CHUNKED, b'1\r\nx\r\n' * 400, 100)
+    original = server.serve
+
+    async def serve(reader, writer):
+        await original(reader, writer)
+        writer.write(b'0\r\n\r\n')
+
+    server.serve = serve
+    context.answer = asyncio.run(_request(server))
+
+
+@then('the request gets its answer of 40,000 bytes')
+def check_answer(context):
+    assert context.answer.body == b'x' * 40_000
--- a/packages/fleet/src/ibisport_fleet/sse.py
+++ b/packages/fleet/src/ibisport_fleet/sse.py
@@ -2,6 +2,10 @@
 
 import re
 
+from ibisport_fleet.errors import AnswerInvalid
+
+# An event holds some tokens of text; a caller waits for all of it.
+MAX_EVENT_BYTES = 1_048_576
 _ID_LINE = re.compile(rb'^id: ?(\d+)', re.MULTILINE)
 _BOUNDARY = b'\n\n'
 
@@ -17,7 +21,7 @@
     def __init__(self, last_event_id: int | None = None) -> None:
         self.last_event_id = last_event_id
         self.event_count = 0
-        self._partial = b''
+        self._partial = bytearray()
 
     @property
     def has_partial_event(self) -> bool:
@@ -25,21 +29,32 @@
         return bool(self._partial)
 
     def feed(self, content: bytes) -> bytes:
-        """Return the events that these bytes complete."""
-        buffered = self._partial + content
-        end = buffered.rfind(_BOUNDARY)
+        """Return the events that these bytes complete.
+
+        Raises:
+            AnswerInvalid: An event is longer than ``MAX_EVENT_BYTES``.
+        """
+        # A boundary may begin with the last byte of the part before.
+        searched = max(0, len(self._partial) - len(_BOUNDARY) + 1)
+        self._partial += content
+        end = self._partial.rfind(_BOUNDARY, searched)
         if end < 0:
-            self._partial = buffered
+            self._check_size()
             return b''
         end += len(_BOUNDARY)
-        self._partial = buffered[end:]
-        complete = self.select_valid(buffered[:end])
+        complete = self.select_valid(bytes(self._partial[:end]))
+        del self._partial[:end]
+        self._check_size()
         self._count_events(complete)
         return complete
 
     def drop_partial_event(self) -> None:
         """Discard the buffered part of an event that was never completed."""
-        self._partial = b''
+        self._partial.clear()
+
+    def _check_size(self) -> None:
+        if len(self._partial) > MAX_EVENT_BYTES:
+            raise AnswerInvalid('an event without an end')
 
     def select_valid(self, complete: bytes) -> bytes:
         """Return the complete events that may be passed on."""
