Test answers that end with their connection, plain and streamed

An answer with neither a length nor chunks is whole if its connection is closed, and broken if it is reset or a stream ends within an event; a resumable stream then goes on at another target. All held on the code as it is: no fault was found. The scripted target's resets were ends of the connection (FIN), so that a reset of such an answer could not be told from its end; it now resets for real (RST).

--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -37,8 +37,17 @@
 )
 
 
+UNFRAMED = OK + SEAL + b'\r\n'
+UNFRAMED_STREAM = OK + SEAL + b'Content-Type: text/event-stream\r\n\r\n'
+INTERIM = b'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n'
+
+
+def _encode_text(number):
+    return b'id: %d\ndata: d%d\n\n' % (number, number)
+
+
 def _encode_event(number):
-    text = b'id: %d\ndata: d%d\n\n' % (number, number)
+    text = _encode_text(number)
     return b'%x\r\n%b\r\n' % (len(text), text)
 
 
@@ -72,6 +81,18 @@
     'late answer before whole answer': Reply(
         [WHOLE.replace(b'{id}', b'another').replace(b'hello', b'wrong') + WHOLE]
     ),
+    'unframed': Reply([UNFRAMED + b'hello'], ends=True),
+    'unframed that is reset': Reply([UNFRAMED + b'hello'], resets=True),
+    'interim before unframed': Reply([INTERIM + UNFRAMED + b'hello'], ends=True),
+    'unframed stream': Reply(
+        [UNFRAMED_STREAM, *(_encode_text(number) for number in range(1, 4))], ends=True
+    ),
+    'unframed stream within an event': Reply(
+        [UNFRAMED_STREAM, _encode_text(1), b'id: 2\nda'], ends=True
+    ),
+    'unframed stream that is reset': Reply(
+        [UNFRAMED_STREAM, _encode_text(1)], resets=True
+    ),
     'unsigned': Reply([OK + b'Content-Length: 5\r\n\r\nwrong']),
     'silent': Reply([b''], pause=5.0),
 }
--- a/packages/bench/src/ibisport_bench/standins/scripted.py
+++ b/packages/bench/src/ibisport_bench/standins/scripted.py
@@ -1,6 +1,8 @@
 """A target on a loopback port that sends scripted replies."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
@@ -10,6 +12,20 @@
 from ibisport_fleet.http_messages import Request
 from ibisport_fleet.request_reader import RequestReader
 
+# Makes the kernel reset a connection that is closed, instead of ending it.
+LINGER_ZERO = struct.pack('ii', 1, 0)
+
+
+class _TargetChannel(Channel):
+    """A channel that can be reset."""
+
+    def reset(self) -> None:
+        """Reset the connection: the peer gets an error instead of an end."""
+        raw = self._require_transport().get_extra_info('socket')
+        if raw is not None:
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO)
+        self.abort()
+
 
 @dataclass(frozen=True, slots=True)
 class Reply:
@@ -51,15 +67,18 @@
     async def start(self) -> None:
         """Listen on a free port of the loopback address."""
         loop = asyncio.get_running_loop()
-        server = await loop.create_server(lambda: Channel(self._open), '127.0.0.1', 0)
+        server = await loop.create_server(
+            lambda: _TargetChannel(self._open), '127.0.0.1', 0
+        )
         self.address = server.sockets[0].getsockname()
 
     def _open(self, channel: Channel) -> None:
+        assert isinstance(channel, _TargetChannel)
         task = asyncio.get_running_loop().create_task(self._serve(channel))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _serve(self, channel: Channel) -> None:
+    async def _serve(self, channel: _TargetChannel) -> None:
         reader = RequestReader(channel, Limits())
         try:
             while (request := await reader.read()) is not None:
@@ -68,7 +87,7 @@
             # The router reset the connection, so there is nothing to answer.
             return
 
-    async def _reply(self, request: Request, channel: Channel) -> None:
+    async def _reply(self, request: Request, channel: _TargetChannel) -> None:
         number = min(len(self.requests), len(self.replies) - 1)
         self.requests.append(request)
         reply = self.replies[number]
@@ -83,6 +102,6 @@
         await asyncio.sleep(0)
         if reply.resets:
             await asyncio.sleep(0.02)
-            channel.abort()
+            channel.reset()
         elif reply.ends:
             channel.close()
