--- a/features/steps/budget_faults.py
+++ b/features/steps/budget_faults.py
@@ -7,7 +7,7 @@
 
 from ibisport_bench.budget_world import BudgetWorld
 from ibisport_fleet.budget_page import decode_page
-from ibisport_fleet.budget_synchronizer import PAGE_KEY
+from ibisport_fleet.budget_writes import PAGE_KEY
 from ibisport_fleet.settings import Feature
 
 BUDGET = 1_000_000
--- a/features/steps/budgets_steps.py
+++ b/features/steps/budgets_steps.py
@@ -27,7 +27,7 @@
 from ibisport_bench.experiments.budgetrolls import simulate_rolling_restarts
 from ibisport_bench.virtual_time import run_virtually
 from ibisport_fleet.budget_page import decode_page
-from ibisport_fleet.budget_synchronizer import PAGE_KEY
+from ibisport_fleet.budget_writes import PAGE_KEY
 from ibisport_fleet.lenders import rank_lenders
 
 
--- a/features/steps/lending_steps.py
+++ b/features/steps/lending_steps.py
@@ -16,7 +16,7 @@
 from ibisport_bench.budget_world import BudgetWorld
 from ibisport_bench.virtual_time import run_virtually
 from ibisport_fleet.budget_page import decode_page
-from ibisport_fleet.budget_synchronizer import PAGE_KEY
+from ibisport_fleet.budget_writes import PAGE_KEY
 from ibisport_fleet.loan_planning import AHEAD_SECONDS, compute_second_lender_delay
 from ibisport_fleet.loans import LoanRequest
 
--- a/features/steps/shutdowns_steps.py
+++ b/features/steps/shutdowns_steps.py
@@ -22,7 +22,7 @@
 from ibisport_bench.virtual_time import run_virtually
 from ibisport_core.link import Link
 from ibisport_core.messages import Accepted, Chunk, Finished
-from ibisport_fleet.budget_synchronizer import PAGE_KEY
+from ibisport_fleet.budget_writes import PAGE_KEY
 from ibisport_fleet.event_log import Event
 
 # Ends a test that would hang; nothing is expected to take so long.
--- a/packages/bench/src/ibisport_bench/budget_world.py
+++ b/packages/bench/src/ibisport_bench/budget_world.py
@@ -10,7 +10,7 @@
 from ibisport_bench.standins.memory_store import MemoryService
 from ibisport_fleet.addresses import Address
 from ibisport_fleet.budget_page import decode_page
-from ibisport_fleet.budget_synchronizer import PAGE_KEY
+from ibisport_fleet.budget_writes import PAGE_KEY
 from ibisport_fleet.budgets import Budgets, TokensUnavailable
 from ibisport_fleet.catalogue import Catalogue, Workspace
 from ibisport_fleet.clocks import Clocks
--- a/packages/bench/src/ibisport_bench/experiments/budgetrolls.py
+++ b/packages/bench/src/ibisport_bench/experiments/budgetrolls.py
@@ -12,7 +12,7 @@
 
 from ibisport_bench.budget_world import BudgetWorld
 from ibisport_bench.virtual_time import run_virtually
-from ibisport_fleet.budget_synchronizer import PAGE_KEY
+from ibisport_fleet.budget_writes import PAGE_KEY
 
 HOSTS = 30
 WORKSPACES = 24
--- a/packages/bench/src/ibisport_bench/experiments/budgets.py
+++ b/packages/bench/src/ibisport_bench/experiments/budgets.py
@@ -13,7 +13,7 @@
 from ibisport_bench.budget_world import BudgetWorld
 from ibisport_bench.virtual_time import run_virtually
 from ibisport_fleet.budget_page import decode_page
-from ibisport_fleet.budget_synchronizer import PAGE_KEY
+from ibisport_fleet.budget_writes import PAGE_KEY
 
 BUDGET_TOKENS = 4_000_000
 # Each request reserves a randomly chosen one of these sizes and spends 90 % of it.
--- a/packages/bench/src/ibisport_bench/experiments/capacity.py
+++ b/packages/bench/src/ibisport_bench/experiments/capacity.py
@@ -8,13 +8,10 @@
 import math
 import sys
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 from pathlib import Path
 from types import MappingProxyType
-from typing import Any
 
 import fire
-import orjson
 
 from ibisport_bench.experiments import frames
 from ibisport_bench.experiments.capacity_target import (
@@ -22,13 +19,16 @@
     FLEET,
     SECONDS_PER_DAY,
 )
-from ibisport_bench.experiments.fit import Line
+from ibisport_bench.experiments.measurements import (
+    Measurements,
+    collect,
+    load_measured,
+)
 from ibisport_core.internal.watching import SILENCE_LIMIT
 from ibisport_core.settings import AgentSettings, RouterSettings
 from ibisport_core.store import PAGE_SIZE
 
 FOLDER = Path(__file__).parent
-MEASURED = FOLDER / 'measured.json'
 TEMPLATE = FOLDER / 'capacity_page.md'
 PAGE = 'docs/CAPACITY.md'
 MILLION = 1_000_000
@@ -90,23 +90,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class Measurements:
-    """The committed measurements.
-
-    Attributes:
-        lines: Fitted line by experiment and level.
-        router_micros: Processor time of a router per chunk, in microseconds.
-        agent_micros: Processor time of the agents per chunk, in microseconds.
-        document: The complete document.
-    """
-
-    lines: dict[str, dict[str, Line]]
-    router_micros: float
-    agent_micros: float
-    document: dict[str, Any]
-
-
 class Capacity:
     """Computes the figures of the page for the target fleet."""
 
@@ -416,44 +399,6 @@
     return f'{figure:.{digits}f}'.rstrip('0').rstrip('.')
 
 
-def load_measured(path: Path = MEASURED) -> Measurements:
-    """Read the committed measurements.
-
-    Args:
-        path: The document that ``collect`` wrote.
-    """
-    document = orjson.loads(path.read_bytes())
-    lines = {
-        name: {level: Line(**line) for level, line in slope['lines'].items()}
-        for name, slope in document['slopes'].items()
-    }
-    routed = [latency for latency in document['latency'] if latency['way'] == 'routed']
-    busiest = max(routed, key=_read_chunks)
-    return Measurements(
-        lines, busiest['router_micros'], busiest['agent_micros'], document
-    )
-
-
-def collect(folder: str) -> None:
-    """Combine the results in a folder into the committed document.
-
-    Args:
-        folder: Holds the output of slopes, latency and operator_cost.
-    """
-    results = {
-        name: orjson.loads((Path(folder) / f'{name}.json').read_bytes())
-        for name in ('slopes', 'latency', 'operator_cost')
-    }
-    document = {
-        'commit': results['slopes']['commit'],
-        'machine': results['slopes']['machine'],
-        'slopes': results['slopes']['slopes'],
-        'latency': results['latency']['runs'],
-        'commands': results['operator_cost']['commands'],
-    }
-    MEASURED.write_bytes(orjson.dumps(document, option=orjson.OPT_INDENT_2) + b'\n')
-
-
 def render() -> str:
     """Return the page computed from the committed measurements."""
     figures = Capacity(load_measured()).list_figures()
@@ -477,10 +422,6 @@
         sys.exit(1)
 
 
-def _read_chunks(latency: dict[str, Any]) -> float:
-    return float(latency['chunks_a_second'])
-
-
 def _make_slope_table() -> str:
     rows = ['| against | level | points | slope | base | residual |']
     rows.append('| --- | --- | --- | --- | --- | --- |')
--- a/packages/fleet/src/ibisport_fleet/budget_synchronizer.py
+++ b/packages/fleet/src/ibisport_fleet/budget_synchronizer.py
@@ -17,7 +17,7 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from ibisport_fleet.budget_page import (
     Account,
@@ -25,8 +25,8 @@
     Session,
     Share,
     decode_page,
-    encode_page,
 )
+from ibisport_fleet.budget_writes import PAGE_KEY, PlannedWrite, find_current
 from ibisport_fleet.calls import draw_jittered_delay
 from ibisport_fleet.cap_planning import (
     Demand,
@@ -48,7 +48,6 @@
     HostRecord,
     build_record_key,
     decode_record,
-    encode_record,
 )
 from ibisport_fleet.ledger import Ledger
 from ibisport_fleet.membership import Member
@@ -58,9 +57,8 @@
     Successor,
     bound_spent,
 )
-from ibisport_fleet.store import Condition, Conflict, Item, Put, Store
+from ibisport_fleet.store import Conflict, Item, Store
 
-PAGE_KEY = 'ibisport/budgets'
 # Longest delay until the next rebalance of the shares is due; the shortest is half of
 # it. A rebalance doesn't read the page: a conflicting write returns the current one,
 # and lenders' writes rarely conflict.
@@ -83,23 +81,6 @@
 BORROWER_BACKOFF_FACTOR = 8
 
 
-@dataclass(frozen=True, slots=True)
-class _PlannedWrite:
-    """The content and the conditions of one write attempt.
-
-    Attributes:
-        record: This host's record.
-        page: The budget page, or None to leave it unchanged.
-        caps: The caps that the page gives to this host.
-        proof: The contact proof to write, or None.
-    """
-
-    record: HostRecord
-    page: BudgetPage | None = None
-    caps: dict[str, int] = field(default_factory=dict)
-    proof: ContactProof | None = None
-
-
 class BudgetSynchronizer:
     """Maintains this process's shares, host record and contact proof in the store.
 
@@ -226,7 +207,7 @@
         )
         is_written = False
         while not is_written:
-            is_written = await self._try_write(_PlannedWrite(record))
+            is_written = await self._try_write(PlannedWrite(record))
 
     @property
     def is_predecessor_settled(self) -> bool:
@@ -290,11 +271,11 @@
             unused=unused,
         )
 
-    def _plan_opening(self, bound: SpentBound) -> _PlannedWrite:
+    def _plan_opening(self, bound: SpentBound) -> PlannedWrite:
         session = Session(self._incarnation, self._advance_sequence())
         spent = bound.list_spent(self._page, self._host)
         closed = self._page.close_session(self._host, spent)
-        return _PlannedWrite(
+        return PlannedWrite(
             self._build_record(session.sequence, {}, {}, None),
             closed.with_shares(self._host, session, {}),
         )
@@ -310,7 +291,7 @@
         listing = await self._store.scan(f'{PROOF_PREFIX}{self._host}')
         return PredecessorState(record, FoundProofs.from_listing(self._host, listing))
 
-    def _plan_write(self) -> _PlannedWrite:
+    def _plan_write(self) -> PlannedWrite:
         now = self._clocks.boot()
         demands = {
             name: self.ledger.find(name).measure_demand(now)
@@ -331,12 +312,12 @@
         if not self._is_page_write_due(shares, demands, now):
             caps = {name: self.ledger.find(name).cap for name in demands}
             record = self._build_record(sequence, caps, demands, proof)
-            return _PlannedWrite(record, proof=proof)
+            return PlannedWrite(record, proof=proof)
         caps = {name: share.cap for name, share in shares.items()}
         session = Session(self._incarnation, sequence)
         page = self._page.with_shares(self._host, session, shares)
         record = self._build_record(sequence, caps, demands, proof)
-        return _PlannedWrite(record, page, caps, proof)
+        return PlannedWrite(record, page, caps, proof)
 
     def _is_page_write_due(
         self, shares: dict[str, Share], demands: dict[str, Demand], now: float
@@ -406,7 +387,7 @@
             full_cap_at=full_cap_at,
         )
 
-    async def _try_write(self, plan: _PlannedWrite) -> bool:
+    async def _try_write(self, plan: PlannedWrite) -> bool:
         """Attempt a write; return False on a conflict, after updating the page."""
         # Until the answer arrives, the store may hold the old caps or the new ones.
         self.ledger.apply_unconfirmed(
@@ -419,7 +400,10 @@
         self._is_outcome_unknown = True
         started_at = self._clocks.boot()
         outcome = await self._store.write(
-            self._list_conditions(plan), self._list_puts(plan)
+            plan.list_conditions(
+                self._host, self._record_revision, self._page_revision
+            ),
+            plan.list_puts(self._host, self._clocks),
         )
         self.write_answered_at = self._clocks.boot()
         latency = self.write_answered_at - started_at
@@ -436,15 +420,15 @@
         self._confirm(plan)
         return True
 
-    async def _resolve_conflict(self, plan: _PlannedWrite, conflict: Conflict) -> bool:
+    async def _resolve_conflict(self, plan: PlannedWrite, conflict: Conflict) -> bool:
         """Apply the state after a conflict; return whether the plan is stored."""
         key = build_record_key(self._host)
-        item = await _find_current(self._store, conflict, key)
+        item = await find_current(self._store, conflict, key)
         record = None if item is None else decode_record(item.content)
         self._record_revision = 0 if item is None else item.revision
         is_stored = record is not None and record == plan.record
         if plan.page is not None:
-            self._apply_page(await _find_current(self._store, conflict, PAGE_KEY))
+            self._apply_page(await find_current(self._store, conflict, PAGE_KEY))
         if is_stored:
             # An earlier attempt of this write was applied but not answered.
             self._confirm(plan)
@@ -466,31 +450,12 @@
             2 * self._conflict_backoff, MAX_CONFLICT_BACKOFF_SECONDS
         )
 
-    def _confirm(self, plan: _PlannedWrite) -> None:
+    def _confirm(self, plan: PlannedWrite) -> None:
         """Apply a write that is known to be stored."""
         self._conflict_backoff = CONFLICT_BACKOFF_SECONDS
         self.ledger.apply_confirmed(plan.record.caps, plan.caps)
         self.proofs.apply_stored(plan.proof)
 
-    def _list_conditions(self, plan: _PlannedWrite) -> list[Condition]:
-        conditions = [Condition(build_record_key(self._host), self._record_revision)]
-        if plan.page is not None:
-            conditions.append(Condition(PAGE_KEY, self._page_revision or 0))
-        return conditions
-
-    def _list_puts(self, plan: _PlannedWrite) -> list[Put]:
-        puts = [Put(build_record_key(self._host), encode_record(plan.record))]
-        if plan.page is not None:
-            puts.append(Put(PAGE_KEY, encode_page(plan.page)))
-        if plan.proof is not None:
-            puts += plan.proof.list_puts(
-                self._host,
-                self._incarnation,
-                self._clocks.boot(),
-                self._clocks.wall(),
-            )
-        return puts
-
     def _apply_page(self, item: Item | None) -> None:
         self._page = BudgetPage() if item is None else decode_page(item.content)
         self._page_revision = 0 if item is None else item.revision
@@ -503,10 +468,3 @@
     def _list_budgets(self) -> list[tuple[str, int]]:
         current = self._catalogue.current
         return [] if current is None else current.list_budgets()
-
-
-async def _find_current(store: Store, conflict: Conflict, key: str) -> Item | None:
-    """Return a key's current item; reads the store only if the conflict lacks it."""
-    if key in conflict.absent:
-        return None
-    return conflict.find(key) or await store.read(key)
