--- a/features/soak.feature
+++ b/features/soak.feature
@@ -8,6 +8,10 @@
     When the soak only restarts all routers, with seed 3 for 30 seconds
     Then no check finds a violation
 
+  Scenario: Requests with a fatal prompt part stop reaching targets
+    When the soak sends requests with a fatal part, with seed 1 for 25 seconds
+    Then no check finds a violation
+
   # Continued streams must not lose, double or mix up events.
   Scenario: Streams that continue at copies violate no check
     When the soak breaks answers with copies and hedging, with seed 2 for 30 seconds
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -60,6 +60,15 @@
     ]
 
 
+@when(
+    'the soak sends requests with a fatal part, '
+    'with seed {seed:d} for {seconds:d} seconds'
+)
+def run_fatal_part(context, seed, seconds):
+    arguments = ('--seed', seed, '--seconds', seconds, '--routers', 4)
+    context.runs = [_run_soak(*arguments, '--only', 'fatal_part')]
+
+
 @when('the soak runs seed {seed:d} for {seconds:d} seconds with each mutant')
 def run_mutants(context, seed, seconds):
     def run_mutant(mutant):
--- a/packages/bench/src/ibisport_bench/soak/callers.py
+++ b/packages/bench/src/ibisport_bench/soak/callers.py
@@ -16,7 +16,13 @@
 )
 from ibisport_bench.soak.processes import Host
 from ibisport_bench.soak.targets import FATAL_PARAMETER
-from ibisport_platform.headers import HOST, LAST_EVENT_ID, RESUMES, SEAL
+from ibisport_platform.headers import (
+    HOST,
+    LAST_EVENT_ID,
+    PROMPT_PREFIX,
+    RESUMES,
+    SEAL,
+)
 from ibisport_platform.stand_in_records import encode_request_headers
 
 SITE_HOST = 'soak.example'
@@ -38,6 +44,10 @@
 KINDS = (Kind.read, Kind.once, Kind.talk, Kind.resume)
 KIND_WEIGHTS = (2, 3, 5, 3)
 FATAL_REQUEST_INTERVAL_SECONDS = 0.25
+FATAL_PART_INTERVAL_SECONDS = 0.3
+# The first part of all prompts beside those with a fatal part, and the size of parts.
+COMMON_PART = 'a0'
+PART_TOKENS = 10
 # Share of the streams that callers leave to take them up at another router.
 LEAVE_SHARE = 0.25
 MAX_RETURNS = 3
@@ -126,6 +136,26 @@
             self._spawn(self._random.choice(self._hosts), request)
             await asyncio.sleep(FATAL_REQUEST_INTERVAL_SECONDS)
 
+    async def send_fatal_part(self, seconds: float) -> None:
+        """Send different requests with one fatal part, and sound ones beside them.
+
+        The sound ones have the same workspace and the same first part.
+        """
+        part = f'fa{next(self._ids):x}'
+        workspace = self._keys[-1][0]
+        until = read_clock() + seconds
+        while read_clock() < until:
+            for parts in ((COMMON_PART, part), (COMMON_PART,)):
+                request = RequestRecord(
+                    self._make_id(), Kind.talk, '', workspace, PART_TOKENS, 9
+                )
+                request.parts = (*parts, request.request_id)
+                request.path = f'/talk/{request.request_id}?events=9&pause=0.1'
+                if part in parts:
+                    request.path += f'&{FATAL_PARAMETER}=0.09'
+                self._spawn(self._random.choice(self._hosts), request)
+            await asyncio.sleep(FATAL_PART_INTERVAL_SECONDS)
+
     async def finish(self) -> None:
         """Wait for outstanding answers and close all connections."""
         if self._tasks:
@@ -238,6 +268,9 @@
             request.request_id, key, tokens, REQUEST_TIMEOUT_SECONDS
         )
         headers.append((HOST, SITE_HOST.encode()))
+        if request.parts:
+            listed = ','.join(f'{part}:{PART_TOKENS}' for part in request.parts)
+            headers.append((PROMPT_PREFIX, listed.encode()))
         if request.resumes:
             headers.append((RESUMES, request.resumes.encode()))
             headers.append((LAST_EVENT_ID, b'%d' % request.after))
--- a/packages/bench/src/ibisport_bench/soak/checks.py
+++ b/packages/bench/src/ibisport_bench/soak/checks.py
@@ -47,6 +47,9 @@
 # MAX_LATE_SENDS times.
 FATAL_THRESHOLD = 3
 MAX_LATE_SENDS = 3
+# The same for a part of prompts, and the share of sound requests beside it that begin.
+FATAL_PART_THRESHOLD = 5
+MIN_SOUND_SHARE = 0.5
 # The requests that a target may get in any window: LIMIT_FACTOR times its rate limit,
 # and LIMIT_SLACK more. A router that has received a limit must apply it within
 # LIMIT_APPLY_SECONDS.
@@ -223,6 +226,44 @@
             yield Violation('FATAL', description)
 
 
+def check_fatal_parts(evidence: Evidence) -> Iterator[Violation]:
+    """A part that has crashed FATAL_PART_THRESHOLD targets reaches hardly any more.
+
+    Sound requests with the same first part are served nevertheless.
+    """
+    asked = {ask.path: ask for ask in evidence.journal.asks if ask.parts}
+    crashes = sorted(
+        record.at for record in evidence.journal.crashes if record.path in asked
+    )
+    if len(crashes) < FATAL_THRESHOLD:
+        return
+    fatal_paths = {record.path for record in evidence.journal.crashes}
+    fatal_parts = {part for path in fatal_paths for part in asked[path].parts[1:-1]}
+    last_at = crashes[:FATAL_PART_THRESHOLD][-1]
+    known_at = last_at + RECOVERY_SECONDS
+    requests = {ask.request_id: ask for ask in asked.values()}
+    late = [
+        run
+        for run in evidence.journal.runs
+        if run.begun > known_at
+        and (ask := requests.get(run.request_id)) is not None
+        and fatal_parts & set(ask.parts)
+        and evidence.is_undisturbed(ask, run.begun, run.begun)
+    ]
+    if len(late) > MAX_LATE_SENDS:
+        yield Violation('PART', f'{len(late)} runs, {len(crashes)} targets ended')
+    sound = [
+        ask
+        for ask in asked.values()
+        if ask.sent > last_at + 2 * RECOVERY_SECONDS
+        and not fatal_parts & set(ask.parts)
+        and evidence.is_undisturbed(ask, ask.sent, ask.ended)
+    ]
+    begun = sum(ask.status == STATUS_OK for ask in sound)
+    if begun < MIN_SOUND_SHARE * len(sound):
+        yield Violation('PART', f'{begun} of {len(sound)} sound requests begun')
+
+
 def check_limits(evidence: Evidence) -> Iterator[Violation]:
     """A target gets no more requests than its advertised limit, with some slack."""
     for limit in evidence.journal.limits:
@@ -310,6 +351,7 @@
     'BACK': check_back,
     'ENDS': check_ends,
     'FATAL': check_fatal,
+    'PART': check_fatal_parts,
     'LIMIT': check_limits,
     'PAUSE': check_pauses,
     'LEAVE': check_leavings,
--- a/packages/bench/src/ibisport_bench/soak/evidence.py
+++ b/packages/bench/src/ibisport_bench/soak/evidence.py
@@ -102,6 +102,7 @@
         after: The last event that the caller has of that stream.
         leave_after: Events after which the caller leaves; 0: it stays.
         left: Whether the caller itself has left.
+        parts: Ids of the parts of its prompt, in order.
     """
 
     request_id: str
@@ -124,6 +125,7 @@
     after: int = 0
     leave_after: int = 0
     left: bool = False
+    parts: tuple[str, ...] = ()
 
     @property
     def last_event(self) -> int:
--- a/packages/bench/src/ibisport_bench/soak/fault_injection.py
+++ b/packages/bench/src/ibisport_bench/soak/fault_injection.py
@@ -56,8 +56,8 @@
 FINAL_RESTART_SECONDS = 1.2
 # Faults that are only injected alone: beside them, the checks for other faults would
 # need exceptions for the affected targets.
-FATAL_FAULT = 'fatal'
-EXCLUSIVE_FAULTS = (FATAL_FAULT, 'limit')
+FATAL_FAULTS = ('fatal', 'fatal_part')
+EXCLUSIVE_FAULTS = (*FATAL_FAULTS, 'limit')
 FATAL_SECONDS = 15.0
 # All fatal requests share the targets, each of which is away for two seconds after a
 # crash. With more of them each reaches too few targets for the check to tell a router
@@ -268,6 +268,13 @@
         await self._callers.repeat_fatal_request(FATAL_SECONDS)
         self._fatal_requests -= 1
 
+    async def _fatal_part(self) -> None:
+        """Let callers send different requests that have a fatal part in common."""
+        if self._fatal_requests:
+            return
+        self._fatal_requests += 1
+        await self._callers.send_fatal_part(FATAL_SECONDS)
+
 
 def draw_link_fault(random_source: random.Random) -> tuple[str, float]:
     """Return a random fault of a link and its duration in seconds."""
--- a/packages/bench/src/ibisport_bench/soak/mutants.py
+++ b/packages/bench/src/ibisport_bench/soak/mutants.py
@@ -19,6 +19,7 @@
 from ibisport_bench.soak.stream_mutants import forget_streams, go_on_anywhere
 from ibisport_fleet.budget_synchronizer import BudgetSynchronizer
 from ibisport_fleet.budgets import Budgets
+from ibisport_fleet.calls import Call
 from ibisport_fleet.catalogue import Route, Workspace
 from ibisport_fleet.errors import RecordInvalid
 from ibisport_fleet.evacuations import Evacuations
@@ -157,6 +158,11 @@
     patch(FatalRequests, 'find_remaining_seconds', lambda fatal, call: None)
 
 
+def overlook_parts() -> None:
+    """Quarantine only whole requests."""
+    patch(Call, 'shared_parts', ())
+
+
 def overlook_limits() -> None:
     """Ignore the rate limits that targets advertise."""
     patch(TargetLimits, 'may_send', lambda limits, candidate, now: True)
@@ -203,6 +209,7 @@
     'overlook-versions': Mutant('LATE', 'publish', overlook_versions),
     'go-back': Mutant('BACK', 'publish', go_back),
     'send-fatal': Mutant('FATAL', 'fatal', send_fatal),
+    'overlook-parts': Mutant('PART', 'fatal_part', overlook_parts),
     'overlook-limits': Mutant('LIMIT', 'limit', overlook_limits),
     'overlook-pauses': Mutant('PAUSE', 'pause', overlook_pauses),
     'overlook-leaving': Mutant('LEAVE', 'leave', overlook_leaving),
--- a/packages/bench/src/ibisport_bench/soak/run.py
+++ b/packages/bench/src/ibisport_bench/soak/run.py
@@ -11,7 +11,7 @@
 from ibisport_bench.soak.checks import check_all
 from ibisport_bench.soak.evidence import Journal, read_clock
 from ibisport_bench.soak.fault_injection import (
-    FATAL_FAULT,
+    FATAL_FAULTS,
     FINAL_FAULT,
     FaultInjector,
 )
@@ -102,7 +102,7 @@
     journal.budgets = {'tight': tight, 'ample': AMPLE_TOKENS}
     # While most targets warm up, a fatal request reaches too few of them for the check
     # to tell a router that sends it on from one that doesn't.
-    warm_up = None if options.only_fault == FATAL_FAULT else WARM_UP
+    warm_up = None if options.only_fault in FATAL_FAULTS else WARM_UP
     site = Site(options.routers, seed, folder, journal, warm_up)
     if options.mutant is not None:
         for host in site.routers:
