Log the digest and the parts of a request that is refused as quarantined

From the id of a refused request nobody could tell which of its parts was quarantined: a request that is never sent has no line with its digest or parts. request_failed (2404) has both now where the reason is quarantined.

--- a/packages/fleet/src/ibisport_fleet/quarantine/request_guard.py
+++ b/packages/fleet/src/ibisport_fleet/quarantine/request_guard.py
@@ -4,6 +4,7 @@
 
 from ibisport_fleet.calls import Call
 from ibisport_fleet.quarantine.fatal_requests import FatalRequests
+from ibisport_fleet.quarantine.keys import REASON_QUARANTINED
 from ibisport_fleet.target_selection import TargetSelector
 from ibisport_fleet.targets import TargetEntry
 
@@ -61,4 +62,4 @@
 
     def _refuse(self, retry_after: float | None) -> None:
         if retry_after is not None:
-            raise self._selector.build_failure('quarantined', retry_after)
+            raise self._selector.build_failure(REASON_QUARANTINED, retry_after)
--- a/packages/fleet/src/ibisport_fleet/request_recorder.py
+++ b/packages/fleet/src/ibisport_fleet/request_recorder.py
@@ -9,6 +9,7 @@
 from ibisport_fleet.metrics import Metrics
 from ibisport_fleet.placing.change_log import ChangeLog
 from ibisport_fleet.placing.pace import ServicePace
+from ibisport_fleet.quarantine.keys import REASON_QUARANTINED
 from ibisport_fleet.standby.policy import Begun, Ended, Transition
 from ibisport_fleet.stream_versions.directory import Finding, Found, NotFound
 from ibisport_fleet.target_choice import Candidate
@@ -123,8 +124,7 @@
         self._log.write(
             Event.request_sent,
             request=call.metadata.request_id,
-            digest=call.digest,
-            parts=call.shared_parts[:MAX_LOGGED_PARTS],
+            **_describe_keys(call),
             route=call.route.name,
             version=call.version,
             workspace=_name_workspace(call),
@@ -299,6 +299,7 @@
             sends=call.attempts,
             begun=begun,
             **_describe_send(call),
+            **(_describe_keys(call) if reason == REASON_QUARANTINED else {}),
         )
         self._metrics.count_request(
             _name_workspace(call), call.route.name, f'{status} {reason[:40]}'
@@ -376,5 +377,10 @@
     }
 
 
+def _describe_keys(call: Call) -> dict[str, object]:
+    """Return the log fields by which a request may be quarantined."""
+    return {'digest': call.digest, 'parts': call.shared_parts[:MAX_LOGGED_PARTS]}
+
+
 def _name_workspace(call: Call) -> str | None:
     return None if call.workspace is None else call.workspace.name
