Quarantine the part with fewer requests of two with the same crashes

Cause: a tie was settled against all keys, and a probe couldn't tell them apart. Change: of keys with the same crashes the one explains them that fewer of the requests there contain; a request with one quarantined part may be a probe 10 s before one with several.

--- a/features/quarantineevidence.feature
+++ b/features/quarantineevidence.feature
@@ -10,6 +10,16 @@
     When 3 targets crash under 2 parts, and a fourth one under only one of them
     Then only the part of all 4 crashes is quarantined
 
+  # The first part of all prompts was refused with the fatal one (soak seed 81204).
+  Scenario: Of two parts with the same crashes, the one with fewer requests is the cause
+    When 3 targets crash under requests with 2 parts, of which sound ones have one
+    Then only the fatal part is quarantined
+
+  # A probe with both crashed a target, and the sound part stayed refused.
+  Scenario: Parts that are quarantined together are probed one by one
+    When 3 targets crash under requests that all have the same 2 parts
+    Then a request with one of them may be sent once, and one with both may not
+
   # All parts of one request have the same crashes, and others have the parts too.
   Scenario: A repeated request is quarantined without its parts
     When 4 targets crash under one repeated request
--- a/features/steps/quarantineevidence_steps.py
+++ b/features/steps/quarantineevidence_steps.py
@@ -8,6 +8,7 @@
 from ibisport_fleet.quarantine.crashes import TargetCrash
 from ibisport_fleet.quarantine.policy import (
     ANSWERED_CRASH_THRESHOLD,
+    FIRST_PROBE_SECONDS,
     Findings,
     Quarantine,
 )
@@ -76,6 +77,29 @@
     world.crash([FATAL])
 
 
+@when('3 targets crash under requests with 2 parts, of which sound ones have one')
+def crash_under_shared(context):
+    world = _start(context)
+    for _ in range(3):
+        world.crash([SOUND, FATAL], [SOUND])
+
+
+@when('3 targets crash under requests that all have the same 2 parts')
+def crash_under_both(context):
+    world = _start(context)
+    for _ in range(3):
+        world.crash([SOUND, FATAL])
+    world.now += FIRST_PROBE_SECONDS
+
+
+@then('a request with one of them may be sent once, and one with both may not')
+def check_single_probe(context):
+    quarantine = context.world.quarantine
+    assert context.world.quarantined == {FATAL, SOUND}
+    assert quarantine.may_probe([SOUND])
+    assert not quarantine.may_probe([SOUND, FATAL])
+
+
 @when('4 targets crash under one repeated request')
 def crash_under_repeated(context):
     world = _start(context)
@@ -134,7 +158,7 @@
     context.probes = 0
     for _ in range(HOUR_SECONDS):
         world.now += 1.0
-        if world.quarantine.may_probe(FATAL):
+        if world.quarantine.may_probe([FATAL]):
             context.probes += 1
             world.quarantine.begin_probe(FATAL)
             world.crash([FATAL], interval=0.1)
--- a/packages/fleet/src/ibisport_fleet/quarantine/crashes.py
+++ b/packages/fleet/src/ibisport_fleet/quarantine/crashes.py
@@ -34,13 +34,13 @@
 
     Attributes:
         targets: Incarnations of the targets that crashed.
-        request_count: Number of different requests.
+        requests: Digests of the requests that ran there.
         first_at: Loop time of the first crash; 0 without crashes.
         last_at: Loop time of the last crash; 0 without crashes.
     """
 
     targets: frozenset[str]
-    request_count: int
+    requests: frozenset[str]
     first_at: float
     last_at: float
 
@@ -115,7 +115,7 @@
             )
         return Evidence(
             frozenset(crashes),
-            len(requests),
+            frozenset(requests),
             min(times, default=0.0),
             max(times, default=0.0),
         )
--- a/packages/fleet/src/ibisport_fleet/quarantine/fatal_requests.py
+++ b/packages/fleet/src/ibisport_fleet/quarantine/fatal_requests.py
@@ -166,7 +166,7 @@
 
         One router does so for each part, without a message.
         """
-        if not all(self._quarantine.may_probe(key) for key in keys):
+        if not self._quarantine.may_probe(keys):
             return False
         first = min(keys)
         prober = max(self._members.current, key=lambda host: compute_score(first, host))
--- a/packages/fleet/src/ibisport_fleet/quarantine/policy.py
+++ b/packages/fleet/src/ibisport_fleet/quarantine/policy.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -32,6 +32,7 @@
 FIRST_PROBE_SECONDS = 2.0
 NEXT_PROBE_SECONDS = 30.0
 MAX_PROBES = 2
+JOINT_PROBE_DELAY_SECONDS = 10.0
 # Requests that are in flight when their part is quarantined crash targets within this.
 IN_FLIGHT_SECONDS = 1.0
 
@@ -213,9 +214,16 @@
         """Return the targets that are known to have crashed under a quarantined key."""
         return sorted(self._entries[key].crashed_targets)
 
-    def may_probe(self, key: str) -> bool:
-        """Return whether a quarantined part may be sent once."""
-        return is_part(key) and self._entries[key].may_probe(self._read_loop_time())
+    def may_probe(self, keys: Collection[str]) -> bool:
+        """Return whether a request with these quarantined keys may be sent once.
+
+        Requests with a single one go first: the answer to a sound part must not depend
+        on the parts that are quarantined with it.
+        """
+        now = self._read_loop_time()
+        if len(keys) > 1:
+            now -= JOINT_PROBE_DELAY_SECONDS
+        return all(is_part(key) and self._entries[key].may_probe(now) for key in keys)
 
     def begin_probe(self, key: str) -> None:
         """Record that a quarantined part is sent once."""
@@ -228,7 +236,14 @@
             for key in keys
             if key not in self._entries and self._is_convincing(key)
         }
-        order = sorted(evidence, key=lambda key: (-len(evidence[key].targets), key))
+        order = sorted(
+            evidence,
+            key=lambda key: (
+                -len(evidence[key].targets),
+                len(evidence[key].requests),
+                key,
+            ),
+        )
         for key in order:
             if self._is_convincing(key) and not self._has_own_answer(key, findings):
                 self._quarantine(key, evidence[key].targets, findings)
@@ -278,14 +293,12 @@
 
     def _is_convincing(self, key: str) -> bool:
         """Return whether crashes that nothing else explains suffice against a key."""
-        now = self._read_loop_time()
-        answered_at = self._known_answers.find(key, now)
-        targets = self._gather(key).targets
-        if len(targets) < CRASH_THRESHOLD:
+        answered_at = self._known_answers.find(key, self._read_loop_time())
+        if len(self._gather(key).targets) < CRASH_THRESHOLD:
             return False
         explained: set[str] = set()
         for other, entry in self._entries.items():
-            if other != key and _explains(other, entry.crashed_targets, key, targets):
+            if other != key and self._explains_better(other, key):
                 explained |= entry.crashed_targets
         evidence = self._crashes.gather(key, answered_at, explained)
         if not is_part(key):
@@ -294,7 +307,7 @@
         threshold = ANSWERED_CRASH_THRESHOLD if answered else CRASH_THRESHOLD
         return (
             len(evidence.targets) >= threshold
-            and evidence.request_count >= MIN_REQUESTS
+            and len(evidence.requests) >= MIN_REQUESTS
             and evidence.last_at - evidence.first_at >= MIN_SPREAD_SECONDS
         )
 
@@ -302,21 +315,20 @@
         """Return whether a cause explains all known crashes under a quarantined key."""
         targets = self._entries[key].crashed_targets
         cause_targets = self._entries[cause].crashed_targets
-        return (
-            bool(targets)
-            and targets <= cause_targets
-            and _explains(cause, cause_targets, key, targets)
-        )
-
+        known = bool(targets) and targets <= cause_targets
+        return known and self._explains_better(cause, key)
 
-def _explains(
-    cause: str, cause_targets: set[str], key: str, targets: set[str] | frozenset[str]
-) -> bool:
-    """Return whether a cause is the better explanation of the crashes under a key.
+    def _explains_better(self, cause: str, key: str) -> bool:
+        """Return whether a quarantined key explains the crashes under another better.
 
-    It is if it explains more of them. Of a part and a request with the same crashes,
-    the part explains them: several requests had it.
-    """
-    if is_part(cause) and not is_part(key):
-        return True
-    return len(cause_targets) > len(targets)
+        It does if it explains more of them, or the same ones with fewer requests: the
+        parts of the cause's requests are at all of its crashes. Of a part and a request
+        with the same crashes, the part explains them: several requests had it.
+        """
+        if is_part(cause) and not is_part(key):
+            return True
+        cause_targets = self._entries[cause].crashed_targets
+        evidence = self._gather(key)
+        if cause_targets != evidence.targets:
+            return len(cause_targets) > len(evidence.targets)
+        return self._crashes.gather(cause).requests < evidence.requests
