--- a/packages/fleet/src/ibisport_fleet/quarantine/fatal_requests.py
+++ b/packages/fleet/src/ibisport_fleet/quarantine/fatal_requests.py
@@ -212,6 +212,8 @@
         if until is None:
             return
         if own:
+            # Keys that have expired are no longer written.
+            self._own_keys &= self._quarantine.entries.keys()
             self._own_keys.add(key)
         targets = self._quarantine.list_targets(key)
         self._log.write(
--- a/packages/fleet/src/ibisport_fleet/quarantine/policy.py
+++ b/packages/fleet/src/ibisport_fleet/quarantine/policy.py
@@ -32,6 +32,8 @@
 FIRST_PROBE_SECONDS = 2.0
 NEXT_PROBE_SECONDS = 30.0
 MAX_PROBES = 2
+# How much later a request with several quarantined parts may be a probe: if one of them
+# is sound, its own requests have shown so by then.
 JOINT_PROBE_DELAY_SECONDS = 10.0
 # Requests that are in flight when their part is quarantined crash targets within this.
 IN_FLIGHT_SECONDS = 1.0
--- a/packages/fleet/src/ibisport_fleet/rate_shares/borrower.py
+++ b/packages/fleet/src/ibisport_fleet/rate_shares/borrower.py
@@ -146,7 +146,10 @@
     def _apply(
         self, lender: str, target: str, share: LentShare, asked_at: float
     ) -> bool:
-        """Use a share until a lease from before the lender's own has ended."""
+        """Use a share until its lease ends, counted from before it was asked for.
+
+        The lender counts it from a later moment, so that both never use the share.
+        """
         limit = self._targets.find_limit(target)
         if limit is None or share.interval <= 0 or share.delay < 0:
             return False
--- a/packages/fleet/src/ibisport_fleet/rate_shares/limit.py
+++ b/packages/fleet/src/ibisport_fleet/rate_shares/limit.py
@@ -49,11 +49,7 @@
 
     def find_borrowed(self, now: float) -> 'BorrowedShare | None':
         """Return the borrowed share that may be used first, or None."""
-        usable = [
-            share
-            for share in self.borrowed.values()
-            if share.next_send_at <= share.until and now < share.until
-        ]
+        usable = [share for share in self.borrowed.values() if share.is_usable(now)]
         return min(usable, key=lambda share: share.next_send_at, default=None)
 
 
