--- a/features/quarantineparts.feature
+++ b/features/quarantineparts.feature
@@ -18,3 +18,9 @@
       | as the first part of their prompts        |
       | with a first part that all requests have  |
       | while all routers are killed once         |
+
+  # Routers that had never sent the part would refuse it until it is probed.
+  Scenario: A part that one router has seen answered is refused nowhere
+    Given 4 routers and 8 targets
+    When one router sees a part answered, and targets crash under it at two others
+    Then each router serves it 0.3 seconds after the last crash
--- a/features/steps/quarantineparts_steps.py
+++ b/features/steps/quarantineparts_steps.py
@@ -11,6 +11,11 @@
 OTHER_CRASH_INTERVAL_SECONDS = 2.0
 RESTART_AFTER_SECONDS = 14.0
 DOWN_SECONDS = 3.0
+# Answers that are this slow have not begun when their targets crash.
+SLOW_FACTOR = 20
+CRASH_INTERVAL_SECONDS = 0.4
+ANSWERED_CRASHES = 3
+NOTICE_SECONDS = 0.3
 # Bounds of the rule: the crashes after which, and how many requests may follow.
 ALLOWED_CRASHES = 5
 STATUS_OK = 200
@@ -109,6 +114,51 @@
     context.fleet = run_fleet(act, *context.size)
 
 
+@when('one router sees a part answered, and targets crash under it at two others')
+def crash_under_answered(context):
+    line = _encode_prompt(1, 'e0')
+
+    async def act(fleet):
+        first, *others = fleet.routers
+        await fleet.call(fleet.ask(first, 'stream', b'early', line))
+        for target in fleet.targets:
+            target.event_factor = SLOW_FACTOR
+        pending = []
+        for number in range(ANSWERED_CRASHES):
+            body = b'request %d' % number
+            pending += [
+                fleet.call(fleet.ask(router, 'stream', body, line))
+                for router in others[:2]
+            ]
+            await asyncio.sleep(CRASH_INTERVAL_SECONDS)
+            _crash_running(fleet)
+        for target in fleet.targets:
+            target.event_factor = 1
+        await asyncio.wait(pending)
+        await asyncio.sleep(NOTICE_SECONDS)
+        fleet.answers.clear()
+        for number, router in enumerate(fleet.routers):
+            await fleet.call(fleet.ask(router, 'stream', b'late %d' % number, line))
+
+    context.fleet = run_fleet(act, *context.size)
+
+
+def _crash_running(fleet):
+    """Crash the targets that got requests since the last crash."""
+    since = fleet.now - CRASH_INTERVAL_SECONDS
+    running = {arrival.target for arrival in fleet.arrivals if arrival.at >= since}
+    for target in fleet.targets:
+        if target.incarnation in running:
+            target.crash()
+
+
+@then('each router serves it 0.3 seconds after the last crash')
+def check_served_everywhere(context):
+    answers = [answer for _, answer in context.fleet.answers]
+    assert len(answers) == len(context.fleet.routers)
+    assert all(answer.status == STATUS_OK and answer.whole for answer in answers)
+
+
 @then(
     'at most {max_sends:d} of them reach targets later than 3 seconds '
     'after the fifth crash'
