Refuse requests that bring bytes without an end beside their bodies

Cause: the readers of answers had been bounded, those of requests, of callers and of other routers and relays, had not: the limit of heads was checked for headers that had ended, and the parser copies an unended one with each part. Change: FramingMeter bounds both readers; a request may bring 64 KiB and five times the limit of heads beside its body, and is refused with 431 beyond.

--- a/features/endlessanswers.feature
+++ b/features/endlessanswers.feature
@@ -23,3 +23,15 @@
   Scenario: Many small chunks are no bytes without end
     When a target sends 40,000 chunks of one byte
     Then the request gets its answer of 40,000 bytes
+
+  # The limits of heads were checked only for headers that had ended.
+  Scenario Outline: A request without an end is refused
+    When a caller or another router sends <bytes> without end
+    Then the request is refused after at most 1 MiB
+
+    Examples:
+      | bytes                |
+      | one header           |
+      | a path               |
+      | a chunk extension    |
+      | trailers             |
--- a/features/steps/endlessanswers_steps.py
+++ b/features/steps/endlessanswers_steps.py
@@ -1,12 +1,15 @@
 """Steps on answers without an end."""
 
 import asyncio
+import itertools
 import tracemalloc
 
 from behave import then, when
 
-from ibisport_fleet.errors import AnswerInvalid, ConnectionBroken
+from ibisport_fleet.catalogue import Limits
+from ibisport_fleet.errors import AnswerInvalid, ConnectionBroken, RequestInvalid
 from ibisport_fleet.http_connection import open_http_connection
+from ibisport_fleet.request_reader import RequestReader
 from ibisport_fleet.sse import EventSplitter
 
 MIB = 1_048_576
@@ -130,3 +133,46 @@
 @then('the request gets its answer of 40,000 bytes')
 def check_answer(context):
     assert context.answer.body == b'x' * 40_000
+
+
+POST = b'POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
+ENDLESS_REQUESTS = {
+    'one header': (b'GET /x HTTP/1.1\r\nX-Long: ', PART),
+    'a path': (b'GET /', PART),
+    'a chunk extension': (POST + b'1;x=', PART),
+    'trailers': (POST + b'1\r\nx\r\n0\r\n', b'X-Name: value\r\n' * 256),
+}
+
+
+class _EndlessChannel:
+    """Brings a head and then parts without end."""
+
+    def __init__(self, head, part):
+        self.received = 0
+        self._pieces = itertools.chain([head], itertools.repeat(part, MAX_PARTS))
+
+    async def read(self):
+        """Return the next piece."""
+        piece = next(self._pieces, b'')
+        self.received += len(piece)
+        return piece
+
+
+@when('a caller or another router sends {kind} without end')
+def send_endless_request(context, kind):
+    context.channel = _EndlessChannel(*ENDLESS_REQUESTS[kind])
+    context.failure = None
+
+    async def read():
+        await RequestReader(context.channel, Limits()).read()
+
+    try:
+        asyncio.run(read())
+    except RequestInvalid as error:
+        context.failure = error
+
+
+@then('the request is refused after at most {size:d} MiB')
+def check_refused(context, size):
+    assert context.failure is not None, context.channel.received
+    assert context.channel.received <= size * MIB, context.channel.received
--- a/packages/fleet/src/ibisport_fleet/http_connection.py
+++ b/packages/fleet/src/ibisport_fleet/http_connection.py
@@ -10,16 +10,15 @@
 from ibisport_fleet.addresses import Address
 from ibisport_fleet.channel import Channel, open_channel
 from ibisport_fleet.errors import AnswerInvalid
+from ibisport_fleet.framing import FramingMeter
 from ibisport_fleet.http_messages import Answer, AnswerHead, Headers, encode_head
 
 FIRST_FINAL_STATUS = 200
 # Answers without a body, whatever their headers say (RFC 9112, section 6.3).
 BODILESS_STATUSES = frozenset((204, 304))
 MAX_BODY_BYTES = 8_388_608
-# Bound what an exchange brings beside bodies: heads, trailers and the framing of
-# chunks, five bytes for a chunk of one byte. The parser itself has no bound.
+# Heads, trailers and interim answers of one exchange.
 MAX_FRAMING_BYTES = 65_536
-MAX_FRAMING_PER_BODY_BYTE = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,7 +60,7 @@
         self.keep_alive = False
         self._channel = channel
         self._events: deque[_AnswerEvent] = deque()
-        self._framing_bytes = 0
+        self._framing = FramingMeter(MAX_FRAMING_BYTES)
         self._init_parser()
 
     @property
@@ -78,7 +77,7 @@
 
     def send(self, request_line: bytes, headers: Headers, body: bytes) -> None:
         """Send a request, with a content length if it has or may have a body."""
-        self._framing_bytes = 0
+        self._framing.reset()
         if body or not request_line.startswith((b'GET ', b'DELETE ', b'HEAD ')):
             headers = (*headers, (b'content-length', b'%d' % len(body)))
         self._channel.write(encode_head(request_line, headers) + body)
@@ -191,7 +190,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Queue a part of the body."""
-        self._framing_bytes -= len(body) * (1 + MAX_FRAMING_PER_BODY_BYTE)
+        self._framing.record_body(len(body))
         self._events.append(_BodyPart(body))
 
     def on_message_complete(self) -> None:
@@ -219,7 +218,7 @@
         return self._events.popleft()
 
     def _feed(self, data: bytes) -> None:
-        self._framing_bytes += len(data)
+        self._framing.record_received(len(data))
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -229,7 +228,7 @@
             # it, the answer counts as truncated.
             self._malformed = True
             self._channel.abort()
-        if self._framing_bytes > MAX_FRAMING_BYTES:
+        if self._framing.exceeded:
             self._channel.abort()
             raise AnswerInvalid('more than an answer needs beside its body')
 
--- a/packages/fleet/src/ibisport_fleet/request_reader.py
+++ b/packages/fleet/src/ibisport_fleet/request_reader.py
@@ -8,11 +8,16 @@
 from ibisport_fleet.catalogue import Limits
 from ibisport_fleet.channel import Channel
 from ibisport_fleet.errors import ConnectionBroken, RequestInvalid
+from ibisport_fleet.framing import FramingMeter
 from ibisport_fleet.http_messages import Request
 
 STATUS_BAD_REQUEST = 400
 STATUS_TOO_LARGE = 413
 STATUS_HEADERS_TOO_LARGE = 431
+# Room for the request line, and for the four bytes of each header that don't count for
+# the limit, of which a header has one at least.
+REQUEST_LINE_BYTES = 65_536
+HEADER_FRAMING_FACTOR = 5
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -28,6 +33,9 @@
         self._limits = limits
         self._connected_at = asyncio.get_running_loop().time()
         self._parser = httptools.HttpRequestParser(self)
+        self._framing = FramingMeter(
+            REQUEST_LINE_BYTES + HEADER_FRAMING_FACTOR * limits.max_header_bytes
+        )
         self._complete_requests: deque[Request] = deque()
         self._started = False
         self._error: RequestInvalid | None = None
@@ -78,6 +86,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body and check its length."""
+        self._framing.record_body(len(body))
         self._body += body
         if len(self._body) > self._limits.max_body_bytes:
             raise RequestInvalid(STATUS_TOO_LARGE, 'the body is too long')
@@ -85,6 +94,7 @@
     def on_message_complete(self) -> None:
         """Queue the complete request."""
         self._started = False
+        self._framing.reset()
         self._complete_requests.append(
             Request(
                 method=self._parser.get_method().decode('ascii'),
@@ -104,6 +114,7 @@
         self._body = bytearray()
 
     def _feed(self, data: bytes) -> None:
+        self._framing.record_received(len(data))
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -114,6 +125,8 @@
                 self._error = cause
             else:
                 self._error = RequestInvalid(STATUS_BAD_REQUEST, repr(error))
+        if self._framing.exceeded and self._error is None:
+            self._error = RequestInvalid(STATUS_HEADERS_TOO_LARGE, 'framing too long')
 
 
 async def wait_for_request(
