Add up a router's shares at most twice a second, not at each refusal

Cause: each request refused for limits asked whether the router is short of shares, which ranked every limited target against all routers; the cache of ranks held 1,024. Change: the total is kept for half a second, the cache holds 16,384 ranks. The first look stays, and the choice of a target has the same cost for the targets of its service.

--- a/packages/fleet/src/ibisport_fleet/rate_shares/lender.py
+++ b/packages/fleet/src/ibisport_fleet/rate_shares/lender.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import math
 from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 
@@ -24,6 +25,9 @@
 # and a part of all its shares for those that may come.
 DEMAND_FACTOR = 2.0
 KEPT_FRACTION = 0.2
+# Each refused request asks whether this router is short, and a large site has thousands
+# of shares to add up.
+TOTAL_LIFETIME_SECONDS = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +67,9 @@
         self._demand = demand
         self._list_shares = list_shares
         self._read_clock = read_clock
+        self._total_rate = 0.0
+        # Loop time until which it is used.
+        self._total_until = -math.inf
 
     @property
     def handlers(self) -> Mapping[bytes, PeerHandler]:
@@ -71,8 +78,11 @@
 
     def is_short(self) -> bool:
         """Return whether this router may need more than all of its own shares."""
-        total = sum(share.rate for share in self._list_shares().values())
-        return DEMAND_FACTOR * self._demand.compute_rate(self._read_clock()) > total
+        now = self._read_clock()
+        if now >= self._total_until:
+            self._total_rate = sum(share.rate for share in self._list_shares().values())
+            self._total_until = now + TOTAL_LIFETIME_SECONDS
+        return DEMAND_FACTOR * self._demand.compute_rate(now) > self._total_rate
 
     def lend(self, request: ShareRequest) -> ShareAnswer:
         """Lend the requested shares that this router doesn't need.
--- a/packages/fleet/src/ibisport_fleet/rate_shares/limit.py
+++ b/packages/fleet/src/ibisport_fleet/rate_shares/limit.py
@@ -14,6 +14,8 @@
 # Senders beyond one for each request per second. More senders would exceed the limit
 # further: within a window each can send one request more than its share.
 EXTRA_SENDERS = 2
+# More than the targets of a large site, each of which is ranked against all routers.
+MAX_CACHED_SHARES = 16_384
 
 
 @dataclass(slots=True)
@@ -74,7 +76,7 @@
         return now < self.until and self.next_send_at < self.until
 
 
-@lru_cache(maxsize=1_024)
+@lru_cache(MAX_CACHED_SHARES)
 def list_senders(rate: float, target: str, hosts: frozenset[str]) -> tuple[str, ...]:
     """Return the routers that may send to a target, in order of their ranks.
 
@@ -87,7 +89,7 @@
     return tuple(ranked[: int(rate) + EXTRA_SENDERS])
 
 
-@lru_cache(maxsize=1_024)
+@lru_cache(MAX_CACHED_SHARES)
 def compute_send_interval(
     rate: float, target: str, host: str, hosts: frozenset[str]
 ) -> float:
