Ask no second target for a request that is quarantined, probe or not

Cause: the hedge asked whether the request may be sent, which a due probe allows; its send would then be a second one that no probe counts. Read from the code. Change: a quarantined request gets no hedge at all. Measured: the new example sends to one target; with the check taken out it sends to two and fails.

--- a/features/hedging.feature
+++ b/features/hedging.feature
@@ -43,6 +43,7 @@
       | routers without any retries      | an idempotent request |
       | a route with one target          | an idempotent request |
       | no answer times                  | an idempotent request |
+      | nothing else                     | a request that is quarantined meanwhile |
 
   # An early second send would double the load, a late one would not help.
   Scenario Outline: The delay follows from recent answers and the objective
--- a/features/steps/hedging_steps.py
+++ b/features/steps/hedging_steps.py
@@ -11,6 +11,8 @@
 from ibisport_fleet.catalogue import RouteKind
 from ibisport_fleet.continuation.hedging import AnswerTimes, compute_hedge_delay
 from ibisport_fleet.event_log import Event
+from ibisport_fleet.quarantine.crashes import TargetCrash
+from ibisport_fleet.quarantine.policy import CRASH_THRESHOLD
 from ibisport_fleet.settings import Feature
 
 NOW = 100.0
@@ -54,7 +56,15 @@
     context.requests = 1
 
 
-def _run(context, kind, delays, *, rejects=False, resets_after=None):
+def _quarantine(context, fleet):
+    """Quarantine the request that was sent last."""
+    digest = context.log.find(Event.request_sent)[-1]['digest']
+    quarantine = fleet.routers[0].router._fatal_requests._quarantine
+    for number in range(CRASH_THRESHOLD):
+        quarantine.record_crash(TargetCrash(f'other-{number}', (digest,)))
+
+
+def _run(context, kind, delays, *, rejects=False, resets_after=None, quarantines=False):
     """Run one request whose first target answers after a delay."""
     context.log = RecordingLog()
 
@@ -81,6 +91,8 @@
         while len(fleet.arrivals) == begun:
             await asyncio.sleep(0.001)
         context.first = fleet.arrivals[-1].target
+        if quarantines:
+            _quarantine(context, fleet)
         if resets_after is not None:
             first = find_target(fleet, context.first)
             fleet.net.call_later(resets_after, first.reset)
@@ -108,6 +120,11 @@
     _run(context, RouteKind.once.value, NEVER_SECONDS)
 
 
+@when('one target never answers a request that is quarantined meanwhile')
+def lose_quarantined(context):
+    _run(context, RouteKind.idempotent.value, NEVER_SECONDS, quarantines=True)
+
+
 @when('one target answers an idempotent request after {seconds:g} seconds')
 def answer_late(context, seconds):
     _run(context, RouteKind.idempotent.value, seconds)
--- a/packages/fleet/src/ibisport_fleet/continuation/hedged_send.py
+++ b/packages/fleet/src/ibisport_fleet/continuation/hedged_send.py
@@ -156,7 +156,7 @@
         if not any(other.health.is_available(now) for other in others):
             return None
         fatal_requests = self._dependencies.fatal_requests
-        if fatal_requests.find_remaining_seconds(self._call) is not None:
+        if fatal_requests.is_quarantined(self._call):
             return None
         if not self._may_retry():
             return None
--- a/packages/fleet/src/ibisport_fleet/quarantine/fatal_requests.py
+++ b/packages/fleet/src/ibisport_fleet/quarantine/fatal_requests.py
@@ -108,6 +108,10 @@
             return None
         return max(blocked.values())
 
+    def is_quarantined(self, call: Call) -> bool:
+        """Return whether a request is quarantined, also if it may be a probe."""
+        return bool(self._find_blocked(call))
+
     def begin_send(self, call: Call) -> float | None:
         """Return how long a request stays quarantined; None: it is sent now.
 
