Assert the generated histories in their own step, and restart routers in one place

The step on generated histories asserted in its When and compared a constant in its Then; the Then now checks that all histories (100 at least) quarantine the fatal part.

--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -62,11 +62,7 @@
 def send_and_kill(context, seconds, after):
     async def restart(fleet):
         await asyncio.sleep(after)
-        for router in fleet.routers:
-            router.kill()
-        await asyncio.sleep(DOWN_SECONDS)
-        for router in fleet.routers:
-            router.start()
+        await fleet.restart_routers(DOWN_SECONDS)
 
     _run_beside(context, seconds, restart)
 
--- a/features/steps/quarantineevidence_steps.py
+++ b/features/steps/quarantineevidence_steps.py
@@ -7,7 +7,6 @@
 
 from ibisport_fleet.quarantine.crashes import TargetCrash
 from ibisport_fleet.quarantine.policy import (
-    ANSWERED_CRASH_THRESHOLD,
     FIRST_PROBE_SECONDS,
     Findings,
     Quarantine,
@@ -168,18 +167,21 @@
 def crash_in_any_company(context):
     parts = st.lists(st.sampled_from([f'part-{number}' for number in range(6)]))
     prompts = st.lists(parts, max_size=4)
+    context.histories, context.hidden = 0, []
     others = st.lists(prompts, max_size=2)
 
     @settings(max_examples=150, deadline=None, derandomize=True, database=None)
     @generate(st.lists(st.tuples(others, parts, prompts), min_size=5, max_size=5))
     def play(steps):
+        context.histories += 1
         world = _World()
         for other_crashes, fatal, company in steps:
             for crash in other_crashes:
                 world.crash(*_list_sent(world, crash))
             sent = set(fatal) - world.quarantined
             world.crash([FATAL, *sent], *_list_sent(world, company))
-        assert FATAL in world.quarantined, world.quarantined
+        if FATAL not in world.quarantined:
+            context.hidden.append(world.quarantined)
 
     play()
 
@@ -230,7 +232,8 @@
 
 @then('a fatal part is quarantined by its fifth crash')
 def check_any_company(context):
-    assert ANSWERED_CRASH_THRESHOLD == 5
+    assert context.histories >= 100, context.histories
+    assert not context.hidden, context.hidden[:3]
 
 
 @then('at most {count} keys are suspected')
--- a/features/steps/quarantineparts_steps.py
+++ b/features/steps/quarantineparts_steps.py
@@ -73,11 +73,7 @@
 
 async def _restart_all(fleet):
     await asyncio.sleep(RESTART_AFTER_SECONDS)
-    for router in fleet.routers:
-        router.kill()
-    await asyncio.sleep(DOWN_SECONDS)
-    for router in fleet.routers:
-        router.start()
+    await fleet.restart_routers(DOWN_SECONDS)
 
 
 DISTURBANCES = {
--- a/features/steps/running_fleet.py
+++ b/features/steps/running_fleet.py
@@ -205,6 +205,14 @@
         assert all(router.ready for router in self.routers)
         self.started = True
 
+    async def restart_routers(self, down_seconds):
+        """Kill all routers at once, and start them again after some seconds."""
+        for router in self.routers:
+            router.kill()
+        await asyncio.sleep(down_seconds)
+        for router in self.routers:
+            router.start()
+
     def count_arrivals(self, target, since, until=math.inf):
         """Return the requests that reached a target in a span, and any target."""
         reached = [
--- a/packages/fleet/src/ibisport_fleet/quarantine/crashes.py
+++ b/packages/fleet/src/ibisport_fleet/quarantine/crashes.py
@@ -120,12 +120,12 @@
             max(times, default=0.0),
         )
 
-    def list_companions(self, key: str) -> set[str]:
+    def list_related_keys(self, key: str) -> set[str]:
         """Return all keys that any crash has in common with a key, and the key."""
-        companions = {key}
+        related = {key}
         for target in self._targets_by_key.get(key, ()):
-            companions |= self._list_keys(self._crashes[target])
-        return companions
+            related |= self._list_keys(self._crashes[target])
+        return related
 
     def forget(self, key: str) -> bool:
         """Drop all that speaks against a key; return whether anything did."""
--- a/packages/fleet/src/ibisport_fleet/quarantine/policy.py
+++ b/packages/fleet/src/ibisport_fleet/quarantine/policy.py
@@ -187,11 +187,11 @@
         for part, answered_at in answered.items():
             self._known_answers.record(part, answered_at)
             if part in self._entries and not self._is_convincing(part):
-                companions = self._crashes.list_companions(part)
+                related = self._crashes.list_related_keys(part)
                 self._entries.pop(part)
                 findings.lifted[part] = LiftReason.answered
                 # Its crashes have another cause.
-                self._judge(companions - {part}, findings)
+                self._judge(related - {part}, findings)
 
     def put(self, key: str, until: float) -> None:
         """Quarantine a key until a wall-clock time in seconds.
