--- a/review/standins/site_standins.py
+++ b/review/standins/site_standins.py
@@ -185,7 +185,8 @@
         match method, path.split('/')[1:]:
             case 'GET', ['kv-key']:
                 item = self._items.get(fields['key'])
-                return (404, {}) if item is None else (200, item)
+                found = {**(item or {}), 'storeRevision': self._revision}
+                return (404, {}) if item is None else (200, found)
             case 'GET', ['kv-range']:
                 items = [self._items[k] for k in sorted(self._items)]
                 items = [i for i in items if i['key'].startswith(fields['prefix'])]
@@ -410,7 +411,8 @@
         if self.fatal_part in parts[:-1]:
             self.crash()
             raise EOFError
-        fields = [*base, ('Response-Seal', seal), ('Content-Type', 'text/event-stream')]
+        fields = [*base, ('Response-Seal', seal), ('Weight-Versions', 1),
+                  ('Content-Type', 'text/event-stream')]
         lines = ['HTTP/1.1 200 OK', *(f'{n}: {v}' for n, v in fields)]
         lines += ['Transfer-Encoding: chunked', '', '']
         writer.write('\r\n'.join(lines).encode())
