--- a/review/standins/site_standins.py
+++ b/review/standins/site_standins.py
@@ -309,6 +309,7 @@
         while True:
             if not self._store.down:
                 self._seq += 1
+                self._beat_at = time.monotonic()
                 entry = {
                     'service': self.service, 'address': '{}:{}'.format(*self.address),
                     'zone': self.zone, 'version': self.version, 'slots': self.slots,
@@ -341,7 +342,7 @@
 
     async def _drop_entry(self, old_id, born):
         """Remove the entry after three heartbeats of silence, as the platform does."""
-        silent = 0.0
+        silent = time.monotonic() - self._beat_at
         while silent < ENTRY_LIFETIME_SECONDS:
             await asyncio.sleep(0.05)
             silent += 0 if self._store.down else 0.05
