--- a/review/standins-2/workers.py
+++ b/review/standins-2/workers.py
@@ -79,7 +79,12 @@
         )
 
     def register(self):
-        """Write its entry to the store."""
+        """Write its entry to the store; try again while the store is down."""
+        if not self.is_up:
+            return
+        if self.site.store.down:
+            asyncio.get_running_loop().call_later(HEARTBEAT_SECONDS, self.register)
+            return
         self.site.store.put(
             self.key,
             {
@@ -89,7 +94,7 @@
                 'version': self.version,
                 'slots': self.slots,
                 'state': self.state,
-                'coldLeftMs': 0,
+                'coldLeftMs': self.cold_left_ms(),
                 'seq': self.starts,
                 'born': self.born,
             },
@@ -110,7 +115,8 @@
         )
 
     def _expire(self, worker_id, born):
-        if self.id != worker_id or (self.born == born and self._server is None):
+        is_silent = self.id != worker_id or (self.born == born and not self.is_up)
+        if is_silent and not self.site.store.down:
             self.site.store.remove(f'servers/{worker_id}')
 
     def close(self):
@@ -119,6 +125,10 @@
             self._server.close()
             self._server = None
 
+    def cold_left_ms(self):
+        """Return for how long it is still cold."""
+        return 0
+
     def describe_load(self):
         """Return the value of the header Worker-Load."""
         return f'{min(self.running, self.slots)},{max(0, self.running - self.slots)},{self.slots}'
