Review case 4: the resumed request keeps its prompt, a stopping router isn't in touch

Tried: the same as before, after two corrections of the client stand-in: a stream is taken up with the prompt of its first attempt, and a router counts as in touch only from contactMs after its restart on.

--- a/review/4/run.py
+++ b/review/4/run.py
@@ -1,6 +1,7 @@
 """All routers are restarted in turn; the long streams of the last one are lost."""
 
 import asyncio
+import math
 import os
 import random
 import signal
@@ -65,7 +66,7 @@
     }
 
 
-def build_headers(seconds_left):
+def draw_prompt():
     parts = [
         '5c1e07a2:2520',
         f'5e55{random.randrange(64):04x}:800',
@@ -75,10 +76,13 @@
         ('Model', 'm'),
         ('Token-Usage', f'3620,{3 * EVENTS}'),
         ('Prompt-Prefix', ','.join(parts)),
-        ('Deadline-Ms', max(1, int(seconds_left * 1000))),
     ]
 
 
+def build_deadline(seconds_left):
+    return 'Deadline-Ms', max(1, int(seconds_left * 1000))
+
+
 class Balancer:
     """Asks routers for readiness each second; two misses take one out."""
 
@@ -121,7 +125,8 @@
 
     async def request(balancer):
         sent_at = time.monotonic()
-        headers = build_headers(DEADLINE_SECONDS)
+        prompt = draw_prompt()
+        headers = [*prompt, build_deadline(DEADLINE_SECONDS)]
         content = random.randbytes(300).hex().encode()
         router = balancer.select()
         in_touch = is_in_touch(router)
@@ -144,7 +149,8 @@
             router = balancer.select(avoided=router)
             in_touch = is_in_touch(router)
             headers = [
-                *build_headers(left),
+                *prompt,
+                build_deadline(left),
                 ('Last-Event-Id', events[-1]),
                 ('Resumes', first),
             ]
@@ -169,6 +175,7 @@
 
     async def restart(router, number):
         record.write(f'{router.name} gets {number.name}')
+        started_at[router.name] = math.inf
         router.send_signal(number)
         end_at = time.monotonic() + BOUNDS['graceS']
         while router.is_running and time.monotonic() < end_at:
