--- a/review/standins-2/workers.py
+++ b/review/standins-2/workers.py
@@ -22,6 +22,7 @@
         runs: What ran, in order: time, request id and the headers.
         running: Number of requests that run.
         arrivals: Number of requests that arrived.
+        warmup_seconds: For how long it is cold after a start.
     """
 
     def __init__(self, site, index, service, slots, answer, version='1'):
@@ -49,6 +50,8 @@
         self.starts = 0
         self.crashes = 0
         self._answer = answer
+        self.warmup_seconds = 0.0
+        self._started_at = 0.0
         self._writers = set()
         self._server = None
         self._seals = itertools.count(1)
@@ -69,6 +72,7 @@
             self.id = f'i-{random.randrange(16**10):010x}'
         self.starts += 1
         self.born = int(time.time() * 1000)
+        self._started_at = time.monotonic()
         self.state = 'ready'
         self._server = await asyncio.start_server(
             self._serve, self.ip, self.site.port + 10, backlog=512, limit=2**20
@@ -126,8 +130,9 @@
             self._server = None
 
     def cold_left_ms(self):
-        """Return for how long it is still cold."""
-        return 0
+        """Return for how long it is still cold, in whole milliseconds."""
+        warm_at = self._started_at + self.warmup_seconds
+        return max(0, int((warm_at - time.monotonic()) * 1000))
 
     def describe_load(self):
         """Return the value of the header Worker-Load."""
