--- a/review/4/run.py
+++ b/review/4/run.py
@@ -20,12 +20,12 @@
 RESTART_SECONDS = 0.5
 # Of the last router: from its SIGTERM until its streams have been taken up again.
 JUDGED_SECONDS = 12.0
-REQUESTS_PER_SECOND = 15
+REQUESTS_PER_SECOND = 20
 EVENTS, EVENT_SECONDS = 100, 0.1
 DEADLINE_SECONDS = 15.0
 RETRIES = 2
 MIN_STREAMS = 12
-HOST, PATH, KEY = 'llm.example', '/caption/1', 'key-1'
+HOST, PATH, KEY = 'llm.example', '/playlist/1', 'key-1'
 # With PART=last, only the last router is restarted.
 ROLLS = os.environ.get('PART') != 'last'
 
@@ -34,15 +34,15 @@
     return {
         'routes': [
             {
-                'name': 'r-caption',
+                'name': 'r-playlist',
                 'hostname': HOST,
-                'prefix': '/caption/',
+                'prefix': '/playlist/',
                 'kind': 'streaming',
                 'timeoutMs': 15000,
-                'targetLatencyMs': 600,
-                'targetGapMs': 250,
+                'targetLatencyMs': 800,
+                'targetGapMs': 400,
                 'priority': 1,
-                'service': 'ibis-llm',
+                'service': 'ibis-writers',
                 'maxAttempts': 2,
                 'resumable': True,
                 'sticky': True,
@@ -50,7 +50,7 @@
         ],
         'services': [
             {
-                'name': 'ibis-llm',
+                'name': 'ibis-writers',
                 'healthPath': '/health',
                 'maxConns': 310,
                 'engine': {'slots': 48, 'kvCapacity': 318631, 'stride': 3},
@@ -194,7 +194,7 @@
         site.add_routers(ROUTERS)
         for index in range(WORKERS):
             site.add_relay(index)
-            workers.append(Worker(site, index, 'ibis-llm', 48, answer))
+            workers.append(Worker(site, index, 'ibis-writers', 48, answer))
             await workers[-1].start()
         for process in (*site.routers, *site.relays):
             process.start()
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -8,6 +8,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -265,10 +266,12 @@
         return True
 
     def end(self):
-        """End all processes."""
+        """End all processes; their logs stay if KEEP_LOGS is set."""
         for process in (*self.routers, *self.relays):
             process.end()
         self.store.close()
+        if 'KEEP_LOGS' not in os.environ:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def find_free_ports(ip):
