--- a/review/4/run.py
+++ b/review/4/run.py
@@ -131,6 +131,7 @@
         router = balancer.select()
         in_touch = is_in_touch(router)
         attempt, message = build_request(HOST, PATH, KEY, headers, content)
+        record.write(f'{attempt} sent to {router.name}')
         outcome = await send(
             (router.ip, site.port + FRONT), attempt, message, DEADLINE_SECONDS
         )
@@ -142,9 +143,8 @@
             left = sent_at + DEADLINE_SECONDS - time.monotonic()
             if outcome.complete and outcome.status == 200 or not events or left <= 0:
                 return
-            pause = float(outcome.headers.get('retry-after', 0))
-            if outcome.status != 200 and pause > left / 3:
-                return
+            # Clients honour Retry-After up to a third of the time that is left.
+            pause = min(left / 3, float(outcome.headers.get('retry-after', 0)))
             await asyncio.sleep(pause if outcome.status != 200 else 0)
             router = balancer.select(avoided=router)
             in_touch = is_in_touch(router)
@@ -156,6 +156,7 @@
             ]
             attempt, message = build_request(HOST, PATH, KEY, headers, content)
             resumed_at = time.monotonic()
+            record.write(f'{attempt} sent to {router.name}, resumes {first}')
             outcome = await send(
                 (router.ip, site.port + FRONT), attempt, message, left
             )
--- a/review/standins-2/store.py
+++ b/review/standins-2/store.py
@@ -120,8 +120,6 @@
                     return
                 status, body = await self._answer(message)
                 await asyncio.sleep(ANSWER_SECONDS)
-                if self.down:
-                    status, body = 503, {}
                 writer.write(
                     encode_answer(
                         status,
@@ -195,6 +193,8 @@
                 for event in self._history
                 if event['revision'] > after and event['key'].startswith(prefix)
             ]
+            if self.down:
+                return 503, {}
             if events or loop.time() >= deadline:
                 return 200, {'events': events, 'storeRevision': self._revision}
             try:
--- a/review/standins-2/workers.py
+++ b/review/standins-2/workers.py
@@ -194,6 +194,9 @@
         self.runs.append(
             (time.monotonic(), request.headers.get('attempt-id', ''), request.headers)
         )
+        self.site.record.write(
+            f'worker {self.index + 1} runs {request.headers.get("attempt-id", "")}'
+        )
         self.running += 1
         try:
             await self._answer(self, request, writer)
