--- a/packages/fleet/src/ibisport_fleet/request_recorder.py
+++ b/packages/fleet/src/ibisport_fleet/request_recorder.py
@@ -1,7 +1,7 @@
 """Writes a log line and a metric for each decision about a request."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 
 from ibisport_fleet.budgets import TokensUnavailable
 from ibisport_fleet.calls import Call
@@ -189,11 +189,11 @@
                     age=round(age, 3),
                 )
                 self._metrics.count_resumed(source)
-            case NotFound(reason=reason, asked=asked):
+            case NotFound():
                 self._log.write(
-                    Event.stream_origin_unknown, **fields, reason=reason, asked=asked
+                    Event.stream_origin_unknown, **fields, **asdict(finding)
                 )
-                self._metrics.count_resumed(reason)
+                self._metrics.count_resumed(finding.reason)
 
     def record_copy(self, call: Call) -> None:
         """Count a copy that was requested for a run."""
--- a/packages/fleet/src/ibisport_fleet/stream_versions/directory.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/directory.py
@@ -10,7 +10,7 @@
 import asyncio
 from collections import OrderedDict
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 
@@ -79,10 +79,16 @@
             asked don't know it (``unrecorded``), or some didn't answer
             (``unanswered``) and another router may find out.
         asked: Number of routers that were asked.
+        answered: How many of them answered.
+        informed: How many of those knew their list for the whole window.
+        builds: Number of builds in all lists that were known for the whole window.
     """
 
     reason: str
     asked: int = 0
+    answered: int = 0
+    informed: int = 0
+    builds: int = 0
 
 
 Finding = Found | NotFound
@@ -167,8 +173,8 @@
             case Found(build=build, source='peer') if key is not None:
                 now = asyncio.get_running_loop().time()
                 self.records.put(key, build, now, now + window)
-            case NotFound(asked=asked) if key is None:
-                return NotFound('unnamed', asked)
+            case NotFound() if key is None:
+                return replace(finding, reason='unnamed')
         return finding
 
     async def _ask_members(
@@ -188,7 +194,8 @@
             return Found(builds.pop(), 'only')
         is_certain = self._links.members.listed and len(answers) == len(members)
         reason = 'unrecorded' if is_certain else 'unanswered'
-        return NotFound(reason, len(members))
+        informed = sum(answer.builds is not None for answer in answers)
+        return NotFound(reason, len(members), len(answers), informed, len(builds))
 
     async def _gather_answers(
         self, members: Sequence[Member], query: StreamQuery
