Keep in the store which builds may have begun streams

All routers are restarted in turn, 12 s apart.

Cause: which versions were listed within the window in which callers may come back (twice the route's time limit, 30 s) was known to routers only, each from its own listing on. A router whose list shows one version sends no records of its streams. Once it ends and the others have started within the window, nobody can tell that there was one version, and each resumed stream is refused.

Change: a page in the store, ibisport/router-builds, has the builds that may have begun streams. A router adds a build when it appears, and drops one 60 s after the window in which streams of it may come back. New streams that may be resumed begin at a build that is on the page while the service has one. A router that can't tell by its list, and gets no list of others, takes the page together with what it has listed since it read the page; a single build there began the stream. The page counts only once it is complete: it was made at the very first start of the system, or its routers have known their lists for a whole window. Otherwise streams are refused as before. Restarts in turn, kills and kills of all routers at once are the same case.

Tests: features/streamrestarts.feature.

--- a/features/steps/running_fleet.py
+++ b/features/steps/running_fleet.py
@@ -35,6 +35,8 @@
 
 BOUNDS = Bounds(1.0, 100.0, 10.0, GRACE_SECONDS)
 START_SECONDS = 12.0
+# From the end of a process to its next start.
+RESTART_SECONDS = 0.5
 NO_FEATURES = frozenset()
 CATALOGUE_KEY = 'op/config'
 EVACUATION_PREFIX = 'op/evacuate/'
@@ -75,6 +77,19 @@
         self._fleet.net.kill(self.host)
         self.router = None
 
+    async def restart(self, signal):
+        """Stop the process as the platform does, and start it again.
+
+        Args:
+            signal: SIGTERM, which SIGKILL follows after the grace period, or SIGKILL.
+        """
+        if signal == 'SIGTERM':
+            self.router.stop()
+            await asyncio.wait((self._process,), timeout=GRACE_SECONDS)
+        self.kill()
+        await asyncio.sleep(RESTART_SECONDS)
+        self.start()
+
     @property
     def ready(self):
         """Whether the router is ready for callers."""
@@ -110,6 +125,7 @@
             bounds=self._fleet.bounds,
             regions={'d-0': 'r-0', 'd-1': 'r-1'},
             features=self._fleet.features,
+            first_start=self._fleet.first_start and not self._fleet.started,
         )
 
 
@@ -145,6 +161,8 @@
         cold_counts: Requests within a second, at each arrival at a cold target.
         overruns: Loop time and incarnation of each cold target that was overrun.
         bounds: The limits that the routers' settings hold.
+        first_start: Whether routers may take a missing page of builds for a site that
+            has never run.
         closed: Loop time and target of each connection to a target that ended.
         continuations: Target, number of the first event, and whether the copy was
             there, of each request that names a copy.
@@ -163,6 +181,7 @@
         self.service = MemoryService()
         self.log = EventLog(os.open(os.devnull, os.O_WRONLY))
         self.bounds = BOUNDS
+        self.first_start = False
         self.closed = []
         self.continuations = []
         self.arrivals = []
--- /dev/null
+++ b/features/steps/streamrestarts_steps.py
@@ -0,0 +1,236 @@
+"""Steps on streams that callers resume after routers were restarted."""
+
+import asyncio
+import itertools
+from types import SimpleNamespace
+
+from behave import given, then, when
+from fleet_targets import EVENT_INTERVAL_SECONDS, TARGET_PREFIX
+from running_fleet import RESTART_SECONDS
+from streamversions_steps import call_all, play
+
+from ibisport_fleet.stream_versions.build_page import PAGE_KEY, decode_page
+
+# From the start of the streams to the signal: some events, and less than a stream.
+BEFORE_SIGNAL_SECONDS = 4.0
+# Callers come back this often until their deadline.
+RETURN_INTERVAL_SECONDS = 0.4
+DEADLINE_SECONDS = 15.0
+# Other callers give up earlier.
+MAX_RETURNS = 2
+RELEASE_SECONDS = 5.0
+POLL_SECONDS = 0.01
+
+
+@given('events that are {seconds:g} s apart')
+def slow_down(context, seconds):
+    context.event_factor = seconds / EVENT_INTERVAL_SECONDS
+
+
+@given('a site that starts for the first time')
+def start_first(context):
+    context.first_start = True
+
+
+@when(
+    'all routers get {signal} in turn, {gap:g} s apart, '
+    'and {count:d} streams run at the last'
+)
+def roll(context, signal, gap, count):
+    async def act(fleet, caller):
+        await _prepare(context, fleet)
+        *others, last = fleet.routers
+        begins_at = fleet.now + max(0.0, len(others) * gap - BEFORE_SIGNAL_SECONDS)
+        streams = asyncio.ensure_future(_run_streams(fleet, caller, begins_at, count))
+        restarts = []
+        await asyncio.sleep(max(0.0, BEFORE_SIGNAL_SECONDS - len(others) * gap))
+        for router in others:
+            restarts.append(asyncio.ensure_future(router.restart(signal)))
+            await asyncio.sleep(gap)
+        restarts.append(asyncio.ensure_future(last.restart(signal)))
+        moved = await streams
+        await asyncio.gather(*restarts)
+        return moved
+
+    play(context, act)
+
+
+async def _run_streams(fleet, caller, begins_at, count):
+    """Begin streams at the last router, and resume them at any that runs."""
+    await asyncio.sleep(begins_at - fleet.now)
+    last = fleet.routers[-1]
+    return await call_all(
+        fleet,
+        (_move(fleet, caller, last, number, MAX_RETURNS) for number in range(count)),
+    )
+
+
+async def _prepare(context, fleet):
+    for target in fleet.targets:
+        target.event_factor = context.event_factor if 'event_factor' in context else 1
+    if 'listed_seconds' in context:
+        await asyncio.sleep(context.listed_seconds)
+
+
+async def _move(fleet, caller, first, number, max_returns=None):
+    """Begin a stream, and resume it at the routers in turn until it is whole.
+
+    Args:
+        fleet: The fleet.
+        caller: The callers.
+        first: Router at which it begins.
+        number: Number of the router at which it is resumed first.
+        max_returns: How often it is resumed at the most; None: until its deadline.
+    """
+    deadline = fleet.now + DEADLINE_SECONDS
+    stream = await caller.begin(first)
+    routers = itertools.cycle(fleet.routers)
+    for router in itertools.islice(routers, number, None):
+        returns = len(stream.statuses) - 1
+        if stream.is_whole or fleet.now > deadline or returns == max_returns:
+            return stream
+        if router.ready:
+            await caller.resume(router, stream)
+        await asyncio.sleep(RETURN_INTERVAL_SECONDS)
+
+
+@when('all routers are killed at once under {count:d} streams')
+def kill_all(context, count):
+    _kill_all(context, count, None)
+
+
+@when(
+    'all routers are killed at once under {count:d} streams, '
+    'and {version} takes over meanwhile'
+)
+def kill_all_in_release(context, count, version):
+    _kill_all(context, count, version)
+
+
+def _kill_all(context, count, version):
+    async def act(fleet, caller):
+        await _prepare(context, fleet)
+        places = itertools.cycle(fleet.routers)
+        streams = call_all(
+            fleet,
+            (
+                _move(fleet, caller, router, number)
+                for number, router in zip(range(count), places, strict=False)
+            ),
+        )
+        await asyncio.sleep(BEFORE_SIGNAL_SECONDS)
+        down_seconds = RESTART_SECONDS
+        if version is not None:
+            down_seconds = RELEASE_SECONDS
+            for target in fleet.targets:
+                target.software_version = version
+                target.crash(RESTART_SECONDS)
+        await fleet.restart_routers(down_seconds)
+        return await streams
+
+    play(context, act)
+
+
+@when('the targets of {version} {change}, and {seconds:d} s pass')
+def pass_time(context, version, change, seconds):
+    words = change.split()
+    away_seconds = int(words[2]) if len(words) > 1 else seconds
+
+    async def act(fleet, caller):
+        leaving = [
+            target for target in fleet.targets if target.software_version == version
+        ]
+        if words[0] == 'leave':
+            for target in leaving:
+                fleet.service.remove(TARGET_PREFIX + target.incarnation)
+        await asyncio.sleep(away_seconds)
+        if away_seconds < seconds:
+            for target in leaving:
+                target.write_entry()
+        await asyncio.sleep(seconds - away_seconds)
+        context.versions_on_page = _read_versions(fleet)
+        return []
+
+    play(context, act)
+
+
+@then('the page has {versions}')
+def check_page(context, versions):
+    assert context.versions_on_page == set(versions.split()), context.versions_on_page
+
+
+def _read_versions(fleet):
+    item = fleet.service.items.get(PAGE_KEY)
+    builds = () if item is None else decode_page(item).builds
+    return {build.version for build in builds}
+
+
+@when(
+    'targets of {version} start while the store answers no write for {seconds:g} s, '
+    'and streams begin'
+)
+def start_behind_slow_writes(context, version, seconds):
+    async def act(fleet, caller):
+        context.page = SimpleNamespace(recorded_at=None)
+        polling = asyncio.ensure_future(_poll_page(fleet, version, context.page))
+        fleet.service.faults.refuse_writes = True
+        for target in fleet.targets[::2]:
+            target.software_version = version
+            target.crash(RESTART_SECONDS)
+        fleet.net.call_later(
+            seconds, setattr, fleet.service.faults, 'refuse_writes', False
+        )
+        until = fleet.now + 2 * seconds
+        streams = []
+        while fleet.now < until:
+            router = fleet.routers[len(streams) % len(fleet.routers)]
+            streams.append(fleet.call(caller.begin(router)))
+            await asyncio.sleep(EVENT_INTERVAL_SECONDS)
+        polling.cancel()
+        return await asyncio.gather(*streams)
+
+    play(context, act)
+    new = {target.incarnation for target in context.fleet.targets[::2]}
+    context.begins = [
+        arrival.at for arrival in context.fleet.arrivals if arrival.target in new
+    ]
+
+
+async def _poll_page(fleet, version, page):
+    """Record when a version gets on the page."""
+    while version not in _read_versions(fleet):
+        await asyncio.sleep(POLL_SECONDS)
+    page.recorded_at = fleet.now
+
+
+@then('no stream began at {version} before it was on the page')
+def check_begins(context, version):
+    early = [at for at in context.begins if at < context.page.recorded_at]
+    assert not early, (len(early), context.page)
+
+
+@then('streams began at {version} later')
+def check_later(context, version):
+    assert any(version in stream.versions for stream in context.streams)
+
+
+@when('all routers restart in turn, and targets of {version} start')
+def restart_and_release(context, version):
+    async def act(fleet, caller):
+        for router in fleet.routers:
+            await router.restart('SIGKILL')
+            await asyncio.sleep(RELEASE_SECONDS)
+        for target in fleet.targets[::2]:
+            target.software_version = version
+            target.crash(RESTART_SECONDS)
+        await asyncio.sleep(RELEASE_SECONDS)
+        context.writes = sum(change.key == PAGE_KEY for change in fleet.service.history)
+        assert version in _read_versions(fleet)
+        return []
+
+    play(context, act)
+
+
+@then('the page was written at most {count:d} times')
+def check_writes(context, count):
+    assert 2 <= context.writes <= count, context.writes
--- a/features/steps/streamversions_steps.py
+++ b/features/steps/streamversions_steps.py
@@ -63,6 +63,7 @@
     """Run a coroutine on the fleet; keep the streams that it returns."""
 
     def set_versions(fleet):
+        fleet.first_start = 'first_start' in context
         if 'copies' in context:
             fleet.features = frozenset((Feature.copies,))
             fleet.catalogue = _use_engines(fleet.catalogue)
--- /dev/null
+++ b/features/streamrestarts.feature
@@ -0,0 +1,78 @@
+Feature: Streams that callers resume after routers were restarted
+
+  # Streams of the last router were refused: the restarted ones knew no version history.
+  Scenario Outline: Streams of the last router go on after a roll over all routers
+    Given 3 routers, and 2 targets of each of the versions v1 and v1
+    And the versions have been listed for 31 s
+    And events that are 1.5 s apart
+    When all routers get <signal> in turn, <gap> s apart, and 20 streams run at the last
+    Then no caller holds events of two versions
+    And all streams are whole
+
+    Examples:
+      | signal  | gap |
+      | SIGTERM | 12  |
+      | SIGTERM | 2   |
+      | SIGKILL | 12  |
+      | SIGKILL | 2   |
+
+  # No router was left that knew which versions had been listed.
+  Scenario Outline: Streams go on after all routers were killed at once
+    Given 3 routers, and 2 targets of each of the versions v1 and v1
+    And <site>
+    And events that are 1 s apart
+    When all routers are killed at once under 21 streams
+    Then no caller holds events of two versions
+    And all streams are whole
+
+    Examples:
+      | site                                  |
+      | a site that starts for the first time |
+      | the versions have been listed for 31 s |
+
+  # The only version that a new router lists may not be the one that began a stream.
+  Scenario: Streams are refused if another version took over while all routers were down
+    Given 3 routers, and 2 targets of each of the versions v1 and v1
+    And a site that starts for the first time
+    And events that are 1 s apart
+    When all routers are killed at once under 21 streams, and v2 takes over meanwhile
+    Then no caller holds events of two versions
+    And each is refused with 503 within 0.5 s, without a Retry-After
+
+  # Before the first page, nobody knows which versions served.
+  Scenario: Streams are refused while the page is younger than they may be
+    Given 3 routers, and 2 targets of each of the versions v1 and v1
+    And events that are 1 s apart
+    When all routers are killed at once under 21 streams
+    Then no caller holds events of two versions
+    And each is refused with 503 within 0.5 s, without a Retry-After
+
+  # What is on the page after a release decides whether streams go on or are mixed.
+  Scenario Outline: A version stays on the page while streams of it may be resumed
+    Given 3 routers, and 2 targets of each of the versions v1 and v2
+    And a site that starts for the first time
+    When the targets of v2 <change>, and <seconds> s pass
+    Then the page has <versions>
+
+    Examples:
+      | change                   | seconds | versions |
+      | stay                     | 120     | v1 v2    |
+      | leave                    | 80      | v1 v2    |
+      | leave                    | 100     | v1       |
+      | leave for 50 s           | 120     | v1 v2    |
+      | leave for 100 s          | 115     | v1 v2    |
+
+  # A version of which no later router knew could begin streams.
+  Scenario: Streams begin at a new version only once it is on the page
+    Given 3 routers, and 2 targets of each of the versions v1 and v1
+    And a site that starts for the first time
+    When targets of v2 start while the store answers no write for 5 s, and streams begin
+    Then no stream began at v2 before it was on the page
+    And streams began at v2 later
+
+  # Each router wrote the page, also where nothing had changed.
+  Scenario: The page is written only when versions appear or go
+    Given 5 routers, and 2 targets of each of the versions v1 and v1
+    And a site that starts for the first time
+    When all routers restart in turn, and targets of v2 start
+    Then the page was written at most 5 times
--- a/packages/bench/src/ibisport_bench/standins/memory_store.py
+++ b/packages/bench/src/ibisport_bench/standins/memory_store.py
@@ -43,6 +43,7 @@
         slow: Factor on the round-trip time of each call.
         second_way: A write that got no answer is sent once more on a second path,
             which answers.
+        refuse_writes: Every write is refused.
         bytes_per_second: Transfer rate of the answers to reads; 0 for no limit.
     """
 
@@ -52,6 +53,7 @@
     late: float = 0.0
     slow: float = 1.0
     second_way: bool = False
+    refuse_writes: bool = False
     bytes_per_second: float = 0.0
 
 
@@ -242,6 +244,8 @@
             loop = asyncio.get_running_loop()
             loop.call_later(delay, service.commit, list(conditions), list(puts))
             raise
+        if service.faults.refuse_writes:
+            raise StoreUnavailable('the store refuses writes')
         if service.random.random() < service.faults.late:
             delay = service.random.uniform(1.0, MAX_WRITE_DELAY_SECONDS)
             loop = asyncio.get_running_loop()
--- a/packages/fleet/src/ibisport_fleet/event_log.py
+++ b/packages/fleet/src/ibisport_fleet/event_log.py
@@ -45,6 +45,8 @@
     shares_borrowed = 2309
     engine_paced = 2310
     part_spread = 2311
+    builds_recorded = 2312
+    builds_unsaved = 2313
     load_feed_started = 2320
     load_feed_lost = 2321
     load_feed_unavailable = 2322
--- a/packages/fleet/src/ibisport_fleet/fleet_view.py
+++ b/packages/fleet/src/ibisport_fleet/fleet_view.py
@@ -68,7 +68,13 @@
 
 
 class TargetView:
-    """The listed targets and their health."""
+    """The listed targets and their health.
+
+    Attributes:
+        targets: The listed targets.
+        listings: Number of full listings so far.
+        builds_changed: Set by each full listing and by each build that appears.
+    """
 
     def __init__(
         self,
@@ -84,7 +90,8 @@
         # The last invalid content of each key, so that an entry that is rewritten
         # without a change is logged once.
         self._unreadable: dict[str, bytes] = {}
-        self._listed = False
+        self.listings = 0
+        self.builds_changed = asyncio.Event()
         self._builds = BuildHistory()
 
     def list_builds(self, service: str, since: float) -> Set[Build] | None:
@@ -95,6 +102,17 @@
         """
         return self._builds.find(service, self.targets.builds, since)
 
+    def list_all_builds(self, since: float) -> Set[Build]:
+        """Return the builds that were seen listed since a loop time.
+
+        The list may not have been known all the time.
+        """
+        return self._builds.list(self.targets.builds, since)
+
+    def is_known_since(self, since: float) -> bool:
+        """Return whether the list has been known without a gap since a loop time."""
+        return self._builds.is_known_since(since)
+
     def apply_listing(self, listing: Listing, doubtful_until: float) -> None:
         """Apply a full listing; missing entries may have lapsed in an outage."""
         self._builds.restart(asyncio.get_running_loop().time())
@@ -102,8 +120,9 @@
             entry for item in listing.items if (entry := self._decode_entry(item))
         ]
         for entry in entries:
-            self._record_entry(entry, first_listing=not self._listed)
-        self._listed = True
+            self._record_entry(entry, first_listing=not self.listings)
+        self.listings += 1
+        self.builds_changed.set()
         self.targets.replace_all(entries, doubtful_until)
         self._log.write(
             Event.target_added, targets=len(entries), revision=listing.revision
@@ -243,6 +262,8 @@
             return
         now = asyncio.get_running_loop().time()
         self._builds.record((known or entry).build, now)
+        if entry.build not in self.targets.builds:
+            self.builds_changed.set()
         warm_up = self.find_health(entry.start_id).warm_up
         is_new = known is None or known.start_id != entry.start_id
         if is_new and not first_listing:
--- a/packages/fleet/src/ibisport_fleet/membership.py
+++ b/packages/fleet/src/ibisport_fleet/membership.py
@@ -66,7 +66,7 @@
         hosts: Hosts of all recently listed routers.
         may_lend: Whether this router can lend and registers its entry. Other routers
             would wait for a listed lender that can't lend.
-        on_listing: Called with each listing of the shared prefix, if set.
+        listing_handlers: Called with each listing of the shared prefix.
     """
 
     def __init__(
@@ -84,7 +84,7 @@
         self.may_lend = False
         self._store = store
         self._log = log
-        self.on_listing: Callable[[Listing], None] | None = None
+        self.listing_handlers: list[Callable[[Listing], None]] = []
         self._read_clock = read_clock
         self._lease = 0
         self._registered_at = 0.0
@@ -147,8 +147,8 @@
         self._apply_members(
             [member for item in entries if (member := self._decode_entry(item))]
         )
-        if self.on_listing is not None:
-            self.on_listing(listing)
+        for handle in self.listing_handlers:
+            handle(listing)
 
     def _decode_entry(self, item: Item) -> Member | None:
         """Decode a router's entry; log and skip it if it is invalid."""
--- a/packages/fleet/src/ibisport_fleet/quarantine/fatal_requests.py
+++ b/packages/fleet/src/ibisport_fleet/quarantine/fatal_requests.py
@@ -80,7 +80,7 @@
         # Quarantined by crashes that this router detected, so that it writes them.
         self._own_keys: set[str] = set()
         self._unsent_answers: dict[str, float] = {}
-        members.on_listing = self._quarantine_store.apply_listing
+        members.listing_handlers.append(self._quarantine_store.apply_listing)
 
     @property
     def handlers(self) -> Mapping[bytes, PeerHandler]:
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -27,7 +27,7 @@
 from ibisport_fleet.shutdown import Shutdown, plan_shutdown
 from ibisport_fleet.store_contact import StoreContact
 from ibisport_fleet.store_paths import RelayEndpoint, StorePaths
-from ibisport_fleet.stream_versions.directory import StreamDirectory
+from ibisport_fleet.stream_versions.directory import build_stream_directory
 from ibisport_fleet.target_client import TargetClient
 from ibisport_fleet.target_holds import build_target_holds
 from ibisport_fleet.watch_schedule import WatchSchedule, plan_router_watch
@@ -40,6 +40,9 @@
 # The probe's timer of half a second is later than this only if the process was
 # suspended; a busy event loop runs it sooner.
 MAX_LOOP_DELAY_SECONDS = 1.0
+# A list is read by calls that wait for changes one after the other, so its last answer
+# may have begun that long ago although it is current.
+LIST_AGE_FACTOR = 2.0
 
 
 class Router:
@@ -104,8 +107,13 @@
             features=settings.features,
         )
         loans = LoanServer(self._budgets.lend)
-        self._streams = StreamDirectory(
-            settings, self._links, self._targets, self._compute_list_age
+        self._streams = build_stream_directory(
+            self._links,
+            self._store,
+            (self._catalogue, self._targets),
+            self._is_list_current,
+            log,
+            first_start=settings.first_start,
         )
         handlers = {
             **loans.handlers,
@@ -164,6 +172,7 @@
             'members': self._members.run(),
             'repaying': self._budgets.run_repayments(),
             'quarantine': self._fatal_requests.run(),
+            'builds': self._streams.builds.run(),
             'rate shares': self._holds.limits.run(),
             'standby': self._call_handler.standby.run(),
             'datagrams': self._links.datagrams.run(),
@@ -287,6 +296,7 @@
             'copies': handler.copies_in_flight,
             'standby': handler.standby.is_active,
             'stream_records': len(self._streams.records),
+            'recorded_builds': len(self._streams.builds),
             **self._fatal_requests.counts,
         }
         if handler.gate is not None:
@@ -298,10 +308,12 @@
             states['catalogue_version'] = self._catalogue.current.version
         return states
 
-    def _compute_list_age(self) -> float:
-        """Return how long ago the list of targets was current, seconds."""
+    def _is_list_current(self) -> bool:
+        """Return whether the list of targets is current."""
         watch = self._watches[self._adapters.target_prefix]
-        return read_boot_clock() - watch.current_at
+        age = read_boot_clock() - watch.current_at
+        delay = self._settings.bounds.max_propagation_delay
+        return age <= LIST_AGE_FACTOR * delay
 
     def _list_relays(self) -> list[RelayEndpoint]:
         port = self._settings.peer_address[1]
--- a/packages/fleet/src/ibisport_fleet/settings.py
+++ b/packages/fleet/src/ibisport_fleet/settings.py
@@ -67,6 +67,8 @@
         regions: The region of each failure domain.
         features: The optional parts that are in use.
         engine_address: Address of the engine on this host, or None.
+        first_start: Whether the whole system starts for the first time, so that no
+            process of it has run before.
     """
 
     host: str
@@ -80,3 +82,4 @@
     regions: Mapping[str, str] = field(default_factory=dict)
     features: frozenset[Feature] = frozenset()
     engine_address: Address | None = None
+    first_start: bool = False
--- a/packages/fleet/src/ibisport_fleet/stream_versions/build_history.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/build_history.py
@@ -47,8 +47,20 @@
         """
         if self._known_since > since:
             return None
+        return {build for build in self.list(listed, since) if build.service == service}
+
+    def is_known_since(self, since: float) -> bool:
+        """Return whether the list has been known without a gap since a loop time."""
+        return self._known_since <= since
+
+    def list(self, listed: Iterable[Build], since: float) -> Set[Build]:
+        """Return the builds of all services that were seen listed since a loop time.
+
+        Args:
+            listed: The builds that are listed now.
+            since: Loop time; the list may not have been known all the time.
+        """
         former = takewhile(
             lambda item: item[1] >= since, reversed(self._last_listed.items())
         )
-        builds = {build for build, _ in former}.union(listed)
-        return {build for build in builds if build.service == service}
+        return {build for build, _ in former}.union(listed)
--- a/packages/fleet/src/ibisport_fleet/stream_versions/directory.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/directory.py
@@ -11,20 +11,22 @@
 from collections import OrderedDict
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, replace
+from itertools import chain
 
 import msgspec
 
 from ibisport_fleet.calls import Call
 from ibisport_fleet.errors import PeerUnavailable
-from ibisport_fleet.fleet_view import TargetView
+from ibisport_fleet.event_log import EventLog
+from ibisport_fleet.fleet_view import CatalogueView, TargetView
 from ibisport_fleet.membership import Member
 from ibisport_fleet.peers import PeerHandler, decode_message
 from ibisport_fleet.router_links import RouterLinks
-from ibisport_fleet.settings import HostSettings
+from ibisport_fleet.store import Store
+from ibisport_fleet.stream_versions.build_store import BuildStore
 from ibisport_fleet.stream_versions.hash_ring import HashRing
 from ibisport_fleet.stream_versions.messages import (
     KIND,
-    MAX_LIFETIME_SECONDS,
     StreamAnswer,
     StreamBegun,
     StreamQuery,
@@ -33,9 +35,9 @@
 )
 from ibisport_fleet.stream_versions.origin import Begun
 from ibisport_fleet.stream_versions.records import (
-    LIFETIME_FACTOR,
     StreamRecords,
     compute_key,
+    compute_window,
 )
 from ibisport_fleet.targets import Build
 
@@ -47,11 +49,10 @@
 ASKED_ROUTERS = 4
 # Far beyond a round trip between failure domains.
 ANSWER_TIMEOUT_SECONDS = 0.25
+# Two are as many as it takes to know that they don't tell which one began a stream.
+MAX_ANSWERED_BUILDS = 2
 # Streams in progress at a router, at the most.
 MAX_UNSENT = 4_096
-# A list is read by calls that wait for changes one after the other, so its last answer
-# may have begun that long ago although it is current.
-LIST_AGE_FACTOR = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,7 +62,8 @@
     Attributes:
         build: The software.
         source: How it is known: by a record of this router (``own``) or of another one
-            (``peer``), or since there was no other software (``only``).
+            (``peer``), or since there was no other software by the lists of routers
+            (``only``) or by the store's page of builds (``page``).
         age: Seconds since it was recorded.
     """
 
@@ -81,7 +83,8 @@
         asked: Number of routers that were asked.
         answered: How many of them answered.
         informed: How many of those knew their list for the whole window.
-        builds: Number of builds in all lists that were known for the whole window.
+        builds: Number of builds that may have begun the stream; 0 if neither a list
+            nor the page of builds tells.
     """
 
     reason: str
@@ -99,29 +102,29 @@
 
     Attributes:
         records: What this router knows itself.
+        builds: The store's page of builds.
     """
 
     def __init__(
         self,
-        settings: HostSettings,
         links: RouterLinks,
         targets: TargetView,
-        compute_list_age: Callable[[], float],
+        builds: BuildStore,
+        is_list_current: Callable[[], bool],
     ) -> None:
         """Create an empty directory.
 
         Args:
-            settings: The settings of this router.
             links: Reaches the other routers.
             targets: The listed targets.
-            compute_list_age: Returns how long ago the list was current, seconds.
+            builds: The store's page of builds.
+            is_list_current: Returns whether the list of targets is current.
         """
         self.records = StreamRecords()
-        delay = settings.bounds.max_propagation_delay
-        self._max_list_age = LIST_AGE_FACTOR * delay
+        self.builds = builds
         self._links = links
         self._targets = targets
-        self._compute_list_age = compute_list_age
+        self._is_list_current = is_list_current
         self._ring = HashRing()
         self._tasks: set[asyncio.Task[StreamAnswer | None]] = set()
         # Streams in progress that no other router knows, with their expiry.
@@ -143,7 +146,7 @@
         if not request_id:
             return
         key = compute_key(call, request_id)
-        window = _compute_window(call)
+        window = compute_window(call.route)
         now = asyncio.get_running_loop().time()
         self.records.put(key, build, now, now + window)
         self._unsent[key] = build, now + window
@@ -161,7 +164,7 @@
         """Return the software that began the stream that a request resumes."""
         resumed_id = call.metadata.resumed_id
         key = compute_key(call, resumed_id) if resumed_id else None
-        window = _compute_window(call)
+        window = compute_window(call.route)
         services = tuple(share.service for share in call.route.shares)
         query = StreamQuery(key, services, window)
         own = self._answer(query)
@@ -183,15 +186,16 @@
         """Ask the routers that may know a stream.
 
         A record decides at once. Without one, all lists together decide, so that no
-        router relies on its own while others know more.
+        router relies on its own while others know more. If no list goes back far
+        enough, the page of builds decides.
         """
         members = self._select_members(seed, ASKED_ROUTERS)
         answers = await self._gather_answers(members, query)
         if answers and answers[-1].recorded:
             return _judge_record(answers[-1], 'peer', len(members))
-        builds = {build for answer in (own, *answers) for build in answer.builds or ()}
+        builds, source = _join_builds((own, *answers))
         if len(builds) == 1 and (answers or not members):
-            return Found(builds.pop(), 'only')
+            return Found(builds.pop(), source)
         is_certain = self._links.members.listed and len(answers) == len(members)
         reason = 'unrecorded' if is_certain else 'unanswered'
         informed = sum(answer.builds is not None for answer in answers)
@@ -238,7 +242,10 @@
             if record is not None:
                 builds = () if record.build is None else (record.build,)
                 return StreamAnswer(builds, recorded=True, age=now - record.recorded_at)
-        return StreamAnswer(self._list_builds(query.services, query.window))
+        return StreamAnswer(
+            self._list_builds(query.services, query.window),
+            page=self._list_page_builds(query.services, query.window),
+        )
 
     def _list_builds(
         self, services: tuple[str, ...], window: float
@@ -247,7 +254,7 @@
 
         A list that isn't current may lack newer software.
         """
-        if self._compute_list_age() > self._max_list_age:
+        if not self._is_list_current():
             return None
         since = asyncio.get_running_loop().time() - window
         found: list[Build] = []
@@ -256,8 +263,25 @@
             if builds is None:
                 return None
             found.extend(builds)
-        # Two are as many as it takes to know that the list doesn't tell.
-        return tuple(found[:2])
+        return tuple(found[:MAX_ANSWERED_BUILDS])
+
+    def _list_page_builds(
+        self, services: tuple[str, ...], window: float
+    ) -> tuple[Build, ...] | None:
+        """Return the software that may have begun a stream, by the page of builds.
+
+        Returns:
+            The software; None: not known.
+        """
+        if not self._is_list_current():
+            return None
+        found: list[Build] = []
+        for service in services:
+            builds = self.builds.list_builds(service, window)
+            if builds is None:
+                return None
+            found.extend(builds)
+        return tuple(found[:MAX_ANSWERED_BUILDS])
 
     def _select_members(self, key: bytes, count: int) -> list[Member]:
         members = self._links.members
@@ -285,12 +309,43 @@
         return msgspec.json.encode(self._answer(decode_message(content, StreamQuery)))
 
 
+def build_stream_directory(
+    links: RouterLinks,
+    store: Store,
+    views: tuple[CatalogueView, TargetView],
+    is_list_current: Callable[[], bool],
+    log: EventLog,
+    *,
+    first_start: bool,
+) -> StreamDirectory:
+    """Assemble the directory of a router.
+
+    Args:
+        links: Reaches the other routers.
+        store: Keeps the page of builds.
+        views: The catalogue and the list of targets.
+        is_list_current: Returns whether the list of targets is current.
+        log: Receives changes of the page.
+        first_start: Whether no router has run before.
+    """
+    catalogue, targets = views
+    builds = BuildStore(
+        store, targets, catalogue, log, is_list_current, first_start=first_start
+    )
+    links.members.listing_handlers.append(builds.apply_listing)
+    return StreamDirectory(links, targets, builds, is_list_current)
+
+
+def _join_builds(answers: Sequence[StreamAnswer]) -> tuple[set[Build], str]:
+    """Return the software that may have begun a stream, and how it is known."""
+    lists = [answer.builds for answer in answers if answer.builds is not None]
+    if lists:
+        return set(chain.from_iterable(lists)), 'only'
+    pages = [answer.page for answer in answers if answer.page is not None]
+    return set(chain.from_iterable(pages)), 'page'
+
+
 def _judge_record(answer: StreamAnswer, source: str, asked: int) -> Finding:
     if not answer.builds:
         return NotFound('unrecorded', asked)
     return Found(answer.builds[0], source, answer.age)
-
-
-def _compute_window(call: Call) -> float:
-    """Return how long ago a stream of a route may have begun, seconds."""
-    return min(LIFETIME_FACTOR * call.route.time_limit, MAX_LIFETIME_SECONDS)
--- a/packages/fleet/src/ibisport_fleet/stream_versions/messages.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/messages.py
@@ -12,13 +12,12 @@
 from msgspec import Meta, Struct
 
 from ibisport_fleet.datagrams import MAX_DATAGRAM_BYTES
-from ibisport_fleet.stream_versions.records import KEY_BYTES
+from ibisport_fleet.stream_versions.records import KEY_BYTES, MAX_LIFETIME_SECONDS
 from ibisport_fleet.targets import Build
 
 # The first byte of a datagram; the load feed has 1.
 KIND = 2
 MS_PER_SECOND = 1_000
-MAX_LIFETIME_SECONDS = 3_600
 
 _Key = Annotated[bytes, Meta(min_length=KEY_BYTES, max_length=KEY_BYTES)]
 _Lifetime = Annotated[int, Meta(ge=0, le=MAX_LIFETIME_SECONDS * MS_PER_SECOND)]
@@ -66,11 +65,14 @@
         recorded: Whether there is a record of the stream. Otherwise the list of targets
             tells the builds.
         age: Seconds since the router that answers recorded it.
+        page: The software that may have begun the stream by the store's page of
+            builds; None: it doesn't tell. Routers of older releases don't send it.
     """
 
     builds: tuple[Build, ...] | None
     recorded: bool = False
     age: float = 0.0
+    page: tuple[Build, ...] | None = None
 
 
 class _StreamBegun(Struct, array_like=True, forbid_unknown_fields=True):
--- a/packages/fleet/src/ibisport_fleet/stream_versions/records.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/records.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ibisport_fleet.calls import Call
+from ibisport_fleet.catalogue import Route
 from ibisport_fleet.targets import Build
 
 KEY_BYTES = 8
@@ -16,6 +17,7 @@
 # A stream, and the wait until its caller comes back, each last at most the time limit
 # of the route.
 LIFETIME_FACTOR = 2.0
+MAX_LIFETIME_SECONDS = 3_600
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +75,11 @@
             self._records.popitem(last=False)
 
 
+def compute_window(route: Route) -> float:
+    """Return how long ago a stream that is resumed may have begun, seconds."""
+    return min(LIFETIME_FACTOR * route.time_limit, MAX_LIFETIME_SECONDS)
+
+
 def compute_key(call: Call, request_id: str) -> bytes:
     """Return the key of the stream that a request began.
 
--- a/packages/fleet/src/ibisport_fleet/target_selection.py
+++ b/packages/fleet/src/ibisport_fleet/target_selection.py
@@ -11,7 +11,7 @@
 from ibisport_fleet.engine_choice import choose_engine
 from ibisport_fleet.placing.copies import CopyTimes
 from ibisport_fleet.settings import Feature
-from ibisport_fleet.stream_versions.origin import Begun, permits
+from ibisport_fleet.stream_versions.origin import Begun, NotBegun, permits
 from ibisport_fleet.target_choice import Candidate, Origin, choose_plain_target
 from ibisport_fleet.target_holds import Hold, describe_unavailable
 
@@ -113,12 +113,29 @@
         """
         call, dependencies = self._call, self._dependencies
         allowed, regions = call.regions, dependencies.settings.regions
-        return [
+        listed = [
             candidate
             for candidate in dependencies.targets.list_candidates(call.service)
             if (allowed is None or regions.get(candidate.entry.domain) in allowed)
             and permits(call.origin, candidate.entry)
         ]
+        if call.route.resumable and isinstance(call.origin, NotBegun):
+            return self._prefer_recorded(listed)
+        return listed
+
+    def _prefer_recorded(self, listed: list[Candidate]) -> list[Candidate]:
+        """Return the targets at which a stream that callers may resume can begin.
+
+        A router that starts later takes the builds on the store's page for all that may
+        have begun streams. A build is on it within a second of its appearance.
+        """
+        builds = self._dependencies.streams.builds
+        recorded = [
+            candidate
+            for candidate in listed
+            if builds.is_recorded(candidate.entry.build)
+        ]
+        return recorded or listed
 
     def _build_unavailable(
         self, listed: Sequence[Candidate], holds: Sequence[Hold | None], now: float
