Let the soak play restarts where one version serves, and callers that come back

The soak's engines always had two versions, so routers told each other of all streams, and callers gave up at their first refusal. Engines now have one version on demand (--versions 1), callers whose router is away or that were refused come back each 0.4 s for 10 s, and the first start of each process says that it is the first.

--- a/packages/bench/src/ibisport_bench/soak/__main__.py
+++ b/packages/bench/src/ibisport_bench/soak/__main__.py
@@ -16,6 +16,7 @@
 )
 from ibisport_bench.soak.mutants import MUTANTS
 from ibisport_bench.soak.run import RunOptions, Verdict, run_seed
+from ibisport_bench.soak.targets import VERSIONS
 from ibisport_platform.settings import FEATURES_VARIABLE
 
 
@@ -30,8 +31,18 @@
     # A mutant only misbehaves visibly under its own kind of fault.
     only = MUTANTS[arguments.mutant].fault_kind if arguments.mutant else arguments.only
     seeds = range(arguments.seed, arguments.seed + arguments.seeds)
+    versions = (
+        MUTANTS[arguments.mutant].versions if arguments.mutant else arguments.versions
+    )
     runs = [
-        RunOptions(seed, arguments.seconds, arguments.routers, arguments.mutant, only)
+        RunOptions(
+            seed,
+            arguments.seconds,
+            arguments.routers,
+            arguments.mutant,
+            only,
+            versions,
+        )
         for seed in seeds
     ]
     failed = [options.seed for options in runs if not run_and_report(options, logs)]
@@ -46,6 +57,13 @@
     parser.add_argument('--seeds', type=int, default=1, help='the number of seeds')
     parser.add_argument('--seconds', type=float, default=30.0)
     parser.add_argument('--routers', type=int, default=3)
+    parser.add_argument(
+        '--versions',
+        type=int,
+        choices=range(1, len(VERSIONS) + 1),
+        default=len(VERSIONS),
+        help='software versions of engines side by side',
+    )
     parser.add_argument('--logs', type=Path, help='folder for logs of failed seeds')
     parser.add_argument('--features', default='', help='optional parts of the routers')
     parser.add_argument(
--- a/packages/bench/src/ibisport_bench/soak/callers.py
+++ b/packages/bench/src/ibisport_bench/soak/callers.py
@@ -50,8 +50,12 @@
 PART_TOKENS = 10
 # Share of the streams that callers leave to take them up at another router.
 LEAVE_SHARE = 0.25
-MAX_RETURNS = 3
 RETURN_SECONDS = (0.002, 0.1)
+HTTP_OK = 200
+# Callers whose router is away, or that were refused, come back this often until they
+# give up.
+RETRY_SECONDS = 0.4
+MAX_RETURN_SECONDS = 10.0
 CONNECTION_ERRORS = (
     OSError,
     EOFError,
@@ -237,11 +241,14 @@
     async def _send(self, host: Host, request: RequestRecord) -> None:
         """Send a request; take its stream up elsewhere while it breaks off."""
         await self._send_once(host, request)
-        for _ in range(MAX_RETURNS):
-            stays = request.whole or request.kind is not Kind.resume
-            if stays or not request.last_event:
+        until = read_clock() + MAX_RETURN_SECONDS
+        while read_clock() < until:
+            is_served = request.status == HTTP_OK
+            ended = (request.whole and is_served) or request.kind is not Kind.resume
+            if ended or not request.last_event:
                 return
-            await asyncio.sleep(self._random.uniform(*RETURN_SECONDS))
+            delay = self._random.uniform(*RETURN_SECONDS)
+            await asyncio.sleep(delay if is_served else RETRY_SECONDS)
             request = self._make_return(request)
             await self._send_once(self._random.choice(self._hosts), request)
 
--- a/packages/bench/src/ibisport_bench/soak/mutants.py
+++ b/packages/bench/src/ibisport_bench/soak/mutants.py
@@ -16,7 +16,12 @@
     shift_continuations,
 )
 from ibisport_bench.soak.patching import patch
-from ibisport_bench.soak.stream_mutants import forget_streams, go_on_anywhere
+from ibisport_bench.soak.stream_mutants import (
+    forget_builds,
+    forget_streams,
+    go_on_anywhere,
+)
+from ibisport_bench.soak.targets import VERSIONS
 from ibisport_fleet.budget_synchronizer import BudgetSynchronizer
 from ibisport_fleet.budgets import Budgets
 from ibisport_fleet.calls import Call
@@ -58,12 +63,14 @@
         fault_kind: The kind of fault of the site that exposes it.
         patch: Patches the program in memory.
         features: The optional parts of the program that it needs.
+        versions: The number of software versions that expose it.
     """
 
     check: str
     fault_kind: str
     patch: Callable[[], None]
     features: str = ''
+    versions: int = len(VERSIONS)
 
 
 def cut_at_stop() -> None:
@@ -224,6 +231,7 @@
     ),
     'other-run': Mutant('WHOLE', 'harm_target', continue_other_run, 'copies'),
     'go-on-anywhere': Mutant('ORDER', 'harm_target', go_on_anywhere),
+    'forget-builds': Mutant('RESUME', 'kill_all', forget_builds, versions=1),
     'forget-streams': Mutant('RESUME', 'reload', forget_streams),
     'never-end': Mutant('ENDS', 'roll_one', never_end),
 }
--- a/packages/bench/src/ibisport_bench/soak/processes.py
+++ b/packages/bench/src/ibisport_bench/soak/processes.py
@@ -58,7 +58,8 @@
 
     async def launch(self) -> None:
         """Start the process."""
-        self._settings_path.write_text(format_settings(self.settings))
+        settings = replace(self.settings, first_start=not self.start.number)
+        self._settings_path.write_text(format_settings(settings))
         environment = {**os.environ, SETTINGS_VARIABLE: str(self._settings_path)}
         self.start = Start(self.name, self.start.number + 1, read_clock())
         self._journal.starts.append(self.start)
--- a/packages/bench/src/ibisport_bench/soak/run.py
+++ b/packages/bench/src/ibisport_bench/soak/run.py
@@ -18,6 +18,7 @@
 from ibisport_bench.soak.mutants import MUTANT_MODULE
 from ibisport_bench.soak.processes import Host
 from ibisport_bench.soak.site import GRACE_SECONDS, WARM_UP, Site
+from ibisport_bench.soak.targets import VERSIONS
 
 READY_TIMEOUT_SECONDS = 20.0
 # Mean rate for each router.
@@ -79,6 +80,7 @@
         mutant: The name of the mutant that the routers run; None for the product.
         only_fault: The only kind of fault to inject; None for all kinds that may be
             injected together.
+        versions: The number of software versions that serve side by side.
     """
 
     seed: int
@@ -86,6 +88,7 @@
     routers: int
     mutant: str | None = None
     only_fault: str | None = None
+    versions: int = len(VERSIONS)
 
 
 async def run_seed(options: RunOptions, folder: Path) -> Verdict:
@@ -103,7 +106,8 @@
     # While most targets warm up, a fatal request reaches too few of them for the check
     # to tell a router that sends it on from one that doesn't.
     warm_up = None if options.only_fault in FATAL_FAULTS else WARM_UP
-    site = Site(options.routers, seed, folder, journal, warm_up)
+    versions = VERSIONS[: options.versions]
+    site = Site(options.routers, seed, folder, journal, warm_up, versions)
     if options.mutant is not None:
         for host in site.routers:
             host.use_mutant(MUTANT_MODULE, options.mutant)
--- a/packages/bench/src/ibisport_bench/soak/site.py
+++ b/packages/bench/src/ibisport_bench/soak/site.py
@@ -4,6 +4,7 @@
 import os
 import random
 import socket
+from collections.abc import Sequence
 from dataclasses import replace
 from pathlib import Path
 
@@ -87,6 +88,7 @@
         folder: Path,
         journal: Journal,
         warm_up: WarmUp | None = WARM_UP,
+        versions: Sequence[str] = VERSIONS,
     ) -> None:
         self._random = random.Random(f'site {seed}')
         self._network = f'127.{2 + os.getpid() % MAX_NETWORKS}'
@@ -96,6 +98,7 @@
         self._version = 1
         self._copies = CopyStore()
         self._warm_up = warm_up
+        self._versions = versions
         self.service = MemoryService(seed)
         self._server = StoreServer(
             self.service.open_store('all'), EventLog(os.open(os.devnull, os.O_WRONLY))
@@ -186,10 +189,16 @@
             slots=PLAIN_SLOTS if service == PLAIN else ENGINE_SLOTS,
             draining=False,
             revision=0,
-            software_version=VERSIONS[index % len(VERSIONS)],
+            software_version=self._versions[index % len(self._versions)],
         )
         return Target(
-            entry, link, self.service, self._journal, self._warm_up, self._copies
+            entry,
+            link,
+            self.service,
+            self._journal,
+            self._warm_up,
+            self._copies,
+            self._versions,
         )
 
     def _make_catalogue(self, version: int) -> Catalogue:
--- a/packages/bench/src/ibisport_bench/soak/stream_mutants.py
+++ b/packages/bench/src/ibisport_bench/soak/stream_mutants.py
@@ -3,6 +3,7 @@
 import importlib
 
 from ibisport_bench.soak.patching import patch
+from ibisport_fleet.stream_versions.build_store import BuildStore
 from ibisport_fleet.stream_versions.records import StreamRecords
 
 # The modules that ask whether a target may run a request.
@@ -22,3 +23,8 @@
 def forget_streams() -> None:
     """Forget with which software streams began."""
     patch(StreamRecords, 'put', lambda store, key, build, now, expires_at: None)
+
+
+def forget_builds() -> None:
+    """Disregard the page of builds."""
+    patch(BuildStore, 'list_builds', lambda builds, service, window: None)
--- a/packages/bench/src/ibisport_bench/soak/targets.py
+++ b/packages/bench/src/ibisport_bench/soak/targets.py
@@ -4,6 +4,7 @@
 import itertools
 import math
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass, replace
 from urllib.parse import parse_qsl
 
@@ -141,8 +142,10 @@
         journal: Journal,
         warm_up: WarmUp | None,
         copies: CopyStore,
+        versions: Sequence[str] = VERSIONS,
     ) -> None:
         self._copies = copies
+        self._versions = versions
         self.name = entry.incarnation
         self.entry = entry
         self.link = link
@@ -168,7 +171,7 @@
         version = self.entry.software_version
         if number > 1:
             self.become_cold()
-            version = self._random.choice(VERSIONS)
+            version = self._random.choice(self._versions)
         self.entry = replace(
             self.entry,
             incarnation=f'{self.name}-{number}',
