Send records of streams in progress to routers that have started since

Cause: the record of a stream is at two other routers, which get it once, when the stream begins. Both may restart while it is in progress.

Change: a router sends the records of its streams in progress to each router that appears in the member list and is one of the two for the stream. A stream that goes on at a router counts as its own.

--- a/features/steps/streamrestarts_steps.py
+++ b/features/steps/streamrestarts_steps.py
@@ -72,6 +72,18 @@
         await asyncio.sleep(context.listed_seconds)
 
 
+def _begin_everywhere(fleet, caller, count):
+    """Begin streams at all routers in turn; each is resumed until it is whole."""
+    places = itertools.cycle(fleet.routers)
+    return call_all(
+        fleet,
+        (
+            _move(fleet, caller, router, number)
+            for number, router in zip(range(count), places, strict=False)
+        ),
+    )
+
+
 async def _move(fleet, caller, first, number, max_returns=None):
     """Begin a stream, and resume it at the routers in turn until it is whole.
 
@@ -110,14 +122,7 @@
 def _kill_all(context, count, version):
     async def act(fleet, caller):
         await _prepare(context, fleet)
-        places = itertools.cycle(fleet.routers)
-        streams = call_all(
-            fleet,
-            (
-                _move(fleet, caller, router, number)
-                for number, router in zip(range(count), places, strict=False)
-            ),
-        )
+        streams = _begin_everywhere(fleet, caller, count)
         await asyncio.sleep(BEFORE_SIGNAL_SECONDS)
         down_seconds = RESTART_SECONDS
         if version is not None:
@@ -131,6 +136,22 @@
     play(context, act)
 
 
+@when('routers get {signal} in turn, {gap:g} s apart, under {count:d} streams')
+def restart_under_streams(context, signal, gap, count):
+    async def act(fleet, caller):
+        await _prepare(context, fleet)
+        streams = _begin_everywhere(fleet, caller, count)
+        restarts = []
+        for router in fleet.routers:
+            await asyncio.sleep(gap)
+            restarts.append(asyncio.ensure_future(router.restart(signal)))
+        moved = await streams
+        await asyncio.gather(*restarts)
+        return moved
+
+    play(context, act)
+
+
 @when('the targets of {version} {change}, and {seconds:d} s pass')
 def pass_time(context, version, change, seconds):
     words = change.split()
--- a/features/streamrestarts.feature
+++ b/features/streamrestarts.feature
@@ -76,3 +76,16 @@
     And a site that starts for the first time
     When all routers restart in turn, and targets of v2 start
     Then the page was written at most 5 times
+
+  # Records of a stream ended with the routers that had them, while it was in progress.
+  Scenario Outline: Streams of two versions go on while routers restart one by one
+    Given 3 routers, and 2 targets of each of the versions v1 and v2
+    And events that are 1 s apart
+    When routers get <signal> in turn, 3 s apart, under 21 streams
+    Then no caller holds events of two versions
+    And all streams are whole
+
+    Examples:
+      | signal  |
+      | SIGTERM |
+      | SIGKILL |
--- a/packages/fleet/src/ibisport_fleet/stream_versions/directory.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/directory.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-from collections import OrderedDict
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, replace
 from itertools import chain
@@ -24,16 +23,14 @@
 from ibisport_fleet.router_links import RouterLinks
 from ibisport_fleet.store import Store
 from ibisport_fleet.stream_versions.build_store import BuildStore
-from ibisport_fleet.stream_versions.hash_ring import HashRing
 from ibisport_fleet.stream_versions.messages import (
     KIND,
     StreamAnswer,
-    StreamBegun,
     StreamQuery,
     decode_begun,
-    encode_begun,
 )
 from ibisport_fleet.stream_versions.origin import Begun
+from ibisport_fleet.stream_versions.record_sender import RecordSender
 from ibisport_fleet.stream_versions.records import (
     StreamRecords,
     compute_key,
@@ -42,17 +39,15 @@
 from ibisport_fleet.targets import Build
 
 QUERY_PATH = b'/streams'
-# Any one of them may end with the router that began the stream.
-REPLICAS = 2
 # The lists of two routers may differ by a router or two, such as the one that began the
 # stream.
 ASKED_ROUTERS = 4
 # Far beyond a round trip between failure domains.
 ANSWER_TIMEOUT_SECONDS = 0.25
+# Sources of a finding that say that other routers have records of the stream.
+RECORD_SOURCES = frozenset(('own', 'peer'))
 # Two are as many as it takes to know that they don't tell which one began a stream.
 MAX_ANSWERED_BUILDS = 2
-# Streams in progress at a router, at the most.
-MAX_UNSENT = 4_096
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,10 +120,8 @@
         self._links = links
         self._targets = targets
         self._is_list_current = is_list_current
-        self._ring = HashRing()
+        self._sender = RecordSender(links)
         self._tasks: set[asyncio.Task[StreamAnswer | None]] = set()
-        # Streams in progress that no other router knows, with their expiry.
-        self._unsent: OrderedDict[bytes, tuple[Build, float]] = OrderedDict()
         links.datagrams.add_handler(KIND, self._handle_begun)
 
     @property
@@ -149,16 +142,15 @@
         window = compute_window(call.route)
         now = asyncio.get_running_loop().time()
         self.records.put(key, build, now, now + window)
-        self._unsent[key] = build, now + window
+        self._sender.add(key, build, now + window)
         if self._list_builds((build.service,), window) != (build,):
-            self._send_unsent(now)
-        elif len(self._unsent) > MAX_UNSENT:
-            self._unsent.popitem(last=False)
+            self._sender.send_unsent(now)
 
     def record_end(self, call: Call) -> None:
-        """Record that a caller got the whole stream that its request began."""
-        if self._unsent and isinstance(call.origin, Begun):
-            self._unsent.pop(compute_key(call, call.metadata.request_id), None)
+        """Record that a caller got the whole stream that its request is part of."""
+        if isinstance(call.origin, Begun):
+            for request_id in (call.metadata.request_id, call.metadata.resumed_id):
+                self._sender.remove(compute_key(call, request_id or ''))
 
     async def find(self, call: Call) -> Finding:
         """Return the software that began the stream that a request resumes."""
@@ -169,17 +161,25 @@
         query = StreamQuery(key, services, window)
         own = self._answer(query)
         if own.recorded:
-            return _judge_record(own, 'own', 0)
-        seed = key or compute_key(call, call.metadata.request_id)
-        finding = await self._ask_members(seed, query, own)
+            finding = _judge_record(own, 'own', 0)
+        else:
+            seed = key or compute_key(call, call.metadata.request_id)
+            finding = await self._ask_members(seed, query, own)
         match finding:
-            case Found(build=build, source='peer') if key is not None:
-                now = asyncio.get_running_loop().time()
-                self.records.put(key, build, now, now + window)
+            case Found() if key is not None:
+                self._record_resumed(key, finding, window)
             case NotFound() if key is None:
                 return replace(finding, reason='unnamed')
         return finding
 
+    def _record_resumed(self, key: bytes, found: Found, window: float) -> None:
+        """Record a stream that goes on here as one that this router began."""
+        now = asyncio.get_running_loop().time()
+        self.records.put(key, found.build, now, now + window)
+        is_known = found.source in RECORD_SOURCES
+        add = self._sender.add_sent if is_known else self._sender.add
+        add(key, found.build, now + window)
+
     async def _ask_members(
         self, seed: bytes, query: StreamQuery, own: StreamAnswer
     ) -> Finding:
@@ -189,7 +189,7 @@
         router relies on its own while others know more. If no list goes back far
         enough, the page of builds decides.
         """
-        members = self._select_members(seed, ASKED_ROUTERS)
+        members = self._sender.select_members(seed, ASKED_ROUTERS)
         answers = await self._gather_answers(members, query)
         if answers and answers[-1].recorded:
             return _judge_record(answers[-1], 'peer', len(members))
@@ -283,22 +283,6 @@
             found.extend(builds)
         return tuple(found[:MAX_ANSWERED_BUILDS])
 
-    def _select_members(self, key: bytes, count: int) -> list[Member]:
-        members = self._links.members
-        self._ring.update(members.current)
-        return self._ring.select(key, count, members.own.host)
-
-    def _send_unsent(self, now: float) -> None:
-        for key, (build, expires_at) in self._unsent.items():
-            if expires_at <= now:
-                continue
-            datagram = encode_begun(StreamBegun(key, build, expires_at - now))
-            if datagram is None:
-                continue
-            for member in self._select_members(key, REPLICAS):
-                self._links.datagrams.send(datagram, member.address)
-        self._unsent.clear()
-
     def _handle_begun(self, datagram: bytes, source: object) -> None:
         begun = decode_begun(datagram)
         if begun is not None:
