Let resumed streams wait for the page that a new router is reading

What callers saw: after a kill of all routers, a caller that returned within the first answer of the store to the new router was refused, although the page would have told the version a moment later. Callers with one retry lost their stream.

Cause: the page is read after the first listing; a router is ready before that.

If it isn't read by then, the refusal names a time.

--- a/features/steps/streamrestarts_steps.py
+++ b/features/steps/streamrestarts_steps.py
@@ -9,6 +9,7 @@
 from running_fleet import RESTART_SECONDS
 from streamversions_steps import call_all, play
 
+from ibisport_bench.standins.memory_store import ANSWER_SECONDS
 from ibisport_fleet.stream_versions.build_page import PAGE_KEY, decode_page
 
 # From the start of the streams to the signal: some events, and less than a stream.
@@ -84,23 +85,27 @@
         if 'released' in context:
             target.software_version = context.released
             target.crash(RESTART_SECONDS)
+    if 'store_slowdown' in context:
+        fleet.service.faults.slow = context.store_slowdown
     if 'listed_seconds' in context:
         await asyncio.sleep(context.listed_seconds)
 
 
-def _begin_everywhere(fleet, caller, count):
+def _begin_everywhere(fleet, caller, count, interval=RETURN_INTERVAL_SECONDS):
     """Begin streams at all routers in turn; each is resumed until it is whole."""
     places = itertools.cycle(fleet.routers)
     return call_all(
         fleet,
         (
-            move(fleet, caller, router, number)
+            move(fleet, caller, router, number, interval=interval)
             for number, router in zip(range(count), places, strict=False)
         ),
     )
 
 
-async def move(fleet, caller, first, number, max_returns=None):
+async def move(
+    fleet, caller, first, number, max_returns=None, interval=RETURN_INTERVAL_SECONDS
+):
     """Begin a stream, and resume it at the routers in turn until it is whole.
 
     Args:
@@ -109,6 +114,7 @@
         first: Router at which it begins.
         number: Number of the router at which it is resumed first.
         max_returns: How often it is resumed at the most; None: until its deadline.
+        interval: Seconds from one try to the next.
     """
     deadline = fleet.now + DEADLINE_SECONDS
     stream = await caller.begin(first)
@@ -119,7 +125,12 @@
             return stream
         if router.ready:
             await caller.resume(router, stream)
-        await asyncio.sleep(RETURN_INTERVAL_SECONDS)
+        await asyncio.sleep(interval)
+
+
+@given('a store that takes {milliseconds:d} ms for an answer')
+def slow_store(context, milliseconds):
+    context.store_slowdown = milliseconds / 1_000 / ANSWER_SECONDS
 
 
 @when('all routers are killed at once under {count:d} streams')
@@ -127,6 +138,20 @@
     _kill_all(context, count, None)
 
 
+@when(
+    'all routers are killed at once under {count:d} streams, '
+    'and callers return when ready'
+)
+def kill_all_and_poll(context, count):
+    _kill_all(context, count, None, POLL_SECONDS)
+
+
+@then('each caller came back once')
+def check_returns(context):
+    for stream in context.streams:
+        assert stream.is_whole and stream.statuses == [200, 200], stream
+
+
 @when(
     'all routers are killed at once under {count:d} streams, '
     'and {version} takes over meanwhile'
@@ -135,10 +160,10 @@
     _kill_all(context, count, version)
 
 
-def _kill_all(context, count, version):
+def _kill_all(context, count, version, interval=RETURN_INTERVAL_SECONDS):
     async def act(fleet, caller):
         await _prepare(context, fleet)
-        streams = _begin_everywhere(fleet, caller, count)
+        streams = _begin_everywhere(fleet, caller, count, interval)
         await asyncio.sleep(BEFORE_SIGNAL_SECONDS)
         down_seconds = RESTART_SECONDS
         if version is not None:
--- a/features/streamrestarts.feature
+++ b/features/streamrestarts.feature
@@ -30,6 +30,16 @@
       | a site that starts for the first time |
       | the versions have been listed for 31 s |
 
+  # Streams were refused while a new router hadn't read the page yet.
+  Scenario: Callers need not come back twice to routers that have just started
+    Given 3 routers, and 2 targets of each of the versions v1 and v1
+    And a site that starts for the first time
+    And events that are 1 s apart
+    And a store that takes 80 ms for an answer
+    When all routers are killed at once under 21 streams, and callers return when ready
+    Then no caller holds events of two versions
+    And each caller came back once
+
   # The only version that a new router lists may not be the one that began a stream.
   Scenario: Streams are refused if another version took over while all routers were down
     Given 3 routers, and 2 targets of each of the versions v1 and v1
--- a/packages/fleet/src/ibisport_fleet/call_handler.py
+++ b/packages/fleet/src/ibisport_fleet/call_handler.py
@@ -132,8 +132,8 @@
                 if build.service not in {share.service for share in call.route.shares}:
                     raise RequestFailed(STATUS_UNAVAILABLE, 'version_gone')
                 call.origin, call.service = Begun(build), build.service
-            case NotFound(reason='unanswered'):
-                # Another router may reach those that know.
+            case NotFound(reason='unanswered' | 'unread'):
+                # Another router may know, or this one soon.
                 delay = draw_jittered_delay(UNANSWERED_RETRY_AFTER_SECONDS)
                 raise RequestFailed(STATUS_UNAVAILABLE, 'version_unknown', delay)
             case NotFound():
--- a/packages/fleet/src/ibisport_fleet/stream_versions/build_store.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/build_store.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable, Set
 
@@ -69,11 +70,17 @@
         self._revision = 0
         # Number of the newest full listing after which the page was read.
         self._covered_listings = 0
+        self._was_read = asyncio.Event()
         self._backoff = MIN_BACKOFF_SECONDS
 
     def __len__(self) -> int:
         return len(self._page.builds)
 
+    @property
+    def is_current(self) -> bool:
+        """Whether the page was read after the newest full listing of targets."""
+        return self._covered_listings == self._targets.listings
+
     def is_recorded(self, build: Build) -> bool:
         """Return whether the page has a build."""
         return build in self._page.builds
@@ -90,12 +97,20 @@
         Returns:
             The builds; None: not known.
         """
-        if not self._page.complete or self._covered_listings < self._targets.listings:
+        if not self._page.complete or not self.is_current:
             return None
         since = asyncio.get_running_loop().time() - window
         builds = self._page.builds | self._targets.list_all_builds(since)
         return {build for build in builds if build.service == service}
 
+    async def wait_until_read(self, deadline: float) -> None:
+        """Wait until the page is read, or until a loop time."""
+        if self.is_current:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(deadline):
+                await self._was_read.wait()
+
     def apply_listing(self, listing: Listing) -> None:
         """Apply the page of a listing, which may be stale."""
         for item in listing.items:
@@ -119,17 +134,15 @@
     async def _wait(self) -> None:
         """Wait until a build appears or the next check is due."""
         delay = draw_jittered_delay(CHECK_INTERVAL_SECONDS)
-        try:
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(delay):
                 await self._targets.builds_changed.wait()
-        except TimeoutError:
-            return
 
     async def _synchronize(self) -> None:
         """Read the page after a full listing, and write it if it has to change."""
         if not self._targets.listings:
             return
-        if self._covered_listings != self._targets.listings:
+        if not self.is_current:
             await self._read()
         if self._plan_page() == self._page:
             return
@@ -147,6 +160,8 @@
         elif item.revision > self._revision:
             self._apply_item(item)
         self._covered_listings = listings
+        was_read, self._was_read = self._was_read, asyncio.Event()
+        was_read.set()
 
     async def _write(self, page: BuildPage) -> None:
         condition = Condition(PAGE_KEY, self._revision)
--- a/packages/fleet/src/ibisport_fleet/stream_versions/directory.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/directory.py
@@ -73,8 +73,9 @@
 
     Attributes:
         reason: Why: the caller named no stream (``unnamed``), the routers that were
-            asked don't know it (``unrecorded``), or some didn't answer
-            (``unanswered``) and another router may find out.
+            asked don't know it (``unrecorded``), some didn't answer (``unanswered``)
+            and another router may find out, or the page of builds couldn't be read in
+            time (``unread``).
         asked: Number of routers that were asked.
         answered: How many of them answered.
         informed: How many of those knew their list for the whole window.
@@ -190,23 +191,28 @@
         router relies on its own while others know more. If no list goes back far
         enough, the page of builds decides.
         """
+        deadline = asyncio.get_running_loop().time() + ANSWER_TIMEOUT_SECONDS
         members = self._sender.select_members(seed, ASKED_ROUTERS)
-        answers = await self._gather_answers(members, query)
+        answers = await self._gather_answers(members, query, deadline)
         if answers and answers[-1].recorded:
             return _judge_record(answers[-1], 'peer', len(members))
+        if own.builds is None and own.page is None:
+            await self.builds.wait_until_read(deadline)
+            own = self._answer(query)
         builds, source = _join_builds((own, *answers))
         if len(builds) == 1 and (answers or not members):
             return Found(builds.pop(), source)
         is_certain = self._links.members.listed and len(answers) == len(members)
         reason = 'unrecorded' if is_certain else 'unanswered'
+        if not builds and not self.builds.is_current:
+            reason = 'unread'
         informed = sum(answer.builds is not None for answer in answers)
         return NotFound(reason, len(members), len(answers), informed, len(builds))
 
     async def _gather_answers(
-        self, members: Sequence[Member], query: StreamQuery
+        self, members: Sequence[Member], query: StreamQuery, deadline: float
     ) -> list[StreamAnswer]:
         """Return the answers up to the first one with a record, which is the last."""
-        deadline = asyncio.get_running_loop().time() + ANSWER_TIMEOUT_SECONDS
         tasks = [
             asyncio.ensure_future(self._ask(member, query, deadline))
             for member in members
