Record streams in progress elsewhere as soon as another version appears

What callers would see: a second version appears while a router has streams and gets no new one; the router is killed, and its streams are refused.

Cause: a router told others of its streams in progress only when its next stream began.

Change: it does so when a build appears, too.

Test: "Other routers are told of streams in progress without a new stream"; 20 of 20 streams were lost before, none is now.

--- a/features/steps/streamversions_steps.py
+++ b/features/steps/streamversions_steps.py
@@ -389,6 +389,25 @@
     play(context, act)
 
 
+@when(
+    'targets of {version} appear under the last streams, '
+    'and their router is killed later'
+)
+def mix_under_last_streams(context, version):
+    async def act(fleet, caller):
+        await asyncio.sleep(context.listed_seconds)
+        begun = call_all(
+            fleet, (_move_on(fleet, caller) for _ in range(CUT_OFF_STREAMS))
+        )
+        await wait_for_events(2)
+        register_as(fleet.targets[-1], version)
+        await wait_for_events(2)
+        fleet.routers[0].kill()
+        return await begun
+
+    play(context, act)
+
+
 async def _end_streams(fleet, caller):
     ended = [caller.begin(fleet.routers[0]) for _ in range(CUT_OFF_STREAMS)]
     await call_all(fleet, ended)
--- a/features/streamversions.feature
+++ b/features/streamversions.feature
@@ -157,6 +157,14 @@
     And no caller holds events of two versions
     And all streams are whole
 
+  # They were told with the next stream only, which may begin after their router's end.
+  Scenario: Other routers are told of streams in progress without a new stream
+    Given 4 routers, and 2 targets of each of the versions v1 and v1
+    And the versions have been listed for 31 s
+    When targets of v2 appear under the last streams, and their router is killed later
+    Then no caller holds events of two versions
+    And all streams are whole
+
   # The second stream with an id was continued at the version of the first.
   Scenario: Streams with the same id are refused if they began at two versions
     Given 4 routers, and 2 targets of each of the versions v1 and v2
--- a/packages/fleet/src/ibisport_fleet/stream_versions/build_store.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/build_store.py
@@ -37,7 +37,12 @@
 
 
 class BuildStore:
-    """Synchronizes the listed builds with their page in the store."""
+    """Synchronizes the listed builds with their page in the store.
+
+    Attributes:
+        change_handlers: Called when the builds that may have begun streams may have
+            changed.
+    """
 
     def __init__(
         self,
@@ -60,6 +65,7 @@
             first_start: Whether no router has run before, so that the first page is
                 complete.
         """
+        self.change_handlers: list[Callable[[], None]] = []
         self._store = store
         self._targets = targets
         self._catalogue = catalogue
@@ -111,6 +117,13 @@
             async with asyncio.timeout_at(deadline):
                 await self._was_read.wait()
 
+    def compute_longest_window(self) -> float | None:
+        """Return how long ago any stream may have begun; None: not known."""
+        catalogue = self._catalogue.current
+        if catalogue is None:
+            return None
+        return max(map(compute_window, catalogue.routes), default=0.0)
+
     def apply_listing(self, listing: Listing) -> None:
         """Apply the page of a listing, which may be stale."""
         for item in listing.items:
@@ -121,6 +134,8 @@
         """Keep the page up to date until cancelled."""
         while True:
             self._targets.builds_changed.clear()
+            for handle in self.change_handlers:
+                handle()
             try:
                 await self._synchronize()
             except StoreError as error:
@@ -194,7 +209,7 @@
     def _plan_page(self) -> BuildPage:
         """Return what the page should be, by what this router knows."""
         now = asyncio.get_running_loop().time()
-        window = self._compute_longest_window()
+        window = self.compute_longest_window()
         targets = self._targets
         seen = targets.list_all_builds(now if window is None else now - window)
         builds = self._page.builds | seen
@@ -207,10 +222,3 @@
         if len(builds) > MAX_BUILDS:
             return BuildPage(frozenset(targets.targets.builds), complete=False)
         return BuildPage(builds, complete)
-
-    def _compute_longest_window(self) -> float | None:
-        """Return how long ago any stream may have begun; None: not known."""
-        catalogue = self._catalogue.current
-        if catalogue is None:
-            return None
-        return max(map(compute_window, catalogue.routes), default=0.0)
--- a/packages/fleet/src/ibisport_fleet/stream_versions/directory.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/directory.py
@@ -124,6 +124,7 @@
         self._sender = RecordSender(links)
         self._tasks: set[asyncio.Task[StreamAnswer | None]] = set()
         links.datagrams.add_handler(KIND, self._handle_begun)
+        builds.change_handlers.append(self._send_if_ambiguous)
 
     @property
     def handlers(self) -> Mapping[bytes, PeerHandler]:
@@ -148,6 +149,16 @@
         if self._list_page_builds((build.service,), window) != (build,):
             self._sender.send_unsent(now)
 
+    def _send_if_ambiguous(self) -> None:
+        """Record streams elsewhere if the page doesn't tell which build began them."""
+        window = self.builds.compute_longest_window() or 0.0
+        builds = self._sender.unsent_builds
+        if any(
+            self._list_page_builds((build.service,), window) != (build,)
+            for build in builds
+        ):
+            self._sender.send_unsent(asyncio.get_running_loop().time())
+
     def record_end(self, call: Call) -> None:
         """Record that a caller got the whole stream that its request is part of."""
         if isinstance(call.origin, Begun):
--- a/packages/fleet/src/ibisport_fleet/stream_versions/record_sender.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/record_sender.py
@@ -70,6 +70,11 @@
         self._unsent.pop(key, None)
         self._sent.pop(key, None)
 
+    @property
+    def unsent_builds(self) -> set[Build]:
+        """The software of the streams that no other router knows."""
+        return {stream.build for stream in self._unsent.values()}
+
     def send_unsent(self, now: float) -> None:
         """Send the records of all streams that no other router knows."""
         for key, stream in self._unsent.items():
