--- a/packages/fleet/src/ibisport_fleet/fleet_view.py
+++ b/packages/fleet/src/ibisport_fleet/fleet_view.py
@@ -107,7 +107,7 @@
 
         The list may not have been known all the time.
         """
-        return self._builds.list(self.targets.builds, since)
+        return self._builds.list_since(self.targets.builds, since)
 
     def is_known_since(self, since: float) -> bool:
         """Return whether the list has been known without a gap since a loop time."""
--- a/packages/fleet/src/ibisport_fleet/stream_versions/build_history.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/build_history.py
@@ -47,13 +47,17 @@
         """
         if self._known_since > since:
             return None
-        return {build for build in self.list(listed, since) if build.service == service}
+        return {
+            build
+            for build in self.list_since(listed, since)
+            if build.service == service
+        }
 
     def is_known_since(self, since: float) -> bool:
         """Return whether the list has been known without a gap since a loop time."""
         return self._known_since <= since
 
-    def list(self, listed: Iterable[Build], since: float) -> Set[Build]:
+    def list_since(self, listed: Iterable[Build], since: float) -> Set[Build]:
         """Return the builds of all services that were seen listed since a loop time.
 
         Args:
--- a/packages/fleet/src/ibisport_fleet/stream_versions/record_sender.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/record_sender.py
@@ -77,8 +77,9 @@
 
     def send_unsent(self, now: float) -> None:
         """Send the records of all streams that no other router knows."""
+        self._update_ring()
         for key, stream in self._unsent.items():
-            self._send(key, stream, self.select_members(key, REPLICAS), now)
+            self._send(key, stream, self._select_replicas(key), now)
             _put(self._sent, key, stream)
         self._unsent.clear()
 
@@ -89,9 +90,14 @@
             key: Key of the stream.
             count: Maximum number of routers.
         """
-        members = self._links.members
-        self._ring.update(members.current)
-        return self._ring.select(key, count, members.own.host)
+        self._update_ring()
+        return self._ring.select(key, count, self._links.members.own.host)
+
+    def _update_ring(self) -> None:
+        self._ring.update(self._links.members.current)
+
+    def _select_replicas(self, key: bytes) -> list[Member]:
+        return self._ring.select(key, REPLICAS, self._links.members.own.host)
 
     def _handle_listing(self, listing: Listing) -> None:
         """Send records to routers that have started since the listing before."""
@@ -103,10 +109,17 @@
             self._send_to(started, asyncio.get_running_loop().time())
 
     def _send_to(self, incarnations: Collection[str], now: float) -> None:
+        self._update_ring()
+        expired = [
+            key for key, stream in self._sent.items() if stream.expires_at <= now
+        ]
+        for ended in expired:
+            self._sent.pop(ended)
         for key, stream in self._sent.items():
-            selected = self.select_members(key, REPLICAS)
             receivers = [
-                member for member in selected if member.incarnation in incarnations
+                member
+                for member in self._select_replicas(key)
+                if member.incarnation in incarnations
             ]
             self._send(key, stream, receivers, now)
 
