--- a/features/soak.feature
+++ b/features/soak.feature
@@ -18,6 +18,11 @@
     Then no check finds a violation
     And streams have continued
 
+  # What routers knew of versions ended with them.
+  Scenario: Streams of one version go on after all routers are killed at once
+    When the soak only kills all processes beside one version, with seed 4
+    Then no check finds a violation
+
   Scenario: Each check catches its mutant
     When the soak runs seed 8 for 20 seconds with each mutant
     Then each mutant is caught by its check
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -69,6 +69,12 @@
     context.runs = [_run_soak(*arguments, '--only', 'fatal_part')]
 
 
+@when('the soak only kills all processes beside one version, with seed {seed:d}')
+def run_kill(context, seed):
+    arguments = ('--seed', seed, '--seconds', 15, '--only', 'kill_all')
+    context.runs = [_run_soak(*arguments, '--versions', 1)]
+
+
 @when('the soak runs seed {seed:d} for {seconds:d} seconds with each mutant')
 def run_mutants(context, seed, seconds):
     def run_mutant(mutant):
--- a/features/streamversions.feature
+++ b/features/streamversions.feature
@@ -79,6 +79,13 @@
     When streams are resumed at another router with no Resumes
     Then all streams are whole
 
+  # Callers that name no stream lost it until a list had been known for a window.
+  Scenario: A stream without a name goes on where no other version ever served
+    Given 4 routers, and 2 targets of each of the versions v1 and v1
+    And a site that starts for the first time
+    When streams are resumed at another router with no Resumes
+    Then all streams are whole
+
   # Another version may have left while a stream of it was on its way back.
   Scenario: A stream without a name is refused where the list is too young
     Given 4 routers, and 2 targets of each of the versions v1 and v1
