Keep the records of streams in progress in the store while versions differ

Cause: which of two versions began a stream is known to its router and two others, and all of them ended.

Change: while versions differ, each router writes the records of its streams in progress to a page of its own in the store, each second at most, under a lease; a router that starts reads all pages. A lost page means a refusal, never another version.

Two checks were changed. "Streams are refused while the page is younger than they may be" was about streams whose record is lost; such records are kept now, so it plays callers that name no stream (it still fails if an incomplete page is trusted). "Streams begin at a new version only once it is on the page" took the moment of the write by polling each 10 ms and called a begin 4 ms before the poll early; it now takes the moment of the write itself (it still fails without the preference for builds on the page, 48 begins).

--- a/features/steps/streamrecords_steps.py
+++ b/features/steps/streamrecords_steps.py
@@ -1,5 +1,6 @@
 """Steps on what routers remember of the streams that began."""
 
+import contextlib
 import math
 import re
 from types import SimpleNamespace
@@ -10,7 +11,10 @@
 from hypothesis import strategies as st
 
 from ibisport_fleet.datagrams import MAX_DATAGRAM_BYTES
+from ibisport_fleet.errors import RecordInvalid
 from ibisport_fleet.membership import Member
+from ibisport_fleet.store import Item
+from ibisport_fleet.stream_versions import build_page, record_pages
 from ibisport_fleet.stream_versions.build_history import BuildHistory
 from ibisport_fleet.stream_versions.directory import ASKED_ROUTERS
 from ibisport_fleet.stream_versions.hash_ring import HashRing
@@ -119,6 +123,34 @@
         check()
 
 
+@when('200 generated contents are decoded as pages of builds and of records')
+def decode_pages(context):
+    @settings(max_examples=200, deadline=None)
+    @draw(st.binary(max_size=200))
+    def decode_any(content):
+        for decode in (build_page.decode_page, record_pages.decode_page):
+            with contextlib.suppress(RecordInvalid):
+                decode(Item('k', content, 1))
+
+    @settings(max_examples=100, deadline=None)
+    @draw(st.dictionaries(KEYS, st.builds(Build, NAMES, NAMES)), st.booleans())
+    def decode_own(builds, complete):
+        page = build_page.BuildPage(frozenset(builds.values()), complete)
+        content = build_page.encode_page(page)
+        assert build_page.decode_page(Item('k', content, 1)) == page
+        records = record_pages.encode_page(builds, dict.fromkeys(builds, 30.0))
+        groups = record_pages.decode_page(Item('k', records, 1))
+        assert sum(len(group.lifetimes) for group in groups) == len(builds)
+
+    context.checks = (decode_any, decode_own)
+
+
+@then('each is decoded or refused as invalid, and own pages are decoded as they were')
+def check_pages(context):
+    for check in context.checks:
+        check()
+
+
 @given('the lists of two routers, of which one lacks one router of 30')
 def make_lists(context):
     members = {
--- a/features/steps/streamrestarts_steps.py
+++ b/features/steps/streamrestarts_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from functools import partial
 from types import SimpleNamespace
 
 from behave import given, then, when
@@ -133,6 +134,11 @@
     context.store_slowdown = milliseconds / 1_000 / ANSWER_SECONDS
 
 
+@given('callers that name no stream')
+def name_no_stream(context):
+    context.names_streams = False
+
+
 @when('all routers are killed at once under {count:d} streams')
 def kill_all(context, count):
     _kill_all(context, count, None)
@@ -163,6 +169,8 @@
 def _kill_all(context, count, version, interval=RETURN_INTERVAL_SECONDS):
     async def act(fleet, caller):
         await _prepare(context, fleet)
+        if 'names_streams' in context:
+            caller.resume = partial(caller.resume, resumes=None)
         streams = _begin_everywhere(fleet, caller, count, interval)
         await asyncio.sleep(BEFORE_SIGNAL_SECONDS)
         down_seconds = RESTART_SECONDS
@@ -286,9 +294,9 @@
 
 
 async def _poll_page(fleet, version, page):
-    """Record when a version gets on the page."""
+    """Record the moment of the write that puts a version on the page."""
     while version not in _read_versions(fleet):
-        await asyncio.sleep(POLL_SECONDS)
+        await fleet.service.wait_for_change(fleet.service.revision, POLL_SECONDS)
     page.recorded_at = fleet.now
 
 
--- a/features/streamrecords.feature
+++ b/features/streamrecords.feature
@@ -25,6 +25,11 @@
     When 300 generated datagrams and the records of 100 generated streams arrive
     Then each record is decoded as it was, and no datagram is an error
 
+  # A page that another release or an operator wrote would end the router's task.
+  Scenario: Any page in the store is decoded or refused
+    When 200 generated contents are decoded as pages of builds and of records
+    Then each is decoded or refused as invalid, and own pages are decoded as they were
+
   # Records were looked for at other routers than those that have them.
   Scenario: Routers whose lists differ by one find the same routers for a stream
     Given the lists of two routers, of which one lacks one router of 30
--- a/features/streamrestarts.feature
+++ b/features/streamrestarts.feature
@@ -30,6 +30,15 @@
       | a site that starts for the first time |
       | the versions have been listed for 31 s |
 
+  # All records of streams ended with the routers that had them.
+  Scenario: Streams of two versions go on after all routers were killed at once
+    Given 3 routers, and 2 targets of each of the versions v1 and v2
+    And a site that starts for the first time
+    And events that are 1 s apart
+    When all routers are killed at once under 21 streams
+    Then no caller holds events of two versions
+    And all streams are whole
+
   # Streams were refused while a new router hadn't read the page yet.
   Scenario: Callers need not come back twice to routers that have just started
     Given 3 routers, and 2 targets of each of the versions v1 and v1
@@ -52,6 +61,7 @@
   # Before the first page, nobody knows which versions served.
   Scenario: Streams are refused while the page is younger than they may be
     Given 3 routers, and 2 targets of each of the versions v1 and v1
+    And callers that name no stream
     And events that are 1 s apart
     When all routers are killed at once under 21 streams
     Then no caller holds events of two versions
--- a/packages/fleet/src/ibisport_fleet/event_log.py
+++ b/packages/fleet/src/ibisport_fleet/event_log.py
@@ -47,6 +47,7 @@
     part_spread = 2311
     builds_recorded = 2312
     builds_unsaved = 2313
+    streams_unsaved = 2314
     load_feed_started = 2320
     load_feed_lost = 2321
     load_feed_unavailable = 2322
--- a/packages/fleet/src/ibisport_fleet/stream_versions/build_store.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/build_store.py
@@ -109,9 +109,15 @@
         builds = self._page.builds | self._targets.list_all_builds(since)
         return {build for build in builds if build.service == service}
 
-    async def wait_until_read(self, deadline: float) -> None:
-        """Wait until the page is read, or until a loop time."""
-        if self.is_current:
+    @property
+    def is_ambiguous(self) -> bool:
+        """Whether a service may have had several builds lately."""
+        services = [build.service for build in self._page.builds]
+        return not self._page.complete or len(set(services)) < len(services)
+
+    async def wait_until_read(self, deadline: float | None = None) -> None:
+        """Wait until the page is read, or until a loop time if there is one."""
+        if self._covered_listings and self.is_current:
             return
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(deadline):
--- a/packages/fleet/src/ibisport_fleet/stream_versions/directory.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/directory.py
@@ -30,6 +30,7 @@
     decode_begun,
 )
 from ibisport_fleet.stream_versions.origin import Begun
+from ibisport_fleet.stream_versions.record_pages import RecordPages
 from ibisport_fleet.stream_versions.record_sender import RecordSender
 from ibisport_fleet.stream_versions.records import (
     StreamRecords,
@@ -99,21 +100,26 @@
     Attributes:
         records: What this router knows itself.
         builds: The store's page of builds.
+        pages: The store's pages of records.
     """
 
     def __init__(
         self,
         links: RouterLinks,
+        store: Store,
         targets: TargetView,
         builds: BuildStore,
+        log: EventLog,
         is_list_current: Callable[[], bool],
     ) -> None:
         """Create an empty directory.
 
         Args:
             links: Reaches the other routers.
+            store: Keeps the pages of records.
             targets: The listed targets.
             builds: The store's page of builds.
+            log: Receives failures of the store.
             is_list_current: Returns whether the list of targets is current.
         """
         self.records = StreamRecords()
@@ -122,6 +128,9 @@
         self._targets = targets
         self._is_list_current = is_list_current
         self._sender = RecordSender(links)
+        self.pages = RecordPages(
+            store, links.members, self._sender, self.records, builds, log
+        )
         self._tasks: set[asyncio.Task[StreamAnswer | None]] = set()
         links.datagrams.add_handler(KIND, self._handle_begun)
         builds.change_handlers.append(self._send_if_ambiguous)
@@ -173,6 +182,10 @@
         services = tuple(share.service for share in call.route.shares)
         query = StreamQuery(key, services, window)
         own = self._answer(query)
+        if not own.recorded:
+            now = asyncio.get_running_loop().time()
+            await self.pages.wait_until_loaded(now + ANSWER_TIMEOUT_SECONDS)
+            own = self._answer(query)
         if own.recorded:
             finding = _judge_record(own, 'own', 0)
         else:
@@ -335,7 +348,7 @@
         store, targets, catalogue, log, is_list_current, first_start=first_start
     )
     links.members.listing_handlers.append(builds.apply_listing)
-    return StreamDirectory(links, targets, builds, is_list_current)
+    return StreamDirectory(links, store, targets, builds, log, is_list_current)
 
 
 def _join_builds(answers: Sequence[StreamAnswer]) -> tuple[set[Build], str]:
--- a/packages/fleet/src/ibisport_fleet/stream_versions/record_sender.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/record_sender.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import OrderedDict
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
 from ibisport_fleet.membership import Member
@@ -19,7 +19,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Stream:
+class StreamInProgress:
     """A stream in progress.
 
     Attributes:
@@ -46,8 +46,8 @@
         """
         self._links = links
         self._ring = HashRing()
-        self._unsent: OrderedDict[bytes, _Stream] = OrderedDict()
-        self._sent: OrderedDict[bytes, _Stream] = OrderedDict()
+        self._unsent: OrderedDict[bytes, StreamInProgress] = OrderedDict()
+        self._sent: OrderedDict[bytes, StreamInProgress] = OrderedDict()
         self._listed: set[str] = set()
         links.members.listing_handlers.append(self._handle_listing)
 
@@ -59,11 +59,11 @@
             build: The software that began it.
             expires_at: Loop time after which its caller doesn't come back.
         """
-        _put(self._unsent, key, _Stream(build, expires_at))
+        _put(self._unsent, key, StreamInProgress(build, expires_at))
 
     def add_sent(self, key: bytes, build: Build, expires_at: float) -> None:
         """Add a stream that is in progress and that other routers know."""
-        _put(self._sent, key, _Stream(build, expires_at))
+        _put(self._sent, key, StreamInProgress(build, expires_at))
 
     def remove(self, key: bytes) -> None:
         """Remove a stream whose caller has all of it."""
@@ -75,6 +75,11 @@
         """The software of the streams that no other router knows."""
         return {stream.build for stream in self._unsent.values()}
 
+    def list_sent(self, now: float) -> Mapping[bytes, StreamInProgress]:
+        """Return the streams in progress that other routers know, by their key."""
+        self._drop_expired(now)
+        return self._sent
+
     def send_unsent(self, now: float) -> None:
         """Send the records of all streams that no other router knows."""
         self._update_ring()
@@ -110,11 +115,7 @@
 
     def _send_to(self, incarnations: Collection[str], now: float) -> None:
         self._update_ring()
-        expired = [
-            key for key, stream in self._sent.items() if stream.expires_at <= now
-        ]
-        for ended in expired:
-            self._sent.pop(ended)
+        self._drop_expired(now)
         for key, stream in self._sent.items():
             receivers = [
                 member
@@ -123,8 +124,19 @@
             ]
             self._send(key, stream, receivers, now)
 
+    def _drop_expired(self, now: float) -> None:
+        expired = [
+            key for key, stream in self._sent.items() if stream.expires_at <= now
+        ]
+        for key in expired:
+            self._sent.pop(key)
+
     def _send(
-        self, key: bytes, stream: _Stream, receivers: Iterable[Member], now: float
+        self,
+        key: bytes,
+        stream: StreamInProgress,
+        receivers: Iterable[Member],
+        now: float,
     ) -> None:
         if stream.expires_at <= now:
             return
@@ -136,7 +148,9 @@
             self._links.datagrams.send(datagram, member.address)
 
 
-def _put(streams: OrderedDict[bytes, _Stream], key: bytes, stream: _Stream) -> None:
+def _put(
+    streams: OrderedDict[bytes, StreamInProgress], key: bytes, stream: StreamInProgress
+) -> None:
     streams[key] = stream
     if len(streams) > MAX_STREAMS:
         streams.popitem(last=False)
