Write the page of records from a copy of the streams in progress

Cause: the page was encoded from the live streams after the call that extends its lease. A stream that ended during the call raised KeyError, and a router whose background task fails stops.

Change: the update works on a copy. A write's answer that comes after a newer listing no longer takes the page of builds back.

--- a/features/steps/streamrestarts_steps.py
+++ b/features/steps/streamrestarts_steps.py
@@ -311,6 +311,28 @@
     assert any(version in stream.versions for stream in context.streams)
 
 
+@when('streams begin and end at all routers for {seconds:g} s')
+def begin_and_end(context, seconds):
+    async def act(fleet, caller):
+        await _prepare(context, fleet)
+        until = fleet.now + seconds
+        streams = []
+        while fleet.now < until:
+            router = fleet.routers[len(streams) % len(fleet.routers)]
+            streams.append(fleet.call(caller.begin(router)))
+            await asyncio.sleep(EVENT_INTERVAL_SECONDS)
+        return await asyncio.gather(*streams)
+
+    play(context, act)
+
+
+@then('all routers run on, and all streams are whole')
+def check_running(context):
+    assert all(router.ready for router in context.fleet.routers)
+    broken = [stream for stream in context.streams if not stream.is_whole]
+    assert not broken, (len(broken), broken[:2])
+
+
 @when('all routers restart in turn, and targets of {version} start')
 def restart_and_release(context, version):
     async def act(fleet, caller):
--- a/features/streamrestarts.feature
+++ b/features/streamrestarts.feature
@@ -39,6 +39,13 @@
     Then no caller holds events of two versions
     And all streams are whole
 
+  # Its task failed with the first stream that ended during a call, and the router stopped.
+  Scenario: Streams that end while their router writes its page don't end the router
+    Given 3 routers, and 2 targets of each of the versions v1 and v2
+    And a store that takes 80 ms for an answer
+    When streams begin and end at all routers for 50 s
+    Then all routers run on, and all streams are whole
+
   # Streams were refused while a new router hadn't read the page yet.
   Scenario: Callers need not come back twice to routers that have just started
     Given 3 routers, and 2 targets of each of the versions v1 and v1
--- a/packages/fleet/src/ibisport_fleet/stream_versions/build_store.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/build_store.py
@@ -190,7 +190,8 @@
         written = await self._store.write((condition,), (put,))
         match written:
             case Written(revision=revision):
-                self._page, self._revision = page, revision
+                if revision > self._revision:
+                    self._page, self._revision = page, revision
                 self._first_start = False
                 self._log.write(
                     Event.builds_recorded,
--- a/packages/fleet/src/ibisport_fleet/stream_versions/record_sender.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/record_sender.py
@@ -76,9 +76,9 @@
         return {stream.build for stream in self._unsent.values()}
 
     def list_sent(self, now: float) -> Mapping[bytes, StreamInProgress]:
-        """Return the streams in progress that other routers know, by their key."""
+        """Return a copy of the streams in progress that other routers know, by key."""
         self._drop_expired(now)
-        return self._sent
+        return dict(self._sent)
 
     def send_unsent(self, now: float) -> None:
         """Send the records of all streams that no other router knows."""
