Renew the lease of a page of records while it is needed

What callers would see: all routers are killed at once while two versions serve, and streams are refused although their records had been written. Either an outage had ended the leases up to 20 s before, or no stream had begun or ended for a minute, as on a quiet router with long streams.

Cause: the lease was renewed only with a write, at most each 20 s, and lasted a minute whatever the time limits of the routes are.

Change: it is renewed each 2 s while the page has streams, a page whose lease is gone is written again, and the lease lasts as long as callers of any route may come back (ten minutes at the most, the store's bound).

--- a/features/steps/streamrestarts_steps.py
+++ b/features/steps/streamrestarts_steps.py
@@ -15,15 +15,16 @@
 
 # From the start of the streams to the signal: some events, and less than a stream.
 BEFORE_SIGNAL_SECONDS = 4.0
-# Callers come back this often until their deadline.
+# Callers come back this often until their deadline, the time limit of the route.
 RETURN_INTERVAL_SECONDS = 0.4
-DEADLINE_SECONDS = 15.0
 # Of those that a router which is cut off begins at the targets that still serve.
 MIN_STREAMS = 5
 # Other callers give up earlier.
 MAX_RETURNS = 2
 RELEASE_SECONDS = 5.0
 POLL_SECONDS = 0.01
+# Leases are renewed within this time.
+RENEWED_SECONDS = 3.0
 
 
 @given('events that are {seconds:g} s apart')
@@ -31,6 +32,12 @@
     context.event_factor = seconds / EVENT_INTERVAL_SECONDS
 
 
+@given('streams that may last {limit:d} s, with events that are {seconds:g} s apart')
+def let_streams_last(context, limit, seconds):
+    context.stream_limit = limit
+    slow_down(context, seconds)
+
+
 @given('a site that starts for the first time')
 def start_first(context):
     context.first_start = True
@@ -117,7 +124,8 @@
         max_returns: How often it is resumed at the most; None: until its deadline.
         interval: Seconds from one try to the next.
     """
-    deadline = fleet.now + DEADLINE_SECONDS
+    limits = [route.time_limit for route in fleet.catalogue.routes]
+    deadline = fleet.now + max(limits)
     stream = await caller.begin(first)
     routers = itertools.cycle(fleet.routers)
     for router in itertools.islice(routers, number, None):
@@ -152,6 +160,11 @@
     _kill_all(context, count, None, POLL_SECONDS)
 
 
+@when('all routers are killed at once under {count:d} streams, after {event}')
+def kill_all_after(context, count, event):
+    _kill_all(context, count, None, event=event)
+
+
 @then('each caller came back once')
 def check_returns(context):
     for stream in context.streams:
@@ -166,13 +179,16 @@
     _kill_all(context, count, version)
 
 
-def _kill_all(context, count, version, interval=RETURN_INTERVAL_SECONDS):
+def _kill_all(
+    context, count, version, interval=RETURN_INTERVAL_SECONDS, event='nothing'
+):
     async def act(fleet, caller):
         await _prepare(context, fleet)
         if 'names_streams' in context:
             caller.resume = partial(caller.resume, resumes=None)
         streams = _begin_everywhere(fleet, caller, count, interval)
         await asyncio.sleep(BEFORE_SIGNAL_SECONDS)
+        await _pass_event(fleet, event)
         down_seconds = RESTART_SECONDS
         if version is not None:
             down_seconds = RELEASE_SECONDS
@@ -185,6 +201,14 @@
     play(context, act)
 
 
+async def _pass_event(fleet, event):
+    if event == 'the end of leases':
+        fleet.service.end_leases()
+        await asyncio.sleep(RENEWED_SECONDS)
+    elif event.endswith('quiet seconds'):
+        await asyncio.sleep(float(event.split()[0]))
+
+
 @when('routers get {signal} in turn, {gap:g} s apart, under {count:d} streams')
 def restart_under_streams(context, signal, gap, count):
     async def act(fleet, caller):
--- a/features/steps/streamversions_steps.py
+++ b/features/steps/streamversions_steps.py
@@ -73,6 +73,8 @@
                 target.service = 'svc2'
         if context.second_service:
             fleet.catalogue = _use_services(fleet.catalogue)
+        if 'stream_limit' in context:
+            fleet.catalogue = _limit_streams(fleet.catalogue, context.stream_limit)
         if 'long_limit' in context:
             fleet.catalogue = _add_route(fleet.catalogue, context.long_limit)
 
@@ -82,6 +84,16 @@
     context.fleet = run_fleet(run, *context.sizes, change_fleet=set_versions)
 
 
+def _limit_streams(catalogue, time_limit):
+    routes = [
+        replace(route, time_limit=time_limit)
+        if route.kind is RouteKind.stream
+        else route
+        for route in catalogue.routes
+    ]
+    return replace(catalogue, routes=tuple(routes))
+
+
 def _add_route(catalogue, time_limit):
     route = make_route('long', RouteKind.stream, resumable=True, time_limit=time_limit)
     return replace(catalogue, routes=(*catalogue.routes, route))
--- a/features/streamrestarts.feature
+++ b/features/streamrestarts.feature
@@ -39,6 +39,20 @@
     Then no caller holds events of two versions
     And all streams are whole
 
+  # The page of records ended with its lease: in an outage, or while nothing changed.
+  Scenario Outline: Streams of two versions go on after their page could have ended
+    Given 3 routers, and 2 targets of each of the versions v1 and v2
+    And a site that starts for the first time
+    And streams that may last 150 s, with events that are <gap> s apart
+    When all routers are killed at once under 21 streams, after <event>
+    Then no caller holds events of two versions
+    And all streams are whole
+
+    Examples:
+      | event             | gap |
+      | the end of leases | 1.5 |
+      | 70 quiet seconds  | 12  |
+
   # Its task failed with the first stream that ended during a call, and the router stopped.
   Scenario: Streams that end while their router writes its page don't end the router
     Given 3 routers, and 2 targets of each of the versions v1 and v2
--- a/packages/fleet/src/ibisport_fleet/stream_versions/record_pages.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/record_pages.py
@@ -31,9 +31,11 @@
 WRITE_INTERVAL_SECONDS = 0.25
 # All routers together write their pages at most this often.
 MAX_WRITES_PER_SECOND = 50.0
-# Callers come back within twice the time limit of a route, mostly under a minute.
-PAGE_LEASE_SECONDS = 60.0
-RENEWAL_INTERVAL_SECONDS = 20.0
+# A store outage may end leases, and a page is missing until its lease is renewed. A
+# renewal costs a tenth of a read.
+RENEWAL_INTERVAL_SECONDS = 2.0
+# The longest lease that the store grants.
+MAX_LEASE_SECONDS = 600.0
 LOAD_BACKOFF_SECONDS = 0.25
 WRITE_BACKOFF_SECONDS = 2.0
 
@@ -80,7 +82,7 @@
         self._log = log
         self._loaded = asyncio.Event()
         self._lease = 0
-        self._renewed_at = 0.0
+        self._renewal_due_at = 0.0
         self._written: Mapping[bytes, Build] = {}
 
     async def run(self) -> None:
@@ -140,29 +142,36 @@
                 self._records.put(key, build, now, expires_at)
 
     async def _update(self) -> None:
-        """Write the page if the streams in progress have changed."""
+        """Write the page if the streams in progress have changed, or if it is gone."""
         now = asyncio.get_running_loop().time()
         streams = self._sender.list_sent(now) if self._builds.is_ambiguous else {}
         builds = {key: stream.build for key, stream in streams.items()}
-        if builds == self._written:
+        if not builds and not self._written:
+            return
+        is_gone = not await self._keep_lease(now)
+        if builds == self._written and not is_gone:
             return
-        if not (self._lease and await self._renew(now)):
-            granted = await self._store.grant_lease(PAGE_LEASE_SECONDS)
-            self._lease = granted[0]
-            self._renewed_at = now
         lifetimes = {key: stream.expires_at - now for key, stream in streams.items()}
         content = encode_page(builds, lifetimes)
         key = f'{PAGES_PREFIX}{self._members.own.incarnation}'
         await self._store.write((), (Put(key, content, self._lease),))
         self._written = builds
 
-    async def _renew(self, now: float) -> bool:
-        """Extend the lease if that is due; return whether it lives."""
-        if now - self._renewed_at < RENEWAL_INTERVAL_SECONDS:
+    async def _keep_lease(self, now: float) -> bool:
+        """Renew the lease if that is due; return False if a new one had to be granted.
+
+        The page outlives its router for as long as callers may come back.
+        """
+        if self._lease and now < self._renewal_due_at:
             return True
-        is_alive = await self._store.renew_lease(self._lease)
-        self._renewed_at = now
-        return is_alive
+        is_kept = self._lease and await self._store.renew_lease(self._lease)
+        if not is_kept:
+            window = self._builds.compute_longest_window() or MAX_LEASE_SECONDS
+            seconds = min(window + 2 * RENEWAL_INTERVAL_SECONDS, MAX_LEASE_SECONDS)
+            granted = await self._store.grant_lease(seconds)
+            self._lease = granted[0]
+        self._renewal_due_at = now + RENEWAL_INTERVAL_SECONDS
+        return bool(is_kept)
 
 
 def encode_page(
