Keep only the records for which a router is asked, and read pages in parts

What an operator would see at 330 routers: a router that starts while versions differ reads 181,500 records in one go. It kept the last 32,768 (MAX_RECORDS), the same at all routers, so that after a kill of all about four in five streams could not go on. Worked out from the code, not played at that size.

Cause: pages were applied in one go, and without regard to who is asked for a stream.

Change: a router keeps the records of the streams for which it is among the routers that others ask, once it knows the member list, and lets other tasks run between two pages.

Restarts in turn are one function of the steps now.

--- a/features/steps/streamrecords_steps.py
+++ b/features/steps/streamrecords_steps.py
@@ -16,7 +16,6 @@
 from ibisport_fleet.store import Item
 from ibisport_fleet.stream_versions import build_page, record_pages
 from ibisport_fleet.stream_versions.build_history import BuildHistory
-from ibisport_fleet.stream_versions.directory import ASKED_ROUTERS
 from ibisport_fleet.stream_versions.hash_ring import HashRing
 from ibisport_fleet.stream_versions.messages import (
     KIND,
@@ -24,7 +23,7 @@
     decode_begun,
     encode_begun,
 )
-from ibisport_fleet.stream_versions.record_sender import REPLICAS
+from ibisport_fleet.stream_versions.record_sender import ASKED_ROUTERS, REPLICAS
 from ibisport_fleet.stream_versions.records import (
     KEY_BYTES,
     StreamRecords,
--- a/features/steps/streamrestarts_steps.py
+++ b/features/steps/streamrestarts_steps.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import itertools
+import operator
 from functools import partial
 from types import SimpleNamespace
 
 from behave import given, then, when
 from fleet_targets import EVENT_INTERVAL_SECONDS, TARGET_PREFIX
 from running_fleet import RESTART_SECONDS
-from streamversions_steps import call_all, play
+from streamversions_steps import call_all, count_records, play
 
 from ibisport_bench.standins.memory_store import ANSWER_SECONDS
 from ibisport_fleet.stream_versions.build_page import PAGE_KEY, decode_page
@@ -61,22 +62,25 @@
 def roll(context, signal, gap, count):
     async def act(fleet, caller):
         await _prepare(context, fleet)
-        *others, last = fleet.routers
-        begins_at = fleet.now + max(0.0, len(others) * gap - BEFORE_SIGNAL_SECONDS)
+        before_last = gap * (len(fleet.routers) - 1)
+        begins_at = fleet.now + max(0.0, before_last - BEFORE_SIGNAL_SECONDS)
         streams = asyncio.ensure_future(_run_streams(fleet, caller, begins_at, count))
-        restarts = []
-        await asyncio.sleep(max(0.0, BEFORE_SIGNAL_SECONDS - len(others) * gap))
-        for router in others:
-            restarts.append(asyncio.ensure_future(router.restart(signal)))
-            await asyncio.sleep(gap)
-        restarts.append(asyncio.ensure_future(last.restart(signal)))
-        moved = await streams
-        await asyncio.gather(*restarts)
-        return moved
+        await asyncio.sleep(max(0.0, BEFORE_SIGNAL_SECONDS - before_last))
+        await _restart_in_turn(fleet, signal, gap)
+        return await streams
 
     play(context, act)
 
 
+async def _restart_in_turn(fleet, signal, gap):
+    """Restart all routers, one begun some seconds after the other."""
+    restarts = []
+    for router in fleet.routers:
+        restarts.append(asyncio.ensure_future(router.restart(signal)))
+        await asyncio.sleep(gap)
+    await asyncio.gather(*restarts)
+
+
 async def _run_streams(fleet, caller, begins_at, count):
     """Begin streams at the last router, and resume them at any that runs."""
     await asyncio.sleep(begins_at - fleet.now)
@@ -196,7 +200,9 @@
                 target.software_version = version
                 target.crash(RESTART_SECONDS)
         await fleet.restart_routers(down_seconds)
-        return await streams
+        moved = await streams
+        context.records = [count_records(router) for router in fleet.routers]
+        return moved
 
     play(context, act)
 
@@ -209,18 +215,52 @@
         await asyncio.sleep(float(event.split()[0]))
 
 
+@when(
+    'the store drops its history under {count:d} streams at a router, '
+    'which is killed later'
+)
+def drop_history(context, count):
+    async def act(fleet, caller):
+        await _prepare(context, fleet)
+        first = fleet.routers[0]
+        streams = call_all(
+            fleet, (move(fleet, caller, first, number + 1) for number in range(count))
+        )
+        await asyncio.sleep(BEFORE_SIGNAL_SECONDS / 2)
+        await _lose_history(fleet)
+        first.kill()
+        return await streams
+
+    play(context, act)
+
+
+async def _lose_history(fleet):
+    """Let each watch find its history gone once, so that all routers list anew."""
+
+    def count_listings():
+        return [router.router._targets.listings for router in fleet.routers]
+
+    known = count_listings()
+    fleet.service.compacted_revision = fleet.service.revision + 1
+    async with asyncio.timeout(RENEWED_SECONDS):
+        while any(map(operator.eq, known, count_listings())):
+            await asyncio.sleep(POLL_SECONDS)
+    fleet.service.revision += 1
+
+
+@then('each router has at most {count:d} records of streams')
+def check_records(context, count):
+    assert 0 < max(context.records) <= count, context.records
+
+
 @when('routers get {signal} in turn, {gap:g} s apart, under {count:d} streams')
 def restart_under_streams(context, signal, gap, count):
     async def act(fleet, caller):
         await _prepare(context, fleet)
         streams = _begin_everywhere(fleet, caller, count)
-        restarts = []
-        for router in fleet.routers:
-            await asyncio.sleep(gap)
-            restarts.append(asyncio.ensure_future(router.restart(signal)))
-        moved = await streams
-        await asyncio.gather(*restarts)
-        return moved
+        await asyncio.sleep(gap)
+        await _restart_in_turn(fleet, signal, gap)
+        return await streams
 
     play(context, act)
 
@@ -293,7 +333,7 @@
 def start_behind_slow_writes(context, version, seconds):
     async def act(fleet, caller):
         context.page = SimpleNamespace(recorded_at=None)
-        polling = asyncio.ensure_future(_poll_page(fleet, version, context.page))
+        watching = asyncio.ensure_future(_watch_page(fleet, version, context.page))
         fleet.service.faults.refuse_writes = True
         for target in fleet.targets[::2]:
             target.software_version = version
@@ -307,7 +347,7 @@
             router = fleet.routers[len(streams) % len(fleet.routers)]
             streams.append(fleet.call(caller.begin(router)))
             await asyncio.sleep(EVENT_INTERVAL_SECONDS)
-        polling.cancel()
+        watching.cancel()
         return await asyncio.gather(*streams)
 
     play(context, act)
@@ -317,7 +357,7 @@
     ]
 
 
-async def _poll_page(fleet, version, page):
+async def _watch_page(fleet, version, page):
     """Record the moment of the write that puts a version on the page."""
     while version not in _read_versions(fleet):
         await fleet.service.wait_for_change(fleet.service.revision, POLL_SECONDS)
--- a/features/streamrestarts.feature
+++ b/features/streamrestarts.feature
@@ -2,7 +2,7 @@
 
   # Streams of the last router were refused: the restarted ones knew no version history.
   Scenario Outline: Streams of the last router go on after a roll over all routers
-    Given 3 routers, and 2 targets of each of the versions v1 and v1
+    Given <routers> routers, and 2 targets of each of the versions v1 and v1
     And the versions have been listed for 31 s
     And events that are 1.5 s apart
     When all routers get <signal> in turn, <gap> s apart, and 20 streams run at the last
@@ -10,11 +10,24 @@
     And all streams are whole
 
     Examples:
-      | signal  | gap |
-      | SIGTERM | 12  |
-      | SIGTERM | 2   |
-      | SIGKILL | 12  |
-      | SIGKILL | 2   |
+      | routers | signal  | gap |
+      | 2       | SIGTERM | 12  |
+      | 2       | SIGKILL | 2   |
+      | 3       | SIGTERM | 12  |
+      | 3       | SIGTERM | 2   |
+      | 3       | SIGKILL | 12  |
+      | 3       | SIGKILL | 2   |
+      | 30      | SIGTERM | 2   |
+      | 30      | SIGKILL | 2   |
+
+  # A full listing forgot what was listed before it, also at routers that live on.
+  Scenario: Streams of a killed router go on after the store has dropped its history
+    Given 3 routers, and 2 targets of each of the versions v1 and v1
+    And the versions have been listed for 31 s
+    And events that are 1 s apart
+    When the store drops its history under 20 streams at a router, which is killed later
+    Then no caller holds events of two versions
+    And all streams are whole
 
   # No router was left that knew which versions had been listed.
   Scenario Outline: Streams go on after all routers were killed at once
@@ -31,13 +44,20 @@
       | the versions have been listed for 31 s |
 
   # All records of streams ended with the routers that had them.
-  Scenario: Streams of two versions go on after all routers were killed at once
-    Given 3 routers, and 2 targets of each of the versions v1 and v2
+  Scenario Outline: Streams of two versions go on after all routers were killed at once
+    Given <routers> routers, and 2 targets of each of the versions v1 and v2
     And a site that starts for the first time
     And events that are 1 s apart
-    When all routers are killed at once under 21 streams
+    When all routers are killed at once under <streams> streams
     Then no caller holds events of two versions
     And all streams are whole
+    And each router has at most <records> records of streams
+
+    Examples:
+      | routers | streams | records |
+      | 2       | 20      | 20      |
+      | 3       | 21      | 21      |
+      | 30      | 120     | 60      |
 
   # The page of records ended with its lease: in an outage, or while nothing changed.
   Scenario Outline: Streams of two versions go on after their page could have ended
--- a/packages/fleet/src/ibisport_fleet/stream_versions/directory.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/directory.py
@@ -31,7 +31,7 @@
 )
 from ibisport_fleet.stream_versions.origin import Begun
 from ibisport_fleet.stream_versions.record_pages import RecordPages
-from ibisport_fleet.stream_versions.record_sender import RecordSender
+from ibisport_fleet.stream_versions.record_sender import ASKED_ROUTERS, RecordSender
 from ibisport_fleet.stream_versions.records import (
     StreamRecords,
     compute_key,
@@ -40,9 +40,6 @@
 from ibisport_fleet.targets import Build
 
 QUERY_PATH = b'/streams'
-# The lists of two routers may differ by a router or two, such as the one that began the
-# stream.
-ASKED_ROUTERS = 4
 # Far beyond a round trip between failure domains.
 ANSWER_TIMEOUT_SECONDS = 0.25
 # Sources of a finding that say that other routers have records of the stream.
--- a/packages/fleet/src/ibisport_fleet/stream_versions/hash_ring.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/hash_ring.py
@@ -19,18 +19,20 @@
 
     def __init__(self) -> None:
         """Create an empty ring."""
-        self._members: dict[str, Member] = {}
+        self._members: Mapping[str, Member] = {}
         self._points: list[tuple[int, str]] = []
 
     def update(self, members: Mapping[str, Member]) -> None:
-        """Use the routers of a list, by host."""
+        """Use the routers of a list, by host; a list must not be changed later."""
+        if members is self._members:
+            return
         if members.keys() != self._members.keys():
             self._points = sorted(
                 (hash_text(f'{host}|{number}'), host)
                 for host in members
                 for number in range(POINTS_PER_MEMBER)
             )
-        self._members = dict(members)
+        self._members = members
 
     def select(self, key: bytes, count: int, own_host: str) -> list[Member]:
         """Return the first routers for a key.
--- a/packages/fleet/src/ibisport_fleet/stream_versions/record_pages.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/record_pages.py
@@ -16,7 +16,7 @@
 from ibisport_fleet.errors import RecordInvalid, StoreError
 from ibisport_fleet.event_log import Event, EventLog
 from ibisport_fleet.membership import Membership
-from ibisport_fleet.store import Item, Put, Store
+from ibisport_fleet.store import Item, Listing, Put, Store
 from ibisport_fleet.stream_versions.build_store import BuildStore
 from ibisport_fleet.stream_versions.record_sender import RecordSender
 from ibisport_fleet.stream_versions.records import (
@@ -81,6 +81,8 @@
         self._builds = builds
         self._log = log
         self._loaded = asyncio.Event()
+        self._members_read = asyncio.Event()
+        members.listing_handlers.append(self._handle_listing)
         self._lease = 0
         self._renewal_due_at = 0.0
         self._written: Mapping[bytes, Build] = {}
@@ -106,6 +108,9 @@
             async with asyncio.timeout_at(deadline):
                 await self._loaded.wait()
 
+    def _handle_listing(self, listing: Listing) -> None:
+        self._members_read.set()
+
     def _compute_interval(self) -> float:
         return max(WRITE_INTERVAL_SECONDS, self._members.count / MAX_WRITES_PER_SECOND)
 
@@ -121,12 +126,15 @@
 
     async def _read_pages(self) -> None:
         await self._builds.wait_until_read()
+        await self._members_read.wait()
         if not self._builds.is_ambiguous:
             return
         listing = await self._store.scan(PAGES_PREFIX)
         now = asyncio.get_running_loop().time()
         for item in listing.items:
             self._apply_page(item, now)
+            # A large fleet has hundreds of pages, and requests are served meanwhile.
+            await asyncio.sleep(0)
 
     def _apply_page(self, item: Item, now: float) -> None:
         try:
@@ -138,8 +146,9 @@
             build = Build(group.service, group.version)
             for number, lifetime in enumerate(group.lifetimes):
                 key = group.keys[number * KEY_BYTES : (number + 1) * KEY_BYTES]
-                expires_at = now + min(lifetime, MAX_LIFETIME_SECONDS)
-                self._records.put(key, build, now, expires_at)
+                if self._sender.is_asked(key):
+                    expires_at = now + min(lifetime, MAX_LIFETIME_SECONDS)
+                    self._records.put(key, build, now, expires_at)
 
     async def _update(self) -> None:
         """Write the page if the streams in progress have changed, or if it is gone."""
--- a/packages/fleet/src/ibisport_fleet/stream_versions/record_sender.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/record_sender.py
@@ -14,6 +14,9 @@
 
 # Any one of them may end with the router that began the stream.
 REPLICAS = 2
+# The lists of two routers may differ by a router or two, such as the one that began the
+# stream.
+ASKED_ROUTERS = 4
 # Streams in progress at a router, at the most.
 MAX_STREAMS = 4_096
 
@@ -98,6 +101,13 @@
         self._update_ring()
         return self._ring.select(key, count, self._links.members.own.host)
 
+    def is_asked(self, key: bytes) -> bool:
+        """Return whether other routers ask this one for a stream."""
+        self._update_ring()
+        # A router that asks leaves itself out.
+        first = self._ring.select(key, ASKED_ROUTERS + 1, '')
+        return self._links.members.own in first
+
     def _update_ring(self) -> None:
         self._ring.update(self._links.members.current)
 
