Decode items of the store in one place; name the pages of records alike

The pages of builds, of records and of the quarantine, and the entries of routers, were decoded by the same four lines. directory.pages is record_pages, beside builds. No change of behaviour.

--- a/packages/fleet/src/ibisport_fleet/membership.py
+++ b/packages/fleet/src/ibisport_fleet/membership.py
@@ -12,6 +12,7 @@
 from ibisport_fleet.addresses import Address
 from ibisport_fleet.errors import RecordInvalid, StoreError
 from ibisport_fleet.event_log import Event, EventLog
+from ibisport_fleet.item_decoding import decode_item
 from ibisport_fleet.store import Item, Listing, Put, Store
 
 MEMBER_PREFIX = 'ibisport/router/'
@@ -216,7 +217,4 @@
     Raises:
         RecordInvalid: The content is not a valid router entry.
     """
-    try:
-        return _DECODER.decode(item.content)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        raise RecordInvalid(f'{item.key}: {error!r}') from error
+    return decode_item(_DECODER.decode, item)
--- a/packages/fleet/src/ibisport_fleet/quarantine/page.py
+++ b/packages/fleet/src/ibisport_fleet/quarantine/page.py
@@ -10,6 +10,7 @@
 from ibisport_fleet.calls import draw_jittered_delay
 from ibisport_fleet.errors import RecordInvalid, StoreError
 from ibisport_fleet.event_log import Event, EventLog
+from ibisport_fleet.item_decoding import decode_item
 from ibisport_fleet.quarantine.policy import MAX_QUARANTINED, Quarantine
 from ibisport_fleet.store import (
     Condition,
@@ -221,7 +222,4 @@
     Raises:
         RecordInvalid: The content is no valid page.
     """
-    try:
-        return _DECODER.decode(item.content)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        raise RecordInvalid(f'{item.key}: {error!r}') from error
+    return decode_item(_DECODER.decode, item)
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -173,7 +173,7 @@
             'repaying': self._budgets.run_repayments(),
             'quarantine': self._fatal_requests.run(),
             'builds': self._streams.builds.run(),
-            'stream pages': self._streams.pages.run(),
+            'record pages': self._streams.record_pages.run(),
             'rate shares': self._holds.limits.run(),
             'standby': self._call_handler.standby.run(),
             'datagrams': self._links.datagrams.run(),
--- a/packages/fleet/src/ibisport_fleet/stream_versions/build_page.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/build_page.py
@@ -5,7 +5,7 @@
 import msgspec
 from msgspec import Struct
 
-from ibisport_fleet.errors import RecordInvalid
+from ibisport_fleet.item_decoding import decode_item
 from ibisport_fleet.store import Item
 from ibisport_fleet.targets import Build
 
@@ -50,10 +50,7 @@
     Raises:
         RecordInvalid: The content is not a valid page.
     """
-    try:
-        page = _DECODER.decode(item.content)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        raise RecordInvalid(f'{item.key}: {error!r}') from error
+    page = decode_item(_DECODER.decode, item)
     builds = frozenset(
         Build(service, version)
         for service, versions in page.builds.items()
--- a/packages/fleet/src/ibisport_fleet/stream_versions/directory.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/directory.py
@@ -97,7 +97,7 @@
     Attributes:
         records: What this router knows itself.
         builds: The store's page of builds.
-        pages: The store's pages of records.
+        record_pages: The store's pages of records.
     """
 
     def __init__(
@@ -125,7 +125,7 @@
         self._targets = targets
         self._is_list_current = is_list_current
         self._sender = RecordSender(links)
-        self.pages = RecordPages(
+        self.record_pages = RecordPages(
             store, links.members, self._sender, self.records, builds, log
         )
         self._tasks: set[asyncio.Task[StreamAnswer | None]] = set()
@@ -181,7 +181,7 @@
         own = self._answer(query)
         if not own.recorded:
             now = asyncio.get_running_loop().time()
-            await self.pages.wait_until_loaded(now + ANSWER_TIMEOUT_SECONDS)
+            await self.record_pages.wait_until_loaded(now + ANSWER_TIMEOUT_SECONDS)
             own = self._answer(query)
         if own.recorded:
             finding = _judge_record(own, 'own', 0)
--- a/packages/fleet/src/ibisport_fleet/stream_versions/record_pages.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/record_pages.py
@@ -15,6 +15,7 @@
 from ibisport_fleet.calls import draw_jittered_delay
 from ibisport_fleet.errors import RecordInvalid, StoreError
 from ibisport_fleet.event_log import Event, EventLog
+from ibisport_fleet.item_decoding import decode_item
 from ibisport_fleet.membership import Membership
 from ibisport_fleet.store import Item, Listing, Put, Store
 from ibisport_fleet.stream_versions.build_store import BuildStore
@@ -213,10 +214,7 @@
     Raises:
         RecordInvalid: The content is not a valid page.
     """
-    try:
-        groups = _DECODER.decode(item.content)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-        raise RecordInvalid(f'{item.key}: {error!r}') from error
+    groups = decode_item(_DECODER.decode, item)
     for group in groups:
         if len(group.keys) != KEY_BYTES * len(group.lifetimes):
             raise RecordInvalid(f'{item.key}: {len(group.keys)} bytes of keys')
