Derive how often pages of records are written from the store's write rate

The bound of 50 writes a second was an eighth of the 400 that all known sheets name. A store with fewer writes leaves the same part of them to budgets. No measurement; what routers do on the known sheets doesn't change.

--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -108,12 +108,12 @@
         )
         loans = LoanServer(self._budgets.lend)
         self._streams = build_stream_directory(
+            settings,
             self._links,
             self._store,
             (self._catalogue, self._targets),
             self._is_list_current,
             log,
-            first_start=settings.first_start,
         )
         handlers = {
             **loans.handlers,
--- a/packages/fleet/src/ibisport_fleet/settings.py
+++ b/packages/fleet/src/ibisport_fleet/settings.py
@@ -67,6 +67,7 @@
         regions: The region of each failure domain.
         features: The optional parts that are in use.
         engine_address: Address of the engine on this host, or None.
+        store_writes_per_second: Write calls that the store takes from all processes.
         first_start: Whether the whole system starts for the first time, so that no
             process of it has run before.
     """
@@ -82,4 +83,5 @@
     regions: Mapping[str, str] = field(default_factory=dict)
     features: frozenset[Feature] = frozenset()
     engine_address: Address | None = None
+    store_writes_per_second: float = 400.0
     first_start: bool = False
--- a/packages/fleet/src/ibisport_fleet/stream_versions/directory.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/directory.py
@@ -21,6 +21,7 @@
 from ibisport_fleet.membership import Member
 from ibisport_fleet.peers import PeerHandler, decode_message
 from ibisport_fleet.router_links import RouterLinks
+from ibisport_fleet.settings import HostSettings
 from ibisport_fleet.store import Store
 from ibisport_fleet.stream_versions.build_store import BuildStore
 from ibisport_fleet.stream_versions.messages import (
@@ -102,6 +103,7 @@
 
     def __init__(
         self,
+        settings: HostSettings,
         links: RouterLinks,
         store: Store,
         targets: TargetView,
@@ -112,6 +114,7 @@
         """Create an empty directory.
 
         Args:
+            settings: The settings of this router.
             links: Reaches the other routers.
             store: Keeps the pages of records.
             targets: The listed targets.
@@ -126,7 +129,7 @@
         self._is_list_current = is_list_current
         self._sender = RecordSender(links)
         self.record_pages = RecordPages(
-            store, links.members, self._sender, self.records, builds, log
+            settings, store, links.members, self._sender, self.records, builds, log
         )
         self._tasks: set[asyncio.Task[StreamAnswer | None]] = set()
         links.datagrams.add_handler(KIND, self._handle_begun)
@@ -322,30 +325,36 @@
 
 
 def build_stream_directory(
+    settings: HostSettings,
     links: RouterLinks,
     store: Store,
     views: tuple[CatalogueView, TargetView],
     is_list_current: Callable[[], bool],
     log: EventLog,
-    *,
-    first_start: bool,
 ) -> StreamDirectory:
     """Assemble the directory of a router.
 
     Args:
+        settings: The settings of this router.
         links: Reaches the other routers.
-        store: Keeps the page of builds.
+        store: Keeps the page of builds and the pages of records.
         views: The catalogue and the list of targets.
         is_list_current: Returns whether the list of targets is current.
-        log: Receives changes of the page.
-        first_start: Whether no router has run before.
+        log: Receives changes and failures of the pages.
     """
     catalogue, targets = views
     builds = BuildStore(
-        store, targets, catalogue, log, is_list_current, first_start=first_start
+        store,
+        targets,
+        catalogue,
+        log,
+        is_list_current,
+        first_start=settings.first_start,
     )
     links.members.listing_handlers.append(builds.apply_listing)
-    return StreamDirectory(links, store, targets, builds, log, is_list_current)
+    return StreamDirectory(
+        settings, links, store, targets, builds, log, is_list_current
+    )
 
 
 def _join_builds(answers: Sequence[StreamAnswer]) -> tuple[set[Build], str]:
--- a/packages/fleet/src/ibisport_fleet/stream_versions/record_pages.py
+++ b/packages/fleet/src/ibisport_fleet/stream_versions/record_pages.py
@@ -17,6 +17,7 @@
 from ibisport_fleet.event_log import Event, EventLog
 from ibisport_fleet.item_decoding import decode_item
 from ibisport_fleet.membership import Membership
+from ibisport_fleet.settings import HostSettings
 from ibisport_fleet.store import Item, Listing, Put, Store
 from ibisport_fleet.stream_versions.build_store import BuildStore
 from ibisport_fleet.stream_versions.record_sender import RecordSender
@@ -30,8 +31,8 @@
 PAGES_PREFIX = 'ibisport/streams/'
 # Streams that began within this time before a kill of all routers are lost.
 WRITE_INTERVAL_SECONDS = 0.25
-# All routers together write their pages at most this often.
-MAX_WRITES_PER_SECOND = 50.0
+# Of the writes that the store takes; budgets need most of them.
+WRITE_SHARE = 0.125
 # A store outage may end leases, and a page is missing until its lease is renewed. A
 # renewal costs a tenth of a read.
 RENEWAL_INTERVAL_SECONDS = 2.0
@@ -58,6 +59,7 @@
 
     def __init__(
         self,
+        settings: HostSettings,
         store: Store,
         members: Membership,
         sender: RecordSender,
@@ -68,6 +70,7 @@
         """Create an instance that hasn't read the pages yet.
 
         Args:
+            settings: Tell how many writes the store takes.
             store: Keeps the pages.
             members: Tells how many routers write pages.
             sender: Has the streams in progress.
@@ -75,6 +78,7 @@
             builds: Tells whether versions differ.
             log: Receives failures.
         """
+        self._settings = settings
         self._store = store
         self._members = members
         self._sender = sender
@@ -113,7 +117,8 @@
         self._members_read.set()
 
     def _compute_interval(self) -> float:
-        return max(WRITE_INTERVAL_SECONDS, self._members.count / MAX_WRITES_PER_SECOND)
+        writes_per_second = WRITE_SHARE * self._settings.store_writes_per_second
+        return max(WRITE_INTERVAL_SECONDS, self._members.count / writes_per_second)
 
     async def _load(self) -> None:
         while not self._loaded.is_set():
