--- a/packages/bench/src/ibisport_bench/soak/processes.py
+++ b/packages/bench/src/ibisport_bench/soak/processes.py
@@ -20,6 +20,7 @@
 
     Attributes:
         settings: The contents of its settings file.
+        more_settings: Lines that are added to the settings file.
         restarting: Whether its process is being stopped and started again.
         start: The current or the last start of its process.
     """
@@ -28,6 +29,7 @@
         self, role: str, settings: HostSettings, folder: Path, journal: Journal
     ) -> None:
         self.settings = settings
+        self.more_settings = ''
         self.restarting = False
         self.start = Start(settings.host, 0, read_clock())
         self._module = [PROGRAM, role]
@@ -42,6 +44,11 @@
         """The name of the host."""
         return self.settings.host
 
+    @property
+    def process_id(self) -> int | None:
+        """The id of its last process, or None before the first start."""
+        return None if self._process is None else self._process.pid
+
     @property
     def is_running(self) -> bool:
         """Whether the process is running."""
@@ -59,7 +66,7 @@
     async def launch(self) -> None:
         """Start the process."""
         settings = replace(self.settings, first_start=not self.start.number)
-        self._settings_path.write_text(format_settings(settings))
+        self._write_settings(settings)
         environment = {**os.environ, SETTINGS_VARIABLE: str(self._settings_path)}
         self.start = Start(self.name, self.start.number + 1, read_clock())
         self._journal.starts.append(self.start)
@@ -110,10 +117,14 @@
         """Change the retry slack in the settings file and send SIGHUP."""
         bounds = replace(self.settings.bounds, retry_slack=retry_slack)
         self.settings = replace(self.settings, bounds=bounds)
-        self._settings_path.write_text(format_settings(self.settings))
+        self._write_settings(self.settings)
         with self._journal.track_fault(Cause.reload, self.name, f'slack {retry_slack}'):
             self.send_signal(signal.SIGHUP)
 
+    def _write_settings(self, settings: HostSettings) -> None:
+        content = format_settings(settings) + self.more_settings
+        self._settings_path.write_text(content)
+
     async def _watch(self, process: asyncio.subprocess.Process, start: Start) -> None:
         start.code = await process.wait()
         start.ended = read_clock()
--- a/packages/bench/src/ibisport_bench/soak/targets.py
+++ b/packages/bench/src/ibisport_bench/soak/targets.py
@@ -349,6 +349,7 @@
             if break_at == 0:
                 return self._break_off(run, writer)
             body = make_body(run.request_id, 0)
+            body += b'x' * int(parameters.get('fill', '0'))
             self._record_advertised_limit(run)
             writer.write(encode_message('HTTP/1.1 200 OK', headers, body))
             run.complete = True
