Bound the number of connections that a process accepts

What callers saw: nothing yet; a crowd that opens connections and sends half a head took 603 to 614 sockets where 312 are left for them, and a process without descriptors reaches neither targets nor the store. Above it the connection that has waited longest for a request is closed, at the earliest 0.25 s after it began to wait; if there is none, the new one is. A request in progress is never cut. The three dictionaries of waiting connections are one class now.

--- a/packages/fleet/src/ibisport_fleet/caller_server.py
+++ b/packages/fleet/src/ibisport_fleet/caller_server.py
@@ -1,7 +1,6 @@
 """Serves the connections of callers, one request after another."""
 
 import asyncio
-from dataclasses import dataclass
 
 from ibisport_fleet.call_handler import CallHandler
 from ibisport_fleet.catalogue import Limits
@@ -11,27 +10,13 @@
 from ibisport_fleet.event_log import EventLog
 from ibisport_fleet.fleet_view import CatalogueView
 from ibisport_fleet.metadata import Dialect
+from ibisport_fleet.overload.resources import CALLERS_SHARE, Resources
+from ibisport_fleet.overload.waiting import FIRST_REQUEST_SECONDS
 from ibisport_fleet.request_reader import RequestReader, wait_for_request
 from ibisport_fleet.response_writer import ResponseWriter
 
 # Callers reuse a connection that was idle for up to four fifths of the limit.
 IDLE_MARGIN_SECONDS = 1.0
-# A caller sends its first request right after it has connected: this covers a round
-# trip of some ms and one lost packet.
-FIRST_REQUEST_SECONDS = 0.25
-
-
-@dataclass(frozen=True, slots=True)
-class _IdleConnection:
-    """A connection that waits for a complete request.
-
-    Attributes:
-        reader: Parses its requests.
-        idle_since: Loop time at which the wait began.
-    """
-
-    reader: RequestReader
-    idle_since: float
 
 
 class CallerServer:
@@ -47,30 +32,24 @@
         handler: CallHandler,
         catalogue: CatalogueView,
         dialect: Dialect,
+        resources: Resources,
         log: EventLog,
     ) -> None:
         self.stopping = False
         self._handler = handler
         self._catalogue = catalogue
         self._dialect = dialect
-        self.connections = ConnectionTasks(self._serve, 'caller', log)
-        self._idle: dict[Channel, _IdleConnection] = {}
+        bounds = resources.bound_listener(CALLERS_SHARE)
+        self.connections = ConnectionTasks(self._serve, 'caller', log, bounds)
 
     def close_idle(self) -> None:
         """Close the connections on which no request is arriving.
 
-        A long body takes time on a slow link, and closing its connection would lose
-        the request without an answer. So would closing a new connection, whose first
-        request arrives a round trip later.
+        Closing a new connection would lose its first request, which arrives a round
+        trip later.
         """
-        latest = asyncio.get_running_loop().time() - FIRST_REQUEST_SECONDS
-        for channel, idle in tuple(self._idle.items()):
-            if not (
-                idle.reader.has_partial_request
-                or channel.has_unread
-                or idle.idle_since > latest
-            ):
-                channel.close()
+        now = asyncio.get_running_loop().time()
+        self.connections.waiting.close_quiet(now - FIRST_REQUEST_SECONDS)
 
     async def _serve(self, channel: Channel) -> None:
         limits = self._current_limits()
@@ -90,13 +69,10 @@
         self, reader: RequestReader, channel: Channel, limits: Limits
     ) -> bool:
         idle_until = asyncio.get_running_loop().time() + limits.idle_seconds
-        self._idle[channel] = _IdleConnection(reader, asyncio.get_running_loop().time())
-        try:
+        with self.connections.waiting.track(channel, reader):
             request = await wait_for_request(
                 reader, channel, idle_until + IDLE_MARGIN_SECONDS
             )
-        finally:
-            self._idle.pop(channel, None)
         if request is None:
             return False
         response = self._create_response(channel)
--- a/packages/fleet/src/ibisport_fleet/connection_tasks.py
+++ b/packages/fleet/src/ibisport_fleet/connection_tasks.py
@@ -2,11 +2,24 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from functools import partial
 from weakref import WeakSet
 
 from ibisport_fleet.channel import Channel
 from ibisport_fleet.event_log import Event, EventLog
+from ibisport_fleet.overload.waiting import WaitingConnections
+
+
+@dataclass(frozen=True, slots=True)
+class ListenerBounds:
+    """What the connections of a listener may use.
+
+    Attributes:
+        max_connections: The number of connections.
+    """
+
+    max_connections: int
 
 
 class ConnectionTasks:
@@ -14,10 +27,18 @@
 
     A task is cancelled as soon as its peer disconnects, so that no work is done for
     an absent peer.
+
+    Attributes:
+        waiting: The connections on which no request is in progress.
+        rejected: Number of connections that were closed for want of descriptors.
     """
 
     def __init__(
-        self, serve: Callable[[Channel], Awaitable[None]], name: str, log: EventLog
+        self,
+        serve: Callable[[Channel], Awaitable[None]],
+        name: str,
+        log: EventLog,
+        bounds: ListenerBounds | None = None,
     ) -> None:
         """Start without any connection.
 
@@ -25,7 +46,11 @@
             serve: Serves a connection until it ends.
             name: Name of the tasks in the log.
             log: Receives the failures of tasks.
+            bounds: What the connections may use; None: there is no bound.
         """
+        self.waiting = WaitingConnections()
+        self.rejected = 0
+        self._bounds = bounds
         self._serve = serve
         self._name = name
         self._log = log
@@ -46,6 +71,11 @@
         return Channel(self._start)
 
     def _start(self, channel: Channel) -> None:
+        if self._bounds is not None and len(self) >= self._bounds.max_connections:
+            self.rejected += 1
+            if not self.waiting.close_longest():
+                channel.abort()
+                return
         self._channels.add(channel)
         task = asyncio.get_running_loop().create_task(self._run(channel))
         # The loop keeps only weak references to tasks.
--- /dev/null
+++ b/packages/fleet/src/ibisport_fleet/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds on what a process holds for the peers that connect to it."""
--- /dev/null
+++ b/packages/fleet/src/ibisport_fleet/overload/resources.py
@@ -0,0 +1,39 @@
+"""Divides what a process may use among the connections that it accepts."""
+
+import resource
+
+from ibisport_fleet.connection_tasks import ListenerBounds
+from ibisport_fleet.settings import ResourceLimits
+
+# Descriptors that aren't used for sockets.
+FILE_DESCRIPTORS = 200
+MIN_CONNECTIONS = 8
+
+
+# Fractions of the sockets of a process for connections of callers or, at a relay, of
+# routers; of other routers; of the balancer and metrics scrapers. The rest is for
+# connections that the process itself opens.
+CALLERS_SHARE = 0.5
+ROUTERS_SHARE = 0.125
+CHECKS_SHARE = 0.0625
+
+
+class Resources:
+    """What a process may use for the peers that connect to it."""
+
+    def __init__(self, limits: ResourceLimits) -> None:
+        """Divide the limits of a process."""
+        allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        descriptors = limits.descriptors
+        if allowed != resource.RLIM_INFINITY:
+            descriptors = min(descriptors, allowed)
+        self._sockets = descriptors - FILE_DESCRIPTORS
+
+    def bound_listener(self, share: float) -> ListenerBounds:
+        """Return what the connections of a listener may use.
+
+        Args:
+            share: Fraction of the sockets of the process.
+        """
+        count = max(MIN_CONNECTIONS, int(self._sockets * share))
+        return ListenerBounds(count)
--- a/packages/fleet/src/ibisport_fleet/peers.py
+++ b/packages/fleet/src/ibisport_fleet/peers.py
@@ -18,7 +18,8 @@
     PeerUnavailable,
 )
 from ibisport_fleet.event_log import EventLog
-from ibisport_fleet.http_messages import Headers
+from ibisport_fleet.http_messages import Headers, Request
+from ibisport_fleet.overload.resources import ROUTERS_SHARE, Resources
 from ibisport_fleet.request_reader import RequestReader
 
 HEADERS: Headers = ((b'host', b'router'), (b'content-type', b'application/json'))
@@ -85,22 +86,29 @@
         connections: Accepts and tracks the connections of other routers.
     """
 
-    def __init__(self, handlers: Mapping[bytes, PeerHandler], log: EventLog) -> None:
+    def __init__(
+        self,
+        handlers: Mapping[bytes, PeerHandler],
+        resources: Resources,
+        log: EventLog,
+    ) -> None:
         """Initialize with the handlers of the message types.
 
         Args:
             handlers: Handlers by path. Each takes an encoded message and returns the
                 encoded answer, or raises a FleetError.
+            resources: What the process may use for connections.
             log: Event log for connection failures.
         """
         self._handlers = handlers
-        self.connections = ConnectionTasks(self._serve, 'peers', log)
+        bounds = resources.bound_listener(ROUTERS_SHARE)
+        self.connections = ConnectionTasks(self._serve, 'peers', log, bounds)
 
     async def _serve(self, channel: Channel) -> None:
         reader = RequestReader(channel, LIMITS)
         try:
             async with asyncio.timeout(IDLE_TIMEOUT_SECONDS) as timer:
-                while (request := await reader.read()) is not None:
+                while (request := await self._read(reader, channel)) is not None:
                     content = await self._handle(request.target, request.body)
                     channel.write(ANSWER_TEMPLATE % len(content) + content)
                     timer.reschedule(
@@ -110,6 +118,10 @@
             # The peer sees the connection end and turns to another router.
             channel.abort()
 
+    async def _read(self, reader: RequestReader, channel: Channel) -> Request | None:
+        with self.connections.waiting.track(channel, reader):
+            return await reader.read()
+
     async def _handle(self, path: bytes, content: bytes) -> bytes:
         handler = self._handlers.get(path)
         if handler is None:
--- a/packages/fleet/src/ibisport_fleet/readiness.py
+++ b/packages/fleet/src/ibisport_fleet/readiness.py
@@ -8,6 +8,8 @@
 from ibisport_fleet.connection_tasks import ConnectionTasks
 from ibisport_fleet.errors import FleetError
 from ibisport_fleet.event_log import EventLog
+from ibisport_fleet.http_messages import Request
+from ibisport_fleet.overload.resources import CHECKS_SHARE, Resources
 from ibisport_fleet.request_reader import RequestReader
 
 READY = b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n'
@@ -31,17 +33,19 @@
         self,
         is_ready: Callable[[], bool],
         dump_metrics: Callable[[], bytes],
+        resources: Resources,
         log: EventLog,
     ) -> None:
         self._is_ready = is_ready
         self._dump_metrics = dump_metrics
-        self.connections = ConnectionTasks(self._serve, 'readiness', log)
+        bounds = resources.bound_listener(CHECKS_SHARE)
+        self.connections = ConnectionTasks(self._serve, 'readiness', log, bounds)
 
     async def _serve(self, channel: Channel) -> None:
         reader = RequestReader(channel, Limits())
         try:
             async with asyncio.timeout(IDLE_TIMEOUT_SECONDS) as timer:
-                while (request := await reader.read()) is not None:
+                while (request := await self._read(reader, channel)) is not None:
                     channel.write(self._answer(request.target))
                     timer.reschedule(
                         asyncio.get_running_loop().time() + IDLE_TIMEOUT_SECONDS
@@ -50,6 +54,10 @@
             # A balancer that disconnected or sent invalid bytes will check again.
             return
 
+    async def _read(self, reader: RequestReader, channel: Channel) -> Request | None:
+        with self.connections.waiting.track(channel, reader):
+            return await reader.read()
+
     def _answer(self, target: bytes) -> bytes:
         if target.startswith(METRICS_PATH):
             text = self._dump_metrics()
--- a/packages/fleet/src/ibisport_fleet/relay.py
+++ b/packages/fleet/src/ibisport_fleet/relay.py
@@ -34,6 +34,7 @@
     encode_head,
 )
 from ibisport_fleet.load_feed.engine_poller import ReportCodec
+from ibisport_fleet.overload.resources import CALLERS_SHARE, Resources
 from ibisport_fleet.request_reader import RequestReader
 from ibisport_fleet.settings import HostSettings
 from ibisport_fleet.store import Store, WatchResult
@@ -126,9 +127,9 @@
         self._encode_cached = lru_cache(MAX_CACHED_ANSWERS)(self._encode_watch_answer)
         self._idle_connections: list[HttpConnection] = []
         self._draining = False
-        # Readers of the connections on which no call is being served.
-        self._readers: dict[Channel, RequestReader] = {}
-        self.connections = ConnectionTasks(self._serve, 'relay', log)
+        resources = Resources(settings.resources)
+        bounds = resources.bound_listener(CALLERS_SHARE)
+        self.connections = ConnectionTasks(self._serve, 'relay', log, bounds)
         self.in_flight = 0
 
     async def drain(self, deadline: float) -> None:
@@ -143,9 +144,7 @@
         loop = asyncio.get_running_loop()
         deadline = min(deadline, loop.time() + MAX_CALL_SECONDS)
         self._draining = True
-        for channel, reader in tuple(self._readers.items()):
-            if not (reader.has_partial_request or channel.has_unread):
-                channel.close()
+        self.connections.waiting.close_quiet(loop.time())
         while len(self.connections) and loop.time() < deadline:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
@@ -159,11 +158,8 @@
 
     async def _serve_calls(self, reader: RequestReader, channel: Channel) -> None:
         while not self._draining:
-            self._readers[channel] = reader
-            try:
+            with self.connections.waiting.track(channel, reader):
                 request = await reader.read()
-            finally:
-                self._readers.pop(channel, None)
             if request is None:
                 return
             if self._draining:
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -7,7 +7,6 @@
 from ibisport_fleet.budgets import Budgets
 from ibisport_fleet.call_handler import CallHandler
 from ibisport_fleet.caller_server import CallerServer
-from ibisport_fleet.channel import Channel
 from ibisport_fleet.clocks import read_boot_clock
 from ibisport_fleet.dependencies import Dependencies
 from ibisport_fleet.errors import RecordInvalid
@@ -17,6 +16,7 @@
 from ibisport_fleet.loans import LoanClient, LoanServer
 from ibisport_fleet.membership import Membership
 from ibisport_fleet.metrics import Metrics
+from ibisport_fleet.overload.resources import Resources
 from ibisport_fleet.peers import PeerServer
 from ibisport_fleet.prefix_watch import PrefixWatch, Subscriber, SubscriberGroup
 from ibisport_fleet.quarantine.fatal_requests import FatalRequests
@@ -121,7 +121,8 @@
             **self._fatal_requests.handlers,
             **self._holds.limits.handlers,
         }
-        self._peer_server = PeerServer(handlers, log)
+        self._resources = Resources(settings.resources)
+        self._peer_server = PeerServer(handlers, self._resources, log)
         self._call_handler = CallHandler(
             Dependencies(
                 settings=settings,
@@ -142,9 +143,15 @@
             settings, self._catalogue, self._targets, self._links.datagrams, log
         )
         self._caller_server = CallerServer(
-            self._call_handler, self._catalogue, adapters.dialect, log
+            self._call_handler,
+            self._catalogue,
+            adapters.dialect,
+            self._resources,
+            log,
+        )
+        self._readiness_server = ReadinessServer(
+            self.is_ready, self._dump_metrics, self._resources, log
         )
-        self._readiness_server = ReadinessServer(self.is_ready, self._dump_metrics, log)
 
     @property
     def in_flight(self) -> int:
@@ -157,7 +164,7 @@
         on_standby = self._call_handler.standby.is_active
         return known and not self.stopping and not on_standby
 
-    def accept_caller(self) -> Channel:
+    def accept_caller(self) -> asyncio.Protocol:
         """Return the protocol of a caller's new connection."""
         return self._caller_server.connections.accept()
 
@@ -292,6 +299,7 @@
             'paced_engines': handler.paced_engines,
             'spread_parts': handler.spread_parts,
             'connections': len(self._caller_server.connections),
+            'rejected_connections': self._caller_server.connections.rejected,
             'routers': self._budgets.router_count,
             'straight_way': self._store_paths.direct_works,
             'copies': handler.copies_in_flight,
--- a/packages/fleet/src/ibisport_fleet/settings.py
+++ b/packages/fleet/src/ibisport_fleet/settings.py
@@ -49,6 +49,19 @@
     max_propagation_delay: float = 2.0
 
 
+@dataclass(frozen=True, slots=True)
+class ResourceLimits:
+    """What the machine grants a process.
+
+    Attributes:
+        memory_bytes: Memory at which the process is ended.
+        descriptors: Open files and sockets.
+    """
+
+    memory_bytes: float = 232_000_000
+    descriptors: int = 4_096
+
+
 @dataclass(frozen=True, slots=True)
 class HostSettings:
     """Identity of a process and the addresses that it uses.
@@ -70,6 +83,7 @@
         store_writes_per_second: Write calls that the store takes from all processes.
         first_start: Whether the whole system starts for the first time, so that no
             process of it has run before.
+        resources: What the machine grants the process.
     """
 
     host: str
@@ -85,3 +99,4 @@
     engine_address: Address | None = None
     store_writes_per_second: float = 400.0
     first_start: bool = False
+    resources: ResourceLimits = ResourceLimits()
