Bound the memory that all connections of a process hold

What callers saw: a crowd of 40 clients with bodies of legal size, most of them short of their end, took a router to 207 to 662 MB where it has 100; on the users' machine that ends the process. Cause: each request is bounded, all together were not, and memoryMb of the settings was read by no code. An announced length was looked at only once the bytes were there, the limit itself was read before a refusal, and the connection was reset under the client that still sent. The same reader serves the relay, other routers and the readiness checks. Change: each accepted connection has a hold of a budget of a quarter of memoryMb: what it has sent and wasn't processed, the parts of an incomplete request, requests that are queued, and the one in progress. An announced length is reserved at the head, or refused there. The first 64 KiB of each hold come from a share of their own, so small requests get through while large ones fill the rest; of the rest one workspace gets at most half. When a share is full, incomplete requests that have arrived for over a second give way, the oldest first, of the workspace that holds most; nobody loses room to a workspace that holds more. Whoever finds no room gets 503 with Retry-After: not run. A body above 64 KiB is refused at once where its head already tells that it would be (key, route, stop). The rest of a refused request is read and dropped for up to 2 s, so that the refusal arrives. An incomplete request at the idle limit gets 408 instead of a close without a word.

--- a/features/steps/clientcrowds_steps.py
+++ b/features/steps/clientcrowds_steps.py
@@ -74,6 +74,8 @@
             host.more_settings = LIMITS
         try:
             await open_site(site)
+            # The site waits for its router only.
+            assert await ask(site.relays[0].settings.peer_address, CALL)
             yield site, journal
         finally:
             for host in site.hosts:
@@ -184,6 +186,7 @@
         running = RunningCrowd(crowd, find_listener(host.settings, crowd.listener))
         await running.wait_until_sent(CROWD_SECONDS)
         await asyncio.sleep(STAY_SECONDS)
+        assert running.connected >= crowd.clients, running.connected
         evidence.answered.append(await ask(*ordinary))
         yield host, evidence
         await running.leave()
--- a/features/steps/crowds.py
+++ b/features/steps/crowds.py
@@ -136,10 +136,12 @@
 
     Attributes:
         statuses: Status of the first answer by the id of its request.
+        connected: Number of connections so far.
     """
 
     def __init__(self, crowd, address):
         self.statuses = {}
+        self.connected = 0
         self._crowd = crowd
         self._address = address
         self._tasks = [
@@ -170,6 +172,7 @@
     async def _visit(self):
         request_id = next(IDS)
         reader, writer = await asyncio.open_connection(*self._address)
+        self.connected += 1
         sending = asyncio.ensure_future(self._send(writer, request_id))
         try:
             if self._crowd.reads:
--- a/features/steps/records_steps.py
+++ b/features/steps/records_steps.py
@@ -17,7 +17,9 @@
 from ibisport_fleet.loans import Loan, LoanClient, LoanRequest, LoanServer
 from ibisport_fleet.membership import decode_member
 from ibisport_fleet.metadata import PromptPart
+from ibisport_fleet.overload.resources import Resources
 from ibisport_fleet.peers import PeerClient, PeerServer
+from ibisport_fleet.settings import ResourceLimits
 from ibisport_fleet.store import Item, Listing, Removal
 from ibisport_platform.records import (
     decode_catalogue,
@@ -284,7 +286,7 @@
     async def request_loans():
         loop = asyncio.get_running_loop()
         log = EventLog(os.open(os.devnull, os.O_WRONLY))
-        lender = PeerServer(LoanServer(lend).handlers, log)
+        lender = PeerServer(LoanServer(lend).handlers, Resources(ResourceLimits()), log)
         listener = await loop.create_server(lender.connections.accept, '127.0.0.1', 0)
         address = listener.sockets[0].getsockname()
         client = LoanClient(PeerClient(ConnectionPool()))
--- a/packages/fleet/src/ibisport_fleet/call_handler.py
+++ b/packages/fleet/src/ibisport_fleet/call_handler.py
@@ -78,12 +78,30 @@
         finally:
             self.in_flight -= 1
 
+    def identify(self, head: Request) -> str | None:
+        """Return the workspace of a request whose body is still arriving.
+
+        Raises:
+            RequestInvalid: The request would be refused as soon as it is complete.
+        """
+        dependencies = self._dependencies
+        metadata = dependencies.dialect.decode_request(head)
+        try:
+            call = admit(head, metadata, dependencies.catalogue.current, self._shutdown)
+        except Refused as refusal:
+            self._record_refusal(metadata.request_id, refusal)
+            self.standby.record_refusal(refusal)
+            raise RequestInvalid(
+                refusal.status, refusal.reason, refusal.reason, refusal.retry_after
+            ) from refusal
+        return None if call.workspace is None else call.workspace.name
+
     async def _handle(self, request: Request, response: ResponseWriter) -> None:
         dependencies = self._dependencies
         try:
             metadata = dependencies.dialect.decode_request(request)
         except RequestInvalid as error:
-            response.refuse(error.status, 'invalid', None, None)
+            response.refuse(error.status, error.code, None, None)
             return
         try:
             call = admit(
--- a/packages/fleet/src/ibisport_fleet/caller_server.py
+++ b/packages/fleet/src/ibisport_fleet/caller_server.py
@@ -10,9 +10,14 @@
 from ibisport_fleet.event_log import EventLog
 from ibisport_fleet.fleet_view import CatalogueView
 from ibisport_fleet.metadata import Dialect
+from ibisport_fleet.overload.intake import Intake
 from ibisport_fleet.overload.resources import CALLERS_SHARE, Resources
 from ibisport_fleet.overload.waiting import FIRST_REQUEST_SECONDS
-from ibisport_fleet.request_reader import RequestReader, wait_for_request
+from ibisport_fleet.request_reader import (
+    RequestReader,
+    discard_rest,
+    wait_for_request,
+)
 from ibisport_fleet.response_writer import ResponseWriter
 
 # Callers reuse a connection that was idle for up to four fifths of the limit.
@@ -39,6 +44,7 @@
         self._handler = handler
         self._catalogue = catalogue
         self._dialect = dialect
+        self._intake = Intake(handler.identify)
         bounds = resources.bound_listener(CALLERS_SHARE)
         self.connections = ConnectionTasks(self._serve, 'caller', log, bounds)
 
@@ -53,14 +59,16 @@
 
     async def _serve(self, channel: Channel) -> None:
         limits = self._current_limits()
-        reader = RequestReader(channel, limits)
+        reader = RequestReader(channel, limits, self._intake)
         try:
             while await self._serve_next(reader, channel, limits):
                 limits = self._current_limits()
         except RequestInvalid as error:
             response = self._create_response(channel)
             response.closing = True
-            response.refuse(error.status, 'invalid', None, None)
+            response.refuse(error.status, error.code, None, error.retry_after)
+            with self.connections.waiting.track(channel, reader):
+                await discard_rest(channel, limits.max_body_bytes)
         except ConnectionBroken:
             # The caller has disconnected, so no answer can be sent.
             return
--- a/packages/fleet/src/ibisport_fleet/channel.py
+++ b/packages/fleet/src/ibisport_fleet/channel.py
@@ -9,12 +9,21 @@
 from ibisport_fleet.errors import (
     ConnectionBroken,
     ConnectionFailed,
+    FleetError,
     NobodyListens,
 )
+from ibisport_fleet.overload.memory_budget import Hold, MemoryExhausted, Part
 
 # Above this many unread bytes reading is paused, so that a single connection can't
 # exhaust the memory of the process.
 MAX_UNREAD_BYTES = 262_144
+# The same for connections that peers open: there may be thousands of them.
+MAX_ACCEPTED_UNREAD_BYTES = 16_384
+# Unsent bytes above which writers to such connections wait.
+MAX_UNSENT_BYTES = 16_384
+# Bytes that the operating system keeps for such a connection while reading is paused;
+# it doubles the value that it is told.
+RECEIVE_BUFFER_BYTES = 65_536
 # A connection whose sent bytes stay unacknowledged for this time is dead: nothing else
 # reveals a peer that lost power or a path that drops packets.
 UNACKNOWLEDGED_TIMEOUT_MS = 3_000
@@ -27,11 +36,22 @@
 
     Attributes:
         on_lost: Called once when the connection ends, if set.
+        hold: The memory that an accepted connection uses.
     """
 
-    def __init__(self, on_open: Callable[['Channel'], None] | None = None) -> None:
+    def __init__(
+        self,
+        on_open: Callable[['Channel'], None] | None = None,
+        hold: Hold | None = None,
+    ) -> None:
         self.on_lost: Callable[[], None] | None = None
+        self.hold = Hold() if hold is None else hold
         self._on_open = on_open
+        self._is_accepted = hold is not None
+        self._max_unread_bytes = (
+            MAX_ACCEPTED_UNREAD_BYTES if self._is_accepted else MAX_UNREAD_BYTES
+        )
+        self._interruption: FleetError | None = None
         self._transport: asyncio.Transport | None = None
         self._unread: deque[bytes] = deque()
         self._unread_bytes = 0
@@ -61,17 +81,27 @@
         """Store the transport and set its timeouts."""
         # uvloop's transports implement asyncio.Transport without inheriting from it.
         self._transport = cast(asyncio.Transport, transport)
-        _set_socket_options(transport.get_extra_info('socket'))
+        raw = transport.get_extra_info('socket')
+        _set_socket_options(raw)
+        if self._is_accepted:
+            self._transport.set_write_buffer_limits(MAX_UNSENT_BYTES)
+            if raw is not None:
+                raw.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+                )
         if self._on_open is not None:
             self._on_open(self)
 
     def data_received(self, data: bytes) -> None:
         """Buffer received bytes until they are read."""
+        if self._interruption is not None:
+            return
         self._unread.append(data)
         self._unread_bytes += len(data)
-        if self._unread_bytes > MAX_UNREAD_BYTES and not self._reading_paused:
+        if self._unread_bytes > self._max_unread_bytes and not self._reading_paused:
             self._reading_paused = True
             self._require_transport().pause_reading()
+            self._charge_unread()
         _wake(self._read_waiter)
 
     def eof_received(self) -> bool:
@@ -99,6 +129,8 @@
             ConnectionBroken: The connection was reset.
         """
         while not self._unread:
+            if self._interruption is not None:
+                raise self._interruption
             if self._failure is not None:
                 raise ConnectionBroken('the connection was reset') from self._failure
             if self._ended:
@@ -107,12 +139,25 @@
             await self._read_waiter
         data = self._unread.popleft()
         self._unread_bytes -= len(data)
-        if self._reading_paused and self._unread_bytes <= MAX_UNREAD_BYTES // 2:
-            self._reading_paused = False
-            if not self._ended:
-                self._require_transport().resume_reading()
+        if self._unread_bytes <= self._max_unread_bytes // 2:
+            self._resume_reading()
         return data
 
+    def interrupt(self, error: FleetError) -> None:
+        """Drop the unread bytes, and let the reader get an error in their place."""
+        self._interruption = error
+        self._unread.clear()
+        self._unread_bytes = 0
+        self.hold.resize(Part.unread, 0)
+        _wake(self._read_waiter)
+
+    async def discard(self, max_bytes: int) -> None:
+        """Drop what arrives until the peer has ended, or has sent too much."""
+        self._interruption = None
+        self._resume_reading()
+        while max_bytes > 0 and (data := await self.read()):
+            max_bytes -= len(data)
+
     def write(self, data: bytes) -> None:
         """Send bytes; they are dropped without an error if the connection has ended."""
         if self._transport is not None and not self._transport.is_closing():
@@ -134,6 +179,24 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _resume_reading(self) -> None:
+        if not self._reading_paused:
+            return
+        self._reading_paused = False
+        self.hold.resize(Part.unread, 0)
+        if not self._ended:
+            self._require_transport().resume_reading()
+
+    def _charge_unread(self) -> None:
+        """Count the unread bytes while reading is paused, here and in the system."""
+        try:
+            self.hold.resize(
+                Part.unread,
+                self._unread_bytes + self._is_accepted * RECEIVE_BUFFER_BYTES,
+            )
+        except MemoryExhausted:
+            (self.hold.evict or self.abort)()
+
     def _end(self, failure: BaseException | None) -> None:
         if self._failure is None:
             self._failure = failure
--- a/packages/fleet/src/ibisport_fleet/connection_tasks.py
+++ b/packages/fleet/src/ibisport_fleet/connection_tasks.py
@@ -8,6 +8,7 @@
 
 from ibisport_fleet.channel import Channel
 from ibisport_fleet.event_log import Event, EventLog
+from ibisport_fleet.overload.memory_budget import Hold, MemoryBudget
 from ibisport_fleet.overload.waiting import WaitingConnections
 
 
@@ -16,9 +17,11 @@
     """What the connections of a listener may use.
 
     Attributes:
+        memory: The memory that they share with those of other listeners.
         max_connections: The number of connections.
     """
 
+    memory: MemoryBudget
     max_connections: int
 
 
@@ -68,7 +71,8 @@
 
     def accept(self) -> Channel:
         """Return the protocol object of a new connection."""
-        return Channel(self._start)
+        memory = None if self._bounds is None else self._bounds.memory
+        return Channel(self._start, Hold(memory))
 
     def _start(self, channel: Channel) -> None:
         if self._bounds is not None and len(self) >= self._bounds.max_connections:
@@ -87,6 +91,7 @@
         try:
             await self._serve(channel)
         finally:
+            channel.hold.release()
             channel.close()
 
     def _finish(self, task: asyncio.Task[None]) -> None:
--- a/packages/fleet/src/ibisport_fleet/errors.py
+++ b/packages/fleet/src/ibisport_fleet/errors.py
@@ -22,15 +22,25 @@
 
 
 class RequestInvalid(FleetError):
-    """A caller's request is malformed or exceeds a limit.
+    """A caller's request is malformed, exceeds a limit, or isn't accepted now.
 
     Attributes:
         status: The HTTP status to answer with.
+        code: A short code for logs and callers.
+        retry_after: Seconds after which the caller may retry, or None for never.
     """
 
-    def __init__(self, status: int, reason: str) -> None:
+    def __init__(
+        self,
+        status: int,
+        reason: str,
+        code: str = 'invalid',
+        retry_after: float | None = None,
+    ) -> None:
         super().__init__(reason)
         self.status = status
+        self.code = code
+        self.retry_after = retry_after
 
 
 class StoreError(FleetError):
--- a/packages/fleet/src/ibisport_fleet/http_messages.py
+++ b/packages/fleet/src/ibisport_fleet/http_messages.py
@@ -1,5 +1,6 @@
 """HTTP requests and answers, independent of what they mean to the router."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -82,7 +83,7 @@
     body: bytes
 
 
-def find_header(headers: Headers, name: bytes) -> bytes | None:
+def find_header(headers: Sequence[tuple[bytes, bytes]], name: bytes) -> bytes | None:
     """Return the first value of a header; the name must be in lower case."""
     for key, content in headers:
         if key == name:
--- /dev/null
+++ b/packages/fleet/src/ibisport_fleet/overload/memory_budget.py
@@ -0,0 +1,215 @@
+"""Bounds the memory that a process holds for all connections together.
+
+Each connection has a hold: the bytes that arrived and weren't processed, the requests
+that are incomplete, queued or in progress, and answers that the peer hasn't read. The
+first bytes of each hold come from a share of their own, so that small requests are
+served while large ones fill the rest.
+
+When a share is full, room is made at the cost of connections that wait for their peer,
+the longest wait first, and never for an owner at the cost of one that holds less.
+"""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from enum import Enum
+
+from ibisport_fleet.errors import FleetError
+
+# The part of each hold that is taken from the share of small requests.
+SMALL_BYTES = 65_536
+# Fraction of the budget that only small requests use.
+SMALL_SHARE = 0.5
+# Fraction of the share of large requests that one owner may use.
+OWNER_SHARE = 0.5
+# A peer that is still sending isn't closed for the sake of others before this time.
+MIN_WAIT_SECONDS = 1.0
+
+
+class MemoryExhausted(FleetError):
+    """The process holds as much as it may, and no room can be made."""
+
+
+class Part(Enum):
+    """What a hold consists of."""
+
+    unread = 'unread'
+    request = 'request'
+
+
+class _Share:
+    """A fraction of the budget, and what each owner uses of it."""
+
+    def __init__(self, capacity: float) -> None:
+        self.capacity = capacity
+        self.used = 0
+        self.used_by_owner: Counter[str | None] = Counter()
+
+    def add(self, owner: str | None, size: int) -> None:
+        """Count bytes that an owner takes, or returns if negative."""
+        self.used += size
+        self.used_by_owner[owner] += size
+        if not self.used_by_owner[owner]:
+            del self.used_by_owner[owner]
+
+
+class MemoryBudget:
+    """The memory that all connections of a process share.
+
+    Attributes:
+        evictions: Number of connections that lost their hold to others.
+        refusals: Number of times that no room could be made.
+    """
+
+    def __init__(self, max_bytes: float) -> None:
+        """Create a budget of which nothing is used."""
+        self.evictions = 0
+        self.refusals = 0
+        self._small = _Share(max_bytes * SMALL_SHARE)
+        self._large = _Share(max_bytes * (1.0 - SMALL_SHARE))
+        # Holds of connections that wait for their peer, in the order in which they
+        # began to hold something.
+        self._waiting: dict[Hold, float] = {}
+
+    @property
+    def used(self) -> int:
+        """Bytes in use."""
+        return self._small.used + self._large.used
+
+    def track(self, hold: 'Hold') -> None:
+        """Keep a waiting hold as one whose bytes others may get."""
+        if hold.size and hold.evict is not None:
+            self._waiting.setdefault(hold, asyncio.get_running_loop().time())
+        else:
+            self._waiting.pop(hold, None)
+
+    def resize(self, hold: 'Hold', size: int) -> None:
+        """Change the size of a hold.
+
+        Raises:
+            MemoryExhausted: There is no room for more; the hold is as before.
+        """
+        small = min(size, SMALL_BYTES) - min(hold.size, SMALL_BYTES)
+        large = size - hold.size - small
+        if small > 0:
+            self._make_room(self._small, hold, small)
+        if large > 0:
+            self._make_room(self._large, hold, large)
+        # The small share isn't divided among owners.
+        self._small.add(None, small)
+        self._large.add(hold.owner, large)
+
+    def change_owner(self, hold: 'Hold', owner: str | None) -> None:
+        """Count what a hold uses for another owner."""
+        large = hold.size - min(hold.size, SMALL_BYTES)
+        self._large.add(hold.owner, -large)
+        self._large.add(owner, large)
+
+    def _make_room(self, share: _Share, hold: 'Hold', size: int) -> None:
+        while not self._fits(share, hold, size):
+            victim = self._find_victim(share, hold, size)
+            if victim is None:
+                self.refusals += 1
+                raise MemoryExhausted('no room for what a peer sends')
+            self.evictions += 1
+            victim.lose()
+
+    def _fits(self, share: _Share, hold: 'Hold', size: int) -> bool:
+        if share.used + size > share.capacity:
+            return False
+        return share is self._small or not self._is_over(hold, size)
+
+    def _is_over(self, hold: 'Hold', size: int) -> bool:
+        """Return whether an owner would use more than one may."""
+        used = self._large.used_by_owner[hold.owner] + size
+        return used > self._large.capacity * OWNER_SHARE
+
+    def _find_victim(self, share: _Share, hold: 'Hold', size: int) -> 'Hold | None':
+        latest = asyncio.get_running_loop().time() - MIN_WAIT_SECONDS
+        candidates = [
+            other
+            for other, since in self._waiting.items()
+            if since <= latest and other is not hold
+        ]
+        if share is self._small:
+            return next(iter(candidates), None)
+        used = share.used_by_owner
+        own = used[hold.owner] + size
+        owners = {hold.owner}
+        if not self._is_over(hold, size):
+            owners |= {owner for owner in used if used[owner] >= own}
+        large = [
+            other
+            for other in candidates
+            if other.size > SMALL_BYTES and other.owner in owners
+        ]
+        return max(large, key=lambda other: used[other.owner], default=None)
+
+
+class Hold:
+    """The memory that one connection uses.
+
+    Attributes:
+        owner: The workspace that its request belongs to, or None.
+        size: Bytes in use.
+        evict: Ends the wait for the peer so that others get the bytes; None while the
+            connection doesn't wait.
+    """
+
+    def __init__(self, budget: MemoryBudget | None = None) -> None:
+        """Create an empty hold; without a budget it has no bound."""
+        self.owner: str | None = None
+        self.size = 0
+        self.evict: Callable[[], None] | None = None
+        self._budget = budget
+        self._parts = dict.fromkeys(Part, 0)
+
+    def resize(self, part: Part, size: int) -> None:
+        """Set the size of a part in bytes.
+
+        Raises:
+            MemoryExhausted: There is no room; the part keeps its size.
+        """
+        total = self.size + size - self._parts[part]
+        if self._budget is not None:
+            self._budget.resize(self, total)
+        self._parts[part] = size
+        self.size = total
+        if self._budget is not None and self.evict is not None:
+            self._budget.track(self)
+
+    def assign(self, owner: str | None) -> None:
+        """Count the bytes for a workspace."""
+        if self._budget is not None:
+            self._budget.change_owner(self, owner)
+        self.owner = owner
+
+    def release(self) -> None:
+        """Return all bytes."""
+        for part in Part:
+            self.resize(part, 0)
+
+    def lose(self) -> None:
+        """Return all bytes to others and end the wait for the peer."""
+        evict = self.evict
+        self.release()
+        if evict is not None:
+            evict()
+
+    @contextmanager
+    def wait_for_peer(self, evict: Callable[[], None]) -> Iterator[None]:
+        """Let others have the bytes meanwhile if they need room.
+
+        Args:
+            evict: Called once the bytes were given to others.
+        """
+        self.evict = evict
+        if self._budget is not None:
+            self._budget.track(self)
+        try:
+            yield
+        finally:
+            self.evict = None
+            if self._budget is not None:
+                self._budget.track(self)
--- a/packages/fleet/src/ibisport_fleet/overload/resources.py
+++ b/packages/fleet/src/ibisport_fleet/overload/resources.py
@@ -3,8 +3,11 @@
 import resource
 
 from ibisport_fleet.connection_tasks import ListenerBounds
+from ibisport_fleet.overload.memory_budget import MemoryBudget
 from ibisport_fleet.settings import ResourceLimits
 
+# The rest is for the interpreter, the state of the process and its connections.
+MEMORY_SHARE = 0.25
 # Descriptors that aren't used for sockets.
 FILE_DESCRIPTORS = 200
 MIN_CONNECTIONS = 8
@@ -19,10 +22,15 @@
 
 
 class Resources:
-    """What a process may use for the peers that connect to it."""
+    """What a process may use for the peers that connect to it.
+
+    Attributes:
+        memory: The memory that all connections share.
+    """
 
     def __init__(self, limits: ResourceLimits) -> None:
         """Divide the limits of a process."""
+        self.memory = MemoryBudget(limits.memory_bytes * MEMORY_SHARE)
         allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         descriptors = limits.descriptors
         if allowed != resource.RLIM_INFINITY:
@@ -36,4 +44,4 @@
             share: Fraction of the sockets of the process.
         """
         count = max(MIN_CONNECTIONS, int(self._sockets * share))
-        return ListenerBounds(count)
+        return ListenerBounds(self.memory, count)
--- a/packages/fleet/src/ibisport_fleet/readiness.py
+++ b/packages/fleet/src/ibisport_fleet/readiness.py
@@ -19,6 +19,8 @@
     b'HTTP/1.1 200 OK\r\ncontent-type: text/plain; version=0.0.4\r\n'
     b'content-length: %d\r\n\r\n'
 )
+# Checks have no bodies.
+LIMITS = Limits(max_body_bytes=65_536)
 IDLE_TIMEOUT_SECONDS = 30.0
 
 
@@ -42,7 +44,7 @@
         self.connections = ConnectionTasks(self._serve, 'readiness', log, bounds)
 
     async def _serve(self, channel: Channel) -> None:
-        reader = RequestReader(channel, Limits())
+        reader = RequestReader(channel, LIMITS)
         try:
             async with asyncio.timeout(IDLE_TIMEOUT_SECONDS) as timer:
                 while (request := await self._read(reader, channel)) is not None:
--- a/packages/fleet/src/ibisport_fleet/request_reader.py
+++ b/packages/fleet/src/ibisport_fleet/request_reader.py
@@ -1,24 +1,42 @@
 """Parses the requests of one connection."""
 
 import asyncio
+import contextlib
 from collections import deque
 
 import httptools
 
+from ibisport_fleet.calls import draw_jittered_delay
 from ibisport_fleet.catalogue import Limits
 from ibisport_fleet.channel import Channel
 from ibisport_fleet.errors import ConnectionBroken, RequestInvalid
 from ibisport_fleet.framing import FramingMeter
-from ibisport_fleet.http_messages import Request
+from ibisport_fleet.http_messages import Headers, Request, find_header
+from ibisport_fleet.overload.intake import Intake
+from ibisport_fleet.overload.memory_budget import SMALL_BYTES, MemoryExhausted, Part
 
 STATUS_BAD_REQUEST = 400
+STATUS_TIMEOUT = 408
 STATUS_TOO_LARGE = 413
+STATUS_UNAVAILABLE = 503
 STATUS_HEADERS_TOO_LARGE = 431
 # Room for the request line, and for the four bytes of each header that don't count for
 # the limit, of which a header has one at least.
 REQUEST_LINE_BYTES = 65_536
 HEADER_FRAMING_FACTOR = 5
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+# Bytes that are parsed without a look at the room that is left.
+SLICE_BYTES = 16_384
+# Memory of a header and of a request beside their bytes.
+HEADER_OVERHEAD_BYTES = 160
+REQUEST_OVERHEAD_BYTES = 1_024
+# A growing buffer is an eighth larger than its content.
+GROWTH_FACTOR = 1.125
+# Requests that were sent completely end within about this time.
+NO_ROOM_RETRY_AFTER_SECONDS = 0.5
+# How long the rest of a refused request is read, so that its caller gets the refusal
+# instead of a reset.
+DISCARD_SECONDS = 2.0
 
 
 class RequestReader:
@@ -26,17 +44,26 @@
 
     The parser is strict: a request with two lengths, or with a length and chunks, is
     refused, so that a target can't parse its bytes as a second, smuggled request.
+
+    What the reader holds, and the request that it has returned last, counts for the
+    hold of the connection.
     """
 
-    def __init__(self, channel: Channel, limits: Limits) -> None:
+    def __init__(
+        self, channel: Channel, limits: Limits, intake: Intake | None = None
+    ) -> None:
         self._channel = channel
         self._limits = limits
+        self._intake = Intake() if intake is None else intake
         self._connected_at = asyncio.get_running_loop().time()
         self._parser = httptools.HttpRequestParser(self)
         self._framing = FramingMeter(
             REQUEST_LINE_BYTES + HEADER_FRAMING_FACTOR * limits.max_header_bytes
         )
         self._complete_requests: deque[Request] = deque()
+        self._unparsed = memoryview(b'')
+        self._returned_bytes = 0
+        self._queued_bytes = 0
         self._started = False
         self._error: RequestInvalid | None = None
         self._reset_message()
@@ -44,23 +71,29 @@
     @property
     def has_partial_request(self) -> bool:
         """Whether the beginning of a request has arrived, but not its end."""
-        return self._started
+        return self._started or bool(self._unparsed)
 
     async def read(self) -> Request | None:
         """Return the next request, or None once the caller has closed the connection.
 
         Raises:
-            RequestInvalid: The bytes are no valid request, or exceed the limits.
+            RequestInvalid: The bytes are no valid request, exceed the limits, or found
+                no room.
             ConnectionBroken: The connection was reset.
         """
-        while not self._complete_requests:
-            data = await self._channel.read()
-            if not data:
-                return None
-            self._feed(data)
-            if self._error is not None:
-                raise self._error
-        return self._complete_requests.popleft()
+        self._returned_bytes = 0
+        with self._channel.hold.wait_for_peer(self._give_up):
+            try:
+                await self._fill_queue()
+            except RequestInvalid:
+                self._drop()
+                raise
+        if not self._complete_requests:
+            return None
+        request = self._complete_requests.popleft()
+        self._returned_bytes = _estimate_bytes(request.headers, request.body)
+        self._queued_bytes -= self._returned_bytes
+        return request
 
     def on_message_begin(self) -> None:
         """Begin a new request at its first byte."""
@@ -79,9 +112,16 @@
             raise RequestInvalid(STATUS_HEADERS_TOO_LARGE, 'the head is too long')
 
     def on_headers_complete(self) -> None:
-        """Answer ``Expect: 100-continue``, for which the caller holds the body back."""
-        expects = [content for name, content in self._headers if name == b'expect']
-        if expects and expects[0].lower() == b'100-continue':
+        """Refuse a body that is too long, or for which there is no room.
+
+        Answers ``Expect: 100-continue``, for which the caller holds the body back.
+        """
+        self._announced = _find_length(self._headers)
+        if self._announced > self._limits.max_body_bytes:
+            raise RequestInvalid(STATUS_TOO_LARGE, 'the body is too long')
+        self._charge()
+        expected = find_header(self._headers, b'expect') or b''
+        if expected.lower() == b'100-continue':
             self._channel.write(CONTINUE)
 
     def on_body(self, body: bytes) -> None:
@@ -95,25 +135,57 @@
         """Queue the complete request."""
         self._started = False
         self._framing.reset()
-        self._complete_requests.append(
-            Request(
-                method=self._parser.get_method().decode('ascii'),
-                target=bytes(self._target),
-                headers=tuple(self._headers),
-                body=bytes(self._body),
-                keeps_open=self._parser.should_keep_alive(),
-                received_at=asyncio.get_running_loop().time(),
-                connected_at=self._connected_at,
-            )
+        request = self._build_request(bytes(self._body))
+        self._reset_message()
+        self._complete_requests.append(request)
+        self._queued_bytes += _estimate_bytes(request.headers, request.body)
+
+    def _build_request(self, body: bytes) -> Request:
+        return Request(
+            method=self._parser.get_method().decode('ascii'),
+            target=bytes(self._target),
+            headers=tuple(self._headers),
+            body=body,
+            keeps_open=self._parser.should_keep_alive(),
+            received_at=asyncio.get_running_loop().time(),
+            connected_at=self._connected_at,
         )
 
     def _reset_message(self) -> None:
         self._target = bytearray()
         self._headers: list[tuple[bytes, bytes]] = []
         self._head_size = 0
+        self._announced = 0
         self._body = bytearray()
+        self._is_identified = False
+
+    async def _fill_queue(self) -> None:
+        """Read until a request is complete, or the caller has closed the connection."""
+        self._charge()
+        while not self._complete_requests:
+            if not self._unparsed:
+                data = await self._channel.read()
+                if not data:
+                    return
+                self._unparsed = memoryview(data)
+            self._parse_slice()
 
-    def _feed(self, data: bytes) -> None:
+    def _parse_slice(self) -> None:
+        """Parse some bytes; requests that they complete are queued.
+
+        Raises:
+            RequestInvalid: The bytes are no valid request, exceed the limits, or found
+                no room.
+        """
+        data = self._unparsed[:SLICE_BYTES]
+        self._unparsed = self._unparsed[SLICE_BYTES:]
+        self._feed(data)
+        if self._error is None:
+            self._charge()
+        if self._error is not None:
+            raise self._error
+
+    def _feed(self, data: memoryview) -> None:
         self._framing.record_received(len(data))
         try:
             self._parser.feed_data(data)
@@ -128,6 +200,56 @@
         if self._framing.exceeded and self._error is None:
             self._error = RequestInvalid(STATUS_HEADERS_TOO_LARGE, 'framing too long')
 
+    def _charge(self) -> None:
+        """Count what the reader holds.
+
+        Raises:
+            RequestInvalid: There is no room for it.
+        """
+        partial = len(self._unparsed)
+        if self._started:
+            body_bytes = max(self._announced, len(self._body) * GROWTH_FACTOR)
+            partial += len(self._target) + int(body_bytes)
+            partial += self._head_size + HEADER_OVERHEAD_BYTES * len(self._headers)
+            if body_bytes > SMALL_BYTES and not self._is_identified:
+                self._is_identified = True
+                head = self._build_request(b'')
+                self._channel.hold.assign(self._intake.identify(head))
+        held = self._returned_bytes + self._queued_bytes + partial
+        try:
+            self._channel.hold.resize(Part.request, held)
+        except MemoryExhausted as error:
+            raise build_no_room() from error
+
+    def _give_up(self) -> None:
+        """Refuse a request that is incomplete, since others need the room."""
+        self._error = build_no_room()
+        self._drop()
+        self._channel.interrupt(self._error)
+
+    def _drop(self) -> None:
+        """Drop all that has arrived and wasn't returned."""
+        self._reset_message()
+        self._complete_requests.clear()
+        self._unparsed = memoryview(b'')
+        self._queued_bytes = 0
+        self._channel.hold.resize(Part.request, 0)
+
+
+def build_no_room() -> RequestInvalid:
+    """Return the refusal of a request for which there is no room."""
+    delay = draw_jittered_delay(NO_ROOM_RETRY_AFTER_SECONDS)
+    return RequestInvalid(STATUS_UNAVAILABLE, 'no room for it', 'no_memory', delay)
+
+
+def _estimate_bytes(headers: Headers, body: bytes) -> int:
+    return len(body) + REQUEST_OVERHEAD_BYTES + HEADER_OVERHEAD_BYTES * len(headers)
+
+
+def _find_length(headers: list[tuple[bytes, bytes]]) -> int:
+    stated = find_header(headers, b'content-length') or b''
+    return int(stated) if stated.isdigit() else 0
+
 
 async def wait_for_request(
     reader: RequestReader, channel: Channel, idle_until: float
@@ -138,9 +260,31 @@
         reader: Parses the requests of the connection.
         channel: The connection.
         idle_until: Loop time by which the request must be complete.
+
+    Raises:
+        RequestInvalid: The bytes are no valid request, exceed the limits, found no
+            room, or are incomplete at that time.
     """
     try:
         async with asyncio.timeout_at(idle_until):
             return await reader.read()
-    except (TimeoutError, ConnectionBroken):
+    except ConnectionBroken:
         return None
+    except TimeoutError as error:
+        if reader.has_partial_request:
+            reason = 'the request is incomplete'
+            raise RequestInvalid(STATUS_TIMEOUT, reason) from error
+        return None
+
+
+async def discard_rest(channel: Channel, max_bytes: int) -> None:
+    """Drop what a caller still sends of a refused request, for a limited time.
+
+    Args:
+        channel: The connection; its refusal is written.
+        max_bytes: Bytes after which the caller is cut off.
+    """
+    deadline = asyncio.get_running_loop().time() + DISCARD_SECONDS
+    with contextlib.suppress(TimeoutError, ConnectionBroken):
+        async with asyncio.timeout_at(deadline):
+            await channel.discard(max_bytes)
