Count answers that callers don't read

What callers saw: 40 clients that ask for answers of 1 MB on kept connections and read none of them took a router to 258 MB where it has 100. Cause: an answer that is passed on as a whole was written without a look at whether its caller reads, and the next request on the connection was served at once; answers piled up in the transport without a bound for all of them together. Change: the bytes of an answer count for its connection while they are read from the target and until the caller has taken most of them. Only then the next request is served, or the connection closed. A caller that doesn't read is reset at the idle limit, or when others need the room. A request whose answer finds no room gets 502, since it has run.

--- a/packages/fleet/src/ibisport_fleet/call_handler.py
+++ b/packages/fleet/src/ibisport_fleet/call_handler.py
@@ -12,6 +12,7 @@
 from ibisport_fleet.errors import RequestInvalid
 from ibisport_fleet.forwarding import RequestForwarder
 from ibisport_fleet.http_messages import Request
+from ibisport_fleet.overload.memory_budget import MemoryExhausted
 from ibisport_fleet.placing.pace import ServicePace
 from ibisport_fleet.prompt_mix import PromptMix
 from ibisport_fleet.queueing.request_gate import GateSources, RequestGate
@@ -22,7 +23,7 @@
 from ibisport_fleet.standby.monitor import Standby, Surroundings
 from ibisport_fleet.stream_versions.directory import Found, NotFound
 from ibisport_fleet.stream_versions.origin import Begun, Unknown
-from ibisport_fleet.target_selection import RequestFailed
+from ibisport_fleet.target_selection import STATUS_BAD_GATEWAY, RequestFailed
 
 STATUS_PAYMENT_REQUIRED = 402
 STATUS_UNAVAILABLE = 503
@@ -125,7 +126,7 @@
                 await self._resolve_origin(call)
                 forwarder = self._build_forwarder(call, response)
                 await self._reserve_and_forward(call, forwarder)
-        except (TokensUnavailable, RequestFailed) as error:
+        except (TokensUnavailable, RequestFailed, MemoryExhausted) as error:
             self._answer_error(call, response, error)
         except TimeoutError:
             self._answer_failure(call, response, self._build_timeout_failure(call))
@@ -210,13 +211,16 @@
         self,
         call: Call,
         response: ResponseWriter,
-        error: TokensUnavailable | RequestFailed,
+        error: TokensUnavailable | RequestFailed | MemoryExhausted,
     ) -> None:
         match error:
             case TokensUnavailable():
                 self._refuse_for_budget(call, response, error)
             case RequestFailed():
                 self._answer_failure(call, response, error)
+            case MemoryExhausted():
+                failure = RequestFailed(STATUS_BAD_GATEWAY, 'no_memory')
+                self._answer_failure(call, response, failure)
 
     def _refuse_for_budget(
         self, call: Call, response: ResponseWriter, error: TokensUnavailable
--- a/packages/fleet/src/ibisport_fleet/caller_server.py
+++ b/packages/fleet/src/ibisport_fleet/caller_server.py
@@ -16,6 +16,7 @@
 from ibisport_fleet.request_reader import (
     RequestReader,
     discard_rest,
+    flush,
     wait_for_request,
 )
 from ibisport_fleet.response_writer import ResponseWriter
@@ -86,7 +87,9 @@
         response = self._create_response(channel)
         response.closing = not request.keeps_open
         await self._handler.handle(request, response)
-        return not response.closing
+        with self.connections.waiting.track(channel, reader):
+            flushed = await flush(channel, limits.idle_seconds)
+        return flushed and not response.closing
 
     def _create_response(self, channel: Channel) -> ResponseWriter:
         standby = self._handler.standby
--- a/packages/fleet/src/ibisport_fleet/continuation/hedged_send.py
+++ b/packages/fleet/src/ibisport_fleet/continuation/hedged_send.py
@@ -9,6 +9,8 @@
 from ibisport_fleet.continuation.hedging import compute_hedge_delay
 from ibisport_fleet.dependencies import Dependencies
 from ibisport_fleet.errors import ConnectionBroken
+from ibisport_fleet.overload.answer_charge import AnswerCharge
+from ibisport_fleet.overload.memory_budget import MemoryExhausted
 from ibisport_fleet.settings import Feature
 from ibisport_fleet.target_choice import Candidate
 from ibisport_fleet.target_client import (
@@ -200,12 +202,12 @@
     ) -> WholeAnswer | OutcomeUnknown:
         loop = asyncio.get_running_loop()
         try:
-            body = await answered.connection.read_body()
+            body = await answered.connection.read_body(AnswerCharge(call.request.hold))
         except ConnectionBroken as error:
             answered.connection.close()
             answered.health.record_failure(loop.time())
             return OutcomeUnknown(repr(error))
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, MemoryExhausted):
             answered.connection.close()
             raise
         self._dependencies.target_client.release(answered)
--- a/packages/fleet/src/ibisport_fleet/forwarding.py
+++ b/packages/fleet/src/ibisport_fleet/forwarding.py
@@ -21,6 +21,7 @@
 from ibisport_fleet.errors import ConnectionBroken
 from ibisport_fleet.fleet_view import TargetView
 from ibisport_fleet.http_connection import HttpConnection
+from ibisport_fleet.overload.answer_charge import AnswerCharge
 from ibisport_fleet.placing.pace import GapRecorder
 from ibisport_fleet.placing.prefill import Prefill
 from ibisport_fleet.quarantine.request_guard import RequestGuard
@@ -312,7 +313,8 @@
         return True
 
     async def _forward_whole(self, answered: Answered) -> bool:
-        body = await answered.connection.read_body()
+        charge = AnswerCharge(self._call.request.hold)
+        body = await answered.connection.read_body(charge)
         self._dependencies.target_client.release(answered)
         return self._pass_on(answered, body)
 
--- a/packages/fleet/src/ibisport_fleet/http_messages.py
+++ b/packages/fleet/src/ibisport_fleet/http_messages.py
@@ -1,7 +1,9 @@
 """HTTP requests and answers, independent of what they mean to the router."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from ibisport_fleet.overload.memory_budget import Hold
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -33,6 +35,7 @@
         keeps_open: Whether the connection may carry another request.
         received_at: Loop time in seconds at which the last byte was read.
         connected_at: Loop time in seconds at which the connection was accepted.
+        hold: The memory that its connection uses.
     """
 
     method: str
@@ -42,6 +45,7 @@
     keeps_open: bool
     received_at: float
     connected_at: float
+    hold: Hold = field(default_factory=Hold, compare=False)
 
     def find(self, name: bytes) -> bytes | None:
         """Return the first value of a header; the name must be in lower case."""
--- a/packages/fleet/src/ibisport_fleet/overload/memory_budget.py
+++ b/packages/fleet/src/ibisport_fleet/overload/memory_budget.py
@@ -36,6 +36,7 @@
 
     unread = 'unread'
     request = 'request'
+    answer = 'answer'
 
 
 class _Share:
@@ -179,6 +180,14 @@
         if self._budget is not None and self.evict is not None:
             self._budget.track(self)
 
+    def grow(self, part: Part, size: int) -> None:
+        """Add bytes to a part.
+
+        Raises:
+            MemoryExhausted: There is no room; the part keeps its size.
+        """
+        self.resize(part, self._parts[part] + size)
+
     def assign(self, owner: str | None) -> None:
         """Count the bytes for a workspace."""
         if self._budget is not None:
--- a/packages/fleet/src/ibisport_fleet/request_reader.py
+++ b/packages/fleet/src/ibisport_fleet/request_reader.py
@@ -149,6 +149,7 @@
             keeps_open=self._parser.should_keep_alive(),
             received_at=asyncio.get_running_loop().time(),
             connected_at=self._connected_at,
+            hold=self._channel.hold,
         )
 
     def _reset_message(self) -> None:
@@ -288,3 +289,23 @@
     with contextlib.suppress(TimeoutError, ConnectionBroken):
         async with asyncio.timeout_at(deadline):
             await channel.discard(max_bytes)
+
+
+async def flush(channel: Channel, max_seconds: float) -> bool:
+    """Wait until a caller has read most of its answer; return whether it has.
+
+    Args:
+        channel: The connection; it is reset if the caller doesn't read in time, or if
+            others need the room.
+        max_seconds: Time after which it is reset.
+    """
+    deadline = asyncio.get_running_loop().time() + max_seconds
+    try:
+        with channel.hold.wait_for_peer(channel.abort):
+            async with asyncio.timeout_at(deadline):
+                await channel.drain()
+    except TimeoutError:
+        channel.abort()
+        return False
+    channel.hold.resize(Part.answer, 0)
+    return True
