Let connections with very small chunks take turns

Cause: a chunk costs a call into Python, whatever its size. Up to 256 KiB of each connection, 43,000 chunks of one byte, were parsed without a pause. Once a slice has brought more than 256 parts of messages, the connection's next one waits for its turn; all such connections together parse one slice, and then other work runs.

--- a/packages/fleet/src/ibisport_fleet/overload/parsing_turns.py
+++ b/packages/fleet/src/ibisport_fleet/overload/parsing_turns.py
@@ -19,7 +19,7 @@
 
     @asynccontextmanager
     async def take(self) -> AsyncIterator[None]:
-        """Wait for a turn, and let all other work run before the next one."""
+        """Wait for a turn; all other work runs before it."""
         async with self._lock:
-            yield
             await asyncio.sleep(0)
+            yield
--- a/packages/fleet/src/ibisport_fleet/request_reader.py
+++ b/packages/fleet/src/ibisport_fleet/request_reader.py
@@ -14,6 +14,7 @@
 from ibisport_fleet.http_messages import Headers, Request, find_header
 from ibisport_fleet.overload.intake import Intake
 from ibisport_fleet.overload.memory_budget import SMALL_BYTES, MemoryExhausted, Part
+from ibisport_fleet.overload.parsing_turns import MAX_PARTS_PER_SLICE
 
 STATUS_BAD_REQUEST = 400
 STATUS_TIMEOUT = 408
@@ -64,6 +65,8 @@
         self._unparsed = memoryview(b'')
         self._returned_bytes = 0
         self._queued_bytes = 0
+        self._parts = 0
+        self._is_costly = False
         self._started = False
         self._error: RequestInvalid | None = None
         self._reset_message()
@@ -129,6 +132,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body and check its length."""
+        self._parts += 1
         self._framing.record_body(len(body))
         self._body += body
         if len(self._body) > self._limits.max_body_bytes:
@@ -136,6 +140,7 @@
 
     def on_message_complete(self) -> None:
         """Queue the complete request."""
+        self._parts += 1
         self._started = False
         self._framing.reset()
         request = self._build_request(bytes(self._body))
@@ -172,9 +177,9 @@
                 if not data:
                     return
                 self._unparsed = memoryview(data)
-            self._parse_slice()
+            await self._parse_slice()
 
-    def _parse_slice(self) -> None:
+    async def _parse_slice(self) -> None:
         """Parse some bytes; requests that they complete are queued.
 
         Raises:
@@ -183,13 +188,18 @@
         """
         data = self._unparsed[:SLICE_BYTES]
         self._unparsed = self._unparsed[SLICE_BYTES:]
-        self._feed(data)
+        if self._is_costly:
+            async with self._intake.turns.take():
+                self._feed(data)
+        else:
+            self._feed(data)
         if self._error is None:
             self._charge()
         if self._error is not None:
             raise self._error
 
     def _feed(self, data: memoryview) -> None:
+        self._parts = 0
         self._framing.record_received(len(data))
         try:
             self._parser.feed_data(data)
@@ -201,6 +211,7 @@
                 self._error = cause
             else:
                 self._error = RequestInvalid(STATUS_BAD_REQUEST, repr(error))
+        self._is_costly = self._parts > MAX_PARTS_PER_SLICE
         if self._framing.exceeded and self._error is None:
             self._error = RequestInvalid(STATUS_HEADERS_TOO_LARGE, 'framing too long')
 
