Don't take an answer for complete whose upload was cut

Cause: an answer without a length is complete when its connection ends. The end of the target's bytes comes before the reset that the rest of the upload meets, so it looked like any other end. An end that this process causes itself looked the same. Change: such an answer is complete only if the peer ended its bytes after its system had acknowledged the whole request, and nothing malformed came before.

--- /dev/null
+++ b/features/brokenanswers.feature
@@ -0,0 +1,22 @@
+Feature: Answers that are broken, or no answers
+
+  # The end of the answer, before the reset that the upload met, made it look complete.
+  Scenario: An answer without a length that ends while the upload is sent isn't complete
+    Given a router and targets "unframed before the upload is read"
+    When a caller sends an upload of 4 MB to the route "plain-once"
+    Then the caller gets 502 without the target's signature
+
+  Scenario: An upload that may run twice is sent on after such an answer
+    Given a router and targets "unframed before the upload is read, whole answer"
+    When a caller sends an upload of 4 MB to the route "idempotent"
+    Then the caller gets 200 and the body "hello"
+
+  Scenario: A stream without a length that ends while the upload is sent isn't complete
+    Given a router and targets "unframed stream before the upload is read"
+    When a caller sends an upload of 4 MB to the route "once"
+    Then the caller's answer isn't terminated as complete
+
+  Scenario: An answer without a length that follows the whole upload is complete
+    Given a router and targets "unframed"
+    When a caller sends an upload of 4 MB to the route "plain-once"
+    Then the caller gets 200 and the body "hello"
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -93,6 +93,10 @@
     'unframed stream that is reset': Reply(
         [UNFRAMED_STREAM, _encode_text(1)], resets=True
     ),
+    'unframed before the upload is read': Reply([UNFRAMED + b'hel'], early=True),
+    'unframed stream before the upload is read': Reply(
+        [UNFRAMED_STREAM, _encode_text(1)], early=True
+    ),
     'unsigned': Reply([OK + b'Content-Length: 5\r\n\r\nwrong']),
     'silent': Reply([b''], pause=5.0),
 }
@@ -206,12 +210,12 @@
     return answer
 
 
-def _encode_request(route, key=KEY, method='POST', extra=''):
+def _encode_request(route, key=KEY, method='POST', extra='', body='ab'):
     return (
         f'{method} /{route}/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\n'
         f'Deadline-Ms: 3000\r\nAuthorization: Bearer {key}\r\n'
         f'Tenant: forged\r\nHold: h\r\n{extra}Connection: close\r\n'
-        'Content-Length: 2\r\n\r\nab'
+        f'Content-Length: {len(body)}\r\n\r\n{body}'
     ).encode()
 
 
@@ -263,6 +267,12 @@
     context.answers = _run(context.site, _encode_request(route))
 
 
+@when('a caller sends an upload of 4 MB to the route "{route}"')
+def send_upload(context, route):
+    upload = _encode_request(route, body='x' * 4_000_000)
+    context.answers = _run(context.site, upload)
+
+
 @when('a caller sends a streaming request and disconnects after the first event')
 def send_and_disconnect(context):
     target = context.site.targets[0]
--- a/packages/bench/src/ibisport_bench/standins/scripted.py
+++ b/packages/bench/src/ibisport_bench/standins/scripted.py
@@ -1,6 +1,7 @@
 """A target on a loopback port that sends scripted replies."""
 
 import asyncio
+import re
 import socket
 import struct
 from collections.abc import Sequence
@@ -13,6 +14,7 @@
 from ibisport_fleet.request_reader import RequestReader
 
 # Makes the kernel reset a connection that is closed, instead of ending it.
+EARLY_RESET_SECONDS = 0.1
 LINGER_ZERO = struct.pack('ii', 1, 0)
 
 
@@ -26,6 +28,12 @@
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO)
         self.abort()
 
+    def end_writing(self) -> None:
+        """Close the sending half, and read no more."""
+        transport = self._require_transport()
+        transport.pause_reading()
+        transport.write_eof()
+
 
 @dataclass(frozen=True, slots=True)
 class Reply:
@@ -37,12 +45,16 @@
         pause: Seconds to wait before each piece.
         ends: The connection is closed after the last piece.
         resets: The connection is reset after the last piece.
+        early: It is sent before the body of the request is read, which never happens;
+            then the sending half of the connection is closed, and a moment later the
+            connection is reset.
     """
 
     pieces: Sequence[bytes]
     pause: float = 0.0
     ends: bool = False
     resets: bool = False
+    early: bool = False
 
 
 @dataclass(slots=True)
@@ -79,6 +91,9 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _serve(self, channel: _TargetChannel) -> None:
+        if self._find_reply().early:
+            await self._reply_early(channel)
+            return
         reader = RequestReader(channel, Limits())
         try:
             while (request := await reader.read()) is not None:
@@ -87,10 +102,22 @@
             # The router reset the connection, so there is nothing to answer.
             return
 
+    def _find_reply(self) -> Reply:
+        """Return the reply to the next request."""
+        return self.replies[min(len(self.requests), len(self.replies) - 1)]
+
+    async def _reply_early(self, channel: _TargetChannel) -> None:
+        head = await channel.read()
+        request_id = re.findall(rb'(?i)attempt-id: (\S+)', head)[0]
+        for piece in self._find_reply().pieces:
+            channel.write(piece.replace(b'{id}', request_id))
+        channel.end_writing()
+        await asyncio.sleep(EARLY_RESET_SECONDS)
+        channel.reset()
+
     async def _reply(self, request: Request, channel: _TargetChannel) -> None:
-        number = min(len(self.requests), len(self.replies) - 1)
+        reply = self._find_reply()
         self.requests.append(request)
-        reply = self.replies[number]
         request_id = request.find(b'attempt-id') or b''
         for piece in reply.pieces:
             await asyncio.sleep(reply.pause)
--- a/packages/fleet/src/ibisport_fleet/channel.py
+++ b/packages/fleet/src/ibisport_fleet/channel.py
@@ -1,7 +1,10 @@
 """A byte stream over TCP that one task reads and writes."""
 
+import array
 import asyncio
+import fcntl
 import socket
+import termios
 from collections import deque
 from collections.abc import Callable
 from typing import cast
@@ -37,6 +40,9 @@
     Attributes:
         on_lost: Called once when the connection ends, if set.
         hold: The memory that an accepted connection uses.
+        ended_in_order: Whether the peer closed its sending half after it had received
+            all written data. A peer that closes sooner resets the connection, and the
+            reset may come after the end.
     """
 
     def __init__(
@@ -46,6 +52,7 @@
     ) -> None:
         self.on_lost: Callable[[], None] | None = None
         self.hold = Hold() if hold is None else hold
+        self.ended_in_order = False
         self._on_open = on_open
         self._is_accepted = hold is not None
         self._max_unread_bytes = (
@@ -106,6 +113,8 @@
 
     def eof_received(self) -> bool:
         """Handle the end of the peer's bytes; the connection is closed."""
+        raw = self._require_transport().get_extra_info('socket')
+        self.ended_in_order = self.flushed and not _count_unacknowledged(raw)
         self._end(None)
         return False
 
@@ -240,6 +249,19 @@
         waiter.set_result(None)
 
 
+def _count_unacknowledged(raw: socket.socket | None) -> int:
+    """Return the number of sent bytes that the peer's system hasn't acknowledged."""
+    if raw is None:
+        return 0
+    counted = array.array('i', (0,))
+    try:
+        fcntl.ioctl(raw.fileno(), termios.TIOCOUTQ, counted)
+    except OSError:
+        # Not every system tells.
+        return 0
+    return counted[0]
+
+
 def _set_socket_options(raw: socket.socket | None) -> None:
     if raw is None:
         return
--- a/packages/fleet/src/ibisport_fleet/http_connection.py
+++ b/packages/fleet/src/ibisport_fleet/http_connection.py
@@ -205,13 +205,18 @@
         self._malformed = False
         self._headers = []
 
+    @property
+    def _ends_with_connection(self) -> bool:
+        """Whether the end of the connection completes an answer without a length."""
+        is_unframed = self._parsing and not (self._framed or self._malformed)
+        return is_unframed and self._channel.ended_in_order
+
     async def _next_event(self) -> _AnswerEvent:
         while not self._events:
             data = await self._channel.read()
             if data:
                 self._feed(data)
-            elif self._parsing and not self._framed:
-                # Without a length, the end of the connection ends the answer.
+            elif self._ends_with_connection:
                 self.on_message_complete()
             else:
                 raise AnswerInvalid('the connection ended before the answer')
