Take a status that HTTP doesn't have for no answer

Cause: the status was compared with 200 only. Change: statuses outside 100 to 599 make the bytes no answer, as other bytes that aren't HTTP: 502 at once, or another target where the request may run twice.

--- a/features/brokenanswers.feature
+++ b/features/brokenanswers.feature
@@ -20,3 +20,22 @@
     Given a router and targets "unframed"
     When a caller sends an upload of 4 MB to the route "plain-once"
     Then the caller gets 200 and the body "hello"
+
+  # Those below 200 passed for interim answers, and the caller waited for its deadline.
+  Scenario Outline: An answer with a status that HTTP doesn't have is no answer
+    Given a router and targets "status <status>"
+    When a caller sends a plain request to the route "plain-once"
+    Then the caller gets 502 without the target's signature
+
+    Examples:
+      | status |
+      | 000    |
+      | 099    |
+      | 600    |
+      | 999    |
+      | 1000   |
+
+  Scenario: A request that may run twice is sent on after a status that HTTP doesn't have
+    Given a router and targets "status 000, whole answer"
+    When a caller sends a plain request to the route "idempotent"
+    Then the caller gets 200 and the body "hello"
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -97,6 +97,11 @@
     'unframed stream before the upload is read': Reply(
         [UNFRAMED_STREAM, _encode_text(1)], early=True
     ),
+    'status 000': Reply([WHOLE.replace(b'200', b'000')]),
+    'status 099': Reply([WHOLE.replace(b'200', b'099')]),
+    'status 600': Reply([WHOLE.replace(b'200', b'600')]),
+    'status 999': Reply([WHOLE.replace(b'200', b'999')]),
+    'status 1000': Reply([WHOLE.replace(b'200', b'1000')]),
     'unsigned': Reply([OK + b'Content-Length: 5\r\n\r\nwrong']),
     'silent': Reply([b''], pause=5.0),
 }
--- a/packages/fleet/src/ibisport_fleet/http_connection.py
+++ b/packages/fleet/src/ibisport_fleet/http_connection.py
@@ -13,7 +13,9 @@
 from ibisport_fleet.framing import FramingMeter
 from ibisport_fleet.http_messages import Answer, AnswerHead, Headers, encode_head
 
+FIRST_INTERIM_STATUS = 100
 FIRST_FINAL_STATUS = 200
+LAST_STATUS = 599
 # Answers without a body, whatever their headers say (RFC 9112, section 6.3).
 BODILESS_STATUSES = frozenset((204, 304))
 MAX_BODY_BYTES = 8_388_608
@@ -174,8 +176,10 @@
         self._headers.append((name.lower(), content))
 
     def on_headers_complete(self) -> None:
-        """Queue the head."""
+        """Queue the head; a status that HTTP doesn't have makes it no answer."""
         status = self._parser.get_status_code()
+        if not FIRST_INTERIM_STATUS <= status <= LAST_STATUS:
+            raise AnswerInvalid(f'no status of HTTP: {status}')
         headers = tuple(self._headers)
         names = {name for name, _ in headers}
         framed = (
