Log requests refused while they arrive; let relays refuse what they can't take

What callers saw: nothing new; operators saw neither requests that were refused for want of room nor those over a limit, and a router whose call found no room at a relay got a reset, which means that the call may have been executed. Change: these refusals stand in event 2401 and in the counter of requests by outcome, with the request's id where its head is complete. A relay answers 503: the store hasn't received the call, so the router tries another path at once. The rest of a refused request is dropped up to twice the limit of a body, so that a client which is somewhat over it and reads only at its end gets its 413. What the system keeps for a paused connection counts with the doubled size of its buffer. Evidence: the scenario of the client that sends too much ends with a reset on and passes now.

--- a/features/clientcrowds.feature
+++ b/features/clientcrowds.feature
@@ -99,6 +99,11 @@
     When a crowd stays with whole bodies short of their end and the router is told to stop
     Then the router ends by itself
 
+  # The connection was reset under the client that was still sending.
+  Scenario: A client that sends too much gets its refusal
+    When one client sends a body of half again the limit before it reads
+    Then it gets 413
+
   Scenario: A single body of legal size is served, however it is sent
     When one client sends a body of legal size in pieces
     Then it is served
--- a/features/steps/clientcrowds_steps.py
+++ b/features/steps/clientcrowds_steps.py
@@ -258,7 +258,7 @@
 
 
 async def send_slowly(framing, piece, count, rest):
-    """Send one request of legal size with pauses; return its status."""
+    """Send one request with pauses; return the status that is read after that."""
     async with run_site() as (site, _):
         address = site.routers[0].settings.callers_address
         reader, writer = await asyncio.open_connection(*address)
@@ -287,6 +287,18 @@
     context.status = asyncio.run(send_slowly(framing, piece, 64, b'0\r\n\r\n'))
 
 
+@when('one client sends a body of half again the limit before it reads')
+def send_too_much(context):
+    piece = b'x' * (BODY_BYTES // 64)
+    framing = b'Content-Length: %d' % (96 * len(piece))
+    context.status = asyncio.run(send_slowly(framing, piece, 96, b''))
+
+
+@then('it gets {status:d}')
+def check_status(context, status):
+    assert context.status == status, context.status
+
+
 @then('it is served')
 def check_served(context):
     assert context.status == HTTP_OK, context.status
--- a/packages/fleet/src/ibisport_fleet/call_handler.py
+++ b/packages/fleet/src/ibisport_fleet/call_handler.py
@@ -90,10 +90,13 @@
         try:
             call = admit(head, metadata, dependencies.catalogue.current, self._shutdown)
         except Refused as refusal:
-            self._record_refusal(metadata.request_id, refusal)
             self.standby.record_refusal(refusal)
             raise RequestInvalid(
-                refusal.status, refusal.reason, refusal.reason, refusal.retry_after
+                refusal.status,
+                refusal.reason,
+                refusal.reason,
+                refusal.retry_after,
+                metadata.request_id,
             ) from refusal
         return None if call.workspace is None else call.workspace.name
 
@@ -109,7 +112,7 @@
                 request, metadata, dependencies.catalogue.current, self._shutdown
             )
         except Refused as refusal:
-            self._record_refusal(metadata.request_id, refusal)
+            self.record_refusal(metadata.request_id, refusal.status, refusal.reason)
             self.standby.record_refusal(refusal)
             response.refuse(
                 refusal.status, refusal.reason, metadata.request_id, refusal.retry_after
@@ -255,12 +258,11 @@
         else:
             recorder.record_caller_left(call, events)
 
-    def _record_refusal(self, request_id: str, refusal: Refused) -> None:
+    def record_refusal(self, request_id: str, status: int, reason: str) -> None:
+        """Record a request that was refused before it had a route."""
         catalogue = self._dependencies.catalogue.current
         version = None if catalogue is None else catalogue.version
-        self._dependencies.recorder.record_refused(
-            request_id, refusal.status, refusal.reason, version
-        )
+        self._dependencies.recorder.record_refused(request_id, status, reason, version)
 
     def begin_shutdown(self, shutdown: Shutdown) -> None:
         """Bring the deadlines of running requests forward to before the process ends.
--- a/packages/fleet/src/ibisport_fleet/caller_server.py
+++ b/packages/fleet/src/ibisport_fleet/caller_server.py
@@ -67,9 +67,12 @@
         except RequestInvalid as error:
             response = self._create_response(channel)
             response.closing = True
-            response.refuse(error.status, error.code, None, error.retry_after)
+            response.refuse(
+                error.status, error.code, error.request_id or None, error.retry_after
+            )
+            self._handler.record_refusal(error.request_id, error.status, error.code)
             with self.connections.waiting.track(channel, reader):
-                await discard_rest(channel, limits.max_body_bytes)
+                await discard_rest(channel, limits)
         except ConnectionBroken:
             # The caller has disconnected, so no answer can be sent.
             return
--- a/packages/fleet/src/ibisport_fleet/channel.py
+++ b/packages/fleet/src/ibisport_fleet/channel.py
@@ -24,9 +24,10 @@
 MAX_ACCEPTED_UNREAD_BYTES = 16_384
 # Unsent bytes above which writers to such connections wait.
 MAX_UNSENT_BYTES = 16_384
-# Bytes that the operating system keeps for such a connection while reading is paused;
-# it doubles the value that it is told.
+# Receive buffer of such a connection in the operating system, which doubles the value
+# that it is told.
 RECEIVE_BUFFER_BYTES = 65_536
+MAX_KERNEL_BYTES = 2 * RECEIVE_BUFFER_BYTES
 # A connection whose sent bytes stay unacknowledged for this time is dead: nothing else
 # reveals a peer that lost power or a path that drops packets.
 UNACKNOWLEDGED_TIMEOUT_MS = 3_000
@@ -201,7 +202,7 @@
         try:
             self.hold.resize(
                 Part.unread,
-                self._unread_bytes + self._is_accepted * RECEIVE_BUFFER_BYTES,
+                self._unread_bytes + self._is_accepted * MAX_KERNEL_BYTES,
             )
         except MemoryExhausted:
             (self.hold.evict or self.abort)()
--- a/packages/fleet/src/ibisport_fleet/errors.py
+++ b/packages/fleet/src/ibisport_fleet/errors.py
@@ -28,6 +28,7 @@
         status: The HTTP status to answer with.
         code: A short code for logs and callers.
         retry_after: Seconds after which the caller may retry, or None for never.
+        request_id: Id of the request, if it is known.
     """
 
     def __init__(
@@ -36,11 +37,13 @@
         reason: str,
         code: str = 'invalid',
         retry_after: float | None = None,
+        request_id: str = '',
     ) -> None:
         super().__init__(reason)
         self.status = status
         self.code = code
         self.retry_after = retry_after
+        self.request_id = request_id
 
 
 class StoreError(FleetError):
--- a/packages/fleet/src/ibisport_fleet/relay.py
+++ b/packages/fleet/src/ibisport_fleet/relay.py
@@ -23,7 +23,7 @@
     drop_accept_encoding,
     encode_body,
 )
-from ibisport_fleet.errors import FleetError, StoreError
+from ibisport_fleet.errors import FleetError, RequestInvalid, StoreError
 from ibisport_fleet.event_log import EventLog
 from ibisport_fleet.http_connection import HttpConnection, open_http_connection
 from ibisport_fleet.http_messages import (
@@ -36,7 +36,7 @@
 from ibisport_fleet.load_feed.engine_poller import ReportCodec
 from ibisport_fleet.overload.intake import Intake
 from ibisport_fleet.overload.resources import CALLERS_SHARE, Resources
-from ibisport_fleet.request_reader import RequestReader
+from ibisport_fleet.request_reader import RequestReader, discard_rest
 from ibisport_fleet.settings import HostSettings
 from ibisport_fleet.store import Store, WatchResult
 from ibisport_fleet.store_call import MAX_ANSWER_SECONDS, MAX_SILENCE_SECONDS
@@ -154,6 +154,10 @@
         reader = RequestReader(channel, RELAY_LIMITS, self._intake)
         try:
             await self._serve_calls(reader, channel)
+        except RequestInvalid:
+            channel.write(REFUSAL)
+            with self.connections.waiting.track(channel, reader):
+                await discard_rest(channel, RELAY_LIMITS)
         except (FleetError, TimeoutError):
             # The reset tells the router that the call may have been executed.
             channel.abort()
--- a/packages/fleet/src/ibisport_fleet/request_reader.py
+++ b/packages/fleet/src/ibisport_fleet/request_reader.py
@@ -38,6 +38,8 @@
 # How long the rest of a refused request is read, so that its caller gets the refusal
 # instead of a reset.
 DISCARD_SECONDS = 2.0
+# The same in bytes, as a multiple of the longest body.
+DISCARD_FACTOR = 2
 
 
 class RequestReader:
@@ -292,13 +294,14 @@
         return None
 
 
-async def discard_rest(channel: Channel, max_bytes: int) -> None:
+async def discard_rest(channel: Channel, limits: Limits) -> None:
     """Drop what a caller still sends of a refused request, for a limited time.
 
     Args:
         channel: The connection; its refusal is written.
-        max_bytes: Bytes after which the caller is cut off.
+        limits: Limits of requests; a caller that exceeds them by much is cut off.
     """
+    max_bytes = DISCARD_FACTOR * limits.max_body_bytes
     deadline = asyncio.get_running_loop().time() + DISCARD_SECONDS
     with contextlib.suppress(TimeoutError, ConnectionBroken):
         async with asyncio.timeout_at(deadline):
