--- a/features/soak.feature
+++ b/features/soak.feature
@@ -23,6 +23,11 @@
     When the soak only kills all processes beside one version, with seed 4
     Then no check finds a violation
 
+  Scenario: A crowd that finishes no request beside other faults violates no check
+    When the soak runs seed 9001 for 20 seconds beside a crowd
+    Then no check finds a violation
+    And the crowd has come
+
   Scenario: Each check catches its mutant
     When the soak runs seed 8 for 20 seconds with each mutant
     Then each mutant is caught by its check
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -46,6 +46,17 @@
     context.runs = [_run_soak(*arguments, '--features', 'copies,hedging')]
 
 
+@when('the soak runs seed {seed:d} for {seconds:d} seconds beside a crowd')
+def run_beside_crowd(context, seed, seconds):
+    context.runs = [_run_soak('--seed', seed, '--seconds', seconds, '--crowd')]
+
+
+@then('the crowd has come')
+def check_crowd(context):
+    visits = re.search(r'(\d+) visits of a crowd', context.runs[0].stdout)
+    assert visits is not None and int(visits.group(1)), context.runs[0].stdout
+
+
 @then('streams have continued')
 def check_continued(context):
     output = context.runs[0].stdout
--- a/packages/bench/src/ibisport_bench/soak/__main__.py
+++ b/packages/bench/src/ibisport_bench/soak/__main__.py
@@ -42,6 +42,7 @@
             arguments.mutant,
             only,
             versions,
+            arguments.crowd,
         )
         for seed in seeds
     ]
@@ -66,6 +67,9 @@
     )
     parser.add_argument('--logs', type=Path, help='folder for logs of failed seeds')
     parser.add_argument('--features', default='', help='optional parts of the routers')
+    parser.add_argument(
+        '--crowd', action='store_true', help='clients press that finish nothing'
+    )
     parser.add_argument(
         '--mutant', choices=sorted(MUTANTS), help='router that must fail'
     )
--- a/packages/bench/src/ibisport_bench/soak/evidence.py
+++ b/packages/bench/src/ibisport_bench/soak/evidence.py
@@ -311,6 +311,7 @@
         returned_at: Clock when all hosts had started again after the final fault.
         budgets: Tokens that each workspace has paid for.
         lag: Longest delay of this process's own event loop, seconds.
+        crowd_visits: Connections of clients that don't finish their requests.
     """
 
     asks: list[RequestRecord] = field(default_factory=list)
@@ -330,6 +331,7 @@
     returned_at: float = math.inf
     budgets: dict[str, int] = field(default_factory=dict)
     lag: float = 0.0
+    crowd_visits: int = 0
 
     def record_fault(self, cause: Cause, subject: str, detail: str = '') -> Fault:
         """Record a fault that starts now."""
--- a/packages/bench/src/ibisport_bench/soak/run.py
+++ b/packages/bench/src/ibisport_bench/soak/run.py
@@ -9,6 +9,7 @@
 from ibisport_bench.soak.analysis import Violation
 from ibisport_bench.soak.callers import Callers
 from ibisport_bench.soak.checks import check_all
+from ibisport_bench.soak.crowd import Crowd
 from ibisport_bench.soak.evidence import Journal, read_clock
 from ibisport_bench.soak.fault_injection import (
     FATAL_FAULTS,
@@ -60,6 +61,7 @@
             f'{len(journal.starts)} starts, held up {journal.lag:.2f} s',
             f'  faults {dict(faults)}, killed at the end of the grace: {len(killed)}',
             f'  {went_on} of {len(resumed)} resumed streams went on',
+            f'  {journal.crowd_visits} visits of a crowd',
             f'  violations: {len(self.violations)}',
         ]
         lines += [
@@ -81,6 +83,7 @@
         only_fault: The only kind of fault to inject; None for all kinds that may be
             injected together.
         versions: The number of software versions that serve side by side.
+        crowd: Whether clients that don't finish their requests press all the while.
     """
 
     seed: int
@@ -89,6 +92,7 @@
     mutant: str | None = None
     only_fault: str | None = None
     versions: int = len(VERSIONS)
+    crowd: bool = False
 
 
 async def run_seed(options: RunOptions, folder: Path) -> Verdict:
@@ -127,10 +131,13 @@
     callers = Callers(site.routers, site.keys, journal, options.seed)
     until = read_clock() + options.seconds
     injector = FaultInjector(site, callers, journal, options.seed, options.only_fault)
+    crowd = Crowd(site, options.seed)
     await asyncio.gather(
         callers.send_requests(REQUESTS_PER_SECOND, until),
         injector.inject_faults(until - GRACE_SECONDS),
+        crowd.press(until if options.crowd else 0.0),
     )
+    journal.crowd_visits = crowd.visits
     if options.only_fault in {None, FINAL_FAULT}:
         await inject_final_fault(callers, injector)
     await callers.finish()
