--- a/features/steps/endlessanswers_steps.py
+++ b/features/steps/endlessanswers_steps.py
@@ -9,7 +9,7 @@
 from ibisport_fleet.catalogue import Limits
 from ibisport_fleet.errors import AnswerInvalid, ConnectionBroken, RequestInvalid
 from ibisport_fleet.http_connection import open_http_connection
-from ibisport_fleet.overload.memory_budget import Hold
+from ibisport_fleet.overload.memory_budget import MemoryUse
 from ibisport_fleet.request_reader import RequestReader
 from ibisport_fleet.sse import EventSplitter
 
@@ -150,7 +150,7 @@
 
     def __init__(self, head, part):
         self.received = 0
-        self.hold = Hold()
+        self.memory = MemoryUse()
         self._pieces = itertools.chain([head], itertools.repeat(part, MAX_PARTS))
 
     async def read(self):
--- a/features/steps/parsingturns_steps.py
+++ b/features/steps/parsingturns_steps.py
@@ -7,7 +7,7 @@
 
 from ibisport_fleet.catalogue import Limits
 from ibisport_fleet.overload.intake import Intake
-from ibisport_fleet.overload.memory_budget import Hold
+from ibisport_fleet.overload.memory_budget import MemoryUse
 from ibisport_fleet.request_reader import RequestReader
 
 KIB = 1_024
@@ -41,7 +41,7 @@
     """A connection on which all bytes have arrived."""
 
     def __init__(self, content):
-        self.hold = Hold()
+        self.memory = MemoryUse()
         starts = range(0, len(content), PIECE_BYTES)
         self._pieces = [content[start : start + PIECE_BYTES] for start in starts]
 
--- a/packages/fleet/src/ibisport_fleet/channel.py
+++ b/packages/fleet/src/ibisport_fleet/channel.py
@@ -15,7 +15,7 @@
     FleetError,
     NobodyListens,
 )
-from ibisport_fleet.overload.memory_budget import Hold, MemoryExhausted, Part
+from ibisport_fleet.overload.memory_budget import MemoryExhausted, MemoryUse, Part
 
 # Above this many unread bytes reading is paused, so that a single connection can't
 # exhaust the memory of the process.
@@ -40,7 +40,7 @@
 
     Attributes:
         on_lost: Called once when the connection ends, if set.
-        hold: The memory that an accepted connection uses.
+        memory: The memory that an accepted connection uses.
         ended_in_order: Whether the peer closed its sending half after it had received
             all written data. A peer that closes sooner resets the connection, and the
             reset may come after the end.
@@ -49,13 +49,13 @@
     def __init__(
         self,
         on_open: Callable[['Channel'], None] | None = None,
-        hold: Hold | None = None,
+        memory: MemoryUse | None = None,
     ) -> None:
         self.on_lost: Callable[[], None] | None = None
-        self.hold = Hold() if hold is None else hold
+        self.memory = MemoryUse() if memory is None else memory
         self.ended_in_order = False
         self._on_open = on_open
-        self._is_accepted = hold is not None
+        self._is_accepted = memory is not None
         self._max_unread_bytes = (
             MAX_ACCEPTED_UNREAD_BYTES if self._is_accepted else MAX_UNREAD_BYTES
         )
@@ -158,7 +158,7 @@
         self._interruption = error
         self._unread.clear()
         self._unread_bytes = 0
-        self.hold.resize(Part.unread, 0)
+        self.memory.resize(Part.unread, 0)
         _wake(self._read_waiter)
 
     async def discard(self, max_bytes: int) -> None:
@@ -193,19 +193,19 @@
         if not self._reading_paused:
             return
         self._reading_paused = False
-        self.hold.resize(Part.unread, 0)
+        self.memory.resize(Part.unread, 0)
         if not self._ended:
             self._require_transport().resume_reading()
 
     def _charge_unread(self) -> None:
         """Count the unread bytes while reading is paused, here and in the system."""
         try:
-            self.hold.resize(
+            self.memory.resize(
                 Part.unread,
                 self._unread_bytes + self._is_accepted * MAX_KERNEL_BYTES,
             )
         except MemoryExhausted:
-            (self.hold.evict or self.abort)()
+            (self.memory.evict or self.abort)()
 
     def _end(self, failure: BaseException | None) -> None:
         if self._failure is None:
--- a/packages/fleet/src/ibisport_fleet/connection_tasks.py
+++ b/packages/fleet/src/ibisport_fleet/connection_tasks.py
@@ -8,7 +8,7 @@
 
 from ibisport_fleet.channel import Channel
 from ibisport_fleet.event_log import Event, EventLog
-from ibisport_fleet.overload.memory_budget import Hold, MemoryBudget
+from ibisport_fleet.overload.memory_budget import MemoryBudget, MemoryUse
 from ibisport_fleet.overload.waiting import WaitingConnections
 
 
@@ -72,7 +72,7 @@
     def accept(self) -> Channel:
         """Return the protocol object of a new connection."""
         memory = None if self._bounds is None else self._bounds.memory
-        return Channel(self._start, Hold(memory))
+        return Channel(self._start, MemoryUse(memory))
 
     def _start(self, channel: Channel) -> None:
         if self._bounds is not None and len(self) >= self._bounds.max_connections:
@@ -91,7 +91,7 @@
         try:
             await self._serve(channel)
         finally:
-            channel.hold.release()
+            channel.memory.release()
             channel.close()
 
     def _finish(self, task: asyncio.Task[None]) -> None:
--- a/packages/fleet/src/ibisport_fleet/continuation/hedged_send.py
+++ b/packages/fleet/src/ibisport_fleet/continuation/hedged_send.py
@@ -202,7 +202,9 @@
     ) -> WholeAnswer | OutcomeUnknown:
         loop = asyncio.get_running_loop()
         try:
-            body = await answered.connection.read_body(AnswerCharge(call.request.hold))
+            body = await answered.connection.read_body(
+                AnswerCharge(call.request.memory)
+            )
         except ConnectionBroken as error:
             answered.connection.close()
             answered.health.record_failure(loop.time())
--- a/packages/fleet/src/ibisport_fleet/forwarding.py
+++ b/packages/fleet/src/ibisport_fleet/forwarding.py
@@ -313,7 +313,7 @@
         return True
 
     async def _forward_whole(self, answered: Answered) -> bool:
-        charge = AnswerCharge(self._call.request.hold)
+        charge = AnswerCharge(self._call.request.memory)
         body = await answered.connection.read_body(charge)
         self._dependencies.target_client.release(answered)
         return self._pass_on(answered, body)
--- a/packages/fleet/src/ibisport_fleet/http_messages.py
+++ b/packages/fleet/src/ibisport_fleet/http_messages.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from ibisport_fleet.overload.memory_budget import Hold
+from ibisport_fleet.overload.memory_budget import MemoryUse
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -35,7 +35,7 @@
         keeps_open: Whether the connection may carry another request.
         received_at: Loop time in seconds at which the last byte was read.
         connected_at: Loop time in seconds at which the connection was accepted.
-        hold: The memory that its connection uses.
+        memory: The memory that its connection uses.
     """
 
     method: str
@@ -45,7 +45,7 @@
     keeps_open: bool
     received_at: float
     connected_at: float
-    hold: Hold = field(default_factory=Hold, compare=False)
+    memory: MemoryUse = field(default_factory=MemoryUse, compare=False)
 
     def find(self, name: bytes) -> bytes | None:
         """Return the first value of a header; the name must be in lower case."""
--- a/packages/fleet/src/ibisport_fleet/overload/answer_charge.py
+++ b/packages/fleet/src/ibisport_fleet/overload/answer_charge.py
@@ -1,15 +1,15 @@
 """Counts the bytes of an answer for the caller that it is read for."""
 
 from ibisport_fleet.http_messages import AnswerHead
-from ibisport_fleet.overload.memory_budget import Hold, Part
+from ibisport_fleet.overload.memory_budget import MemoryUse, Part
 
 
 class AnswerCharge:
     """Observer of an answer that is passed on as a whole."""
 
-    def __init__(self, hold: Hold) -> None:
-        """Count for the hold of the caller's connection."""
-        self._hold = hold
+    def __init__(self, memory: MemoryUse) -> None:
+        """Count for the connection of the caller."""
+        self._memory = memory
 
     def handle_head(self, head: AnswerHead) -> None:
         """Ignore the head, whose size is bounded."""
@@ -20,4 +20,4 @@
         Raises:
             MemoryExhausted: There is no room for them.
         """
-        self._hold.grow(Part.answer, size)
+        self._memory.grow(Part.answer, size)
--- a/packages/fleet/src/ibisport_fleet/overload/memory_budget.py
+++ b/packages/fleet/src/ibisport_fleet/overload/memory_budget.py
@@ -1,12 +1,12 @@
-"""Bounds the memory that a process holds for all connections together.
+"""Bounds the memory that a process uses for all connections together.
 
-Each connection has a hold: the bytes that arrived and weren't processed, the requests
-that are incomplete, queued or in progress, and answers that the peer hasn't read. The
-first bytes of each hold come from a share of their own, so that small requests are
-served while large ones fill the rest.
+Each connection uses some: for bytes that arrived and weren't processed, for requests
+that are incomplete, queued or in progress, and for answers that the peer hasn't read.
+The first bytes of each connection come from a share of their own, so that small
+requests are served while large ones fill the rest.
 
 When a share is full, room is made at the cost of connections that wait for their peer,
-the longest wait first, and never for an owner at the cost of one that holds less.
+the longest wait first, and never for an owner at the cost of one that uses less.
 """
 
 import asyncio
@@ -17,7 +17,7 @@
 
 from ibisport_fleet.errors import FleetError
 
-# The part of each hold that is taken from the share of small requests.
+# The part of each use that is taken from the share of small requests.
 SMALL_BYTES = 65_536
 # Fraction of the budget that only small requests use.
 SMALL_SHARE = 0.5
@@ -28,11 +28,11 @@
 
 
 class MemoryExhausted(FleetError):
-    """The process holds as much as it may, and no room can be made."""
+    """The process uses as much as it may, and no room can be made."""
 
 
 class Part(Enum):
-    """What a hold consists of."""
+    """What a connection uses memory for."""
 
     unread = 'unread'
     request = 'request'
@@ -42,8 +42,8 @@
 class _Share:
     """A fraction of the budget, and what each owner uses of it."""
 
-    def __init__(self, capacity: float) -> None:
-        self.capacity = capacity
+    def __init__(self, max_bytes: float) -> None:
+        self.max_bytes = max_bytes
         self.used = 0
         self.used_by_owner: Counter[str | None] = Counter()
 
@@ -59,7 +59,7 @@
     """The memory that all connections of a process share.
 
     Attributes:
-        evictions: Number of connections that lost their hold to others.
+        evictions: Number of connections whose memory others got.
         refusals: Number of times that no room could be made.
     """
 
@@ -69,86 +69,96 @@
         self.refusals = 0
         self._small = _Share(max_bytes * SMALL_SHARE)
         self._large = _Share(max_bytes * (1.0 - SMALL_SHARE))
-        # Holds of connections that wait for their peer, in the order in which they
-        # began to hold something.
-        self._waiting: dict[Hold, float] = {}
+        # Loop time at which each connection that waits for its peer began to use
+        # memory, in that order.
+        self._waiting: dict[MemoryUse, float] = {}
 
     @property
     def used(self) -> int:
         """Bytes in use."""
         return self._small.used + self._large.used
 
-    def track(self, hold: 'Hold') -> None:
-        """Keep a waiting hold as one whose bytes others may get."""
-        if hold.size and hold.evict is not None:
-            self._waiting.setdefault(hold, asyncio.get_running_loop().time())
+    def track(self, use: 'MemoryUse') -> None:
+        """Note whether others may get what a connection uses."""
+        if use.size and use.evict is not None:
+            self._waiting.setdefault(use, asyncio.get_running_loop().time())
         else:
-            self._waiting.pop(hold, None)
+            self._waiting.pop(use, None)
+
+    def resize(self, use: 'MemoryUse', size: int) -> None:
+        """Take bytes for a connection, or return them.
 
-    def resize(self, hold: 'Hold', size: int) -> None:
-        """Change the size of a hold.
+        Args:
+            use: What the connection uses.
+            size: What it will use, in bytes.
 
         Raises:
-            MemoryExhausted: There is no room for more; the hold is as before.
+            MemoryExhausted: There is no room for more; nothing was taken.
         """
-        small = min(size, SMALL_BYTES) - min(hold.size, SMALL_BYTES)
-        large = size - hold.size - small
+        small = min(size, SMALL_BYTES) - min(use.size, SMALL_BYTES)
+        large = size - use.size - small
         if small > 0:
-            self._make_room(self._small, hold, small)
+            self._make_room(self._small, use, small)
         if large > 0:
-            self._make_room(self._large, hold, large)
+            self._make_room(self._large, use, large)
         # The small share isn't divided among owners.
         self._small.add(None, small)
-        self._large.add(hold.owner, large)
+        self._large.add(use.owner, large)
 
-    def change_owner(self, hold: 'Hold', owner: str | None) -> None:
-        """Count what a hold uses for another owner."""
-        large = hold.size - min(hold.size, SMALL_BYTES)
-        self._large.add(hold.owner, -large)
+    def change_owner(self, use: 'MemoryUse', owner: str | None) -> None:
+        """Count what a connection uses for another owner."""
+        large = use.size - min(use.size, SMALL_BYTES)
+        self._large.add(use.owner, -large)
         self._large.add(owner, large)
 
-    def _make_room(self, share: _Share, hold: 'Hold', size: int) -> None:
-        while not self._fits(share, hold, size):
-            victim = self._find_victim(share, hold, size)
+    def _make_room(self, share: _Share, use: 'MemoryUse', size: int) -> None:
+        while not self._fits(share, use, size):
+            victim = self._find_victim(share, use, size)
             if victim is None:
                 self.refusals += 1
                 raise MemoryExhausted('no room for what a peer sends')
             self.evictions += 1
             victim.lose()
 
-    def _fits(self, share: _Share, hold: 'Hold', size: int) -> bool:
-        if share.used + size > share.capacity:
+    def _fits(self, share: _Share, use: 'MemoryUse', size: int) -> bool:
+        if share.used + size > share.max_bytes:
             return False
-        return share is self._small or not self._is_over(hold, size)
+        return share is self._small or not self._exceeds_owner_share(use, size)
 
-    def _is_over(self, hold: 'Hold', size: int) -> bool:
-        """Return whether an owner would use more than one may."""
-        used = self._large.used_by_owner[hold.owner] + size
-        return used > self._large.capacity * OWNER_SHARE
+    def _exceeds_owner_share(self, use: 'MemoryUse', size: int) -> bool:
+        used = self._large.used_by_owner[use.owner] + size
+        return used > self._large.max_bytes * OWNER_SHARE
 
-    def _find_victim(self, share: _Share, hold: 'Hold', size: int) -> 'Hold | None':
-        latest = asyncio.get_running_loop().time() - MIN_WAIT_SECONDS
-        candidates = [
-            other
-            for other, since in self._waiting.items()
-            if since <= latest and other is not hold
-        ]
+    def _find_victim(
+        self, share: _Share, use: 'MemoryUse', size: int
+    ) -> 'MemoryUse | None':
+        """Return the connection that gives way, or None."""
+        waiting = self._list_evictable(use)
         if share is self._small:
-            return next(iter(candidates), None)
+            return next(waiting, None)
         used = share.used_by_owner
-        own = used[hold.owner] + size
-        owners = {hold.owner}
-        if not self._is_over(hold, size):
-            owners |= {owner for owner in used if used[owner] >= own}
-        large = [
+        owners = {use.owner}
+        if not self._exceeds_owner_share(use, size):
+            least = used[use.owner] + size
+            owners |= {owner for owner in used if used[owner] >= least}
+        candidates = [
             other
-            for other in candidates
+            for other in waiting
             if other.size > SMALL_BYTES and other.owner in owners
         ]
-        return max(large, key=lambda other: used[other.owner], default=None)
+        return max(candidates, key=lambda other: used[other.owner], default=None)
+
+    def _list_evictable(self, use: 'MemoryUse') -> Iterator['MemoryUse']:
+        """Yield the other connections that may give way, the longest wait first."""
+        latest = asyncio.get_running_loop().time() - MIN_WAIT_SECONDS
+        for other, since in self._waiting.items():
+            if since > latest:
+                return
+            if other is not use:
+                yield other
 
 
-class Hold:
+class MemoryUse:
     """The memory that one connection uses.
 
     Attributes:
@@ -159,7 +169,7 @@
     """
 
     def __init__(self, budget: MemoryBudget | None = None) -> None:
-        """Create an empty hold; without a budget it has no bound."""
+        """Start with nothing in use; without a budget there is no bound."""
         self.owner: str | None = None
         self.size = 0
         self.evict: Callable[[], None] | None = None
--- a/packages/fleet/src/ibisport_fleet/request_reader.py
+++ b/packages/fleet/src/ibisport_fleet/request_reader.py
@@ -48,8 +48,8 @@
     The parser is strict: a request with two lengths, or with a length and chunks, is
     refused, so that a target can't parse its bytes as a second, smuggled request.
 
-    What the reader holds, and the request that it has returned last, counts for the
-    hold of the connection.
+    What the reader keeps, and the request that it has returned last, counts for the
+    memory of the connection.
     """
 
     def __init__(
@@ -90,7 +90,7 @@
         if self.has_partial_request or self._complete_requests:
             # Requests that were sent ahead don't keep other work from running.
             await asyncio.sleep(0)
-        with self._channel.hold.wait_for_peer(self._give_up):
+        with self._channel.memory.wait_for_peer(self._give_up):
             try:
                 await self._fill_queue()
             except RequestInvalid:
@@ -159,7 +159,7 @@
             keeps_open=self._parser.should_keep_alive(),
             received_at=asyncio.get_running_loop().time(),
             connected_at=self._connected_at,
-            hold=self._channel.hold,
+            memory=self._channel.memory,
         )
 
     def _reset_message(self) -> None:
@@ -218,7 +218,7 @@
             self._error = RequestInvalid(STATUS_HEADERS_TOO_LARGE, 'framing too long')
 
     def _charge(self) -> None:
-        """Count what the reader holds.
+        """Count what the reader keeps.
 
         Raises:
             RequestInvalid: There is no room for it.
@@ -231,10 +231,10 @@
             if body_bytes > SMALL_BYTES and not self._is_identified:
                 self._is_identified = True
                 head = self._build_request(b'')
-                self._channel.hold.assign(self._intake.identify(head))
+                self._channel.memory.assign(self._intake.identify(head))
         held = self._returned_bytes + self._queued_bytes + partial
         try:
-            self._channel.hold.resize(Part.request, held)
+            self._channel.memory.resize(Part.request, held)
         except MemoryExhausted as error:
             raise build_no_room() from error
 
@@ -250,7 +250,7 @@
         self._complete_requests.clear()
         self._unparsed = memoryview(b'')
         self._queued_bytes = 0
-        self._channel.hold.resize(Part.request, 0)
+        self._channel.memory.resize(Part.request, 0)
 
 
 def build_no_room() -> RequestInvalid:
@@ -318,11 +318,11 @@
     """
     deadline = asyncio.get_running_loop().time() + max_seconds
     try:
-        with channel.hold.wait_for_peer(channel.abort):
+        with channel.memory.wait_for_peer(channel.abort):
             async with asyncio.timeout_at(deadline):
                 await channel.drain()
     except TimeoutError:
         channel.abort()
         return False
-    channel.hold.resize(Part.answer, 0)
+    channel.memory.resize(Part.answer, 0)
     return True
