Test that uploads are refused at their head

An unknown key, no route, and a length over the limit: the caller sends the head only and has its refusal, also where it waits for a go-ahead. Before all four waited for the body.

--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -278,6 +278,27 @@
     context.answers = _run(context.site, upload)
 
 
+@when('a caller sends the head of an upload of {size:d} bytes {detail}')
+def send_head(context, size, detail):
+    details = {
+        'to the route "once"': {},
+        'with an unknown key': {'key': 'unknown'},
+        'to no route': {'route': 'nowhere'},
+        'that waits for a go-ahead': {'extra': 'Expect: 100-continue\r\n'},
+    }
+    head = _encode_request(**{'route': 'once', 'body': '', **details[detail]})
+    announced = b'Content-Length: %d' % size
+    head = head.replace(b'Content-Length: 0', announced)
+    context.answers = _run(context.site, head)
+
+
+@then('it is refused with {status:d} and the reason {reason}')
+def check_early_refusal(context, status, reason):
+    answer = context.answers[0]
+    assert answer.startswith(b'HTTP/1.1 %d ' % status), answer
+    assert b'"error":"%b"' % reason.encode() in answer, answer
+
+
 @when('a caller sends a streaming request and disconnects after the first event')
 def send_and_disconnect(context):
     target = context.site.targets[0]
