--- a/features/clientcrowds.feature
+++ b/features/clientcrowds.feature
@@ -55,6 +55,11 @@
     Then the process lives and stays within its memory and descriptors
     And an ordinary request is answered beside the crowd and after it
 
+  Scenario: A crowd doesn't read large streams
+    When a crowd sends requests for large streams without reading
+    Then the process lives and stays within its memory and descriptors
+    And an ordinary request is answered beside the crowd and after it
+
   Scenario: A crowd sends heads of many small headers
     When a crowd sends heads of many small headers
     Then the process lives and stays within its memory and descriptors
--- a/features/steps/crowds.py
+++ b/features/steps/crowds.py
@@ -86,6 +86,10 @@
     return make_request(request_id, '/read/x?fill=1000000') * 8
 
 
+def _begin_large_stream(request_id):
+    return make_request(request_id, '/talk/x?events=9&fill=300000')
+
+
 SHORT = b'x' * (BODY_BYTES - 1)
 LARGE_CHUNK = b'%x\r\n%b\r\n' % (len(PART), PART)
 CROWDS = {
@@ -113,6 +117,9 @@
     'requests for large answers without reading': Crowd(
         40, _begin_large_answers, reads=False
     ),
+    'requests for large streams without reading': Crowd(
+        120, _begin_large_stream, reads=False
+    ),
     'heads of many small headers': Crowd(160, _begin_head, b'ab:\r\n' * 8_000),
     'half of a head': Crowd(600, _begin_head, b'Host: x'),
     'calls short of their end to a relay': Crowd(
--- a/packages/bench/src/ibisport_bench/soak/targets.py
+++ b/packages/bench/src/ibisport_bench/soak/targets.py
@@ -9,6 +9,7 @@
 from urllib.parse import parse_qsl
 
 from ibisport_bench.soak.evidence import (
+    EVENT_END,
     Arrival,
     Cause,
     Crash,
@@ -348,8 +349,7 @@
             await asyncio.sleep(interval)
             if break_at == 0:
                 return self._break_off(run, writer)
-            body = make_body(run.request_id, 0)
-            body += b'x' * int(parameters.get('fill', '0'))
+            body = _fill(make_body(run.request_id, 0), parameters)
             self._record_advertised_limit(run)
             writer.write(encode_message('HTTP/1.1 200 OK', headers, body))
             run.complete = True
@@ -369,6 +369,7 @@
             if number == break_at:
                 return self._break_off(run, writer)
             event = make_event(source.decode(), number)
+            event = _fill(event, parameters)
             writer.write(b'%x\r\n%b\r\n' % (len(event), event))
         self._copies.drop(backup, run_id)
         writer.write(b'0\r\n\r\n')
@@ -421,6 +422,12 @@
         writer.transport.abort()
 
 
+def _fill(event: bytes, parameters: dict[str, str]) -> bytes:
+    """Return an event with as many bytes more as a request asks for."""
+    filling = b'x' * int(parameters.get('fill', '0'))
+    return event.removesuffix(EVENT_END) + filling + EVENT_END
+
+
 def _encode_stream_head(headers: list[tuple[bytes, bytes]]) -> bytes:
     lines = b''.join(b'%b: %b\r\n' % pair for pair in headers)
     return b'HTTP/1.1 200 OK\r\n' + lines + HEAD_END[2:]
