Count the heads of requests in progress; don't copy long bodies to send them

What callers saw: nothing yet; found while reading the diff. A request in progress counted with 1 KiB and 160 bytes a header, while its path may have 64 KiB and its headers 16: 1,950 connections might use 156 MB that no account had seen. A long body was copied to be sent together with its head, and so taken twice while its target reads. Change: a complete request keeps the size of its head as it was counted while it arrived; bodies above 64 KiB are sent without a copy. What arrived of a request that gets 408 is dropped before its refusal.

--- a/features/parsingturns.feature
+++ b/features/parsingturns.feature
@@ -5,6 +5,11 @@
     When a connection brings 1,000 small requests at once
     Then other work has run at least 1,000 times before the last one was returned
 
+  # Heads of requests in progress weren't counted, 80 KiB of legal size for each.
+  Scenario: A request in progress counts with its head
+    When a request with a path of 60,000 and headers of 16,000 bytes is read
+    Then its connection uses at least 76,000 bytes
+
   # Chunks of one byte cost a hundred times as much for each byte as long ones.
   Scenario: Connections with chunks of one byte take turns
     When 20 connections bring chunks of one byte
--- a/features/steps/parsingturns_steps.py
+++ b/features/steps/parsingturns_steps.py
@@ -91,6 +91,23 @@
     assert context.work.runs >= 1_000, context.work.runs
 
 
+@when('a request with a path of 60,000 and headers of 16,000 bytes is read')
+def read_long_head(context):
+    head = b'GET /%b HTTP/1.1\r\nX-Long: %b\r\n\r\n' % (b'x' * 60_000, b'x' * 16_000)
+    context.channel = _Channel(head)
+    request = asyncio.run(_read_one(context.channel))
+    assert len(request.target) > 60_000, len(request.target)
+
+
+async def _read_one(channel):
+    return await RequestReader(channel, Limits()).read()
+
+
+@then('its connection uses at least 76,000 bytes')
+def check_charged(context):
+    assert context.channel.memory.size >= 76_000, context.channel.memory.size
+
+
 @when('{count:d} connections bring chunks of one byte')
 def bring_chunks(context, count):
     content = CHUNKED + b'1\r\nx\r\n' * CHUNKS + b'0\r\n\r\n'
--- a/packages/fleet/src/ibisport_fleet/http_connection.py
+++ b/packages/fleet/src/ibisport_fleet/http_connection.py
@@ -19,6 +19,8 @@
 # Answers without a body, whatever their headers say (RFC 9112, section 6.3).
 BODILESS_STATUSES = frozenset((204, 304))
 MAX_BODY_BYTES = 8_388_608
+# Longer bodies aren't copied to be sent together with their heads.
+MAX_JOINED_BYTES = 65_536
 # Heads, trailers and interim answers of one exchange.
 MAX_FRAMING_BYTES = 65_536
 
@@ -82,7 +84,13 @@
         self._framing.reset()
         if body or not request_line.startswith((b'GET ', b'DELETE ', b'HEAD ')):
             headers = (*headers, (b'content-length', b'%d' % len(body)))
-        self._channel.write(encode_head(request_line, headers) + body)
+        head = encode_head(request_line, headers)
+        if len(body) > MAX_JOINED_BYTES:
+            # A second copy would double the memory of a request in progress.
+            self._channel.write(head)
+            self._channel.write(body)
+        else:
+            self._channel.write(head + body)
 
     async def read_head(self, observer: AnswerObserver | None = None) -> AnswerHead:
         """Return the head of the next final answer.
--- a/packages/fleet/src/ibisport_fleet/request_reader.py
+++ b/packages/fleet/src/ibisport_fleet/request_reader.py
@@ -11,7 +11,7 @@
 from ibisport_fleet.channel import Channel
 from ibisport_fleet.errors import ConnectionBroken, RequestInvalid
 from ibisport_fleet.framing import FramingMeter
-from ibisport_fleet.http_messages import Headers, Request, find_header
+from ibisport_fleet.http_messages import Request, find_header
 from ibisport_fleet.overload.intake import Intake
 from ibisport_fleet.overload.memory_budget import SMALL_BYTES, MemoryExhausted, Part
 from ibisport_fleet.overload.parsing_turns import MAX_PARTS_PER_SLICE
@@ -63,7 +63,8 @@
         self._framing = FramingMeter(
             REQUEST_LINE_BYTES + HEADER_FRAMING_FACTOR * limits.max_header_bytes
         )
-        self._complete_requests: deque[Request] = deque()
+        # Complete requests, and the memory that each of them uses.
+        self._complete_requests: deque[tuple[Request, int]] = deque()
         self._unparsed = memoryview(b'')
         self._returned_bytes = 0
         self._queued_bytes = 0
@@ -94,12 +95,11 @@
             try:
                 await self._fill_queue()
             except RequestInvalid:
-                self._drop()
+                self.drop()
                 raise
         if not self._complete_requests:
             return None
-        request = self._complete_requests.popleft()
-        self._returned_bytes = _estimate_bytes(request.headers, request.body)
+        request, self._returned_bytes = self._complete_requests.popleft()
         self._queued_bytes -= self._returned_bytes
         return request
 
@@ -145,10 +145,17 @@
         self._parts += 1
         self._started = False
         self._framing.reset()
+        used_bytes = REQUEST_OVERHEAD_BYTES + self._head_bytes + len(self._body)
         request = self._build_request(bytes(self._body))
         self._reset_message()
-        self._complete_requests.append(request)
-        self._queued_bytes += _estimate_bytes(request.headers, request.body)
+        self._complete_requests.append((request, used_bytes))
+        self._queued_bytes += used_bytes
+
+    @property
+    def _head_bytes(self) -> int:
+        """Memory of the head of the message that is arriving."""
+        overhead = HEADER_OVERHEAD_BYTES * len(self._headers)
+        return len(self._target) + self._head_size + overhead
 
     def _build_request(self, body: bytes) -> Request:
         return Request(
@@ -226,8 +233,7 @@
         partial = len(self._unparsed)
         if self._started:
             body_bytes = max(self._announced, len(self._body) * GROWTH_FACTOR)
-            partial += len(self._target) + int(body_bytes)
-            partial += self._head_size + HEADER_OVERHEAD_BYTES * len(self._headers)
+            partial += self._head_bytes + int(body_bytes)
             if body_bytes > SMALL_BYTES and not self._is_identified:
                 self._is_identified = True
                 head = self._build_request(b'')
@@ -241,10 +247,10 @@
     def _give_up(self) -> None:
         """Refuse a request that is incomplete, since others need the room."""
         self._error = build_no_room()
-        self._drop()
+        self.drop()
         self._channel.interrupt(self._error)
 
-    def _drop(self) -> None:
+    def drop(self) -> None:
         """Drop all that has arrived and wasn't returned."""
         self._reset_message()
         self._complete_requests.clear()
@@ -259,10 +265,6 @@
     return RequestInvalid(STATUS_UNAVAILABLE, 'no room for it', 'no_memory', delay)
 
 
-def _estimate_bytes(headers: Headers, body: bytes) -> int:
-    return len(body) + REQUEST_OVERHEAD_BYTES + HEADER_OVERHEAD_BYTES * len(headers)
-
-
 def _find_length(headers: list[tuple[bytes, bytes]]) -> int:
     stated = find_header(headers, b'content-length') or b''
     return int(stated) if stated.isdigit() else 0
@@ -289,6 +291,7 @@
         return None
     except TimeoutError as error:
         if reader.has_partial_request:
+            reader.drop()
             reason = 'the request is incomplete'
             raise RequestInvalid(STATUS_TIMEOUT, reason) from error
         return None
