Log when callers had left, and when a process was held up

The log couldn't tell its hypotheses apart: neither what the socket of a caller knew when its request was sent, nor how long the end of a connection lay unread, nor that a process ran nothing for a while.

- request_sent has caller_left: the operating system knew of the end by then.
- request_left has sends, target and since_packet, the seconds since the last packet of the caller (tcp_info).
- process_held (2007) tells for how long the event loop ran nothing.

No logic changes.

--- a/packages/fleet/src/ibisport_fleet/channel.py
+++ b/packages/fleet/src/ibisport_fleet/channel.py
@@ -16,6 +16,7 @@
     NobodyListens,
 )
 from ibisport_fleet.overload.memory_budget import MemoryExhausted, MemoryUse, Part
+from ibisport_fleet.socket_state import has_peer_ended, measure_end_age
 
 # Above this many unread bytes reading is paused, so that a single connection can't
 # exhaust the memory of the process.
@@ -75,6 +76,19 @@
         """Whether the peer closed the connection, or it was lost."""
         return self._ended
 
+    @property
+    def peer_left(self) -> bool:
+        """Whether the peer has closed the connection, also if that wasn't read yet.
+
+        The event loop reads the end of a connection only after all bytes before it.
+        """
+        return self._ended or has_peer_ended(self._socket)
+
+    @property
+    def end_age(self) -> float | None:
+        """Seconds since the last packet of the peer, if the system tells."""
+        return measure_end_age(self._socket)
+
     @property
     def has_unread(self) -> bool:
         """Whether received bytes are waiting to be read."""
@@ -114,7 +128,7 @@
 
     def eof_received(self) -> bool:
         """Handle the end of the peer's bytes; the connection is closed."""
-        raw = self._require_transport().get_extra_info('socket')
+        raw = self._socket
         self.ended_in_order = self.flushed and not _count_unacknowledged(raw)
         self._end(None)
         return False
@@ -218,6 +232,13 @@
         if self.on_lost is not None:
             self.on_lost()
 
+    @property
+    def _socket(self) -> socket.socket | None:
+        if self._transport is None:
+            return None
+        raw: socket.socket | None = self._transport.get_extra_info('socket')
+        return raw
+
     def _require_transport(self) -> asyncio.Transport:
         assert self._transport is not None
         return self._transport
--- a/packages/fleet/src/ibisport_fleet/event_log.py
+++ b/packages/fleet/src/ibisport_fleet/event_log.py
@@ -21,6 +21,7 @@
     settings_reloaded = 2004
     task_failed = 2005
     listener_closed = 2006
+    process_held = 2007
     store_lost = 2101
     store_regained = 2102
     watch_lost = 2103
--- a/packages/fleet/src/ibisport_fleet/http_messages.py
+++ b/packages/fleet/src/ibisport_fleet/http_messages.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from ibisport_fleet.overload.memory_budget import MemoryUse
 
@@ -23,6 +24,26 @@
 )
 
 
+class Caller(Protocol):
+    """The connection of a caller that waits for an answer."""
+
+    @property
+    def peer_left(self) -> bool:
+        """Whether the caller has closed the connection, read or not."""
+
+    @property
+    def end_age(self) -> float | None:
+        """Seconds since the last packet of the caller, if the system tells."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Present:
+    """A caller that never leaves."""
+
+    peer_left: bool = False
+    end_age: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Request:
     """A complete request from a caller.
@@ -36,6 +57,7 @@
         received_at: Loop time in seconds at which the last byte was read.
         connected_at: Loop time in seconds at which the connection was accepted.
         memory: The memory that its connection uses.
+        caller: Tells whether the caller is still there.
     """
 
     method: str
@@ -46,6 +68,7 @@
     received_at: float
     connected_at: float
     memory: MemoryUse = field(default_factory=MemoryUse, compare=False)
+    caller: Caller = field(default_factory=_Present, compare=False, repr=False)
 
     def find(self, name: bytes) -> bytes | None:
         """Return the first value of a header; the name must be in lower case."""
--- a/packages/fleet/src/ibisport_fleet/process.py
+++ b/packages/fleet/src/ibisport_fleet/process.py
@@ -10,6 +10,7 @@
 from ibisport_fleet.adapters import Adapters
 from ibisport_fleet.event_log import Event, EventLog
 from ibisport_fleet.load_feed.feeds import run_relay_feed, uses_relay_feed
+from ibisport_fleet.loop_delays import record_delays
 from ibisport_fleet.relay import EXIT_MARGIN_SECONDS, Relay, RelayAdapters
 from ibisport_fleet.router import Router
 from ibisport_fleet.settings import HostSettings
@@ -44,6 +45,7 @@
 
 async def _run_relay(settings: HostSettings, adapters: RelayAdapters) -> None:
     log = EventLog()
+    delays = asyncio.create_task(record_delays(log))
     relay = Relay(settings, adapters, log)
     loop = asyncio.get_running_loop()
     stopped = asyncio.Event()
@@ -63,6 +65,7 @@
     log.write(Event.process_stopping, host=settings.host, in_flight=relay.in_flight)
     listener.close()
     await relay.drain(killed_at - EXIT_MARGIN_SECONDS)
+    delays.cancel()
     log.write(Event.process_stopped, host=settings.host)
 
 
@@ -87,13 +90,16 @@
 
 async def _run_router(settings: HostSettings, adapters: Adapters) -> bool:
     """Serve, and return whether a background task of the router failed."""
-    router = Router(settings, adapters, EventLog())
+    log = EventLog()
+    delays = asyncio.create_task(record_delays(log))
+    router = Router(settings, adapters, log)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, router.stop)
     loop.add_signal_handler(signal.SIGINT, router.stop)
     loop.add_signal_handler(signal.SIGHUP, router.reload)
     _unblock_sighup()
     await router.run()
+    delays.cancel()
     return router.failed
 
 
--- a/packages/fleet/src/ibisport_fleet/request_reader.py
+++ b/packages/fleet/src/ibisport_fleet/request_reader.py
@@ -167,6 +167,7 @@
             received_at=asyncio.get_running_loop().time(),
             connected_at=self._connected_at,
             memory=self._channel.memory,
+            caller=self._channel,
         )
 
     def _reset_message(self) -> None:
--- a/packages/fleet/src/ibisport_fleet/request_recorder.py
+++ b/packages/fleet/src/ibisport_fleet/request_recorder.py
@@ -137,6 +137,7 @@
             load=health.estimate_load(now),
             report_age=round(now - health.reported_at, 3),
             left=round(call.remaining_seconds(now), 3),
+            caller_left=call.request.caller.peer_left,
         )
 
     def record_pace(self, service: str, pace: ServicePace) -> None:
@@ -314,6 +315,9 @@
             route=call.route.name,
             seconds=round(elapsed, 4),
             events=events,
+            sends=call.attempts,
+            target=call.target,
+            since_packet=call.request.caller.end_age,
         )
         self._metrics.count_request(
             _name_workspace(call), call.route.name, OUTCOME_CALLER_LEFT
--- /dev/null
+++ b/packages/fleet/src/ibisport_fleet/socket_state.py
@@ -0,0 +1,48 @@
+"""What the operating system knows of a connection that the event loop hasn't read."""
+
+import select
+import socket
+import struct
+
+# Also reported without being asked for: POLLERR and POLLHUP.
+END_EVENTS = select.POLLRDHUP | select.POLLERR | select.POLLHUP
+# Of struct tcp_info (linux/tcp.h): tcpi_last_ack_recv, in milliseconds.
+LAST_ACK_OFFSET = 56
+TCP_INFO_BYTES = 60
+MS_PER_SECOND = 1_000
+
+
+def has_peer_ended(raw: socket.socket | None) -> bool:
+    """Return whether the peer has closed or reset the connection.
+
+    Unlike a read, this also sees an end behind bytes that nobody has read yet.
+
+    Args:
+        raw: The socket, or None for a connection without one.
+    """
+    if raw is None or raw.fileno() < 0:
+        return False
+    poller = select.poll()
+    poller.register(raw.fileno(), select.POLLRDHUP)
+    return any(events & END_EVENTS for _, events in poller.poll(0))
+
+
+def measure_end_age(raw: socket.socket | None) -> float | None:
+    """Return the seconds since the last packet of the peer, which closed in order.
+
+    Args:
+        raw: The socket, or None for a connection without one.
+
+    Returns:
+        The seconds; None where the system doesn't tell.
+    """
+    if raw is None:
+        return None
+    try:
+        info = raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+    except OSError:
+        return None
+    if len(info) < TCP_INFO_BYTES:
+        return None
+    milliseconds: int = struct.unpack_from('I', info, LAST_ACK_OFFSET)[0]
+    return milliseconds / MS_PER_SECOND
