Give mutants of continued streams enough streams to continue

Seen: the run with the mutant other-run found nothing.

Cause: only streams without resume that break off at an engine after an event, and have a copy, are continued. The mutant also named runs that had ended, whose copies are gone.

Change: harm_engines breaks off answers at all engines, for these three mutants; other-run names runs in progress only. The check is the same.

--- a/packages/bench/src/ibisport_bench/soak/continuation_mutants.py
+++ b/packages/bench/src/ibisport_bench/soak/continuation_mutants.py
@@ -33,8 +33,12 @@
 
 
 def continue_other_run() -> None:
-    """Continue streams with the copy of another run at the same engine, if any."""
+    """Continue streams with the copy of another run at the same engine, if any.
+
+    The copy of a run that has ended is gone, and the engine refuses to continue it.
+    """
     select_original = RequestContinuation.select
+    end_original = RequestContinuation.end_attempt
     runs: defaultdict[Address, list[str]] = defaultdict(list)
 
     def select(self: RequestContinuation) -> Candidate:
@@ -49,4 +53,11 @@
             runs[call.backup].append(call.metadata.request_id)
         return candidate
 
+    def end_attempt(self: RequestContinuation) -> None:
+        run_id = self._call.metadata.request_id
+        if self._call.backup is not None and run_id in runs[self._call.backup]:
+            runs[self._call.backup].remove(run_id)
+        end_original(self)
+
     patch(RequestContinuation, 'select', select)
+    patch(RequestContinuation, 'end_attempt', end_attempt)
--- a/packages/bench/src/ibisport_bench/soak/fault_injection.py
+++ b/packages/bench/src/ibisport_bench/soak/fault_injection.py
@@ -55,9 +55,9 @@
 FINAL_FAULT = 'kill_all'
 FINAL_RESTART_SECONDS = 1.2
 # Faults that are only injected alone: beside them, the checks for other faults would
-# need exceptions for the affected targets.
+# need exceptions for the affected targets, or would have fewer requests to look at.
 FATAL_FAULTS = ('fatal', 'fatal_part')
-EXCLUSIVE_FAULTS = (*FATAL_FAULTS, 'limit')
+EXCLUSIVE_FAULTS = (*FATAL_FAULTS, 'limit', 'harm_engines')
 FATAL_SECONDS = 15.0
 # All fatal requests share the targets, each of which is away for two seconds after a
 # crash. With more of them each reaches too few targets for the check to tell a router
--- a/packages/bench/src/ibisport_bench/soak/mutants.py
+++ b/packages/bench/src/ibisport_bench/soak/mutants.py
@@ -226,12 +226,12 @@
     'overlook-evacuations': Mutant('EVAC', 'evacuate', overlook_evacuations),
     'keep-predecessor': Mutant('RECOVER', 'kill_all', keep_predecessor),
     'skip-event': Mutant(
-        'WHOLE', 'harm_target', partial(shift_continuations, 1), 'copies'
+        'WHOLE', 'harm_engines', partial(shift_continuations, 1), 'copies'
     ),
     'double-event': Mutant(
-        'WHOLE', 'harm_target', partial(shift_continuations, -1), 'copies'
+        'WHOLE', 'harm_engines', partial(shift_continuations, -1), 'copies'
     ),
-    'other-run': Mutant('WHOLE', 'harm_target', continue_other_run, 'copies'),
+    'other-run': Mutant('WHOLE', 'harm_engines', continue_other_run, 'copies'),
     'go-on-anywhere': Mutant('ORDER', 'harm_target', go_on_anywhere),
     'forget-builds': Mutant('RESUME', 'kill_all', forget_builds, versions=1, routers=6),
     'forget-streams': Mutant('RESUME', 'reload', forget_streams, routers=6),
--- a/packages/bench/src/ibisport_bench/soak/target_faults.py
+++ b/packages/bench/src/ibisport_bench/soak/target_faults.py
@@ -10,7 +10,7 @@
     Journal,
     read_clock,
 )
-from ibisport_bench.soak.site import DOMAINS, Site
+from ibisport_bench.soak.site import DOMAINS, ENGINE, Site
 from ibisport_bench.soak.targets import ENTRY_TIMEOUT_SECONDS, Target, TargetFaults
 from ibisport_platform.records import EVACUATION_PREFIX
 
@@ -125,6 +125,18 @@
         await asyncio.sleep(self._random.uniform(*PAUSING_SECONDS))
         target.faults = TargetFaults()
 
+    async def harm_engines(self) -> None:
+        """Let all engines break off answers; most breaks leave a copy to go on at."""
+        engines = [
+            target for target in self._site.targets if target.entry.service == ENGINE
+        ]
+        with self._journal.track_fault(Cause.target, ENGINE, 'break off answers'):
+            for target in engines:
+                target.faults = TargetFaults(break_share=BROKEN_SHARE)
+            await asyncio.sleep(self._random.uniform(*FAULT_SECONDS))
+            for target in engines:
+                target.faults = TargetFaults()
+
     async def harm_target(self) -> None:
         """Let a target break off or delay answers."""
         target = self._random.choice(self._site.targets)
