Show that requests of callers that had left are sent to targets

A router stands still for 1.5 s (SIGSTOP) while 400 callers connect, send a small request that may be repeated, and three of four leave, half of them with a reset. No request of theirs may reach a target after that. Real processes on loopback.

--- /dev/null
+++ b/features/steps/departedcallers_steps.py
@@ -0,0 +1,150 @@
+"""Steps on callers that leave real routers before they are answered."""
+
+import asyncio
+import contextlib
+import signal
+import socket
+import struct
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from behave import then, when
+from crowds import make_request
+
+from ibisport_bench.soak.evidence import Journal, read_clock
+from ibisport_bench.soak.http_messages import read_head
+from ibisport_bench.soak.run import open_site
+from ibisport_bench.soak.site import Site
+
+SEED = 1
+# How long after its caller has left no request may reach a target.
+LATE_SECONDS = 0.5
+PAUSE_SECONDS = 1.5
+AFTER_SECONDS = 5.0
+EXIT_SECONDS = 20.0
+# Of four callers that meet a router that stands still, one stays.
+STAY_INTERVAL = 4
+WARM_UP_CALLERS = 40
+RESET = struct.pack('ii', 1, 0)
+
+
+@dataclass
+class Evidence:
+    """What became of the requests.
+
+    Attributes:
+        journal: What targets saw.
+        left: Clock at which the caller of each request left.
+        stayed: Whether each caller that stayed was answered.
+    """
+
+    journal: Journal
+    left: dict[str, float] = field(default_factory=dict)
+    stayed: list[bool] = field(default_factory=list)
+
+
+@contextlib.asynccontextmanager
+async def run_site():
+    """Run a site with one router; yield the site and the evidence."""
+    evidence = Evidence(Journal(budgets={'ample': 100_000_000}))
+    with tempfile.TemporaryDirectory() as folder:
+        site = Site(1, SEED, Path(folder), evidence.journal, warm_up=None)
+        try:
+            await open_site(site)
+            # The router keeps connections to targets for reuse.
+            await asyncio.gather(
+                *(Caller(site, f'first-{n}').ask() for n in range(WARM_UP_CALLERS))
+            )
+            yield site, evidence
+        finally:
+            for host in site.hosts:
+                host.kill()
+                await host.wait(EXIT_SECONDS)
+
+
+class Caller:
+    """A caller with a connection of its own."""
+
+    def __init__(self, site, request_id):
+        self.request_id = request_id
+        self._address = site.routers[0].settings.callers_address
+
+    async def send(self, message):
+        """Connect and send bytes."""
+        self._reader, self._writer = await asyncio.open_connection(*self._address)
+        self._writer.write(message)
+
+    async def ask(self):
+        """Send a request; return whether an answer came."""
+        try:
+            await self.send(make_request(self.request_id))
+            await read_head(self._reader)
+        except (OSError, EOFError):
+            return False
+        self._writer.close()
+        return True
+
+    def leave(self, evidence, request_ids, *, resets):
+        """Close or reset the connection, and record when for its requests."""
+        transport = self._writer.transport
+        if resets:
+            raw = transport.get_extra_info('socket')
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        transport.abort()
+        evidence.left |= dict.fromkeys(request_ids, read_clock())
+
+
+def leave_all(callers, evidence, list_requests):
+    """Let callers leave, every second one with a reset."""
+    for number, caller in enumerate(callers):
+        caller.leave(evidence, list_requests(caller), resets=bool(number % 2))
+
+
+async def meet_paused_router(count):
+    """Let callers come, and most of them leave, while the router stands still."""
+    async with run_site() as (site, evidence):
+        router = site.routers[0]
+        router.send_signal(signal.SIGSTOP)
+        callers = [Caller(site, f'paused-{number}') for number in range(count)]
+        staying = [
+            asyncio.ensure_future(caller.ask()) for caller in callers[::STAY_INTERVAL]
+        ]
+        del callers[::STAY_INTERVAL]
+        for caller in callers:
+            await caller.send(make_request(caller.request_id))
+        leave_all(callers, evidence, lambda caller: [caller.request_id])
+        await asyncio.sleep(PAUSE_SECONDS)
+        router.send_signal(signal.SIGCONT)
+        await asyncio.sleep(AFTER_SECONDS)
+        evidence.stayed = [task.done() and task.result() for task in staying]
+        for task in staying:
+            task.cancel()
+        return evidence
+
+
+@when(
+    'a router stands still while {count:d} callers send requests '
+    'and three of four leave'
+)
+def pause_router(context, count):
+    context.evidence = asyncio.run(meet_paused_router(count))
+
+
+@then('no request reaches a target half a second after its caller has left')
+def check_arrivals(context):
+    evidence = context.evidence
+    late = [
+        arrival.at - evidence.left[arrival.request_id]
+        for arrival in evidence.journal.arrivals
+        if arrival.request_id in evidence.left
+        and arrival.at > evidence.left[arrival.request_id] + LATE_SECONDS
+    ]
+    assert evidence.left
+    assert not late, f'{len(late)} of {len(evidence.left)}: {sorted(late)}'
+
+
+@then('all callers that stayed are answered')
+def check_stayed(context):
+    stayed = context.evidence.stayed
+    assert stayed and all(stayed), f'{sum(stayed)} of {len(stayed)}'
