Send no request whose caller's end has arrived and isn't read yet

What callers saw: nothing; they had left. Targets ran requests that nobody waited for, 34 to 41 of 300 after a router had stood still for 1.5 s.

Cause: only the event loop told that a caller had left, and it reads the end of a connection one turn after the bytes before it. A process that was held up finds both in its socket; the request was parsed, admitted and, with tokens and an idle connection at hand, sent before the end was read. The class: work begins on what was last read, not on what the operating system knows.

Such requests are logged as request_left without a send.

--- a/packages/fleet/src/ibisport_fleet/call_handler.py
+++ b/packages/fleet/src/ibisport_fleet/call_handler.py
@@ -9,7 +9,7 @@
 from ibisport_fleet.budgets import TokensUnavailable
 from ibisport_fleet.calls import Call, draw_jittered_delay
 from ibisport_fleet.dependencies import Dependencies, ServiceState
-from ibisport_fleet.errors import RequestInvalid
+from ibisport_fleet.errors import CallerLeft, RequestInvalid
 from ibisport_fleet.forwarding import RequestForwarder
 from ibisport_fleet.http_messages import Request
 from ibisport_fleet.overload.memory_budget import MemoryExhausted
@@ -69,7 +69,11 @@
         return self._dependencies.copies.count
 
     async def handle(self, request: Request, response: ResponseWriter) -> None:
-        """Handle one request and return once its answer is written."""
+        """Handle one request and return once its answer is written.
+
+        Raises:
+            CallerLeft: Nobody waits for the answer any more.
+        """
         # Requests that wait for tokens count as well; otherwise a stopping router ends
         # before they are answered.
         self.in_flight += 1
@@ -133,7 +137,7 @@
             self._answer_error(call, response, error)
         except TimeoutError:
             self._answer_failure(call, response, self._build_timeout_failure(call))
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, CallerLeft):
             events = 0 if forwarder is None else forwarder.forwarded_events
             self._record_interruption(call, events)
             raise
@@ -258,6 +262,14 @@
         else:
             recorder.record_caller_left(call, events)
 
+    def record_departure(self, request: Request) -> None:
+        """Record a request whose caller had left when it was read."""
+        try:
+            request_id = self._dependencies.dialect.decode_request(request).request_id
+        except RequestInvalid:
+            request_id = ''
+        self._dependencies.recorder.record_departure(request, request_id)
+
     def record_refusal(self, request_id: str, status: int, reason: str) -> None:
         """Record a request that was refused before it had a route."""
         catalogue = self._dependencies.catalogue.current
--- a/packages/fleet/src/ibisport_fleet/caller_server.py
+++ b/packages/fleet/src/ibisport_fleet/caller_server.py
@@ -6,7 +6,7 @@
 from ibisport_fleet.catalogue import Limits
 from ibisport_fleet.channel import Channel
 from ibisport_fleet.connection_tasks import ConnectionTasks
-from ibisport_fleet.errors import ConnectionBroken, RequestInvalid
+from ibisport_fleet.errors import CallerLeft, ConnectionBroken, RequestInvalid
 from ibisport_fleet.event_log import EventLog
 from ibisport_fleet.fleet_view import CatalogueView
 from ibisport_fleet.metadata import Dialect
@@ -45,7 +45,9 @@
         self._handler = handler
         self._catalogue = catalogue
         self._dialect = dialect
-        self._intake = Intake(handler.identify, resources.turns)
+        self._intake = Intake(
+            handler.identify, resources.turns, handler.record_departure
+        )
         bounds = resources.bound_listener(CALLERS_SHARE)
         self.connections = ConnectionTasks(self._serve, 'caller', log, bounds)
 
@@ -73,7 +75,7 @@
             self._handler.record_refusal(error.request_id, error.status, error.code)
             with self.connections.waiting.track(channel, reader):
                 await discard_rest(channel, limits)
-        except ConnectionBroken:
+        except (ConnectionBroken, CallerLeft):
             # The caller has disconnected, so no answer can be sent.
             return
 
--- a/packages/fleet/src/ibisport_fleet/errors.py
+++ b/packages/fleet/src/ibisport_fleet/errors.py
@@ -21,6 +21,10 @@
     """A peer's answer is malformed or incomplete."""
 
 
+class CallerLeft(FleetError):
+    """The caller closed its connection before its request was sent to a target."""
+
+
 class RequestInvalid(FleetError):
     """A caller's request is malformed, exceeds a limit, or isn't accepted now.
 
--- a/packages/fleet/src/ibisport_fleet/target_client.py
+++ b/packages/fleet/src/ibisport_fleet/target_client.py
@@ -5,7 +5,12 @@
 
 from ibisport_fleet.calls import Call
 from ibisport_fleet.connection_pool import ConnectionPool
-from ibisport_fleet.errors import ConnectionBroken, ConnectionFailed, NobodyListens
+from ibisport_fleet.errors import (
+    CallerLeft,
+    ConnectionBroken,
+    ConnectionFailed,
+    NobodyListens,
+)
 from ibisport_fleet.event_log import EventLog
 from ibisport_fleet.http_connection import HttpConnection
 from ibisport_fleet.http_messages import AnswerHead
@@ -101,6 +106,9 @@
             call: The request.
             candidate: The target.
             last_event_id: Id of the last event that the caller got, or None.
+
+        Raises:
+            CallerLeft: Nobody waits for the answer any more; nothing was sent.
         """
         if not permits(call.origin, candidate.entry):
             return NotSent('the stream began with other software')
@@ -116,7 +124,7 @@
         loop = asyncio.get_running_loop()
         health = candidate.health
         try:
-            connection = await self._connect(candidate, call.deadline)
+            connection = await self._connect(candidate, call)
         except ConnectionFailed as error:
             health.record_failure(loop.time())
             return NotSent(repr(error), isinstance(error, NobodyListens))
@@ -138,15 +146,22 @@
         else:
             answered.connection.close()
 
-    async def _connect(self, candidate: Candidate, deadline: float) -> HttpConnection:
+    async def _connect(self, candidate: Candidate, call: Call) -> HttpConnection:
         address = candidate.entry.address
+        _check_caller(call)
         pooled = self._pool.acquire_idle(address)
         if pooled is not None:
             return pooled
         now = asyncio.get_running_loop().time()
-        return await self._pool.open(
-            address, min(deadline, now + CONNECT_TIMEOUT_SECONDS)
+        connection = await self._pool.open(
+            address, min(call.deadline, now + CONNECT_TIMEOUT_SECONDS)
         )
+        try:
+            _check_caller(call)
+        except CallerLeft:
+            self._pool.release(connection, None)
+            raise
+        return connection
 
     def _write_request(
         self,
@@ -222,3 +237,16 @@
         if answered.succeeded and not (metadata.signed and metadata.request_id):
             raise ConnectionBroken('a success without a signature')
         return answered
+
+
+def _check_caller(call: Call) -> None:
+    """Check that the caller waits for an answer.
+
+    The event loop may not have read the end of its connection yet: it reads all bytes
+    before it first, and a process that was held up reads both at once.
+
+    Raises:
+        CallerLeft: The caller has closed its connection.
+    """
+    if call.request.caller.peer_left:
+        raise CallerLeft
