Find the end of callers whose bytes aren't read

What targets saw: 133 of 192 requests in progress ran on half a second after their callers had left; the callers had sent more requests behind their first.

Cause: reading from a connection is paused while 16 KiB are unread, as with requests sent ahead, and a paused connection learns nothing of its end. The task of the connection went on until its answer was written, and then began the next request.

Change: while reading from an accepted connection is paused, the operating system is asked every 0.2 s whether the peer has closed it, and its task is cancelled as by an end that was read. No timer runs otherwise.

Stand-in targets of the soak drop a request whose connection closes while they delay its answer, as most targets do.

--- a/features/departedcallers.feature
+++ b/features/departedcallers.feature
@@ -1,9 +1,16 @@
 Feature: Callers that leave before they are answered
 
   Guards against work that nobody waits for. A router that had stood still
-  sent requests to targets although the end of their connections had arrived long before.
+  sent requests to targets although the end of their connections had arrived long before,
+  and bytes behind a request kept the router from seeing the end at all.
 
   Scenario: Requests of callers that left while the router stood still reach no target
     When a router stands still while 400 callers send requests and three of four leave
     Then no request reaches a target half a second after its caller has left
     And all callers that stayed are answered
+
+  Scenario: Requests behind the first are not run for callers that have left
+    Given targets that take 4 s to answer
+    When 400 callers leave after 1 s, with more requests sent behind their first
+    Then no request reaches a target half a second after its caller has left
+    And no target works half a second later on a request whose caller has left
--- a/features/steps/departedcallers_steps.py
+++ b/features/steps/departedcallers_steps.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from behave import then, when
+from behave import given, then, when
 from crowds import make_request
 
 from ibisport_bench.soak.evidence import Journal, read_clock
@@ -26,6 +26,10 @@
 # Of four callers that meet a router that stands still, one stays.
 STAY_INTERVAL = 4
 WARM_UP_CALLERS = 40
+# More than a router reads ahead.
+BYTES_BEHIND = 40_000
+# By then the first requests have been read.
+BEHIND_SECONDS = 0.3
 RESET = struct.pack('ii', 1, 0)
 
 
@@ -75,6 +79,10 @@
         self._reader, self._writer = await asyncio.open_connection(*self._address)
         self._writer.write(message)
 
+    def write(self, message):
+        """Send more bytes."""
+        self._writer.write(message)
+
     async def ask(self):
         """Send a request; return whether an answer came."""
         try:
@@ -123,6 +131,43 @@
         return evidence
 
 
+def list_requests(caller, length):
+    """Return the ids of a caller's requests; behind the first, if short, lie others."""
+    size = len(make_request(caller.request_id, length=length))
+    behind = 1 + BYTES_BEHIND // size if length == 1 else 0
+    return [f'{caller.request_id}-{number}' for number in range(behind + 1)]
+
+
+async def leave_early(harm, count, length):
+    """Let callers leave after a second, while their requests are in progress."""
+    async with run_site() as (site, evidence):
+        healing = asyncio.ensure_future(harm(site))
+        callers = [Caller(site, f'early-{number}') for number in range(count)]
+        behind = []
+        for caller in callers:
+            request_ids = list_requests(caller, length)
+            messages = [make_request(each, length=length) for each in request_ids]
+            await caller.send(messages[0])
+            behind.append(b''.join(messages[1:]))
+        await asyncio.sleep(BEHIND_SECONDS)
+        for caller, rest in zip(callers, behind, strict=True):
+            caller.write(rest)
+        await asyncio.sleep(1.0 - BEHIND_SECONDS)
+        leave_all(callers, evidence, lambda caller: list_requests(caller, length))
+        await asyncio.sleep(AFTER_SECONDS)
+        await healing
+        return evidence
+
+
+@given('targets that take {seconds:d} s to answer')
+def plan_slow_targets(context, seconds):
+    async def harm(site):
+        for target in site.targets:
+            target.faults.delay_seconds = seconds
+
+    context.harm = harm
+
+
 @when(
     'a router stands still while {count:d} callers send requests '
     'and three of four leave'
@@ -131,6 +176,11 @@
     context.evidence = asyncio.run(meet_paused_router(count))
 
 
+@when('{count:d} callers leave after 1 s, with more requests sent behind their first')
+def leave_with_bytes_behind(context, count):
+    context.evidence = asyncio.run(leave_early(context.harm, count, 1))
+
+
 @then('no request reaches a target half a second after its caller has left')
 def check_arrivals(context):
     evidence = context.evidence
@@ -144,6 +194,17 @@
     assert not late, f'{len(late)} of {len(evidence.left)}: {sorted(late)}'
 
 
+@then('no target works half a second later on a request whose caller has left')
+def check_runs(context):
+    evidence = context.evidence
+    ran = [run for run in evidence.journal.runs if run.request_id in evidence.left]
+    late = [
+        run for run in ran if run.ended > evidence.left[run.request_id] + LATE_SECONDS
+    ]
+    assert ran
+    assert not late, f'{len(late)} of {len(ran)}'
+
+
 @then('all callers that stayed are answered')
 def check_stayed(context):
     stayed = context.evidence.stayed
--- a/packages/bench/src/ibisport_bench/soak/targets.py
+++ b/packages/bench/src/ibisport_bench/soak/targets.py
@@ -342,7 +342,7 @@
         interval = float(parameters.get('pause', '0'))
         break_at = self._draw_break(events)
         headers = [*self._make_headers(run.request_id), (SEAL, run.seal.encode())]
-        await asyncio.sleep(self.faults.delay_seconds)
+        await _sleep_while_connected(self.faults.delay_seconds, reader)
         if FATAL_PARAMETER in parameters:
             return await self._crash(run, head, float(parameters[FATAL_PARAMETER]))
         if not events:
@@ -422,6 +422,15 @@
         writer.transport.abort()
 
 
+async def _sleep_while_connected(seconds: float, reader: asyncio.StreamReader) -> None:
+    """Work for some seconds; most targets drop a request when its connection closes."""
+    until = read_clock() + seconds
+    while (left := until - read_clock()) > 0:
+        if reader.at_eof():
+            raise ConnectionResetError
+        await asyncio.sleep(min(left, POLL_INTERVAL_SECONDS))
+
+
 def _fill(event: bytes, parameters: dict[str, str]) -> bytes:
     """Return an event with as many bytes more as a request asks for."""
     filling = b'x' * int(parameters.get('fill', '0'))
--- a/packages/fleet/src/ibisport_fleet/channel.py
+++ b/packages/fleet/src/ibisport_fleet/channel.py
@@ -7,8 +7,10 @@
 import termios
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 from typing import cast
 
+from ibisport_fleet.end_poll import EndPoll
 from ibisport_fleet.errors import (
     ConnectionBroken,
     ConnectionFailed,
@@ -67,6 +69,7 @@
         self._ended = False
         self._failure: BaseException | None = None
         self._reading_paused = False
+        self._end_poll = EndPoll()
         self._read_waiter: asyncio.Future[None] | None = None
         self._write_waiter: asyncio.Future[None] | None = None
         self._writing_paused = False
@@ -121,9 +124,7 @@
         self._unread.append(data)
         self._unread_bytes += len(data)
         if self._unread_bytes > self._max_unread_bytes and not self._reading_paused:
-            self._reading_paused = True
-            self._require_transport().pause_reading()
-            self._charge_unread()
+            self._pause_reading()
         _wake(self._read_waiter)
 
     def eof_received(self) -> bool:
@@ -203,10 +204,19 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _pause_reading(self) -> None:
+        self._reading_paused = True
+        self._require_transport().pause_reading()
+        self._charge_unread()
+        if self._is_accepted:
+            # The event loop doesn't read the end of the connection meanwhile.
+            self._end_poll.begin(lambda: self.peer_left, partial(self._end, None))
+
     def _resume_reading(self) -> None:
         if not self._reading_paused:
             return
         self._reading_paused = False
+        self._end_poll.cancel()
         self.memory.resize(Part.unread, 0)
         if not self._ended:
             self._require_transport().resume_reading()
@@ -227,6 +237,7 @@
         if self._ended:
             return
         self._ended = True
+        self._end_poll.cancel()
         _wake(self._read_waiter)
         _wake(self._write_waiter)
         if self.on_lost is not None:
