Reset connections to targets whose request is given up

What targets saw: whole requests, over a second after their callers had left.

Cause: HttpConnection.close aborted the transport, which closes the descriptor. The operating system then goes on delivering what is in its send buffer, with FIN behind: 200,000 bytes that a peer hadn't read all arrived after an abort. A target that reads late got the whole request.

Change: connections of requests are closed with SO_LINGER 0, which drops what the peer hasn't received and resets the connection. Connections of callers are closed as before, so that they still get the events that were written for them.

What is in the peer's receive buffer already, such as a small request at a target that stands still, can't be taken back.

--- a/features/departedcallers.feature
+++ b/features/departedcallers.feature
@@ -2,7 +2,8 @@
 
   Guards against work that nobody waits for. A router that had stood still
   sent requests to targets although the end of their connections had arrived long before,
-  and bytes behind a request kept the router from seeing the end at all.
+  bytes behind a request kept the router from seeing the end at all, and a request that
+  was given up was still delivered from the send buffer of the operating system.
 
   Scenario: Requests of callers that left while the router stood still reach no target
     When a router stands still while 400 callers send requests and three of four leave
@@ -14,3 +15,8 @@
     When 400 callers leave after 1 s, with more requests sent behind their first
     Then no request reaches a target half a second after its caller has left
     And no target works half a second later on a request whose caller has left
+
+  Scenario: A body that its target has not read is not delivered after its caller has left
+    Given targets that read nothing for 2 s
+    When 4 callers with bodies of 3 MiB leave after 1 s
+    Then no request reaches a target half a second after its caller has left
--- a/features/steps/departedcallers_steps.py
+++ b/features/steps/departedcallers_steps.py
@@ -14,6 +14,7 @@
 
 from ibisport_bench.soak.evidence import Journal, read_clock
 from ibisport_bench.soak.http_messages import read_head
+from ibisport_bench.soak.links import TO_SINK
 from ibisport_bench.soak.run import open_site
 from ibisport_bench.soak.site import Site
 
@@ -168,6 +169,18 @@
     context.harm = harm
 
 
+@given('targets that read nothing for {seconds:d} s')
+def plan_silent_targets(context, seconds):
+    async def harm(site):
+        for target in site.targets:
+            target.link.silence([TO_SINK])
+        await asyncio.sleep(seconds)
+        for target in site.targets:
+            target.link.heal()
+
+    context.harm = harm
+
+
 @when(
     'a router stands still while {count:d} callers send requests '
     'and three of four leave'
@@ -181,6 +194,12 @@
     context.evidence = asyncio.run(leave_early(context.harm, count, 1))
 
 
+@when('{count:d} callers with bodies of {size:d} MiB leave after 1 s')
+def leave_with_bodies(context, count, size):
+    length = size * 1_048_576
+    context.evidence = asyncio.run(leave_early(context.harm, count, length))
+
+
 @then('no request reaches a target half a second after its caller has left')
 def check_arrivals(context):
     evidence = context.evidence
--- a/packages/fleet/src/ibisport_fleet/channel.py
+++ b/packages/fleet/src/ibisport_fleet/channel.py
@@ -18,7 +18,7 @@
     NobodyListens,
 )
 from ibisport_fleet.overload.memory_budget import MemoryExhausted, MemoryUse, Part
-from ibisport_fleet.socket_state import has_peer_ended, measure_end_age
+from ibisport_fleet.socket_state import has_peer_ended, measure_end_age, reset_on_close
 
 # Above this many unread bytes reading is paused, so that a single connection can't
 # exhaust the memory of the process.
@@ -199,8 +199,17 @@
         if self._transport is not None:
             self._transport.close()
 
-    def abort(self) -> None:
-        """Reset the connection, so that truncated data can't look complete."""
+    def abort(self, *, drops_sent: bool = False) -> None:
+        """Close the connection at once, so that truncated data can't look complete.
+
+        What the process hasn't sent yet is dropped.
+
+        Args:
+            drops_sent: Whether the operating system also drops what it was handed and
+                the peer hasn't received, instead of delivering it.
+        """
+        if drops_sent:
+            reset_on_close(self._socket)
         if self._transport is not None:
             self._transport.abort()
 
--- a/packages/fleet/src/ibisport_fleet/http_connection.py
+++ b/packages/fleet/src/ibisport_fleet/http_connection.py
@@ -171,8 +171,11 @@
         return Answer(head, content)
 
     def close(self) -> None:
-        """Reset the connection; the peer aborts what it still does for it."""
-        self._channel.abort()
+        """Reset the connection; the peer aborts what it still does for it.
+
+        A request that the peer hasn't read is not delivered any more.
+        """
+        self._channel.abort(drops_sent=True)
 
     def on_message_begin(self) -> None:
         """Handle the start of an answer."""
--- a/packages/fleet/src/ibisport_fleet/socket_state.py
+++ b/packages/fleet/src/ibisport_fleet/socket_state.py
@@ -1,5 +1,6 @@
-"""What the operating system knows of a connection that the event loop hasn't read."""
+"""What the operating system knows and does beside the event loop's connections."""
 
+import contextlib
 import select
 import socket
 import struct
@@ -10,6 +11,8 @@
 LAST_ACK_OFFSET = 56
 TCP_INFO_BYTES = 60
 MS_PER_SECOND = 1_000
+# struct linger: close at once, with a reset.
+NO_LINGER = struct.pack('ii', 1, 0)
 
 
 def has_peer_ended(raw: socket.socket | None) -> bool:
@@ -46,3 +49,16 @@
         return None
     milliseconds: int = struct.unpack_from('I', info, LAST_ACK_OFFSET)[0]
     return milliseconds / MS_PER_SECOND
+
+
+def reset_on_close(raw: socket.socket | None) -> None:
+    """Let the operating system reset a connection as soon as it is closed.
+
+    Otherwise it goes on delivering what was handed to it.
+
+    Args:
+        raw: The socket, or None for a connection without one.
+    """
+    if raw is not None and raw.fileno() >= 0:
+        with contextlib.suppress(OSError):
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
