Count what targets send for streams, and let go of it when a request ends

Seen: streams of one event without end, 120 at once, took 168 MB where 100 are allowed; large streams that callers don't read 138. Noise, heads and whole bodies without end kept to it.

Cause, in three parts of one class, bytes that are in no account: - what a target has sent and isn't processed, up to 512 KiB a stream, and the event that arrives, up to 1 MiB, weren't counted; - a kept exception that had been raised (Channel.interrupt) refers to its frames, these to the connection and the bytes that were being read; - a request's forwarder and its hedged sender referred to each other, so that each request stayed, with its body and partial event, until the garbage collector ran.

Change: a connection to a target draws on its caller's account for what has arrived, from its first 16 KiB on; a stream for its partial event and what is written. Without room the connection is reset. An idle connection is reset by any byte. An interruption builds a new error each time it is raised; the hedged sender belongs to an attempt; the partial event is dropped with its attempt.

The limit of malloc for its own mappings and a smaller receive buffer changed nothing (trials, not kept).

--- a/features/endlessanswers.feature
+++ b/features/endlessanswers.feature
@@ -24,6 +24,11 @@
     When a target sends 40,000 chunks of one byte
     Then the request gets its answer of 40,000 bytes
 
+  # Up to 512 KiB were kept until the connection was due for reuse.
+  Scenario: Bytes without end on an idle connection close it
+    When a target goes on sending after its answer
+    Then the idle connection is closed, and not used again
+
   # The limits of heads were checked only for headers that had ended.
   Scenario Outline: A request without an end is refused
     When a caller or another router sends <bytes> without end
--- a/features/steps/crowds.py
+++ b/features/steps/crowds.py
@@ -90,6 +90,10 @@
     return make_request(request_id, '/talk/x?events=9&fill=300000')
 
 
+def _ask_for_endless(path):
+    return lambda request_id: make_request(request_id, path)
+
+
 SHORT = b'x' * (BODY_BYTES - 1)
 LARGE_CHUNK = b'%x\r\n%b\r\n' % (len(PART), PART)
 CROWDS = {
@@ -120,6 +124,21 @@
     'requests for large streams without reading': Crowd(
         120, _begin_large_stream, reads=False
     ),
+    'requests that get bytes without end': Crowd(
+        120, _ask_for_endless('/read/x?endless=noise')
+    ),
+    'requests that get heads without end': Crowd(
+        120, _ask_for_endless('/read/x?endless=head')
+    ),
+    'requests that get bodies without end': Crowd(
+        120, _ask_for_endless('/read/x?endless=length')
+    ),
+    'requests that get unframed bodies without end': Crowd(
+        120, _ask_for_endless('/read/x?endless=unframed')
+    ),
+    'requests that get streams without end': Crowd(
+        120, _ask_for_endless('/talk/x?endless=chunks')
+    ),
     'heads of many small headers': Crowd(160, _begin_head, b'ab:\r\n' * 8_000),
     'half of a head': Crowd(600, _begin_head, b'Host: x'),
     'calls short of their end to a relay': Crowd(
--- a/features/steps/endlessanswers_steps.py
+++ b/features/steps/endlessanswers_steps.py
@@ -7,6 +7,7 @@
 from behave import then, when
 
 from ibisport_fleet.catalogue import Limits
+from ibisport_fleet.connection_pool import ConnectionPool
 from ibisport_fleet.errors import AnswerInvalid, ConnectionBroken, RequestInvalid
 from ibisport_fleet.http_connection import open_http_connection
 from ibisport_fleet.overload.memory_budget import MemoryUse
@@ -28,6 +29,8 @@
     'no HTTP': (b'', PART),
 }
 TIMEOUT_SECONDS = 20.0
+# By then the connection is idle.
+SENT_LATER_SECONDS = 0.2
 # More than any bound: a sender that gets this far was read without an end.
 MAX_PARTS = 16_384
 
@@ -99,6 +102,50 @@
     assert context.peak <= memory * MIB, context.peak
 
 
+class _LaterServer:
+    """Answers, and goes on sending a little later."""
+
+    def __init__(self):
+        self.ended = asyncio.Event()
+
+    async def serve(self, reader, writer):
+        """Answer on one connection."""
+        try:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(HEAD + b'Content-Length: 0\r\n\r\n')
+            await asyncio.sleep(SENT_LATER_SECONDS)
+            while True:
+                writer.write(PART)
+                await writer.drain()
+        except ConnectionError:
+            self.ended.set()
+            writer.close()
+
+
+async def _go_on_sending():
+    """Return the connection that is reused after its peer went on sending."""
+    server = _LaterServer()
+    listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
+    address = listener.sockets[0].getsockname()
+    pool = ConnectionPool()
+    connection = await pool.open(address, asyncio.get_running_loop().time() + 1.0)
+    await connection.request(b'GET / HTTP/1.1', (), b'')
+    pool.release(connection, TIMEOUT_SECONDS)
+    await asyncio.wait_for(server.ended.wait(), TIMEOUT_SECONDS)
+    listener.close()
+    return pool.acquire_idle(address)
+
+
+@when('a target goes on sending after its answer')
+def go_on_sending(context):
+    context.reused = asyncio.run(_go_on_sending())
+
+
+@then('the idle connection is closed, and not used again')
+def check_idle_closed(context):
+    assert context.reused is None
+
+
 @when('a stream brings an event of 64 MiB in parts of 4 KiB')
 def send_endless_event(context):
     context.splitter = splitter = EventSplitter()
--- a/packages/bench/src/ibisport_bench/soak/targets.py
+++ b/packages/bench/src/ibisport_bench/soak/targets.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, replace
 from urllib.parse import parse_qsl
 
+from ibisport_bench.soak.endless import send_without_end
 from ibisport_bench.soak.evidence import (
     EVENT_END,
     Arrival,
@@ -55,6 +56,8 @@
 VERSIONS = ('v1', 'v2')
 # The query parameter of a fatal request: seconds after which its target crashes.
 FATAL_PARAMETER = 'crash'
+# The query parameter of a request to which a target sends bytes without end.
+ENDLESS_PARAMETER = 'endless'
 # Three heartbeats of a target, after which the platform drops its entry.
 ENTRY_TIMEOUT_SECONDS = 1.5
 CRASH_RESTART_DELAY_SECONDS = 0.5
@@ -292,7 +295,11 @@
         run.after = int(head.headers.get(LAST_EVENT_ID, b'0'))
         self._journal.runs.append(run)
         self._in_flight += 1
+        endless = _find_parameters(head).get(ENDLESS_PARAMETER)
         try:
+            if endless is not None:
+                headers = [*self._make_headers(request_id), (SEAL, run.seal.encode())]
+                await send_without_end(endless, headers, writer)
             await self._run(run, head, reader, writer)
         finally:
             self._in_flight -= 1
@@ -336,8 +343,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        query = head.start_line.split(b' ')[1].decode().partition('?')[2]
-        parameters = dict(parse_qsl(query))
+        parameters = _find_parameters(head)
         events = int(parameters.get('events', '0'))
         interval = float(parameters.get('pause', '0'))
         break_at = self._draw_break(events)
@@ -422,6 +428,11 @@
         writer.transport.abort()
 
 
+def _find_parameters(head: Head) -> dict[str, str]:
+    query = head.start_line.split(b' ')[1].decode().partition('?')[2]
+    return dict(parse_qsl(query))
+
+
 async def _sleep_while_connected(seconds: float, reader: asyncio.StreamReader) -> None:
     """Work for some seconds; most targets drop a request when its connection closes."""
     until = read_clock() + seconds
--- a/packages/fleet/src/ibisport_fleet/channel.py
+++ b/packages/fleet/src/ibisport_fleet/channel.py
@@ -17,6 +17,7 @@
     FleetError,
     NobodyListens,
 )
+from ibisport_fleet.overload.answer_charge import ArrivalCharge
 from ibisport_fleet.overload.memory_budget import MemoryExhausted, MemoryUse, Part
 from ibisport_fleet.socket_state import has_peer_ended, measure_end_age, reset_on_close
 
@@ -44,6 +45,8 @@
     Attributes:
         on_lost: Called once when the connection ends, if set.
         memory: The memory that an accepted connection uses.
+        charge: Counts the bytes that have arrived and aren't processed, if set. Those
+            that were read last count until the next read.
         ended_in_order: Whether the peer closed its sending half after it had received
             all written data. A peer that closes sooner resets the connection, and the
             reset may come after the end.
@@ -56,16 +59,18 @@
     ) -> None:
         self.on_lost: Callable[[], None] | None = None
         self.memory = MemoryUse() if memory is None else memory
+        self.charge: ArrivalCharge | None = None
         self.ended_in_order = False
         self._on_open = on_open
         self._is_accepted = memory is not None
         self._max_unread_bytes = (
             MAX_ACCEPTED_UNREAD_BYTES if self._is_accepted else MAX_UNREAD_BYTES
         )
-        self._interruption: FleetError | None = None
+        self._interruption: Callable[[], FleetError] | None = None
         self._transport: asyncio.Transport | None = None
         self._unread: deque[bytes] = deque()
         self._unread_bytes = 0
+        self._processed_bytes = 0
         self._ended = False
         self._failure: BaseException | None = None
         self._reading_paused = False
@@ -125,6 +130,7 @@
         self._unread_bytes += len(data)
         if self._unread_bytes > self._max_unread_bytes and not self._reading_paused:
             self._pause_reading()
+        self._count_arrived()
         _wake(self._read_waiter)
 
     def eof_received(self) -> bool:
@@ -153,9 +159,11 @@
         Raises:
             ConnectionBroken: The connection was reset.
         """
+        self._processed_bytes = 0
         while not self._unread:
+            self._count_arrived()
             if self._interruption is not None:
-                raise self._interruption
+                raise self._interruption()
             if self._failure is not None:
                 raise ConnectionBroken('the connection was reset') from self._failure
             if self._ended:
@@ -164,13 +172,19 @@
             await self._read_waiter
         data = self._unread.popleft()
         self._unread_bytes -= len(data)
+        self._processed_bytes = len(data)
         if self._unread_bytes <= self._max_unread_bytes // 2:
             self._resume_reading()
         return data
 
-    def interrupt(self, error: FleetError) -> None:
-        """Drop the unread bytes, and let the reader get an error in their place."""
-        self._interruption = error
+    def interrupt(self, build_error: Callable[[], FleetError]) -> None:
+        """Drop the unread bytes, and let the reader get an error in their place.
+
+        Args:
+            build_error: Returns the error. One that was raised and is kept would refer
+                to its frames, and these to bytes.
+        """
+        self._interruption = build_error
         self._unread.clear()
         self._unread_bytes = 0
         self.memory.resize(Part.unread, 0)
@@ -213,10 +227,26 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _count_arrived(self) -> None:
+        """Count what has arrived; end the connection if there is no room for it."""
+        if self.charge is None:
+            return
+        try:
+            self.charge.update(self._unread_bytes + self._processed_bytes)
+        except MemoryExhausted:
+            self.interrupt(partial(MemoryExhausted, 'no room for what a peer sends'))
+            self._end(None)
+            self.abort(drops_sent=True)
+
     def _pause_reading(self) -> None:
         self._reading_paused = True
         self._require_transport().pause_reading()
-        self._charge_unread()
+        # They count while reading is paused, here and in the operating system.
+        kernel_bytes = self._is_accepted * MAX_KERNEL_BYTES
+        try:
+            self.memory.resize(Part.unread, self._unread_bytes + kernel_bytes)
+        except MemoryExhausted:
+            (self.memory.evict or self.abort)()
         if self._is_accepted:
             # The event loop doesn't read the end of the connection meanwhile.
             self._end_poll.begin(lambda: self.peer_left, partial(self._end, None))
@@ -230,16 +260,6 @@
         if not self._ended:
             self._require_transport().resume_reading()
 
-    def _charge_unread(self) -> None:
-        """Count the unread bytes while reading is paused, here and in the system."""
-        try:
-            self.memory.resize(
-                Part.unread,
-                self._unread_bytes + self._is_accepted * MAX_KERNEL_BYTES,
-            )
-        except MemoryExhausted:
-            (self.memory.evict or self.abort)()
-
     def _end(self, failure: BaseException | None) -> None:
         if self._failure is None:
             self._failure = failure
--- a/packages/fleet/src/ibisport_fleet/connection_pool.py
+++ b/packages/fleet/src/ibisport_fleet/connection_pool.py
@@ -5,6 +5,7 @@
 
 from ibisport_fleet.addresses import Address
 from ibisport_fleet.http_connection import HttpConnection, open_http_connection
+from ibisport_fleet.overload.answer_charge import IdleCharge
 
 # Idle timeout assumed for a peer that states none; below the idle timeouts of targets.
 DEFAULT_IDLE_SECONDS = 3.0
@@ -26,6 +27,7 @@
         while idle:
             connection = idle.pop()
             if connection.reusable and connection.idle_until > now:
+                connection.charge(None)
                 return connection
             connection.close()
         return None
@@ -51,4 +53,5 @@
         stated = DEFAULT_IDLE_SECONDS if idle_seconds is None else idle_seconds
         now = asyncio.get_running_loop().time()
         connection.idle_until = now + max(0.0, stated - IDLE_MARGIN_SECONDS)
+        connection.charge(IdleCharge())
         self._idle.setdefault(connection.address, deque()).append(connection)
--- a/packages/fleet/src/ibisport_fleet/forwarding.py
+++ b/packages/fleet/src/ibisport_fleet/forwarding.py
@@ -21,13 +21,15 @@
 from ibisport_fleet.errors import ConnectionBroken
 from ibisport_fleet.fleet_view import TargetView
 from ibisport_fleet.http_connection import HttpConnection
-from ibisport_fleet.overload.answer_charge import AnswerCharge
+from ibisport_fleet.overload.answer_charge import AnswerCharge, PartCharge
+from ibisport_fleet.overload.memory_budget import Part
 from ibisport_fleet.placing.pace import GapRecorder
 from ibisport_fleet.placing.prefill import Prefill
 from ibisport_fleet.quarantine.request_guard import RequestGuard
 from ibisport_fleet.queueing.request_turn import RequestTurn
 from ibisport_fleet.response_writer import ResponseWriter
 from ibisport_fleet.settings import Feature
+from ibisport_fleet.sse import EventSplitter
 from ibisport_fleet.stream_versions.origin import Begun, NotBegun
 from ibisport_fleet.target_choice import Candidate
 from ibisport_fleet.target_client import (
@@ -78,9 +80,6 @@
             dependencies, service_state, self._selector, call
         )
         self._splitter = self._continuation.splitter
-        self._hedged_sender = HedgedSender(
-            dependencies, self._selector, call, self._may_retry
-        )
         self._rejections = 0
         self._absent_targets = 0
         self._prefill = Prefill(call, service_state)
@@ -118,6 +117,7 @@
                 candidate.health.end_request()
                 self._prefill.end()
                 self._continuation.end_attempt()
+                self._splitter.drop_partial_event()
 
     def check_quarantine(self) -> None:
         """Refuse a request that crashes targets.
@@ -154,8 +154,12 @@
         call.sent_at = _now()
         self._dependencies.recorder.record_sent(call, candidate)
         call.may_have_run = True
-        if self._hedged_sender.applies:
-            return self._handle_hedged(await self._hedged_sender.send(candidate))
+        # Not an attribute: the two would refer to each other, and keep the request.
+        hedged_sender = HedgedSender(
+            self._dependencies, self._selector, call, self._may_retry
+        )
+        if hedged_sender.applies:
+            return self._handle_hedged(await hedged_sender.send(candidate))
         try:
             outcome = await self._send(candidate)
         except asyncio.CancelledError:
@@ -353,6 +357,7 @@
             self._response.begin_stream(answered.head)
             self._dependencies.recorder.record_first_byte(self._call)
         connection = answered.connection
+        charge = PartCharge(self._call.request.memory, Part.answer)
         gaps = _EventGaps()
         gap_recorder = GapRecorder(self._pace, candidate.entry.start_id)
         while (
@@ -361,7 +366,7 @@
             self._received_at = answered.health.last_received_at = _now()
             _check_software(self._dependencies.targets, candidate)
             known = self._splitter.event_count
-            events = self._splitter.feed(part)
+            events = _split(self._splitter, part, charge)
             if events:
                 self._record_events(candidate)
                 gap_recorder.record_events(self._splitter.event_count - known, _now())
@@ -411,6 +416,19 @@
         self._last_event_at = now
 
 
+def _split(splitter: EventSplitter, part: bytes, charge: PartCharge) -> bytes:
+    """Return the events that some bytes complete.
+
+    Raises:
+        AnswerInvalid: An event is too long.
+        MemoryExhausted: There is no room for them.
+    """
+    events = splitter.feed(part)
+    # An event that is written is held here and by the transport.
+    charge.update(splitter.partial_bytes + 2 * len(events))
+    return events
+
+
 def _check_software(targets: TargetView, candidate: Candidate) -> None:
     """Check that the bytes of a target are of the software that was chosen.
 
--- a/packages/fleet/src/ibisport_fleet/http_connection.py
+++ b/packages/fleet/src/ibisport_fleet/http_connection.py
@@ -12,6 +12,7 @@
 from ibisport_fleet.errors import AnswerInvalid
 from ibisport_fleet.framing import FramingMeter
 from ibisport_fleet.http_messages import Answer, AnswerHead, Headers, encode_head
+from ibisport_fleet.overload.answer_charge import ArrivalCharge, PartCharge
 
 FIRST_INTERIM_STATUS = 100
 FIRST_FINAL_STATUS = 200
@@ -170,11 +171,23 @@
         self.keep_alive = head.keeps_open
         return Answer(head, content)
 
+    def charge(self, charge: ArrivalCharge | None) -> None:
+        """Count the bytes that arrive from now on, and no longer as before.
+
+        Args:
+            charge: Counts them; None: they aren't counted.
+        """
+        counted = self._channel.charge
+        self._channel.charge = charge
+        if isinstance(counted, PartCharge):
+            counted.update(0)
+
     def close(self) -> None:
         """Reset the connection; the peer aborts what it still does for it.
 
         A request that the peer hasn't read is not delivered any more.
         """
+        self.charge(None)
         self._channel.abort(drops_sent=True)
 
     def on_message_begin(self) -> None:
--- a/packages/fleet/src/ibisport_fleet/overload/memory_budget.py
+++ b/packages/fleet/src/ibisport_fleet/overload/memory_budget.py
@@ -37,6 +37,7 @@
     unread = 'unread'
     request = 'request'
     answer = 'answer'
+    upstream = 'upstream'
 
 
 class _Share:
@@ -191,12 +192,13 @@
             self._budget.track(self)
 
     def grow(self, part: Part, size: int) -> None:
-        """Add bytes to a part.
+        """Add bytes to a part, or return them if negative.
 
         Raises:
             MemoryExhausted: There is no room; the part keeps its size.
         """
-        self.resize(part, self._parts[part] + size)
+        # Others may have got the bytes meanwhile.
+        self.resize(part, max(0, self._parts[part] + size))
 
     def assign(self, owner: str | None) -> None:
         """Count the bytes for a workspace."""
--- a/packages/fleet/src/ibisport_fleet/request_reader.py
+++ b/packages/fleet/src/ibisport_fleet/request_reader.py
@@ -256,7 +256,7 @@
         """Refuse a request that is incomplete, since others need the room."""
         self._error = build_no_room()
         self.drop()
-        self._channel.interrupt(self._error)
+        self._channel.interrupt(build_no_room)
 
     def drop(self) -> None:
         """Drop all that has arrived and wasn't returned."""
--- a/packages/fleet/src/ibisport_fleet/response_writer.py
+++ b/packages/fleet/src/ibisport_fleet/response_writer.py
@@ -77,7 +77,9 @@
     async def write_chunk(self, content: bytes) -> None:
         """Write a chunk of a stream, and wait while the caller reads slowly."""
         self._channel.write(b'%x\r\n%b\r\n' % (len(content), content))
-        await self._channel.drain()
+        if not self._channel.flushed:
+            with self._channel.memory.wait_for_peer(self._channel.abort):
+                await self._channel.drain()
 
     def end_stream(self) -> None:
         """Write the last chunk, which marks a stream as complete."""
--- a/packages/fleet/src/ibisport_fleet/sse.py
+++ b/packages/fleet/src/ibisport_fleet/sse.py
@@ -28,6 +28,11 @@
         """Whether a partial event is buffered."""
         return bool(self._partial)
 
+    @property
+    def partial_bytes(self) -> int:
+        """Number of bytes of the partial event."""
+        return len(self._partial)
+
     def feed(self, content: bytes) -> bytes:
         """Return the events that these bytes complete.
 
--- a/packages/fleet/src/ibisport_fleet/target_client.py
+++ b/packages/fleet/src/ibisport_fleet/target_client.py
@@ -15,6 +15,8 @@
 from ibisport_fleet.http_connection import HttpConnection
 from ibisport_fleet.http_messages import AnswerHead
 from ibisport_fleet.metadata import AnswerMetadata, Dialect, SendMetadata
+from ibisport_fleet.overload.answer_charge import PartCharge
+from ibisport_fleet.overload.memory_budget import Part
 from ibisport_fleet.rate_shares.target_limits import TargetLimits
 from ibisport_fleet.stream_versions.origin import permits
 from ibisport_fleet.target_choice import Candidate, TargetHealth
@@ -128,6 +130,10 @@
         except ConnectionFailed as error:
             health.record_failure(loop.time())
             return NotSent(repr(error), isinstance(error, NobodyListens))
+        # What the target sends counts for the caller until it has taken it.
+        memory = call.request.memory
+        memory.assign(None if call.workspace is None else call.workspace.name)
+        connection.charge(PartCharge(memory, Part.upstream))
         try:
             self._write_request(connection, call, candidate, last_event_id)
             return await self._read_answer(connection, call, health)
