--- a/features/steps/crowds.py
+++ b/features/steps/crowds.py
@@ -46,18 +46,18 @@
     listener: str = CALLERS
 
 
-def begin_request(request_id, framing, path='/read/x'):
+def begin_request(request_id, framing, path='/read/x', seconds=ANSWER_SECONDS):
     """Return the head of a caller's request with a line that states its framing."""
-    headers = encode_request_headers(request_id, KEY, (1, 9), ANSWER_SECONDS)
+    headers = encode_request_headers(request_id, KEY, (1, 9), seconds)
     headers.append((HOST, SITE_HOST.encode()))
     lines = b''.join(b'%b: %b\r\n' % pair for pair in headers)
     return f'POST {path} HTTP/1.1\r\n'.encode() + lines + framing + b'\r\n\r\n'
 
 
-def make_request(request_id, path='/read/x', length=1):
-    """Return a complete request."""
+def make_request(request_id, path='/read/x', length=1, seconds=ANSWER_SECONDS):
+    """Return a complete request that is to be answered within some seconds."""
     framing = b'Content-Length: %d' % length
-    return begin_request(request_id, framing, path) + b'x' * length
+    return begin_request(request_id, framing, path, seconds) + b'x' * length
 
 
 def _announce(length, path='/read/x'):
