--- a/packages/bench/src/ibisport_bench/soak/targets.py
+++ b/packages/bench/src/ibisport_bench/soak/targets.py
@@ -136,6 +136,7 @@
         faults: Its current faults.
         rate_limit: Requests per second that its answers advertise, or None.
         leaves: Whether its answers say that it leaves.
+        versions: Software versions of which a restart draws one.
     """
 
     def __init__(
@@ -149,7 +150,7 @@
         versions: Sequence[str] = VERSIONS,
     ) -> None:
         self._copies = copies
-        self._versions = versions
+        self.versions = versions
         self.name = entry.incarnation
         self.entry = entry
         self.link = link
@@ -175,7 +176,7 @@
         version = self.entry.software_version
         if number > 1:
             self.become_cold()
-            version = self._random.choice(self._versions)
+            version = self._random.choice(self.versions)
         self.entry = replace(
             self.entry,
             incarnation=f'{self.name}-{number}',
