Let callers of the soak give up, and check that nothing begins for them after

The soak froze routers and let callers leave their streams, but nobody left before an answer, and no check looked at what reached targets after that: that is why it missed GONE. Now one of ten callers gives up within 0.5 s, and the check GONE finds requests that reach targets over a second later, also behind a stop of the process; only a fault of the target's link excuses them.

--- a/packages/bench/src/ibisport_bench/soak/callers.py
+++ b/packages/bench/src/ibisport_bench/soak/callers.py
@@ -50,6 +50,9 @@
 PART_TOKENS = 10
 # Share of the streams that callers leave to take them up at another router.
 LEAVE_SHARE = 0.25
+# Share of the other requests that callers give up within this time, answered or not.
+GIVE_UP_SHARE = 0.1
+MAX_PATIENCE_SECONDS = 0.5
 RETURN_SECONDS = (0.002, 0.1)
 HTTP_OK = 200
 # Callers whose router is away, or that were refused, come back this often until they
@@ -103,6 +106,7 @@
         self._keys = keys
         self._journal = journal
         self._random = random.Random(f'callers {seed}')
+        self._patience_random = random.Random(f'patience {seed}')
         self._ids = itertools.count(1)
         self._seed = seed
         self._connections: dict[str, list[Connection]] = {
@@ -171,6 +175,8 @@
         kind = self._random.choices(KINDS, KIND_WEIGHTS)[0]
         workspace = self._random.choice(self._keys)[0]
         request = RequestRecord(self._make_id(), kind, '', workspace)
+        if self._patience_random.random() < GIVE_UP_SHARE:
+            request.patience = self._patience_random.uniform(0, MAX_PATIENCE_SECONDS)
         interval = round(self._random.uniform(*EVENT_INTERVAL_SECONDS), 3)
         if kind.streams:
             duration = self._random.uniform(MIN_STREAM_SECONDS, MAX_STREAM_SECONDS)
@@ -305,9 +311,10 @@
 
     async def _receive(self, connection: Connection, request: RequestRecord) -> bool:
         try:
-            async with asyncio.timeout(REQUEST_TIMEOUT_SECONDS):
+            async with asyncio.timeout(request.patience or REQUEST_TIMEOUT_SECONDS):
                 return await self._read(connection, request)
         except TimeoutError:
+            request.left = bool(request.patience)
             return False
         except CONNECTION_ERRORS:
             request.cut = True
--- a/packages/bench/src/ibisport_bench/soak/checks.py
+++ b/packages/bench/src/ibisport_bench/soak/checks.py
@@ -8,6 +8,7 @@
 
 from ibisport_bench.soak.analysis import RECOVERY_SECONDS, Evidence, Violation
 from ibisport_bench.soak.catalogue_checks import check_back, check_late
+from ibisport_bench.soak.departure_checks import check_gone
 from ibisport_bench.soak.evidence import (
     EVENT_END,
     NOT_EXECUTED_STATUSES,
@@ -360,6 +361,7 @@
     'RECOVER': check_recovery,
     'ORDER': check_order,
     'RESUME': check_resumed,
+    'GONE': check_gone,
 }
 
 
--- a/packages/bench/src/ibisport_bench/soak/evidence.py
+++ b/packages/bench/src/ibisport_bench/soak/evidence.py
@@ -101,6 +101,7 @@
             empty.
         after: The last event that the caller has of that stream.
         leave_after: Events after which the caller leaves; 0: it stays.
+        patience: Seconds after which the caller leaves; 0: it stays.
         left: Whether the caller itself has left.
         parts: Ids of the parts of its prompt, in order.
     """
@@ -124,6 +125,7 @@
     resumes: str = ''
     after: int = 0
     leave_after: int = 0
+    patience: float = 0.0
     left: bool = False
     parts: tuple[str, ...] = ()
 
