--- a/packages/bench/src/ibisport_bench/soak/callers.py
+++ b/packages/bench/src/ibisport_bench/soak/callers.py
@@ -175,8 +175,7 @@
         kind = self._random.choices(KINDS, KIND_WEIGHTS)[0]
         workspace = self._random.choice(self._keys)[0]
         request = RequestRecord(self._make_id(), kind, '', workspace)
-        if self._patience_random.random() < GIVE_UP_SHARE:
-            request.patience = self._patience_random.uniform(0, MAX_PATIENCE_SECONDS)
+        request.gives_up = self._patience_random.random() < GIVE_UP_SHARE
         interval = round(self._random.uniform(*EVENT_INTERVAL_SECONDS), 3)
         if kind.streams:
             duration = self._random.uniform(MIN_STREAM_SECONDS, MAX_STREAM_SECONDS)
@@ -311,10 +310,10 @@
 
     async def _receive(self, connection: Connection, request: RequestRecord) -> bool:
         try:
-            async with asyncio.timeout(request.patience or REQUEST_TIMEOUT_SECONDS):
+            async with asyncio.timeout(self._find_time_limit(request)):
                 return await self._read(connection, request)
         except TimeoutError:
-            request.left = bool(request.patience)
+            request.left = request.gives_up
             return False
         except CONNECTION_ERRORS:
             request.cut = True
@@ -322,6 +321,13 @@
         finally:
             request.ended = read_clock()
 
+    def _find_time_limit(self, request: RequestRecord) -> float:
+        """Return the seconds for which the caller waits from now on."""
+        if request.gives_up:
+            patience = self._patience_random.uniform(0, MAX_PATIENCE_SECONDS)
+            request.leaves_at = request.sent + patience
+        return min(request.leaves_at - read_clock(), REQUEST_TIMEOUT_SECONDS)
+
     async def _read(self, connection: Connection, request: RequestRecord) -> bool:
         head = await read_head(connection.reader)
         request.status = head.status
--- a/packages/bench/src/ibisport_bench/soak/evidence.py
+++ b/packages/bench/src/ibisport_bench/soak/evidence.py
@@ -101,7 +101,8 @@
             empty.
         after: The last event that the caller has of that stream.
         leave_after: Events after which the caller leaves; 0: it stays.
-        patience: Seconds after which the caller leaves; 0: it stays.
+        gives_up: Whether the caller leaves soon, answered or not.
+        leaves_at: Clock at which it does.
         left: Whether the caller itself has left.
         parts: Ids of the parts of its prompt, in order.
     """
@@ -125,7 +126,8 @@
     resumes: str = ''
     after: int = 0
     leave_after: int = 0
-    patience: float = 0.0
+    gives_up: bool = False
+    leaves_at: float = math.inf
     left: bool = False
     parts: tuple[str, ...] = ()
 
