Ask no closed socket for its state

Cause: since the log line of a caller that left asks its socket for the time of the last packet; after a reset the transport has closed it.

--- a/features/departedcallers.feature
+++ b/features/departedcallers.feature
@@ -9,14 +9,17 @@
     When a router stands still while 400 callers send requests and three of four leave
     Then no request reaches a target half a second after its caller has left
     And all callers that stayed are answered
+    And no task of the router has failed
 
   Scenario: Requests behind the first are not run for callers that have left
     Given targets that take 4 s to answer
     When 400 callers leave after 1 s, with more requests sent behind their first
     Then no request reaches a target half a second after its caller has left
     And no target works half a second later on a request whose caller has left
+    And no task of the router has failed
 
   Scenario: A body that its target has not read is not delivered after its caller has left
     Given targets that read nothing for 2 s
     When 4 callers with bodies of 3 MiB leave after 1 s
     Then no request reaches a target half a second after its caller has left
+    And no task of the router has failed
--- a/features/steps/departedcallers_steps.py
+++ b/features/steps/departedcallers_steps.py
@@ -42,11 +42,13 @@
         journal: What targets saw.
         left: Clock at which the caller of each request left.
         stayed: Whether each caller that stayed was answered.
+        failures: Lines of the router's log on tasks that failed.
     """
 
     journal: Journal
     left: dict[str, float] = field(default_factory=dict)
     stayed: list[bool] = field(default_factory=list)
+    failures: list[str] = field(default_factory=list)
 
 
 @contextlib.asynccontextmanager
@@ -66,6 +68,8 @@
             for host in site.hosts:
                 host.kill()
                 await host.wait(EXIT_SECONDS)
+            lines = (Path(folder) / 'router-1.log').read_text().splitlines()
+            evidence.failures = [line for line in lines if 'task_failed' in line]
 
 
 class Caller:
@@ -228,3 +232,8 @@
 def check_stayed(context):
     stayed = context.evidence.stayed
     assert stayed and all(stayed), f'{sum(stayed)} of {len(stayed)}'
+
+
+@then('no task of the router has failed')
+def check_tasks(context):
+    assert not context.evidence.failures, context.evidence.failures[:3]
--- a/packages/fleet/src/ibisport_fleet/socket_state.py
+++ b/packages/fleet/src/ibisport_fleet/socket_state.py
@@ -37,9 +37,9 @@
         raw: The socket, or None for a connection without one.
 
     Returns:
-        The seconds; None where the system doesn't tell.
+        The seconds; None for a closed socket, or where the system doesn't tell.
     """
-    if raw is None:
+    if raw is None or raw.fileno() < 0:
         return None
     try:
         info = raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
