--- a/features/steps/laterequests_steps.py
+++ b/features/steps/laterequests_steps.py
@@ -13,7 +13,7 @@
 
 from ibisport_bench.soak.evidence import NOT_EXECUTED_STATUSES, Journal, read_clock
 from ibisport_bench.soak.http_messages import MessageInvalid, read_head, skip_body
-from ibisport_bench.soak.run import open_site
+from ibisport_bench.soak.run import MAX_EXIT_SECONDS, open_site
 from ibisport_bench.soak.site import GRACE_SECONDS, Site
 
 SEED = 1
@@ -61,7 +61,7 @@
     Attributes:
         journal: What targets saw.
         requests: All requests after the signal.
-        killed: Whether the process ran on after its grace time.
+        killed: Whether the process ran on for twice its grace time.
     """
 
     journal: Journal
@@ -144,7 +144,7 @@
     router = site.routers[0]
     callers = Callers(router.settings.callers_address, evidence)
     await callers.connect()
-    stopping = asyncio.ensure_future(router.stop(GRACE_SECONDS))
+    stopping = asyncio.ensure_future(router.stop(MAX_EXIT_SECONDS))
     await callers.press(read_clock(), router)
     await stopping
     evidence.killed = router.start.killed
