Answer clients that close their sending half what needs no work

A check that does so would have taken a sound router out of rotation.

Cause: asked for the end of a connection for every request that was read, also where no work follows. The operating system doesn't tell a closed half from a caller that has left.

Change: CallHandler asks after admission, before tokens are reserved, through the same method as TargetClient (Call.check_caller). Readers ask only for relays and other routers, whose peers are our own processes and keep their halves open.

--- a/features/departedcallers.feature
+++ b/features/departedcallers.feature
@@ -23,3 +23,7 @@
     When 4 callers with bodies of 3 MiB leave after 1 s
     Then no request reaches a target half a second after its caller has left
     And no task of the router has failed
+
+  Scenario: Clients that close their sending half get what is answered at once
+    When clients send checks, scrapes and a request without a route, and close their sending half
+    Then all of them are answered
--- a/features/steps/departedcallers_steps.py
+++ b/features/steps/departedcallers_steps.py
@@ -204,6 +204,31 @@
     context.evidence = asyncio.run(leave_early(context.harm, count, length))
 
 
+async def close_halves():
+    """Send requests, each on a connection whose sending half is closed after it."""
+    async with run_site() as (site, evidence):
+        settings = site.routers[0].settings
+        for address, path in (
+            (settings.readiness_address, 'ready'),
+            (settings.metrics_address, 'metrics'),
+            (settings.callers_address, 'none'),
+        ):
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(f'GET /{path} HTTP/1.1\r\nHost: x\r\n\r\n'.encode())
+            writer.write_eof()
+            evidence.stayed.append(bool(await reader.read()))
+            writer.close()
+        return evidence
+
+
+@when(
+    'clients send checks, scrapes and a request without a route, '
+    'and close their sending half'
+)
+def send_and_close_halves(context):
+    context.evidence = asyncio.run(close_halves())
+
+
 @then('no request reaches a target half a second after its caller has left')
 def check_arrivals(context):
     evidence = context.evidence
@@ -229,6 +254,7 @@
 
 
 @then('all callers that stayed are answered')
+@then('all of them are answered')
 def check_stayed(context):
     stayed = context.evidence.stayed
     assert stayed and all(stayed), f'{sum(stayed)} of {len(stayed)}'
--- a/features/steps/parsingturns_steps.py
+++ b/features/steps/parsingturns_steps.py
@@ -40,8 +40,6 @@
 class _Channel:
     """A connection on which all bytes have arrived."""
 
-    peer_left = False
-
     def __init__(self, content):
         self.memory = MemoryUse()
         starts = range(0, len(content), PIECE_BYTES)
--- a/packages/fleet/src/ibisport_fleet/call_handler.py
+++ b/packages/fleet/src/ibisport_fleet/call_handler.py
@@ -130,6 +130,7 @@
         forwarder: RequestForwarder | None = None
         try:
             async with self._limit_time(call):
+                call.check_caller()
                 await self._resolve_origin(call)
                 forwarder = self._build_forwarder(call, response)
                 await self._reserve_and_forward(call, forwarder)
@@ -262,14 +263,6 @@
         else:
             recorder.record_caller_left(call, events)
 
-    def record_departure(self, request: Request) -> None:
-        """Record a request whose caller had left when it was read."""
-        try:
-            request_id = self._dependencies.dialect.decode_request(request).request_id
-        except RequestInvalid:
-            request_id = ''
-        self._dependencies.recorder.record_departure(request, request_id)
-
     def record_refusal(self, request_id: str, status: int, reason: str) -> None:
         """Record a request that was refused before it had a route."""
         catalogue = self._dependencies.catalogue.current
--- a/packages/fleet/src/ibisport_fleet/caller_server.py
+++ b/packages/fleet/src/ibisport_fleet/caller_server.py
@@ -45,9 +45,7 @@
         self._handler = handler
         self._catalogue = catalogue
         self._dialect = dialect
-        self._intake = Intake(
-            handler.identify, resources.turns, handler.record_departure
-        )
+        self._intake = Intake(handler.identify, resources.turns)
         bounds = resources.bound_listener(CALLERS_SHARE)
         self.connections = ConnectionTasks(self._serve, 'caller', log, bounds)
 
--- a/packages/fleet/src/ibisport_fleet/calls.py
+++ b/packages/fleet/src/ibisport_fleet/calls.py
@@ -9,6 +9,7 @@
 
 from ibisport_fleet.addresses import Address
 from ibisport_fleet.catalogue import Route, Workspace
+from ibisport_fleet.errors import CallerLeft
 from ibisport_fleet.http_messages import Request
 from ibisport_fleet.metadata import RequestMetadata, RunCopy
 from ibisport_fleet.quarantine.keys import PART_PREFIX
@@ -109,6 +110,18 @@
             return self.route.rank
         return self.workspace.rank * ROUTE_RANKS + min(self.route.rank, ROUTE_RANKS - 1)
 
+    def check_caller(self) -> None:
+        """Check that the caller waits for an answer.
+
+        The event loop may not have read the end of its connection yet: it reads all
+        bytes before it first, and a process that was held up reads both at once.
+
+        Raises:
+            CallerLeft: The caller has closed its connection.
+        """
+        if self.request.caller.peer_left:
+            raise CallerLeft
+
     def remaining_seconds(self, now: float) -> float:
         """Return the seconds until the deadline."""
         return self.deadline - now
--- a/packages/fleet/src/ibisport_fleet/overload/intake.py
+++ b/packages/fleet/src/ibisport_fleet/overload/intake.py
@@ -11,10 +11,6 @@
     """Accept a request without a look at its head."""
 
 
-def _drop_silently(request: Request) -> None:
-    """Drop a request without a record."""
-
-
 @dataclass(frozen=True, slots=True)
 class Intake:
     """How requests are accepted while they arrive.
@@ -23,9 +19,10 @@
         identify: Returns the workspace of a request with a large body from its head,
             or None; it raises RequestInvalid if the request will be refused.
         turns: Lets costly connections take turns.
-        record_departure: Records a complete request whose peer has left.
+        drops_departed: Whether requests are dropped whose peers have closed their
+            sending half: peers that keep it open until they have their answer.
     """
 
     identify: Callable[[Request], str | None] = _accept_unidentified
     turns: ParsingTurns = field(default_factory=ParsingTurns)
-    record_departure: Callable[[Request], None] = _drop_silently
+    drops_departed: bool = False
--- a/packages/fleet/src/ibisport_fleet/peers.py
+++ b/packages/fleet/src/ibisport_fleet/peers.py
@@ -102,7 +102,7 @@
             log: Event log for connection failures.
         """
         self._handlers = handlers
-        self._intake = Intake(turns=resources.turns)
+        self._intake = Intake(turns=resources.turns, drops_departed=True)
         bounds = resources.bound_listener(ROUTERS_SHARE)
         self.connections = ConnectionTasks(self._serve, 'peers', log, bounds)
 
--- a/packages/fleet/src/ibisport_fleet/relay.py
+++ b/packages/fleet/src/ibisport_fleet/relay.py
@@ -129,7 +129,7 @@
         self._idle_connections: list[HttpConnection] = []
         self._draining = False
         resources = Resources(settings.resources)
-        self._intake = Intake(turns=resources.turns)
+        self._intake = Intake(turns=resources.turns, drops_departed=True)
         bounds = resources.bound_listener(CALLERS_SHARE)
         self.connections = ConnectionTasks(self._serve, 'relay', log, bounds)
         self.in_flight = 0
--- a/packages/fleet/src/ibisport_fleet/request_reader.py
+++ b/packages/fleet/src/ibisport_fleet/request_reader.py
@@ -82,7 +82,8 @@
     async def read(self) -> Request | None:
         """Return the next request, or None once the caller has closed the connection.
 
-        A request isn't returned if its caller has closed the connection by then.
+        Where the intake says so, a request isn't returned if its peer has closed the
+        connection by then.
 
         Raises:
             RequestInvalid: The bytes are no valid request, exceed the limits, or found
@@ -101,9 +102,8 @@
                 raise
         if not self._complete_requests:
             return None
-        if self._channel.peer_left:
+        if self._intake.drops_departed and self._channel.peer_left:
             # Its end may lie unread behind the request; nobody waits for the answer.
-            self._intake.record_departure(self._complete_requests[0][0])
             self.drop()
             return None
         request, self._returned_bytes = self._complete_requests.popleft()
--- a/packages/fleet/src/ibisport_fleet/request_recorder.py
+++ b/packages/fleet/src/ibisport_fleet/request_recorder.py
@@ -6,7 +6,6 @@
 from ibisport_fleet.budgets import TokensUnavailable
 from ibisport_fleet.calls import Call
 from ibisport_fleet.event_log import Event, EventLog
-from ibisport_fleet.http_messages import Request
 from ibisport_fleet.metrics import Metrics
 from ibisport_fleet.placing.change_log import ChangeLog
 from ibisport_fleet.placing.pace import ServicePace
@@ -324,18 +323,6 @@
             _name_workspace(call), call.route.name, OUTCOME_CALLER_LEFT
         )
 
-    def record_departure(self, request: Request, request_id: str) -> None:
-        """Record a request whose caller had left before it was looked at."""
-        self._log.write(
-            Event.request_left,
-            request=request_id,
-            seconds=0.0,
-            events=0,
-            sends=0,
-            since_packet=request.caller.end_age,
-        )
-        self._metrics.count_request(None, '', OUTCOME_CALLER_LEFT)
-
     def record_interrupted(self, call: Call, events: int, stopping_at: float) -> None:
         """Record a request that was still running when the process ended.
 
--- a/packages/fleet/src/ibisport_fleet/target_client.py
+++ b/packages/fleet/src/ibisport_fleet/target_client.py
@@ -154,7 +154,7 @@
 
     async def _connect(self, candidate: Candidate, call: Call) -> HttpConnection:
         address = candidate.entry.address
-        _check_caller(call)
+        call.check_caller()
         pooled = self._pool.acquire_idle(address)
         if pooled is not None:
             return pooled
@@ -163,7 +163,7 @@
             address, min(call.deadline, now + CONNECT_TIMEOUT_SECONDS)
         )
         try:
-            _check_caller(call)
+            call.check_caller()
         except CallerLeft:
             self._pool.release(connection, None)
             raise
@@ -243,16 +243,3 @@
         if answered.succeeded and not (metadata.signed and metadata.request_id):
             raise ConnectionBroken('a success without a signature')
         return answered
-
-
-def _check_caller(call: Call) -> None:
-    """Check that the caller waits for an answer.
-
-    The event loop may not have read the end of its connection yet: it reads all bytes
-    before it first, and a process that was held up reads both at once.
-
-    Raises:
-        CallerLeft: The caller has closed its connection.
-    """
-    if call.request.caller.peer_left:
-        raise CallerLeft
