Say why the departed callers' tests fail; name the age of a packet as what it is

The scenario of bodies that aren't delivered would have passed had nothing been sent: it now checks that the router had chosen a target for each. No bound and no check is changed otherwise.

end_age was the age of the last packet, not of an end (packet_age); what was read last from a connection was called processed (returned, as in RequestReader).

--- a/features/departedcallers.feature
+++ b/features/departedcallers.feature
@@ -21,7 +21,8 @@
   Scenario: A body that its target has not read is not delivered after its caller has left
     Given targets that read nothing for 2 s
     When 4 callers with bodies of 3 MiB leave after 1 s
-    Then no request reaches a target half a second after its caller has left
+    Then the router had begun to send them
+    And no request reaches a target half a second after its caller has left
     And no task of the router has failed
 
   Scenario: Clients that close their sending half get what is answered at once
--- a/features/steps/departedcallers_steps.py
+++ b/features/steps/departedcallers_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import signal
 import socket
 import struct
@@ -31,6 +32,9 @@
 BYTES_BEHIND = 40_000
 # By then the first requests have been read.
 BEHIND_SECONDS = 0.3
+SENT = '"request_sent"'
+# Of the log of a router that didn't answer.
+LOG_LINES = 20
 RESET = struct.pack('ii', 1, 0)
 
 
@@ -43,12 +47,14 @@
         left: Clock at which the caller of each request left.
         stayed: Whether each caller that stayed was answered.
         failures: Lines of the router's log on tasks that failed.
+        sent: Requests of callers that left for which the router chose a target.
     """
 
     journal: Journal
     left: dict[str, float] = field(default_factory=dict)
     stayed: list[bool] = field(default_factory=list)
     failures: list[str] = field(default_factory=list)
+    sent: set[str] = field(default_factory=set)
 
 
 @contextlib.asynccontextmanager
@@ -60,16 +66,24 @@
         try:
             await open_site(site)
             # The router keeps connections to targets for reuse.
-            await asyncio.gather(
+            answered = await asyncio.gather(
                 *(Caller(site, f'first-{n}').ask() for n in range(WARM_UP_CALLERS))
             )
+            assert all(answered), read_log(folder)[-LOG_LINES:]
             yield site, evidence
         finally:
             for host in site.hosts:
                 host.kill()
                 await host.wait(EXIT_SECONDS)
-            lines = (Path(folder) / 'router-1.log').read_text().splitlines()
+            lines = read_log(folder)
             evidence.failures = [line for line in lines if 'task_failed' in line]
+            sent = {json.loads(line)['request'] for line in lines if SENT in line}
+            evidence.sent = sent & set(evidence.left)
+
+
+def read_log(folder):
+    """Return the lines of the router's log."""
+    return (Path(folder) / 'router-1.log').read_text().splitlines()
 
 
 class Caller:
@@ -263,3 +277,9 @@
 @then('no task of the router has failed')
 def check_tasks(context):
     assert not context.evidence.failures, context.evidence.failures[:3]
+
+
+@then('the router had begun to send them')
+def check_sent(context):
+    evidence = context.evidence
+    assert evidence.sent == set(evidence.left), (evidence.sent, evidence.left)
--- a/packages/fleet/src/ibisport_fleet/channel.py
+++ b/packages/fleet/src/ibisport_fleet/channel.py
@@ -19,7 +19,11 @@
 )
 from ibisport_fleet.overload.answer_charge import ArrivalCharge
 from ibisport_fleet.overload.memory_budget import MemoryExhausted, MemoryUse, Part
-from ibisport_fleet.socket_state import has_peer_ended, measure_end_age, reset_on_close
+from ibisport_fleet.socket_state import (
+    has_peer_ended,
+    measure_packet_age,
+    reset_on_close,
+)
 
 # Above this many unread bytes reading is paused, so that a single connection can't
 # exhaust the memory of the process.
@@ -70,7 +74,7 @@
         self._transport: asyncio.Transport | None = None
         self._unread: deque[bytes] = deque()
         self._unread_bytes = 0
-        self._processed_bytes = 0
+        self._returned_bytes = 0
         self._ended = False
         self._failure: BaseException | None = None
         self._reading_paused = False
@@ -93,9 +97,9 @@
         return self._ended or has_peer_ended(self._socket)
 
     @property
-    def end_age(self) -> float | None:
+    def packet_age(self) -> float | None:
         """Seconds since the last packet of the peer, if the system tells."""
-        return measure_end_age(self._socket)
+        return measure_packet_age(self._socket)
 
     @property
     def has_unread(self) -> bool:
@@ -159,7 +163,7 @@
         Raises:
             ConnectionBroken: The connection was reset.
         """
-        self._processed_bytes = 0
+        self._returned_bytes = 0
         while not self._unread:
             self._count_arrived()
             if self._interruption is not None:
@@ -172,7 +176,7 @@
             await self._read_waiter
         data = self._unread.popleft()
         self._unread_bytes -= len(data)
-        self._processed_bytes = len(data)
+        self._returned_bytes = len(data)
         if self._unread_bytes <= self._max_unread_bytes // 2:
             self._resume_reading()
         return data
@@ -232,7 +236,7 @@
         if self.charge is None:
             return
         try:
-            self.charge.update(self._unread_bytes + self._processed_bytes)
+            self.charge.update(self._unread_bytes + self._returned_bytes)
         except MemoryExhausted:
             self.interrupt(partial(MemoryExhausted, 'no room for what a peer sends'))
             self._end(None)
--- a/packages/fleet/src/ibisport_fleet/http_messages.py
+++ b/packages/fleet/src/ibisport_fleet/http_messages.py
@@ -32,7 +32,7 @@
         """Whether the caller has closed the connection, read or not."""
 
     @property
-    def end_age(self) -> float | None:
+    def packet_age(self) -> float | None:
         """Seconds since the last packet of the caller, if the system tells."""
 
 
@@ -41,7 +41,7 @@
     """A caller that never leaves."""
 
     peer_left: bool = False
-    end_age: float | None = None
+    packet_age: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/fleet/src/ibisport_fleet/request_recorder.py
+++ b/packages/fleet/src/ibisport_fleet/request_recorder.py
@@ -317,7 +317,7 @@
             events=events,
             sends=call.attempts,
             target=call.target,
-            since_packet=call.request.caller.end_age,
+            since_packet=call.request.caller.packet_age,
         )
         self._metrics.count_request(
             _name_workspace(call), call.route.name, OUTCOME_CALLER_LEFT
--- a/packages/fleet/src/ibisport_fleet/socket_state.py
+++ b/packages/fleet/src/ibisport_fleet/socket_state.py
@@ -30,8 +30,10 @@
     return any(events & END_EVENTS for _, events in poller.poll(0))
 
 
-def measure_end_age(raw: socket.socket | None) -> float | None:
-    """Return the seconds since the last packet of the peer, which closed in order.
+def measure_packet_age(raw: socket.socket | None) -> float | None:
+    """Return the seconds since the last packet of the peer.
+
+    After a close in order, that is the end of the connection.
 
     Args:
         raw: The socket, or None for a connection without one.
