--- a/features/steps/departedcallers_steps.py
+++ b/features/steps/departedcallers_steps.py
@@ -75,10 +75,15 @@
             for host in site.hosts:
                 host.kill()
                 await host.wait(EXIT_SECONDS)
-            lines = read_log(folder)
-            evidence.failures = [line for line in lines if 'task_failed' in line]
-            sent = {json.loads(line)['request'] for line in lines if SENT in line}
-            evidence.sent = sent & set(evidence.left)
+            read_evidence(folder, evidence)
+
+
+def read_evidence(folder, evidence):
+    """Add what the router's log tells."""
+    lines = read_log(folder)
+    evidence.failures = [line for line in lines if 'task_failed' in line]
+    sent = {json.loads(line)['request'] for line in lines if SENT in line}
+    evidence.sent = sent & set(evidence.left)
 
 
 def read_log(folder):
