--- a/packages/fleet/src/ibisport_fleet/caller_server.py
+++ b/packages/fleet/src/ibisport_fleet/caller_server.py
@@ -7,7 +7,7 @@
 from ibisport_fleet.channel import Channel
 from ibisport_fleet.connection_tasks import ConnectionTasks
 from ibisport_fleet.errors import CallerLeft, ConnectionBroken, RequestInvalid
-from ibisport_fleet.event_log import EventLog
+from ibisport_fleet.event_log import Event, EventLog
 from ibisport_fleet.fleet_view import CatalogueView
 from ibisport_fleet.metadata import Dialect
 from ibisport_fleet.overload.intake import Intake
@@ -45,6 +45,7 @@
         self._handler = handler
         self._catalogue = catalogue
         self._dialect = dialect
+        self._log = log
         self._intake = Intake(handler.identify, resources.turns)
         bounds = resources.bound_listener(CALLERS_SHARE)
         self.connections = ConnectionTasks(self._serve, 'caller', log, bounds)
@@ -86,6 +87,7 @@
                 reader, channel, idle_until + IDLE_MARGIN_SECONDS
             )
         if request is None:
+            self._record_idle(channel, limits)
             return False
         response = self._create_response(channel)
         response.closing = not request.keeps_open
@@ -94,6 +96,16 @@
             flushed = await flush(channel, limits.idle_seconds)
         return flushed and not response.closing
 
+    def _record_idle(self, channel: Channel, limits: Limits) -> None:
+        """Record that a connection is closed since no request arrived in time."""
+        if not channel.ended:
+            self._log.write(
+                Event.connection_idle,
+                limit=limits.idle_seconds,
+                newest_limit=self._current_limits().idle_seconds,
+                unread=channel.has_unread,
+            )
+
     def _create_response(self, channel: Channel) -> ResponseWriter:
         standby = self._handler.standby
         return ResponseWriter(
--- a/packages/fleet/src/ibisport_fleet/event_log.py
+++ b/packages/fleet/src/ibisport_fleet/event_log.py
@@ -65,6 +65,7 @@
     quarantine_lifted = 2409
     quarantine_unsaved = 2410
     part_probed = 2411
+    connection_idle = 2412
     request_queued = 2420
     request_not_queued = 2421
     stream_continued = 2430
--- a/packages/fleet/src/ibisport_fleet/fleet_view.py
+++ b/packages/fleet/src/ibisport_fleet/fleet_view.py
@@ -64,6 +64,7 @@
             revision=catalogue.revision,
             routes=len(catalogue.routes),
             size=len(item.content),
+            idle_seconds=catalogue.limits.idle_seconds,
         )
 
 
