Answer requests whose handling raises an error that no code expects

What callers saw: a request that was read whole ended with its connection, without an answer or a refusal, and the log named neither the request nor the place. One absurd number in a target's entry (slots of 10^400) did that to every request of its service.

Cause: nothing between a caller's request and the task of its connection answered for an error of an unexpected type. ConnectionTasks logged it and closed the connection in order.

Change: CallHandler answers: 503 with Retry-After if the request has not been sent to a target, 502 if it may have run, a reset in the middle of an answer, nothing more after a whole one. The connection to the target is closed, tokens are settled (in full where they can't be counted), 2413 request_error names the request and the place. Answers to failures moved into a module of their own. A connection whose task fails is reset.

--- a/packages/fleet/src/ibisport_fleet/call_handler.py
+++ b/packages/fleet/src/ibisport_fleet/call_handler.py
@@ -10,8 +10,11 @@
 from ibisport_fleet.calls import Call, draw_jittered_delay
 from ibisport_fleet.dependencies import Dependencies, ServiceState
 from ibisport_fleet.errors import CallerLeft, RequestInvalid
+from ibisport_fleet.failure_answers import FailureAnswers
 from ibisport_fleet.forwarding import RequestForwarder
 from ibisport_fleet.http_messages import Request
+from ibisport_fleet.ledger import Reservation
+from ibisport_fleet.metadata import RequestMetadata
 from ibisport_fleet.overload.memory_budget import MemoryExhausted
 from ibisport_fleet.placing.pace import ServicePace
 from ibisport_fleet.prompt_mix import PromptMix
@@ -23,9 +26,8 @@
 from ibisport_fleet.standby.monitor import Standby, Surroundings
 from ibisport_fleet.stream_versions.directory import Found, NotFound
 from ibisport_fleet.stream_versions.origin import Begun, Unknown
-from ibisport_fleet.target_selection import STATUS_BAD_GATEWAY, RequestFailed
+from ibisport_fleet.target_selection import RequestFailed
 
-STATUS_PAYMENT_REQUIRED = 402
 STATUS_UNAVAILABLE = 503
 STATUS_TIMEOUT = 504
 UNANSWERED_RETRY_AFTER_SECONDS = 0.25
@@ -61,6 +63,7 @@
             enabled=Feature.standby in dependencies.settings.features,
         )
         dependencies.budgets.contact.on_answer = self.standby.record_contact
+        self._failures = FailureAnswers(dependencies.recorder, self.standby)
         self.gate = self._build_gate()
 
     @property
@@ -89,6 +92,17 @@
         Raises:
             RequestInvalid: The request would be refused as soon as it is complete.
         """
+        try:
+            return self._identify(head)
+        except RequestInvalid:
+            raise
+        except Exception as error:
+            refusal = self._failures.refuse_unforeseen('', error)
+            raise RequestInvalid(
+                refusal.status, refusal.reason, refusal.reason, refusal.retry_after
+            ) from None
+
+    def _identify(self, head: Request) -> str | None:
         dependencies = self._dependencies
         metadata = dependencies.dialect.decode_request(head)
         try:
@@ -105,24 +119,34 @@
         return None if call.workspace is None else call.workspace.name
 
     async def _handle(self, request: Request, response: ResponseWriter) -> None:
-        dependencies = self._dependencies
+        request_id = ''
         try:
-            metadata = dependencies.dialect.decode_request(request)
-        except RequestInvalid as error:
-            response.refuse(error.status, error.code, None, None)
-            return
-        try:
-            call = admit(
-                request, metadata, dependencies.catalogue.current, self._shutdown
-            )
-        except Refused as refusal:
-            self.record_refusal(metadata.request_id, refusal.status, refusal.reason)
-            self.standby.record_refusal(refusal)
+            metadata = self._dependencies.dialect.decode_request(request)
+            request_id = metadata.request_id
+            call = self._admit(request, metadata)
+        except RequestInvalid as invalid:
+            response.refuse(invalid.status, invalid.code, None, None)
+        except Exception as error:
+            refusal = self._find_refusal(request_id, error)
             response.refuse(
-                refusal.status, refusal.reason, metadata.request_id, refusal.retry_after
+                refusal.status, refusal.reason, request_id or None, refusal.retry_after
             )
-            return
-        await self._serve_before_deadline(call, response)
+        else:
+            await self._serve_before_deadline(call, response)
+
+    def _find_refusal(self, request_id: str, error: Exception) -> Refused:
+        """Return the refusal of a request that wasn't admitted."""
+        match error:
+            case Refused():
+                self.record_refusal(request_id, error.status, error.reason)
+                self.standby.record_refusal(error)
+                return error
+            case _:
+                return self._failures.refuse_unforeseen(request_id, error)
+
+    def _admit(self, request: Request, metadata: RequestMetadata) -> Call:
+        catalogue = self._dependencies.catalogue.current
+        return admit(request, metadata, catalogue, self._shutdown)
 
     async def _serve_before_deadline(
         self, call: Call, response: ResponseWriter
@@ -134,14 +158,24 @@
                 await self._resolve_origin(call)
                 forwarder = self._build_forwarder(call, response)
                 await self._reserve_and_forward(call, forwarder)
-        except (TokensUnavailable, RequestFailed, MemoryExhausted) as error:
-            self._answer_error(call, response, error)
-        except TimeoutError:
-            self._answer_failure(call, response, self._build_timeout_failure(call))
         except (asyncio.CancelledError, CallerLeft):
             events = 0 if forwarder is None else forwarder.forwarded_events
             self._record_interruption(call, events)
             raise
+        except Exception as error:
+            self._answer_error(call, response, error)
+
+    def _answer_error(
+        self, call: Call, response: ResponseWriter, error: Exception
+    ) -> None:
+        match error:
+            case TokensUnavailable() | RequestFailed() | MemoryExhausted():
+                self._failures.answer(call, response, error)
+            case TimeoutError():
+                failure = self._build_timeout_failure(call)
+                self._failures.answer(call, response, failure)
+            case _:
+                self._failures.answer_unforeseen(call, response, error)
 
     async def _resolve_origin(self, call: Call) -> None:
         """Bind a request that resumes a stream to the software that began it.
@@ -188,9 +222,19 @@
         try:
             await forwarder.run()
         finally:
+            self._settle(call, forwarder, reservation)
+
+    def _settle(
+        self, call: Call, forwarder: RequestForwarder, reservation: Reservation
+    ) -> None:
+        """Charge a request, in full if its tokens can't be counted."""
+        dependencies = self._dependencies
+        reservation.spent = reservation.tokens
+        try:
             reservation.spent = forwarder.count_tokens()
-            self._dependencies.recorder.record_charged(call, reservation.spent)
-            budgets.settle(reservation)
+            dependencies.recorder.record_charged(call, reservation.spent)
+        finally:
+            dependencies.budgets.settle(reservation)
 
     @contextlib.asynccontextmanager
     async def _limit_time(self, call: Call) -> AsyncIterator[None]:
@@ -215,46 +259,6 @@
         )
         return RequestFailed(status, 'leaving', retry_after)
 
-    def _answer_error(
-        self,
-        call: Call,
-        response: ResponseWriter,
-        error: TokensUnavailable | RequestFailed | MemoryExhausted,
-    ) -> None:
-        match error:
-            case TokensUnavailable():
-                self._refuse_for_budget(call, response, error)
-            case RequestFailed():
-                self._answer_failure(call, response, error)
-            case MemoryExhausted():
-                failure = RequestFailed(STATUS_BAD_GATEWAY, 'no_memory')
-                self._answer_failure(call, response, failure)
-
-    def _refuse_for_budget(
-        self, call: Call, response: ResponseWriter, error: TokensUnavailable
-    ) -> None:
-        spent = error.retry_after is None
-        status = STATUS_PAYMENT_REQUIRED if spent else STATUS_UNAVAILABLE
-        self._dependencies.recorder.record_budget_refusal(call, status, error)
-        self.standby.record_refusal(error, call)
-        response.refuse(status, 'budget', call.metadata.request_id, error.retry_after)
-
-    def _answer_failure(
-        self, call: Call, response: ResponseWriter, failure: RequestFailed
-    ) -> None:
-        self._dependencies.recorder.record_failed(
-            call, failure.status, failure.reason, response.head_sent
-        )
-        if response.head_sent:
-            response.abort()
-            return
-        response.refuse(
-            failure.status,
-            failure.reason,
-            call.metadata.request_id,
-            failure.retry_after,
-        )
-
     def _record_interruption(self, call: Call, events: int) -> None:
         """Record that the caller disconnected, or that the process ended first."""
         recorder = self._dependencies.recorder
--- a/packages/fleet/src/ibisport_fleet/connection_tasks.py
+++ b/packages/fleet/src/ibisport_fleet/connection_tasks.py
@@ -7,7 +7,7 @@
 from weakref import WeakSet
 
 from ibisport_fleet.channel import Channel
-from ibisport_fleet.event_log import Event, EventLog
+from ibisport_fleet.event_log import Event, EventLog, find_place
 from ibisport_fleet.overload.memory_budget import MemoryBudget, MemoryUse
 from ibisport_fleet.overload.waiting import WaitingConnections
 
@@ -90,6 +90,10 @@
     async def _run(self, channel: Channel) -> None:
         try:
             await self._serve(channel)
+        except Exception:
+            # Part of an answer must not look complete.
+            channel.abort()
+            raise
         finally:
             channel.memory.release()
             channel.close()
@@ -100,8 +104,12 @@
             return
         failure = task.exception()
         if failure is not None:
-            reason = repr(failure)
-            self._log.write(Event.task_failed, task=self._name, reason=reason)
+            self._log.write(
+                Event.task_failed,
+                task=self._name,
+                reason=repr(failure),
+                place=find_place(failure),
+            )
 
 
 def _cancel(task: asyncio.Task[None]) -> None:
--- a/packages/fleet/src/ibisport_fleet/event_log.py
+++ b/packages/fleet/src/ibisport_fleet/event_log.py
@@ -2,6 +2,7 @@
 
 import os
 import time
+import traceback
 from enum import IntEnum
 
 import msgspec
@@ -66,6 +67,7 @@
     quarantine_unsaved = 2410
     part_probed = 2411
     connection_idle = 2412
+    request_error = 2413
     request_queued = 2420
     request_not_queued = 2421
     stream_continued = 2430
@@ -152,3 +154,11 @@
             return True
         self._unwritten = self._unwritten[written:]
         return not self._unwritten
+
+
+def find_place(error: BaseException) -> str:
+    """Return the file and the line at which an error was raised."""
+    frames = traceback.extract_tb(error.__traceback__, limit=-1)
+    return (
+        f'{os.path.basename(frames[-1].filename)}:{frames[-1].lineno}' if frames else ''
+    )
--- a/packages/fleet/src/ibisport_fleet/request_recorder.py
+++ b/packages/fleet/src/ibisport_fleet/request_recorder.py
@@ -5,7 +5,7 @@
 
 from ibisport_fleet.budgets import TokensUnavailable
 from ibisport_fleet.calls import Call
-from ibisport_fleet.event_log import Event, EventLog
+from ibisport_fleet.event_log import Event, EventLog, find_place
 from ibisport_fleet.metrics import Metrics
 from ibisport_fleet.placing.change_log import ChangeLog
 from ibisport_fleet.placing.pace import ServicePace
@@ -17,6 +17,8 @@
 OUTCOME_SERVED = 'served'
 OUTCOME_CALLER_LEFT = 'caller_left'
 OUTCOME_PROCESS_ENDED = 'process_ended'
+OUTCOME_ERROR = 'error'
+MAX_REASON_LENGTH = 200
 MAX_LOGGED_PARTS = 8
 
 
@@ -306,6 +308,25 @@
             _name_workspace(call), call.route.name, f'{status} {reason[:40]}'
         )
 
+    def record_error(
+        self, request_id: str, error: Exception, status: int | None
+    ) -> None:
+        """Record that an unforeseen error ended the work on a request.
+
+        Args:
+            request_id: The request's id; empty if it isn't known.
+            error: The error.
+            status: The status of the answer; None: an answer was begun before.
+        """
+        self._log.write(
+            Event.request_error,
+            request=request_id,
+            reason=repr(error)[:MAX_REASON_LENGTH],
+            place=find_place(error),
+            status=status,
+        )
+        self._metrics.count_request(None, '', OUTCOME_ERROR)
+
     def record_caller_left(self, call: Call, events: int) -> None:
         """Record a caller that disconnected before its answer was complete."""
         elapsed = asyncio.get_running_loop().time() - call.request.received_at
--- a/packages/fleet/src/ibisport_fleet/response_writer.py
+++ b/packages/fleet/src/ibisport_fleet/response_writer.py
@@ -17,6 +17,7 @@
     Attributes:
         head_sent: Whether the head of the answer was written.
         closing: Whether the connection closes after this answer.
+        complete: Whether all of the answer was written.
     """
 
     def __init__(
@@ -39,6 +40,7 @@
         """
         self.head_sent = False
         self.closing = False
+        self.complete = False
         self._is_stopping = is_stopping
         self._closes_refusals = closes_refusals
         self._channel = channel
@@ -64,11 +66,13 @@
         headers = self._dialect.encode_refusal(request_id, retry_after)
         self._write_head(status, headers, len(body))
         self._channel.write(body)
+        self.complete = True
 
     def write_whole(self, head: AnswerHead, body: bytes) -> None:
         """Write a target's complete answer."""
         self._write_head(head.status, self._dialect.encode_answer(head), len(body))
         self._channel.write(body)
+        self.complete = True
 
     def begin_stream(self, head: AnswerHead) -> None:
         """Write the head of a target's stream; the body follows in chunks."""
@@ -84,6 +88,7 @@
     def end_stream(self) -> None:
         """Write the last chunk, which marks a stream as complete."""
         self._channel.write(LAST_CHUNK)
+        self.complete = True
 
     def abort(self) -> None:
         """Reset the connection, so that the answer can't pass for a complete one."""
--- a/packages/fleet/src/ibisport_fleet/target_client.py
+++ b/packages/fleet/src/ibisport_fleet/target_client.py
@@ -141,7 +141,7 @@
             connection.close()
             health.record_failure(loop.time())
             return OutcomeUnknown(repr(error))
-        except asyncio.CancelledError:
+        except BaseException:
             connection.close()
             raise
 
