Contain errors of one record while a prefix is watched

What operators saw: one odd entry among those of the targets, and the process that read the list ended, again after each restart, since the record was still there.

Cause: decoders promise RecordInvalid, and an error of any other type ended the watch, which is a background task, and with it the process.

Change: whatever a decoder raises concerns its record alone (record_refused). An error of a subscriber is logged with its place, and the prefix is listed again after a second; a restart of the process would read the same record.

--- a/features/steps/unforeseenerrors_steps.py
+++ b/features/steps/unforeseenerrors_steps.py
@@ -1,10 +1,14 @@
 """Steps for errors that no code expects: injected at each part of a request's way."""
 
+import asyncio
 from contextlib import ExitStack
+from dataclasses import replace
 from unittest import mock
 
 from behave import then, when
+from followers import ReadableLog
 from running_router import (
+    CATALOGUE,
     KEY,
     PREPAID,
     Caller,
@@ -14,8 +18,15 @@
     run_until_stopped,
 )
 
+from ibisport_bench.standins.memory_store import MemoryService
+from ibisport_bench.virtual_time import run_virtually
 from ibisport_fleet.event_log import Event
+from ibisport_fleet.fleet_view import CatalogueView, TargetView
 from ibisport_fleet.ledger import Ledger
+from ibisport_fleet.prefix_watch import PrefixWatch
+from ibisport_fleet.store_contact import StoreContact
+from ibisport_fleet.targets import TargetEntry
+from ibisport_fleet.watch_schedule import plan_router_watch
 
 FLEET = 'ibisport_fleet'
 PLACES = {
@@ -143,3 +154,118 @@
     budget = context.ledger.find('acme')
     assert budget.reserved == 0, budget
     assert budget.settled == charged, budget
+
+
+def _parse_name(key):
+    return key.removeprefix('servers/')
+
+
+def _decode_target(item):
+    if item.content == b'odd':
+        raise InjectedError(item.key)
+    name = _parse_name(item.key)
+    return TargetEntry(name, 'svc', ('10.0.0.2', 1), 'd-0', 1, False, item.revision)
+
+
+def _decode_catalogue(item):
+    if item.content == b'odd':
+        raise InjectedError(item.key)
+    return replace(CATALOGUE, version=item.revision)
+
+
+def _watch(service, prefix, subscriber, log):
+    contact = StoreContact(asyncio.get_running_loop().time())
+    watch = PrefixWatch(
+        service.open_store('router'),
+        prefix,
+        subscriber,
+        log,
+        contact,
+        lambda: plan_router_watch(1, 1, STEP_SECONDS),
+    )
+    return asyncio.create_task(watch.run(lambda: None))
+
+
+@when(
+    'the decoders fail for one of two entries of targets, and for the second of three '
+    'catalogues'
+)
+def break_decoders(context):
+    async def play():
+        service = MemoryService()
+        context.log = ReadableLog()
+        context.targets = TargetView(_decode_target, _parse_name, context.log)
+        context.catalogue = CatalogueView('op/config', _decode_catalogue, context.log)
+        for key in ('op/config', 'servers/i-0', 'servers/i-1'):
+            service.put(key, b'')
+        tasks = [
+            _watch(service, 'servers/', context.targets, context.log),
+            _watch(service, 'op/', context.catalogue, context.log),
+        ]
+        for content in (b'odd', b''):
+            await asyncio.sleep(STEP_SECONDS)
+            service.put('servers/i-0', b'odd')
+            service.put('op/config', content)
+        await asyncio.sleep(STEP_SECONDS)
+        context.newest = service.revision
+        context.ended = [task for task in tasks if task.done()]
+
+    run_virtually(play())
+
+
+@then(
+    'the other target is listed, the third catalogue is in force, and both refusals '
+    'are logged'
+)
+def check_decoders(context):
+    listed = [entry.incarnation for entry in context.targets.targets.entries]
+    assert listed == ['i-1'], listed
+    assert context.catalogue.current.version == context.newest
+    assert not context.ended, context.ended
+    assert len(context.log.list_events(Event.record_refused)) == 2
+
+
+class _FailingSubscriber:
+    """A subscriber that fails to apply its first change.
+
+    Attributes:
+        contents: The applied contents.
+    """
+
+    def __init__(self):
+        self.contents = []
+        self._failed = False
+
+    def apply_listing(self, listing, doubtful_until):
+        """Apply a listing."""
+        self.contents += [item.content for item in listing.items]
+
+    def apply_change(self, change, doubtful_until):
+        """Apply a change; the first one fails."""
+        if not self._failed:
+            self._failed = True
+            raise InjectedError(change.key)
+        self.contents.append(change.content)
+
+
+@when('a subscriber fails to apply its first change')
+def fail_to_apply(context):
+    async def play():
+        service = MemoryService()
+        context.log = ReadableLog()
+        context.subscriber = _FailingSubscriber()
+        service.put('key', b'1')
+        context.task = _watch(service, 'key', context.subscriber, context.log)
+        for content in (b'2', b'3'):
+            await asyncio.sleep(2 * STEP_SECONDS)
+            service.put('key', content)
+        await asyncio.sleep(2 * STEP_SECONDS)
+        assert not context.task.done(), context.task
+
+    run_virtually(play())
+
+
+@then('it gets a listing with the change, and the watch goes on')
+def check_applied(context):
+    assert context.subscriber.contents == [b'1', b'2', b'3']
+    assert len(context.log.list_events(Event.task_failed)) == 1
--- a/features/unforeseenerrors.feature
+++ b/features/unforeseenerrors.feature
@@ -24,3 +24,11 @@
   Scenario: The body of a request is refused if identifying its workspace fails
     When identifying the workspace fails for a request with a long body
     Then the caller gets "503", and 0 requests reach the target for it
+
+  Scenario: A record that breaks its decoder affects no other record
+    When the decoders fail for one of two entries of targets, and for the second of three catalogues
+    Then the other target is listed, the third catalogue is in force, and both refusals are logged
+
+  Scenario: A subscriber that fails once to apply a change gets it again
+    When a subscriber fails to apply its first change
+    Then it gets a listing with the change, and the watch goes on
--- a/packages/fleet/src/ibisport_fleet/fleet_view.py
+++ b/packages/fleet/src/ibisport_fleet/fleet_view.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Set
+from typing import TypeVar
 
 from ibisport_fleet.addresses import Address
 from ibisport_fleet.catalogue import Catalogue, Workspace
@@ -13,6 +14,8 @@
 from ibisport_fleet.target_choice import Candidate, TargetHealth
 from ibisport_fleet.targets import Build, TargetEntry, TargetList
 
+_Record = TypeVar('_Record')
+
 
 class CatalogueView:
     """The newest catalogue that this router has received.
@@ -50,7 +53,7 @@
         if item.key != self._key:
             return
         try:
-            catalogue = self._decode(item)
+            catalogue = _decode_record(self._decode, item)
         except RecordInvalid as error:
             self._log.write(Event.record_refused, reason=str(error)[:200])
             return
@@ -220,7 +223,7 @@
         becomes invalid gets no more requests until its entry is valid again.
         """
         try:
-            entry = self._decode(item)
+            entry = _decode_record(self._decode, item)
         except RecordInvalid as error:
             if self._unreadable.get(item.key) != item.content:
                 self._log.write(Event.record_refused, reason=str(error)[:200])
@@ -287,6 +290,20 @@
         self._log.write(Event.target_gone, target=incarnation, revision=revision)
 
 
+def _decode_record(decode: Callable[[Item], _Record], item: Item) -> _Record:
+    """Return a decoded record; whatever its decoder raises concerns it alone.
+
+    Raises:
+        RecordInvalid: The record can't be decoded.
+    """
+    try:
+        return decode(item)
+    except RecordInvalid:
+        raise
+    except Exception as error:
+        raise RecordInvalid(f'{item.key}: {error!r}') from error
+
+
 def _appeared_later(candidate: Candidate, other: Candidate) -> bool:
     """Return whether a target appeared after another one.
 
--- a/packages/fleet/src/ibisport_fleet/prefix_watch.py
+++ b/packages/fleet/src/ibisport_fleet/prefix_watch.py
@@ -13,7 +13,7 @@
     StoreError,
     StoreUnavailable,
 )
-from ibisport_fleet.event_log import Event, EventLog
+from ibisport_fleet.event_log import Event, EventLog, find_place
 from ibisport_fleet.store import Change, Listing, Store, WatchOptions
 from ibisport_fleet.store_contact import StoreContact
 from ibisport_fleet.watch_schedule import WatchSchedule
@@ -22,6 +22,8 @@
 # The backoff doubles with each failure, up to this bound, to limit the number of calls
 # in an outage.
 MAX_BACKOFF_SECONDS = 0.6
+# Between attempts to apply what a subscriber failed to apply.
+ERROR_BACKOFF_SECONDS = 1.0
 # If the changes since the last answer are longer than the last listing by more than
 # this, the prefix is listed again: a watch returns every version since that answer, and
 # over a narrow link it would never catch up with large versions.
@@ -102,18 +104,29 @@
         while True:
             try:
                 await self._update_once(on_listed)
-            except HistoryLost:
+            except Exception as error:
+                await self._recover(error)
+
+    async def _recover(self, error: Exception) -> None:
+        """Prepare to list the prefix again, after a delay if that may fail as well.
+
+        A watch would return every version since the last answer; a listing returns only
+        the newest one of each key.
+        """
+        self._revision = None
+        match error:
+            case HistoryLost():
                 self._log.write(Event.watch_lost, prefix=self._prefix)
-                self._revision = None
-            except ChangesTooLong:
-                self._revision = None
-            except StoreError as error:
+            case ChangesTooLong():
+                return
+            case StoreError():
                 self._record_failure(error)
-                # A watch would return every version since the last answer; a listing
-                # returns only the newest one of each key.
-                self._revision = None
                 await asyncio.sleep(self._backoff)
                 self._backoff = min(2 * self._backoff, MAX_BACKOFF_SECONDS)
+            case _:
+                # A restart of the process would read the same record again.
+                self._record_error(error)
+                await asyncio.sleep(ERROR_BACKOFF_SECONDS)
 
     async def _update_once(self, on_listed: Callable[[], None]) -> None:
         schedule = self._plan_schedule()
@@ -157,3 +170,11 @@
         if not self._failing:
             self._failing = True
             self._log.write(Event.store_lost, prefix=self._prefix, reason=repr(error))
+
+    def _record_error(self, error: Exception) -> None:
+        self._log.write(
+            Event.task_failed,
+            task=self._prefix,
+            reason=repr(error),
+            place=find_place(error),
+        )
