Charge streams by the most tokens per event that held while they ran

Change: the number that held as the request began counts too, and the larger one of both is charged, since the budget must not be exceeded whichever version the target knew.

--- a/features/steps/running_router.py
+++ b/features/steps/running_router.py
@@ -280,6 +280,11 @@
         """Make the task that lists the other routers fail at its next call."""
         self._store.scan = mock.AsyncMock(side_effect=RuntimeError('injected failure'))
 
+    def change_catalogue(self, catalogue):
+        """Put a catalogue into the store in place of the one before."""
+        self._catalogue = catalogue
+        self.service.put('op/config', b'')
+
     def call(self, coroutine):
         """Start a coroutine on the callers' host."""
         return self.net.start_on(CALLER, coroutine)
--- a/packages/fleet/src/ibisport_fleet/forwarding.py
+++ b/packages/fleet/src/ibisport_fleet/forwarding.py
@@ -83,6 +83,8 @@
         self._rejections = 0
         self._absent_targets = 0
         self._prefill = Prefill(call, service_state)
+        # Newer versions of the catalogue may lack the service.
+        self._tokens_per_event = dependencies.find_tokens_per_event(call.service)
         # Whether the next attempt is planned before the present one is given up.
         self._next_planned = False
         self._received_at = 0.0
@@ -139,8 +141,9 @@
         event_count = self._splitter.event_count
         if not event_count:
             return 0
-        stride = self._dependencies.find_tokens_per_event(self._call.service)
-        generated = min(metadata.max_output_tokens, event_count * stride)
+        newest = self._dependencies.find_tokens_per_event(self._call.service)
+        most = max(self._tokens_per_event, newest)
+        generated = min(metadata.max_output_tokens, event_count * most)
         resumed = metadata.last_event_id is not None and self._call.route.resumable
         return generated if resumed else metadata.prompt_tokens + generated
 
