Reuse no connection whose end lies unread in the operating system

Change: HttpConnection.reusable asks the operating system. It serves the pools of targets and routers, of relays, of the store's paths and of engines' reports.

--- a/packages/fleet/src/ibisport_fleet/http_connection.py
+++ b/packages/fleet/src/ibisport_fleet/http_connection.py
@@ -75,10 +75,13 @@
 
     @property
     def reusable(self) -> bool:
-        """Whether another request may be sent: no data of earlier ones is pending."""
+        """Whether another request may be sent.
+
+        No data of earlier ones is pending, and the peer hasn't closed the connection.
+        """
         channel = self._channel
         pending = self._events or self._parsing or self._malformed or channel.has_unread
-        return not (pending or channel.ended) and channel.flushed
+        return not pending and channel.flushed and not channel.peer_left
 
     def send(self, request_line: bytes, headers: Headers, body: bytes) -> None:
         """Send a request, with a content length if it has or may have a body."""
