Judge each request by the limits in force at its first byte

Callers saw 413 or 431 on a kept connection for a body or a head that the newest version of the catalogue allows, and were served what it doesn't allow any more; new connections were judged correctly.

Cause: RequestReader got the limits once, when its connection was accepted. The bound of the framing meter came from the same copy.

The reader now asks for the limits at the first byte of each request. One version so judges the head and the body: a request that has begun isn't refused half-way because a version lowers a limit. A caller can't know more than the newest version when it begins to send. `limits` of the reader also bound what is discarded behind a refusal.

--- a/features/steps/endlessanswers_steps.py
+++ b/features/steps/endlessanswers_steps.py
@@ -213,7 +213,7 @@
     context.failure = None
 
     async def read():
-        await RequestReader(context.channel, Limits()).read()
+        await RequestReader(context.channel, Limits).read()
 
     try:
         asyncio.run(read())
--- a/features/steps/fleet_targets.py
+++ b/features/steps/fleet_targets.py
@@ -222,7 +222,7 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _serve(self, channel):
-        reader = RequestReader(channel, Limits())
+        reader = RequestReader(channel, Limits)
         try:
             while (request := await reader.read()) is not None:
                 if self._is_misdirected(request):
--- /dev/null
+++ b/features/steps/keptconnections_steps.py
@@ -0,0 +1,82 @@
+"""Steps on kept connections beside changed limits, in virtual time."""
+
+from dataclasses import replace
+
+from behave import then, when
+from running_router import (
+    CATALOGUE,
+    KEY,
+    Caller,
+    encode_request,
+    make_plain,
+    run_until_stopped,
+)
+
+from ibisport_fleet.catalogue import Limits
+
+# Seconds after the signal: the first request, long before the router stops.
+BEGIN_SECONDS = -18.0
+CHANGE_INTERVAL_SECONDS = 0.5
+CHANGED_LIMITS = {
+    'bodies': 'max_body_bytes',
+    'chunks': 'max_body_bytes',
+    'heads': 'max_header_bytes',
+    'framing': 'max_header_bytes',
+}
+NAME = 'judged'
+
+
+def _encode_sized(part, size):
+    """Return a request, in two parts, of which one is large."""
+    path = 'x' * size if part == 'framing' else 'x'
+    header = f'X-Large: {"x" * size}\r\n' if part == 'heads' else ''
+    body = b'x' * size if part in {'bodies', 'chunks'} else b'ab'
+    framing = f'Content-Length: {len(body)}'
+    if part == 'chunks':
+        framing = 'Transfer-Encoding: chunked'
+        body = b'%x\r\n%b\r\n0\r\n\r\n' % (size, body)
+    head = (
+        f'POST /once/{path} HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {NAME}\r\n'
+        f'Authorization: Bearer {KEY}\r\n{header}{framing}\r\n\r\n'
+    )
+    return head.encode(), body
+
+
+def _run(context, limits, act):
+    async def act_on_connection(site):
+        caller = Caller(site)
+        await site.wait_until(BEGIN_SECONDS)
+        first = await site.call(caller.ask(encode_request('once', 'first')))
+        assert first.status == 200, first
+        return await act(site, caller)
+
+    catalogue = replace(CATALOGUE, limits=limits)
+    context.answers = run_until_stopped([make_plain()], act_on_connection, catalogue)[1]
+
+
+@when(
+    'the limit of {part} changes from {old:d} to {new:d} bytes {moment} a request '
+    'with {size:d} bytes of it'
+)
+def change_beside_request(context, part, old, new, moment, size):
+    name = CHANGED_LIMITS[part]
+
+    async def act(site, caller):
+        head, body = _encode_sized(part, size)
+        if moment == 'inside':
+            rest_at = site.now + 2 * CHANGE_INTERVAL_SECONDS
+            asked = site.call(caller.ask(head, body, rest_at))
+            await site.wait_until(site.now + CHANGE_INTERVAL_SECONDS)
+            site.change_limits(**{name: new})
+            return [(await asked, caller.connections)]
+        site.change_limits(**{name: new})
+        await site.wait_until(site.now + CHANGE_INTERVAL_SECONDS)
+        return [(await site.call(caller.ask(head + body)), caller.connections)]
+
+    _run(context, replace(Limits(), **{name: old}), act)
+
+
+@then('its answer on the kept connection has status {status:d}')
+def check_status_on_kept(context, status):
+    answer, connections = context.answers[0]
+    assert (answer.status, connections) == (status, 1), (answer, connections)
--- a/features/steps/parsingturns_steps.py
+++ b/features/steps/parsingturns_steps.py
@@ -67,7 +67,7 @@
     intake = Intake()
 
     async def read(content):
-        reader = _MeasuredReader(_Channel(content), Limits(), intake)
+        reader = _MeasuredReader(_Channel(content), Limits, intake)
         reader.work = work
         requests = []
         while (request := await reader.read()) is not None:
@@ -100,7 +100,7 @@
 
 
 async def _read_one(channel):
-    return await RequestReader(channel, Limits()).read()
+    return await RequestReader(channel, Limits).read()
 
 
 @then('its connection uses at least 76,000 bytes')
--- a/features/steps/running_router.py
+++ b/features/steps/running_router.py
@@ -175,9 +175,14 @@
 
 
 class Caller:
-    """A caller that keeps one connection open and reuses it."""
+    """A caller that keeps one connection open and reuses it.
+
+    Attributes:
+        connections: Number of connections that it has opened.
+    """
 
     def __init__(self, site, address=CALLERS):
+        self.connections = 0
         self._site = site
         self._address = address
         self._reader = self._writer = None
@@ -212,6 +217,7 @@
         # Clients check whether their open connection was closed before they reuse it.
         if self._reader is None or self._reader.at_eof():
             self._reader, self._writer = await asyncio.open_connection(*self._address)
+            self.connections += 1
 
     async def _read(self, answer):
         parser = _AnswerParser(answer)
@@ -285,6 +291,12 @@
         self._catalogue = catalogue
         self.service.put('op/config', b'')
 
+    def change_limits(self, **limits):
+        """Write a new version of the catalogue with other limits."""
+        changed = replace(self._catalogue.limits, **limits)
+        version = self._catalogue.version + 1
+        self.change_catalogue(replace(self._catalogue, version=version, limits=changed))
+
     def call(self, coroutine):
         """Start a coroutine on the callers' host."""
         return self.net.start_on(CALLER, coroutine)
--- a/packages/bench/src/ibisport_bench/standins/scripted.py
+++ b/packages/bench/src/ibisport_bench/standins/scripted.py
@@ -94,7 +94,7 @@
         if self._find_reply().early:
             await self._reply_early(channel)
             return
-        reader = RequestReader(channel, Limits())
+        reader = RequestReader(channel, Limits)
         try:
             while (request := await reader.read()) is not None:
                 await self._reply(request, channel)
--- a/packages/fleet/src/ibisport_fleet/caller_server.py
+++ b/packages/fleet/src/ibisport_fleet/caller_server.py
@@ -61,7 +61,7 @@
 
     async def _serve(self, channel: Channel) -> None:
         limits = self._current_limits()
-        reader = RequestReader(channel, limits, self._intake)
+        reader = RequestReader(channel, self._current_limits, self._intake)
         try:
             while await self._serve_next(reader, channel, limits):
                 limits = self._current_limits()
@@ -73,7 +73,7 @@
             )
             self._handler.record_refusal(error.request_id, error.status, error.code)
             with self.connections.waiting.track(channel, reader):
-                await discard_rest(channel, limits)
+                await discard_rest(channel, reader.limits)
         except (ConnectionBroken, CallerLeft):
             # The caller has disconnected, so no answer can be sent.
             return
--- a/packages/fleet/src/ibisport_fleet/framing.py
+++ b/packages/fleet/src/ibisport_fleet/framing.py
@@ -9,21 +9,20 @@
 
 
 class FramingMeter:
-    """Counts the bytes of a message that don't belong to its body."""
+    """Counts the bytes of a message that don't belong to its body.
 
-    def __init__(self, max_bytes: int) -> None:
-        """Create a meter.
+    Attributes:
+        max_bytes: Bytes that a message without a body may bring.
+    """
 
-        Args:
-            max_bytes: Bytes that a message without a body may bring.
-        """
-        self._max_bytes = max_bytes
+    def __init__(self, max_bytes: int) -> None:
+        self.max_bytes = max_bytes
         self._framing_bytes = 0
 
     @property
     def exceeded(self) -> bool:
         """Whether the message has brought more than any valid one needs."""
-        return self._framing_bytes > self._max_bytes
+        return self._framing_bytes > self.max_bytes
 
     def record_received(self, size: int) -> None:
         """Count bytes as they arrive."""
--- a/packages/fleet/src/ibisport_fleet/readiness.py
+++ b/packages/fleet/src/ibisport_fleet/readiness.py
@@ -46,7 +46,7 @@
         self.connections = ConnectionTasks(self._serve, 'readiness', log, bounds)
 
     async def _serve(self, channel: Channel) -> None:
-        reader = RequestReader(channel, LIMITS, self._intake)
+        reader = RequestReader(channel, lambda: LIMITS, self._intake)
         try:
             async with asyncio.timeout(IDLE_TIMEOUT_SECONDS) as timer:
                 while (request := await self._read(reader, channel)) is not None:
--- a/packages/fleet/src/ibisport_fleet/relay.py
+++ b/packages/fleet/src/ibisport_fleet/relay.py
@@ -151,7 +151,7 @@
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     async def _serve(self, channel: Channel) -> None:
-        reader = RequestReader(channel, RELAY_LIMITS, self._intake)
+        reader = RequestReader(channel, lambda: RELAY_LIMITS, self._intake)
         try:
             await self._serve_calls(reader, channel)
         except RequestInvalid:
--- a/packages/fleet/src/ibisport_fleet/request_reader.py
+++ b/packages/fleet/src/ibisport_fleet/request_reader.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 from collections import deque
+from collections.abc import Callable
 
 import httptools
 
@@ -50,19 +51,32 @@
 
     What the reader keeps, and the request that it has returned last, counts for the
     memory of the connection.
+
+    Attributes:
+        limits: The limits of the request that has begun last.
     """
 
     def __init__(
-        self, channel: Channel, limits: Limits, intake: Intake | None = None
+        self,
+        channel: Channel,
+        find_limits: Callable[[], Limits],
+        intake: Intake | None = None,
     ) -> None:
+        """Begin with the first request of a connection.
+
+        Args:
+            channel: The connection.
+            find_limits: Returns the limits in force. It is called at the first byte of
+                each request, so that head and body are judged by the same limits.
+            intake: What the requests of all connections have in common.
+        """
         self._channel = channel
-        self._limits = limits
+        self._find_limits = find_limits
+        self.limits = find_limits()
         self._intake = Intake() if intake is None else intake
         self._connected_at = asyncio.get_running_loop().time()
         self._parser = httptools.HttpRequestParser(self)
-        self._framing = FramingMeter(
-            REQUEST_LINE_BYTES + HEADER_FRAMING_FACTOR * limits.max_header_bytes
-        )
+        self._framing = FramingMeter(_bound_framing(self.limits))
         # Complete requests, and the memory that each of them uses.
         self._complete_requests: deque[tuple[Request, int]] = deque()
         self._unparsed = memoryview(b'')
@@ -114,6 +128,8 @@
         """Begin a new request at its first byte."""
         self._reset_message()
         self._started = True
+        self.limits = self._find_limits()
+        self._framing.max_bytes = _bound_framing(self.limits)
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request's target."""
@@ -123,7 +139,7 @@
         """Append a header and check the length of the head."""
         self._headers.append((name.lower(), content))
         self._head_size += len(name) + len(content)
-        if self._head_size > self._limits.max_header_bytes:
+        if self._head_size > self.limits.max_header_bytes:
             raise RequestInvalid(STATUS_HEADERS_TOO_LARGE, 'the head is too long')
 
     def on_headers_complete(self) -> None:
@@ -132,7 +148,7 @@
         Answers ``Expect: 100-continue``, for which the caller holds the body back.
         """
         self._announced = _find_length(self._headers)
-        if self._announced > self._limits.max_body_bytes:
+        if self._announced > self.limits.max_body_bytes:
             raise RequestInvalid(STATUS_TOO_LARGE, 'the body is too long')
         self._charge()
         expected = find_header(self._headers, b'expect') or b''
@@ -144,7 +160,7 @@
         self._parts += 1
         self._framing.record_body(len(body))
         self._body += body
-        if len(self._body) > self._limits.max_body_bytes:
+        if len(self._body) > self.limits.max_body_bytes:
             raise RequestInvalid(STATUS_TOO_LARGE, 'the body is too long')
 
     def on_message_complete(self) -> None:
@@ -273,6 +289,10 @@
     return RequestInvalid(STATUS_UNAVAILABLE, 'no room for it', 'no_memory', delay)
 
 
+def _bound_framing(limits: Limits) -> int:
+    return REQUEST_LINE_BYTES + HEADER_FRAMING_FACTOR * limits.max_header_bytes
+
+
 def _find_length(headers: list[tuple[bytes, bytes]]) -> int:
     stated = find_header(headers, b'content-length') or b''
     return int(stated) if stated.isdigit() else 0
