Forget invalid entries that the store no longer contains

Operators saw the refusal of an invalid entry once in a router's life: an entry that was removed and written again was refused without a line in the log. The content of every entry that was ever invalid was kept as well.

Cause: the list of targets keeps the last invalid content of each key, and nothing removed it when the key went.

The content goes with its key: with its removal, or with a listing that lacks it.

--- a/features/records.feature
+++ b/features/records.feature
@@ -27,6 +27,16 @@
     Then it gets no new requests
     And the other target still does
 
+  Scenario Outline: An invalid entry that was gone is logged again
+    Given a router's list of two targets, one with a failure and a cached prompt
+    When an invalid entry comes, is missing from <where>, and comes again
+    Then its refusal is logged both times
+
+    Examples:
+      | where     |
+      | a change  |
+      | a listing |
+
   Scenario: Any content in the store is decoded or rejected
     When 200 generated contents are decoded as each kind of record
     Then each is decoded or rejected as invalid
--- a/features/steps/records_steps.py
+++ b/features/steps/records_steps.py
@@ -218,6 +218,26 @@
     _run(context, change)
 
 
+@when('an invalid entry comes, is missing from {where}, and comes again')
+def write_invalid_entry_again(context, where):
+    def change(context):
+        item = Item('servers/odd', b'{}', 3)
+        context.view.apply_change(item, NEVER)
+        if where == 'a listing':
+            context.view.apply_listing(Listing((_write(KEY, 1),), 4), NEVER)
+        else:
+            context.view.apply_change(Removal(item.key, 4), NEVER)
+        context.view.apply_change(item, NEVER)
+
+    _run(context, change)
+
+
+@then('its refusal is logged both times')
+def check_logged_twice(context):
+    names = [name for name, _ in context.log.written]
+    assert names.count('record_refused') == 2, names
+
+
 @when('200 generated contents are decoded as each kind of record')
 def read_generated(context):
     context.outcomes = set()
--- a/packages/fleet/src/ibisport_fleet/fleet_view.py
+++ b/packages/fleet/src/ibisport_fleet/fleet_view.py
@@ -91,8 +91,8 @@
         self._parse_incarnation = parse_incarnation
         self._log = log
         self._health: dict[tuple[str, int], TargetHealth] = {}
-        # The last invalid content of each key, so that an entry that is rewritten
-        # without a change is logged once.
+        # The last invalid content of each key that the store contains, so that an entry
+        # that is rewritten without a change is logged once.
         self._unreadable: dict[str, bytes] = {}
         self.listings = 0
         self.builds_changed = asyncio.Event()
@@ -120,6 +120,8 @@
     def apply_listing(self, listing: Listing, doubtful_until: float) -> None:
         """Apply a full listing; missing entries may have lapsed in an outage."""
         self._builds.restart(asyncio.get_running_loop().time())
+        for key in self._unreadable.keys() - {item.key for item in listing.items}:
+            self._unreadable.pop(key)
         entries = [
             entry for item in listing.items if (entry := self._decode_entry(item))
         ]
@@ -139,6 +141,7 @@
             case Item():
                 self._apply_entry(change)
             case Removal(key=key, revision=revision):
+                self._unreadable.pop(key, None)
                 self._apply_removal(
                     self._parse_incarnation(key), revision, doubtful_until
                 )
