Give the rest of a request a deadline that counts from its first byte

Callers that reused a connection late in its idle time got 408 within the rest of that time, although they sent on steadily: after 12 s of an idle limit of 15 s, a request had to be complete within 4 s.

Cause: one deadline, stored when the wait for a request began, bounded the idle time and the time until the last byte.

The wait now has two deadlines. The first ends with the first byte. The second is stored at that byte: the idle limit in force then and its margin, so that it is never shorter than what was left before. An answered connection can also be idle for the whole limit and bring a request at its end.

--- a/features/steps/keptconnections_steps.py
+++ b/features/steps/keptconnections_steps.py
@@ -80,3 +80,18 @@
 def check_status_on_kept(context, status):
     answer, connections = context.answers[0]
     assert (answer.status, connections) == (status, 1), (answer, connections)
+
+
+@when(
+    'the idle limit is {limit:g} s, and a connection idle for {idle:g} s brings a '
+    'request whose rest takes {seconds:g} s'
+)
+def send_slowly_after_idle(context, limit, idle, seconds):
+    async def act(site, caller):
+        await site.wait_until(site.now + idle)
+        request = encode_request('once', NAME)
+        beginning, rest = request[:-1], request[-1:]
+        answer = await site.call(caller.ask(beginning, rest, site.now + seconds))
+        return [(answer, caller.connections)]
+
+    _run(context, Limits(idle_seconds=limit), act)
--- a/packages/fleet/src/ibisport_fleet/caller_server.py
+++ b/packages/fleet/src/ibisport_fleet/caller_server.py
@@ -9,6 +9,7 @@
 from ibisport_fleet.errors import CallerLeft, ConnectionBroken, RequestInvalid
 from ibisport_fleet.event_log import Event, EventLog
 from ibisport_fleet.fleet_view import CatalogueView
+from ibisport_fleet.http_messages import Request
 from ibisport_fleet.metadata import Dialect
 from ibisport_fleet.overload.intake import Intake
 from ibisport_fleet.overload.resources import CALLERS_SHARE, Resources
@@ -17,7 +18,7 @@
     RequestReader,
     discard_rest,
     flush,
-    wait_for_request,
+    read_rest,
 )
 from ibisport_fleet.response_writer import ResponseWriter
 
@@ -81,13 +82,9 @@
     async def _serve_next(
         self, reader: RequestReader, channel: Channel, limits: Limits
     ) -> bool:
-        idle_until = asyncio.get_running_loop().time() + limits.idle_seconds
         with self.connections.waiting.track(channel, reader):
-            request = await wait_for_request(
-                reader, channel, idle_until + IDLE_MARGIN_SECONDS
-            )
+            request = await self._receive(reader, channel, limits)
         if request is None:
-            self._record_idle(channel, limits)
             return False
         response = self._create_response(channel)
         response.closing = not request.keeps_open
@@ -96,15 +93,27 @@
             flushed = await flush(channel, limits.idle_seconds)
         return flushed and not response.closing
 
+    async def _receive(
+        self, reader: RequestReader, channel: Channel, limits: Limits
+    ) -> Request | None:
+        """Return the next request, or None if the caller left or stayed idle."""
+        idle_seconds = limits.idle_seconds + IDLE_MARGIN_SECONDS
+        loop = asyncio.get_running_loop()
+        if not await reader.wait_for_start(loop.time() + idle_seconds):
+            self._record_idle(channel, limits)
+            return None
+        # Its first bytes may have come late in the idle time.
+        idle_seconds = self._current_limits().idle_seconds + IDLE_MARGIN_SECONDS
+        return await read_rest(reader, loop.time() + idle_seconds)
+
     def _record_idle(self, channel: Channel, limits: Limits) -> None:
         """Record that a connection is closed since no request arrived in time."""
-        if not channel.ended:
-            self._log.write(
-                Event.connection_idle,
-                limit=limits.idle_seconds,
-                newest_limit=self._current_limits().idle_seconds,
-                unread=channel.has_unread,
-            )
+        self._log.write(
+            Event.connection_idle,
+            limit=limits.idle_seconds,
+            newest_limit=self._current_limits().idle_seconds,
+            unread=channel.has_unread,
+        )
 
     def _create_response(self, channel: Channel) -> ResponseWriter:
         standby = self._handler.standby
--- a/packages/fleet/src/ibisport_fleet/channel.py
+++ b/packages/fleet/src/ibisport_fleet/channel.py
@@ -2,6 +2,7 @@
 
 import array
 import asyncio
+import contextlib
 import fcntl
 import socket
 import termios
@@ -94,12 +95,12 @@
 
         The event loop reads the end of a connection only after all bytes before it.
         """
-        return self._ended or has_peer_ended(self._socket)
+        return self._ended or has_peer_ended(_find_socket(self._transport))
 
     @property
     def packet_age(self) -> float | None:
         """Seconds since the last packet of the peer, if the system tells."""
-        return measure_packet_age(self._socket)
+        return measure_packet_age(_find_socket(self._transport))
 
     @property
     def has_unread(self) -> bool:
@@ -139,7 +140,7 @@
 
     def eof_received(self) -> bool:
         """Handle the end of the peer's bytes; the connection is closed."""
-        raw = self._socket
+        raw = _find_socket(self._transport)
         self.ended_in_order = self.flushed and not _count_unacknowledged(raw)
         self._end(None)
         return False
@@ -157,6 +158,19 @@
         self._writing_paused = False
         _wake(self._write_waiter)
 
+    async def wait_for_bytes(self, deadline: float) -> bool:
+        """Wait until bytes or the end of the stream have arrived; return whether.
+
+        Args:
+            deadline: Loop time until which to wait.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(deadline):
+                while not (self._unread or self._ended or self._interruption):
+                    self._read_waiter = asyncio.get_running_loop().create_future()
+                    await self._read_waiter
+        return self.has_unread or self._ended or self._interruption is not None
+
     async def read(self) -> bytes:
         """Return the next received bytes, or empty bytes at the end of the stream.
 
@@ -227,7 +241,7 @@
                 the peer hasn't received, instead of delivering it.
         """
         if drops_sent:
-            reset_on_close(self._socket)
+            reset_on_close(_find_socket(self._transport))
         if self._transport is not None:
             self._transport.abort()
 
@@ -276,13 +290,6 @@
         if self.on_lost is not None:
             self.on_lost()
 
-    @property
-    def _socket(self) -> socket.socket | None:
-        if self._transport is None:
-            return None
-        raw: socket.socket | None = self._transport.get_extra_info('socket')
-        return raw
-
     def _require_transport(self) -> asyncio.Transport:
         assert self._transport is not None
         return self._transport
@@ -310,6 +317,13 @@
     return channel
 
 
+def _find_socket(transport: asyncio.Transport | None) -> socket.socket | None:
+    if transport is None:
+        return None
+    raw: socket.socket | None = transport.get_extra_info('socket')
+    return raw
+
+
 def _wake(waiter: asyncio.Future[None] | None) -> None:
     if waiter is not None and not waiter.done():
         waiter.set_result(None)
--- a/packages/fleet/src/ibisport_fleet/request_reader.py
+++ b/packages/fleet/src/ibisport_fleet/request_reader.py
@@ -93,6 +93,21 @@
         """Whether the beginning of a request has arrived, but not its end."""
         return self._started or bool(self._unparsed)
 
+    async def wait_for_start(self, deadline: float) -> bool:
+        """Wait until a request has begun to arrive; return whether one has.
+
+        Also returns True once the caller has closed the connection.
+
+        Args:
+            deadline: Loop time until which to wait.
+        """
+        if self.has_partial_request or self._complete_requests:
+            return True
+        self._returned_bytes = 0
+        self._charge()
+        with self._channel.memory.wait_for_peer(self._give_up):
+            return await self._channel.wait_for_bytes(deadline)
+
     async def read(self) -> Request | None:
         """Return the next request, or None once the caller has closed the connection.
 
@@ -298,22 +313,19 @@
     return int(stated) if stated.isdigit() else 0
 
 
-async def wait_for_request(
-    reader: RequestReader, channel: Channel, idle_until: float
-) -> Request | None:
-    """Return the next request, or None if the caller disconnected or stayed idle.
+async def read_rest(reader: RequestReader, deadline: float) -> Request | None:
+    """Return a request that has begun, or None if the caller disconnected.
 
     Args:
         reader: Parses the requests of the connection.
-        channel: The connection.
-        idle_until: Loop time by which the request must be complete.
+        deadline: Loop time by which the request must be complete.
 
     Raises:
         RequestInvalid: The bytes are no valid request, exceed the limits, found no
             room, or are incomplete at that time.
     """
     try:
-        async with asyncio.timeout_at(idle_until):
+        async with asyncio.timeout_at(deadline):
             return await reader.read()
     except ConnectionBroken:
         return None
