Close no caller's connection over a request that has arrived

A whole request could get neither an answer nor a refusal: the router closed its kept connection, with an end or a reset, although the request had arrived before the close.

Cause: whoever closed a connection looked only at what the parser had seen.

- An idle timer that is due in the same turn of the event loop as the bytes of a request wins: uvloop runs timers before it reads sockets, and asyncio cancels the task that the bytes have just woken.
A process that was held up, for example by a large catalogue, finds both at once.
- `close_quiet` (a stop) looked neither into the operating system nor at requests that were sent ahead and are queued.
- `close_longest` (descriptors) didn't look at all.
- A slice of bytes that waited for its turn to be parsed was lost when the idle timer cancelled the wait, and the connection closed as idle.

`Channel.has_unread` now includes what the operating system has received, and a wait for bytes ends as idle only without any. Bytes stay queued in the reader until their turn to be parsed has come. Connections on which bytes or requests are queued count neither as quiet nor as the longest wait, of which at most 64 are examined. Those that discard the rest of a refused request, or whose peer doesn't read its answer, give way as before. What arrives between the last look and the close still crosses it.

--- a/features/keptconnections.feature
+++ b/features/keptconnections.feature
@@ -25,3 +25,21 @@
       | 3.0  | 4.0     | 200    |
       | 0.0  | 4.0     | 200    |
       | 3.0  | 5.5     | 408    |
+
+  Scenario Outline: A request that has arrived is answered although <moment>
+    When <sent> arrives while the event loop is held up, and then <moment>
+    Then all that has arrived is answered, on both kinds of event loop
+
+    Examples:
+      | sent                                 | moment                                 |
+      | a first request                      | the connection's idle time is over     |
+      | a request                            | the connection's idle time is over     |
+      | the rest of a request                | the connection's idle time is over     |
+      | a request                            | the process closes idle connections    |
+      | the rest of a request                | the process closes idle connections    |
+      | a request                            | the process runs out of descriptors    |
+      | the rest of a request                | the process runs out of descriptors    |
+      | requests sent ahead                  | the process closes idle connections    |
+      | requests sent ahead                  | the process runs out of descriptors    |
+      | requests sent ahead                  | the connection's idle time is over     |
+      | a request behind one in many parts   | the connection's idle time is over     |
--- a/packages/fleet/src/ibisport_fleet/caller_server.py
+++ b/packages/fleet/src/ibisport_fleet/caller_server.py
@@ -73,7 +73,7 @@
                 error.status, error.code, error.request_id or None, error.retry_after
             )
             self._handler.record_refusal(error.request_id, error.status, error.code)
-            with self.connections.waiting.track(channel, reader):
+            with self.connections.waiting.track(channel, None):
                 await discard_rest(channel, reader.limits)
         except (ConnectionBroken, CallerLeft):
             # The caller has disconnected, so no answer can be sent.
--- a/packages/fleet/src/ibisport_fleet/channel.py
+++ b/packages/fleet/src/ibisport_fleet/channel.py
@@ -22,6 +22,7 @@
 from ibisport_fleet.overload.memory_budget import MemoryExhausted, MemoryUse, Part
 from ibisport_fleet.socket_state import (
     has_peer_ended,
+    has_received,
     measure_packet_age,
     reset_on_close,
 )
@@ -104,8 +105,8 @@
 
     @property
     def has_unread(self) -> bool:
-        """Whether received bytes are waiting to be read."""
-        return bool(self._unread)
+        """Whether received bytes are waiting to be read, here or in the system."""
+        return bool(self._unread) or has_received(_find_socket(self._transport))
 
     @property
     def flushed(self) -> bool:
@@ -161,6 +162,9 @@
     async def wait_for_bytes(self, deadline: float) -> bool:
         """Wait until bytes or the end of the stream have arrived; return whether.
 
+        An event loop that was held up finds the deadline due before it reads bytes
+        that arrived in time.
+
         Args:
             deadline: Loop time until which to wait.
         """
--- a/packages/fleet/src/ibisport_fleet/overload/waiting.py
+++ b/packages/fleet/src/ibisport_fleet/overload/waiting.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
+from itertools import islice
 
 from ibisport_fleet.channel import Channel
 from ibisport_fleet.request_reader import RequestReader
@@ -11,20 +12,37 @@
 # A peer sends its first request right after it has connected: this covers a round trip
 # of some ms and one lost packet.
 FIRST_REQUEST_SECONDS = 0.25
+# Connections that are examined to make room for a new one.
+MAX_EXAMINED = 64
 
 
 @dataclass(frozen=True, slots=True)
 class _Wait:
-    """A wait for a complete request.
+    """A wait for a peer.
 
     Attributes:
-        reader: Parses the requests of the connection.
+        reader: Parses the requests of the connection; None: the last one was refused,
+            and what follows is discarded.
         begun_at: Loop time at which it began.
     """
 
-    reader: RequestReader
+    reader: RequestReader | None
     begun_at: float
 
+    @property
+    def has_pending(self) -> bool:
+        """Whether part of a request has arrived."""
+        return self.reader is not None and self.reader.has_pending
+
+    def may_end(self, channel: Channel) -> bool:
+        """Return whether its end can't lose a request that has arrived as a whole.
+
+        A caller that doesn't read its answer isn't owed one to what it sends behind.
+        """
+        if self.reader is None or not channel.flushed:
+            return True
+        return not (self.reader.has_queued or channel.has_unread)
+
 
 class WaitingConnections:
     """The connections of a listener on which no request is in progress."""
@@ -33,8 +51,13 @@
         self._waits: dict[Channel, _Wait] = {}
 
     @contextmanager
-    def track(self, channel: Channel, reader: RequestReader) -> Iterator[None]:
-        """Count a connection as waiting meanwhile."""
+    def track(self, channel: Channel, reader: RequestReader | None) -> Iterator[None]:
+        """Count a connection as waiting meanwhile.
+
+        Args:
+            channel: The connection.
+            reader: Parses its requests; None: it discards what arrives.
+        """
         now = asyncio.get_running_loop().time()
         self._waits[channel] = _Wait(reader, now)
         try:
@@ -43,10 +66,12 @@
             self._waits.pop(channel, None)
 
     def close_longest(self) -> bool:
-        """Close the connection that has waited longest; return whether there is one."""
-        latest = asyncio.get_running_loop().time() - FIRST_REQUEST_SECONDS
-        channel, wait = next(iter(self._waits.items()), (None, None))
-        if channel is None or wait is None or wait.begun_at > latest:
+        """Close the connection that has waited longest; return whether there is one.
+
+        Connections whose requests have arrived meanwhile are passed over.
+        """
+        channel = self._find_longest()
+        if channel is None:
             return False
         del self._waits[channel]
         if channel.flushed:
@@ -55,6 +80,15 @@
             channel.abort()
         return True
 
+    def _find_longest(self) -> Channel | None:
+        latest = asyncio.get_running_loop().time() - FIRST_REQUEST_SECONDS
+        for channel, wait in islice(self._waits.items(), MAX_EXAMINED):
+            if wait.begun_at > latest:
+                return None
+            if wait.may_end(channel):
+                return channel
+        return None
+
     def close_quiet(self, waiting_since: float) -> None:
         """Close the connections on which no request is arriving.
 
@@ -65,6 +99,6 @@
             waiting_since: Loop time; connections that wait since later are kept.
         """
         for channel, wait in tuple(self._waits.items()):
-            is_quiet = not (wait.reader.has_partial_request or channel.has_unread)
+            is_quiet = not (wait.has_pending or channel.has_unread)
             if is_quiet and wait.begun_at <= waiting_since:
                 channel.close()
--- a/packages/fleet/src/ibisport_fleet/relay.py
+++ b/packages/fleet/src/ibisport_fleet/relay.py
@@ -156,7 +156,7 @@
             await self._serve_calls(reader, channel)
         except RequestInvalid:
             channel.write(REFUSAL)
-            with self.connections.waiting.track(channel, reader):
+            with self.connections.waiting.track(channel, None):
                 await discard_rest(channel, RELAY_LIMITS)
         except (FleetError, TimeoutError):
             # The reset tells the router that the call may have been executed.
--- a/packages/fleet/src/ibisport_fleet/request_reader.py
+++ b/packages/fleet/src/ibisport_fleet/request_reader.py
@@ -89,9 +89,14 @@
         self._reset_message()
 
     @property
-    def has_partial_request(self) -> bool:
-        """Whether the beginning of a request has arrived, but not its end."""
-        return self._started or bool(self._unparsed)
+    def has_pending(self) -> bool:
+        """Whether any part of a request has arrived that wasn't returned."""
+        return self._started or self.has_queued
+
+    @property
+    def has_queued(self) -> bool:
+        """Whether bytes or requests are queued that nobody has to send any more."""
+        return bool(self._unparsed or self._complete_requests)
 
     async def wait_for_start(self, deadline: float) -> bool:
         """Wait until a request has begun to arrive; return whether one has.
@@ -101,7 +106,7 @@
         Args:
             deadline: Loop time until which to wait.
         """
-        if self.has_partial_request or self._complete_requests:
+        if self.has_pending:
             return True
         self._returned_bytes = 0
         self._charge()
@@ -120,7 +125,7 @@
             ConnectionBroken: The connection was reset.
         """
         self._returned_bytes = 0
-        if self.has_partial_request or self._complete_requests:
+        if self.has_pending:
             # Requests that were sent ahead don't keep other work from running.
             await asyncio.sleep(0)
         with self._channel.memory.wait_for_peer(self._give_up):
@@ -234,18 +239,23 @@
             RequestInvalid: The bytes are no valid request, exceed the limits, or found
                 no room.
         """
-        data = self._unparsed[:SLICE_BYTES]
-        self._unparsed = self._unparsed[SLICE_BYTES:]
         if self._is_costly:
+            # The bytes stay queued meanwhile: the wait may be cancelled.
             async with self._intake.turns.take():
-                self._feed(data)
+                self._feed_slice()
         else:
-            self._feed(data)
+            self._feed_slice()
         if self._error is None:
             self._charge()
         if self._error is not None:
             raise self._error
 
+    def _feed_slice(self) -> None:
+        data = self._unparsed[:SLICE_BYTES]
+        self._unparsed = self._unparsed[SLICE_BYTES:]
+        if data:
+            self._feed(data)
+
     def _feed(self, data: memoryview) -> None:
         self._parts = 0
         self._framing.record_received(len(data))
@@ -330,11 +340,9 @@
     except ConnectionBroken:
         return None
     except TimeoutError as error:
-        if reader.has_partial_request:
-            reader.drop()
-            reason = 'the request is incomplete'
-            raise RequestInvalid(STATUS_TIMEOUT, reason) from error
-        return None
+        reader.drop()
+        reason = 'the request is incomplete'
+        raise RequestInvalid(STATUS_TIMEOUT, reason) from error
 
 
 async def discard_rest(channel: Channel, limits: Limits) -> None:
--- a/packages/fleet/src/ibisport_fleet/socket_state.py
+++ b/packages/fleet/src/ibisport_fleet/socket_state.py
@@ -1,9 +1,12 @@
 """What the operating system knows and does beside the event loop's connections."""
 
+import array
 import contextlib
+import fcntl
 import select
 import socket
 import struct
+import termios
 
 # Also reported without being asked for: POLLERR and POLLHUP.
 END_EVENTS = select.POLLRDHUP | select.POLLERR | select.POLLHUP
@@ -30,6 +33,20 @@
     return any(events & END_EVENTS for _, events in poller.poll(0))
 
 
+def has_received(raw: socket.socket | None) -> bool:
+    """Return whether bytes have arrived that the event loop hasn't read.
+
+    Args:
+        raw: The socket, or None for a connection without one.
+    """
+    if raw is None or raw.fileno() < 0:
+        return False
+    counted = array.array('i', (0,))
+    with contextlib.suppress(OSError):
+        fcntl.ioctl(raw.fileno(), termios.FIONREAD, counted)
+    return bool(counted[0])
+
+
 def measure_packet_age(raw: socket.socket | None) -> float | None:
     """Return the seconds since the last packet of the peer.
 
