Test answers that break off at each separator of their heads

Callers of other routers got a 200 with an empty or short body, framed as whole, when a worker stopped in the middle of its answer's head.

It doesn't happen here: the head is cut around each space, colon, CR and LF, after nothing, after an interim answer and after a late one, on new and on used connections, closed and reset, and the caller gets 502 each time (8 scenarios of all four kinds of route pass).

--- a/features/brokenanswers.feature
+++ b/features/brokenanswers.feature
@@ -39,3 +39,20 @@
     Given a router and targets "status 000, whole answer"
     When a caller sends a plain request to the route "idempotent"
     Then the caller gets 200 and the body "hello"
+
+  # A head that breaks off is no answer, whatever the connection has carried before it.
+  Scenario Outline: An answer that breaks off within its head is no answer
+    Given a router and a target that <ending> within heads with <framing>
+    When callers send requests to the route "<route>", each after one that is answered
+    Then each request whose answer breaks off gets 502
+
+    Examples:
+      | ending | framing              | route      |
+      | closes | a length             | plain-once |
+      | resets | a length             | idempotent |
+      | closes | chunks               | once       |
+      | resets | chunks               | stream     |
+      | closes | no framing           | idempotent |
+      | resets | no framing           | plain-once |
+      | closes | no framing, a stream | stream     |
+      | resets | no framing, a stream | once       |
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -197,7 +197,7 @@
     )
 
 
-async def _send_and_read(site, request, disconnect_after=None):
+async def send_and_read(site, request, disconnect_after=None):
     """Send bytes and return all bytes of the answer."""
     reader, writer = await asyncio.open_connection(*site.address)
     writer.write(request)
@@ -215,7 +215,7 @@
     return answer
 
 
-def _encode_request(route, key=KEY, method='POST', extra='', body='ab'):
+def encode_request(route, key=KEY, method='POST', extra='', body='ab'):
     return (
         f'{method} /{route}/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\n'
         f'Deadline-Ms: 3000\r\nAuthorization: Bearer {key}\r\n'
@@ -228,8 +228,7 @@
     async def run():
         await site.start()
         answers = [
-            await _send_and_read(site, request, disconnect_after)
-            for request in requests
+            await send_and_read(site, request, disconnect_after) for request in requests
         ]
         if until is not None:
             await _wait_until(until)
@@ -263,18 +262,18 @@
 
 @when('a caller sends a streaming request')
 def send_stream(context):
-    context.answers = _run(context.site, _encode_request('stream'))
+    context.answers = _run(context.site, encode_request('stream'))
 
 
 @when('a caller sends a streaming request to the route "{route}"')
 @when('a caller sends a plain request to the route "{route}"')
 def send_to(context, route):
-    context.answers = _run(context.site, _encode_request(route))
+    context.answers = _run(context.site, encode_request(route))
 
 
 @when('a caller sends an upload of 4 MB to the route "{route}"')
 def send_upload(context, route):
-    upload = _encode_request(route, body='x' * 4_000_000)
+    upload = encode_request(route, body='x' * 4_000_000)
     context.answers = _run(context.site, upload)
 
 
@@ -286,7 +285,7 @@
         'to no route': {'route': 'nowhere'},
         'that waits for a go-ahead': {'extra': 'Expect: 100-continue\r\n'},
     }
-    head = _encode_request(**{'route': 'once', 'body': '', **details[detail]})
+    head = encode_request(**{'route': 'once', 'body': '', **details[detail]})
     announced = b'Content-Length: %d' % size
     head = head.replace(b'Content-Length: 0', announced)
     context.answers = _run(context.site, head)
@@ -302,7 +301,7 @@
 @when('a caller sends a streaming request and disconnects after the first event')
 def send_and_disconnect(context):
     target = context.site.targets[0]
-    request = _encode_request('stream')
+    request = encode_request('stream')
     _run(
         context.site,
         request,
@@ -313,7 +312,7 @@
 
 @when('a caller sends requests with an unknown key and to an unknown route')
 def send_unknown_key_and_route(context):
-    refused = _encode_request('idempotent', key='nobody'), _encode_request('nowhere')
+    refused = encode_request('idempotent', key='nobody'), encode_request('nowhere')
     context.answers = _run(context.site, *refused)
 
 
@@ -362,7 +361,7 @@
 
         collect()
         await asyncio.gather(
-            *(_send_and_read(context.site, content, b'hello') for content in sent)
+            *(send_and_read(context.site, content, b'hello') for content in sent)
         )
         context.site.task.cancel()
 
@@ -451,7 +450,7 @@
     async def run():
         site = context.site
         await site.start()
-        request = _encode_request('idempotent')
+        request = encode_request('idempotent')
         reader, writer = await asyncio.open_connection(*site.address)
         writer.write(request[:-1])
         await asyncio.sleep(0.1)
@@ -473,7 +472,7 @@
         await site.start()
         # A write of the store takes longer than the request may wait for it.
         site.service.faults.slow = 1_000.0
-        request = _encode_request('idempotent', extra='Token-Usage: 90000,100\r\n')
+        request = encode_request('idempotent', extra='Token-Usage: 90000,100\r\n')
         _, writer = await asyncio.open_connection(*site.address)
         writer.write(request)
         await _wait_until(lambda: site.router.in_flight)
