Refuse answers of the store that can't be decoded, as unknown outcomes

A value that isn't whole base64, or a deeply nested answer, raised errors that callers of the store don't expect; by reading, the task that lists the routers ends then, and its router stops. Base64 with letters that it doesn't have passed for an empty value, and an empty page that says that more pages follow passed for the end of a listing, which drops targets.

--- a/features/storecalls.feature
+++ b/features/storecalls.feature
@@ -34,3 +34,39 @@
     Given a store whose answers reach a router at 600000 bytes per second
     When the router writes on condition of a key that was changed and of an absent key
     Then the conflict returns the changed key and names the absent key
+
+  # Cut bytes that pass for a whole answer would drop targets, or the catalogue.
+  Scenario Outline: An answer of the store that breaks off is no answer
+    Given a store whose answers, <framing>, end at a later byte each time
+    When the router calls "<call>" until an answer is whole
+    Then each call but the last has failed
+
+    Examples:
+      | framing              | call  |
+      | with a length        | read  |
+      | with a length        | scan  |
+      | in chunks            | watch |
+      | without framing      | read  |
+      | without framing      | scan  |
+      | without framing      | watch |
+      | without framing      | write |
+
+  # Other errors ended the task that called the store.
+  Scenario Outline: An answer of the store that can't be decoded is no answer
+    Given a store that answers <content>
+    When the router calls "<call>" until an answer is whole
+    Then each call but the last has failed
+
+    Examples:
+      | content                       | call     |
+      | with a value cut short        | read     |
+      | with a value cut short        | scan     |
+      | with a value cut short        | watch    |
+      | with a value cut short        | conflict |
+      | with a value of other letters | read     |
+      | with a value of other letters | watch    |
+      | nested too deeply             | read     |
+      | nested too deeply             | scan     |
+      | nested too deeply             | watch    |
+      | nested too deeply             | write    |
+      | with more pages and no items  | scan     |
