--- /dev/null
+++ b/features/oddheaders.feature
@@ -0,0 +1,23 @@
+Feature: A header with an odd value concerns one request alone
+
+  Scenario Outline: A request whose <header> is <odd> is invalid
+    When a request whose <header> is <odd> is sent, and the next one on its connection
+    Then the first one is refused as invalid, and the second one is served
+    And no request has caused an error in the router
+
+    Examples:
+      | header        | odd                          |
+      | Deadline-Ms   | a number of 400 digits       |
+      | Deadline-Ms   | -5                           |
+      | Deadline-Ms   | 1_000                        |
+      | Token-Usage   | a number of 400 digits       |
+      | Token-Usage   | -1000000,1                   |
+      | Token-Usage   | 5,-1000000                   |
+      | Prompt-Prefix | a:-5,b:10                    |
+      | Prompt-Prefix | parts of 400 digits          |
+      | Last-Event-Id | -1                           |
+      | Last-Event-Id | a number of 400 digits       |
+
+  Scenario: A negative number of tokens gives no room in a budget
+    When a request of -1000000 tokens is running, and one of more tokens than are left arrives
+    Then the second one is refused, and reaches no target
