Pass on streams whose events have very long ids

Callers of a target whose event has an id of 5000 digits got the head of the stream and then a reset.

Cause: the id of the last event was converted whatever its length, and Python refuses to convert more than 4,300 digits.

An id of over 18 digits counts as none, so the stream is passed on as it is, and isn't continued elsewhere.

--- a/features/oddheaders.feature
+++ b/features/oddheaders.feature
@@ -1,4 +1,4 @@
-Feature: A header with an odd value concerns one request alone
+Feature: An odd value in a request or an answer concerns that request alone
 
   Scenario Outline: A request whose <header> is <odd> is invalid
     When a request whose <header> is <odd> is sent, and the next one on its connection
@@ -21,3 +21,8 @@
   Scenario: A negative number of tokens gives no room in a budget
     When a request of -1000000 tokens is running, and one of more tokens than are left arrives
     Then the second one is refused, and reaches no target
+
+  Scenario: A stream is passed on whose events have ids of 5000 digits
+    When a target streams events with ids of 5000 digits
+    Then the caller gets the whole stream, also on a route whose streams resume
+    And no request has caused an error in the router
--- a/features/steps/oddheaders_steps.py
+++ b/features/steps/oddheaders_steps.py
@@ -7,13 +7,17 @@
 from behave import then, when
 from running_router import (
     CATALOGUE,
+    END,
+    STREAM_HEAD,
     Caller,
     encode_request,
+    make_route,
     make_stream,
     run_until_stopped,
 )
 
-from ibisport_fleet.catalogue import Workspace
+from ibisport_bench.standins.scripted import Reply
+from ibisport_fleet.catalogue import RouteKind, Workspace
 from ibisport_fleet.event_log import Event, EventLog
 
 ASKED_AT = -10.0
@@ -90,3 +94,26 @@
 def check_budget(context):
     assert context.answers[0].status == NO_TOKENS, context.answers
     assert not context.site.has_got('second')
+
+
+@when('a target streams events with ids of {digits:d} digits')
+def stream_long_ids(context, digits):
+    event = b'id: %b\ndata: d\n\n' % (b'9' * digits)
+    chunk = b'%x\r\n%b\r\n' % (len(event), event)
+    context.content = event * 2
+    resumable = make_route('resumable', RouteKind.stream, resumable=True)
+    catalogue = replace(CATALOGUE, routes=(*CATALOGUE.routes, resumable))
+
+    async def act(site):
+        return [
+            await site.call(Caller(site).ask(encode_request(kind, kind)))
+            for kind in ('stream', 'resumable')
+        ]
+
+    _run(context, [Reply([STREAM_HEAD, chunk, chunk, END], 0.1)], act, catalogue)
+
+
+@then('the caller gets the whole stream, also on a route whose streams resume')
+def check_stream(context):
+    for answer in context.answers:
+        assert answer.whole and answer.content == context.content, answer
--- a/packages/fleet/src/ibisport_fleet/continuation/event_sequence.py
+++ b/packages/fleet/src/ibisport_fleet/continuation/event_sequence.py
@@ -1,10 +1,7 @@
 """Detects events of a stream that don't follow the last one."""
 
-import re
+from ibisport_fleet.sse import ID_LINE, EventSplitter
 
-from ibisport_fleet.sse import EventSplitter
-
-_EVENT_ID = re.compile(rb'^id: ?(\d+)', re.MULTILINE)
 _BOUNDARY = b'\n\n'
 
 
@@ -48,7 +45,7 @@
         return complete[:size]
 
     def _follows(self, event: bytes) -> bool:
-        found = _EVENT_ID.search(event)
+        found = ID_LINE.search(event)
         if found is None:
             # A comment that keeps the connection open has no data.
             self.continuable = self.continuable and b'data' not in event
--- a/packages/fleet/src/ibisport_fleet/sse.py
+++ b/packages/fleet/src/ibisport_fleet/sse.py
@@ -6,7 +6,8 @@
 
 # An event holds some tokens of text; a caller waits for all of it.
 MAX_EVENT_BYTES = 1_048_576
-_ID_LINE = re.compile(rb'^id: ?(\d+)', re.MULTILINE)
+# Longer digits count as no id: Python refuses to convert very long ones.
+ID_LINE = re.compile(rb'^id: ?(\d{1,18})(?!\d)', re.MULTILINE)
 _BOUNDARY = b'\n\n'
 
 
@@ -67,6 +68,6 @@
 
     def _count_events(self, complete: bytes) -> None:
         self.event_count += complete.count(_BOUNDARY)
-        event_ids = _ID_LINE.findall(complete)
+        event_ids = ID_LINE.findall(complete)
         if event_ids:
             self.last_event_id = int(event_ids[-1])
