Let idle connections follow the limits that their callers may know

A request could be sent on a kept connection that the router was closing as idle, and get neither an answer nor a refusal: a version had raised the idle limit while the connection waited, and callers reuse connections for up to four fifths of the limit in force. A lowered limit closed connections too early for callers that didn't know it.

Cause: the end of an idle wait was computed once, from the version in force when the wait began.

A wait now ends by the longest limit of all versions in force since the last request of its connection began. That is the oldest version which a caller that still follows it can have known as it last spoke; a lowered limit holds from the next request on. A waiting connection looks at them when its timer is due: a change costs nothing for each of them. A caller that follows a raised limit before this router has received the version can still meet a close.

--- a/features/keptconnections.feature
+++ b/features/keptconnections.feature
@@ -16,6 +16,30 @@
       | framing | 16000 | 1000  | before | 100000 | 431   |
       | framing | 1000  | 16000 | before | 100000 | 200   |
 
+  Scenario Outline: An idle connection stays open for callers that know any limit in force since
+    When the idle limit becomes <limits> seconds while a connection that was used under the first one is idle
+    Then a request on it after <idle> s finds it <state>
+
+    Examples:
+      | limits     | idle | state  |
+      | 2, 10      | 8.0  | open   |
+      | 2, 4, 8    | 6.4  | open   |
+      | 10, 2      | 8.0  | open   |
+      | 2, 10, 2   | 8.0  | open   |
+      | 2, 1, 10   | 8.0  | open   |
+      | 2, 2, 2    | 3.5  | closed |
+      | 2, 10, 2   | 11.5 | closed |
+
+  Scenario: A limit that is lowered beside a request holds from the next request on
+    When the idle limit changes from 10 to 2 s beside a first request
+    Then a request on it after 8.0 s finds it open
+    And another one 3.5 s after that finds it closed
+
+  Scenario: A lowered idle limit holds for the next wait
+    When the idle limit becomes 10, 2 seconds while a connection that was used under the first one is idle
+    Then a request on it after 1.0 s finds it open
+    And another one 3.5 s after that finds it closed
+
   Scenario Outline: The rest of a request has its own deadline
     When the idle limit is 4 s, and a connection idle for <idle> s brings a request whose rest takes <seconds> s
     Then its answer on the kept connection has status <status>
--- a/features/steps/keptconnections_steps.py
+++ b/features/steps/keptconnections_steps.py
@@ -5,6 +5,7 @@
 from behave import then, when
 from running_router import (
     CATALOGUE,
+    FIRST_BYTE_SECONDS,
     KEY,
     Caller,
     encode_request,
@@ -42,11 +43,15 @@
     return head.encode(), body
 
 
-def _run(context, limits, act):
+def _run(context, limits, act, limit_beside_first=None):
     async def act_on_connection(site):
-        caller = Caller(site)
+        caller = Caller(site, heeds_keep_alive=False)
         await site.wait_until(BEGIN_SECONDS)
-        first = await site.call(caller.ask(encode_request('once', 'first')))
+        asked = site.call(caller.ask(encode_request('once', 'first')))
+        if limit_beside_first is not None:
+            await site.wait_until(site.now + FIRST_BYTE_SECONDS / 2)
+            site.change_limits(idle_seconds=limit_beside_first)
+        first = await asked
         assert first.status == 200, first
         return await act(site, caller)
 
@@ -82,6 +87,49 @@
     assert (answer.status, connections) == (status, 1), (answer, connections)
 
 
+@when(
+    'the idle limit becomes {limits} seconds while a connection that was used under '
+    'the first one is idle'
+)
+def change_idle_limit(context, limits):
+    context.idle_limits = [float(limit) for limit in limits.split(', ')]
+    context.limit_beside_first = None
+    context.rests = []
+
+
+@when('the idle limit changes from {first:g} to {second:g} s beside a first request')
+def change_idle_limit_beside_request(context, first, second):
+    context.idle_limits = [first]
+    context.limit_beside_first = second
+    context.rests = []
+
+
+@then('a request on it after {idle:g} s finds it {state}')
+@then('another one {idle:g} s after that finds it {state}')
+def check_idle_connection(context, idle, state):
+    context.rests.append(idle)
+    first, *later = context.idle_limits
+
+    async def act(site, caller):
+        idle_since = [site.now]
+        for limit in later:
+            await site.wait_until(site.now + CHANGE_INTERVAL_SECONDS)
+            site.change_limits(idle_seconds=limit)
+        answers = []
+        for rest in context.rests:
+            await site.wait_until(idle_since[-1] + rest)
+            answer = await site.call(caller.ask(encode_request('once', 'next')))
+            idle_since.append(site.now)
+            answers.append((answer, caller.connections))
+        return answers
+
+    _run(context, Limits(idle_seconds=first), act, context.limit_beside_first)
+    answer, connections = context.answers[-1]
+    assert answer.status == 200, answer
+    seen = 'open' if connections == 1 else 'closed'
+    assert seen == state, (seen, answer)
+
+
 @when(
     'the idle limit is {limit:g} s, and a connection idle for {idle:g} s brings a '
     'request whose rest takes {seconds:g} s'
--- a/features/steps/running_router.py
+++ b/features/steps/running_router.py
@@ -178,14 +178,16 @@
 class Caller:
     """A caller that keeps one connection open and reuses it.
 
-    It heeds how long answers say that the connection stays open (Keep-Alive).
+    It heeds how long answers say that the connection stays open (Keep-Alive), unless
+    told otherwise.
 
     Attributes:
         connections: Number of connections that it has opened.
     """
 
-    def __init__(self, site, address=CALLERS):
+    def __init__(self, site, address=CALLERS, *, heeds_keep_alive=True):
         self.connections = 0
+        self._heeds_keep_alive = heeds_keep_alive
         self._site = site
         self._address = address
         self._reader = self._writer = None
@@ -215,8 +217,9 @@
         except ConnectionError as error:
             answer.failure = repr(error)
         answer.ended_at = self._site.now
-        keep_alive = answer.headers.get(b'keep-alive', b'timeout=inf')
-        self._open_until = answer.ended_at + float(keep_alive.removeprefix(b'timeout='))
+        if self._heeds_keep_alive:
+            stated = answer.headers.get(b'keep-alive', b'timeout=inf')
+            self._open_until = answer.ended_at + float(stated.removeprefix(b'timeout='))
         return answer
 
     async def _connect(self):
--- a/packages/fleet/src/ibisport_fleet/caller_server.py
+++ b/packages/fleet/src/ibisport_fleet/caller_server.py
@@ -1,6 +1,7 @@
 """Serves the connections of callers, one request after another."""
 
 import asyncio
+from dataclasses import dataclass
 
 from ibisport_fleet.call_handler import CallHandler
 from ibisport_fleet.catalogue import Limits
@@ -26,6 +27,22 @@
 IDLE_MARGIN_SECONDS = 1.0
 
 
+@dataclass(slots=True)
+class _Connection:
+    """A connection of a caller.
+
+    Attributes:
+        channel: The connection.
+        reader: Parses its requests.
+        version: Version of the catalogue in force when its last request began, or when
+            it was accepted. Its caller may still follow that one.
+    """
+
+    channel: Channel
+    reader: RequestReader
+    version: int
+
+
 class CallerServer:
     """Serves all connections of callers, one task each.
 
@@ -61,11 +78,12 @@
         self.connections.waiting.close_quiet(now - FIRST_REQUEST_SECONDS)
 
     async def _serve(self, channel: Channel) -> None:
-        limits = self._current_limits()
-        reader = RequestReader(channel, self._current_limits, self._intake)
+        reader = RequestReader(channel, self._find_limits, self._intake)
+        connection = _Connection(channel, reader, self._catalogue.version)
+        serving = True
         try:
-            while await self._serve_next(reader, channel, limits):
-                limits = self._current_limits()
+            while serving:
+                serving = await self._serve_next(connection)
         except RequestInvalid as error:
             response = self._create_response(channel)
             response.closing = True
@@ -79,42 +97,53 @@
             # The caller has disconnected, so no answer can be sent.
             return
 
-    async def _serve_next(
-        self, reader: RequestReader, channel: Channel, limits: Limits
-    ) -> bool:
+    async def _serve_next(self, connection: _Connection) -> bool:
+        channel, reader = connection.channel, connection.reader
         with self.connections.waiting.track(channel, reader):
-            request = await self._receive(reader, channel, limits)
+            request = await self._receive(connection)
         if request is None:
             return False
         response = self._create_response(channel)
         response.closing = not request.keeps_open
         await self._handler.handle(request, response)
         with self.connections.waiting.track(channel, reader):
-            flushed = await flush(channel, limits.idle_seconds)
+            flushed = await flush(channel, self._find_limits().idle_seconds)
         return flushed and not response.closing
 
-    async def _receive(
-        self, reader: RequestReader, channel: Channel, limits: Limits
-    ) -> Request | None:
+    async def _receive(self, connection: _Connection) -> Request | None:
         """Return the next request, or None if the caller left or stayed idle."""
-        idle_seconds = limits.idle_seconds + IDLE_MARGIN_SECONDS
+        reader = connection.reader
         loop = asyncio.get_running_loop()
-        if not await reader.wait_for_start(loop.time() + idle_seconds):
-            self._record_idle(channel, limits)
-            return None
+        idle_since = loop.time()
+        limit = self._find_idle_limit(connection)
+        # A newer version may extend the time until it is over.
+        while not await reader.wait_for_start(idle_since + limit + IDLE_MARGIN_SECONDS):
+            extended = self._find_idle_limit(connection)
+            if extended <= limit:
+                self._record_idle(connection, limit)
+                return None
+            limit = extended
+        connection.version = self._catalogue.version
         # Its first bytes may have come late in the idle time.
-        idle_seconds = self._current_limits().idle_seconds + IDLE_MARGIN_SECONDS
-        return await read_rest(reader, loop.time() + idle_seconds)
+        rest_seconds = self._find_limits().idle_seconds + IDLE_MARGIN_SECONDS
+        return await read_rest(reader, loop.time() + rest_seconds)
 
-    def _record_idle(self, channel: Channel, limits: Limits) -> None:
+    def _record_idle(self, connection: _Connection, limit: float) -> None:
         """Record that a connection is closed since no request arrived in time."""
         self._log.write(
             Event.connection_idle,
-            limit=limits.idle_seconds,
-            newest_limit=self._current_limits().idle_seconds,
-            unread=channel.has_unread,
+            limit=limit,
+            newest_limit=self._find_limits().idle_seconds,
+            unread=connection.channel.has_unread,
         )
 
+    def _find_idle_limit(self, connection: _Connection) -> float:
+        """Return the longest limit that a connection's caller may follow now."""
+        return self._catalogue.idle_limits.find_longest(connection.version)
+
+    def _find_limits(self) -> Limits:
+        return self._catalogue.limits
+
     def _create_response(self, channel: Channel) -> ResponseWriter:
         standby = self._handler.standby
         return ResponseWriter(
@@ -122,9 +151,5 @@
             self._dialect,
             lambda: self.stopping,
             lambda: standby.is_active,
-            lambda: self._current_limits().idle_seconds,
+            lambda: self._find_limits().idle_seconds,
         )
-
-    def _current_limits(self) -> Limits:
-        current = self._catalogue.current
-        return Limits() if current is None else current.limits
--- a/packages/fleet/src/ibisport_fleet/fleet_view.py
+++ b/packages/fleet/src/ibisport_fleet/fleet_view.py
@@ -5,9 +5,10 @@
 from typing import TypeVar
 
 from ibisport_fleet.addresses import Address
-from ibisport_fleet.catalogue import Catalogue, Workspace
+from ibisport_fleet.catalogue import Catalogue, Limits, Workspace
 from ibisport_fleet.errors import RecordInvalid
 from ibisport_fleet.event_log import Event, EventLog
+from ibisport_fleet.idle_limits import IdleLimits
 from ibisport_fleet.rate_shares.limit import RateLimit
 from ibisport_fleet.store import Change, Item, Listing, Removal
 from ibisport_fleet.stream_versions.build_history import BuildHistory
@@ -22,6 +23,7 @@
 
     Attributes:
         current: The catalogue, or None before the first one arrives.
+        idle_limits: The idle limits of its versions.
     """
 
     def __init__(
@@ -31,10 +33,21 @@
         log: EventLog,
     ) -> None:
         self.current: Catalogue | None = None
+        self.idle_limits = IdleLimits(Limits().idle_seconds)
         self._key = key
         self._decode = decode
         self._log = log
 
+    @property
+    def limits(self) -> Limits:
+        """The limits in force."""
+        return Limits() if self.current is None else self.current.limits
+
+    @property
+    def version(self) -> int:
+        """The version in force, or 0 before the first one arrives."""
+        return 0 if self.current is None else self.current.version
+
     def find_workspace(self, name: str) -> Workspace | None:
         """Return a workspace of the newest catalogue, or None."""
         return None if self.current is None else self.current.workspaces.get(name)
@@ -61,6 +74,7 @@
         if known is not None and catalogue.version <= known.version:
             return
         self.current = catalogue
+        self.idle_limits.record(catalogue.version, catalogue.limits.idle_seconds)
         self._log.write(
             Event.catalogue_changed,
             version=catalogue.version,
