Close idle connections to targets that are gone

Callers saw nothing yet: a router kept each idle connection until a request asked for its address again.

Each release, at most once a second, now closes what can't be reused any more. What is closed is what a request would have been refused for reuse anyway.

--- a/packages/fleet/src/ibisport_fleet/connection_pool.py
+++ b/packages/fleet/src/ibisport_fleet/connection_pool.py
@@ -9,6 +9,8 @@
 
 # Idle timeout assumed for a peer that states none; below the idle timeouts of targets.
 DEFAULT_IDLE_SECONDS = 3.0
+# How often connections that can't be reused any more are closed.
+CLOSE_INTERVAL_SECONDS = 1.0
 # A connection isn't reused this close to the end of its idle timeout: targets state the
 # timeout in whole seconds, and the margin covers rounding and network latency.
 IDLE_MARGIN_SECONDS = 1.0
@@ -19,6 +21,7 @@
 
     def __init__(self) -> None:
         self._idle: dict[Address, deque[HttpConnection]] = {}
+        self._next_close_at = 0.0
 
     def acquire_idle(self, address: Address) -> HttpConnection | None:
         """Return a reusable idle connection, or None."""
@@ -43,6 +46,9 @@
     def release(self, connection: HttpConnection, idle_seconds: float | None) -> None:
         """Keep a connection for the next request, or close it if it isn't reusable.
 
+        Other connections whose time is over are closed too: no request may ask for
+        their addresses again.
+
         Args:
             connection: A connection whose last answer was read to its end.
             idle_seconds: Idle timeout that the peer stated, if any.
@@ -55,3 +61,18 @@
         connection.idle_until = now + max(0.0, stated - IDLE_MARGIN_SECONDS)
         connection.charge(IdleCharge())
         self._idle.setdefault(connection.address, deque()).append(connection)
+        if now >= self._next_close_at:
+            self._next_close_at = now + CLOSE_INTERVAL_SECONDS
+            self._close_expired(now)
+
+    def _close_expired(self, now: float) -> None:
+        for address, idle in tuple(self._idle.items()):
+            kept: deque[HttpConnection] = deque()
+            for connection in idle:
+                if connection.reusable and connection.idle_until > now:
+                    kept.append(connection)
+                else:
+                    connection.close()
+            self._idle[address] = kept
+            if not kept:
+                self._idle.pop(address)
