Bound the table of departed targets

A router keeps the start time of every target that has drained or left, under an id that new targets don't use again, and never dropped one.

The 4,096 that departed last are kept, and those of all listed ids. An earlier one only matters for a write that arrives after thousands of later departures.

--- a/packages/fleet/src/ibisport_fleet/targets.py
+++ b/packages/fleet/src/ibisport_fleet/targets.py
@@ -9,6 +9,9 @@
 # Entries that lapsed in an outage of the store are back within two seconds of its
 # return, as the platform documents; the rest covers transmission.
 RETURN_GRACE_SECONDS = 2.3
+# Starts that have departed and whose ids are no longer listed. Writes of such a start
+# that arrive later are few and come soon.
+MAX_DEPARTED_STARTS = 4_096
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,7 +78,8 @@
         self._entries: dict[str, TargetEntry] = {}
         self._build_counts: Counter[Build] = Counter()
         self._lapsed: dict[str, TargetEntry] = {}
-        # By id, start time of the newest start that has drained or was removed.
+        # By id, start time of the newest start that has drained or was removed; in the
+        # order in which they departed.
         self._departed_starts: dict[str, int] = {}
         self._lapsed_until = 0.0
 
@@ -183,8 +187,11 @@
             del self._build_counts[entry.build]
 
     def _record_departure(self, entry: TargetEntry) -> None:
-        newest = self._departed_starts.get(entry.incarnation, -1)
+        newest = self._departed_starts.pop(entry.incarnation, -1)
         self._departed_starts[entry.incarnation] = max(newest, entry.started_at_ms)
+        if len(self._departed_starts) > MAX_DEPARTED_STARTS + len(self._entries):
+            gone = (name for name in self._departed_starts if name not in self._entries)
+            self._departed_starts.pop(next(gone))
 
     def drop_lapsed(self, now: float) -> list[TargetEntry]:
         """Remove lapsed entries after their deadline, and return them."""
