Bound the metrics of workspaces and routes that come and go

Requests were counted for every workspace and route that ever had one: 15 kB for each pair, all rendered at once on the event loop when the metrics are read.

The 512 pairs with the newest requests are kept; the others' series end, as Prometheus expects of what is gone, and begin anew with their next request.

--- a/features/longdays.feature
+++ b/features/longdays.feature
@@ -8,6 +8,7 @@
       | kind        | count |
       | targets     | 6000  |
       | odd entries | 2000  |
+      | routes      | 800   |
 
   Scenario: Connections to targets that are gone do not stay open
     When connections to 40 targets have rested past their idle limit
--- a/packages/fleet/src/ibisport_fleet/metrics.py
+++ b/packages/fleet/src/ibisport_fleet/metrics.py
@@ -4,11 +4,16 @@
 state of the router and its calls to the store.
 """
 
+from collections import OrderedDict
+
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 # From one network hop to the longest time limit of a route.
 BUCKETS_SECONDS = (0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 5.0, 15.0)
 NO_WORKSPACE = ''
+# Pairs of a workspace and a route whose metrics are kept. Each takes 15 kB, and all of
+# them are rendered at once.
+MAX_PAIRS = 512
 
 
 class Metrics:
@@ -16,6 +21,8 @@
 
     def __init__(self) -> None:
         """Register all metrics in a new registry."""
+        # The outcomes of each pair, the pairs in the order of their last requests.
+        self._outcomes: OrderedDict[tuple[str, str], set[str]] = OrderedDict()
         self._registry = Registry()
         registry = self._registry
         self._requests = Counter(
@@ -72,12 +79,9 @@
             route: Its route.
             outcome: ``served``, or the status and reason of a refusal or failure.
         """
-        labels = {
-            'workspace': workspace or NO_WORKSPACE,
-            'route': route,
-            'outcome': outcome,
-        }
-        self._requests.inc(labels)
+        labels = self._find_labels(workspace, route)
+        self._outcomes[labels['workspace'], route].add(outcome)
+        self._requests.inc({**labels, 'outcome': outcome})
 
     def count_tokens(self, workspace: str | None, tokens: int) -> None:
         """Count tokens that a workspace was charged."""
@@ -116,15 +120,13 @@
         self, workspace: str | None, route: str, seconds: float
     ) -> None:
         """Observe the time to the first byte of an answer."""
-        labels = {'workspace': workspace or NO_WORKSPACE, 'route': route}
-        self._first_byte.observe(labels, seconds)
+        self._first_byte.observe(self._find_labels(workspace, route), seconds)
 
     def observe_duration(
         self, workspace: str | None, route: str, seconds: float
     ) -> None:
         """Observe the time to the last byte of an answer."""
-        labels = {'workspace': workspace or NO_WORKSPACE, 'route': route}
-        self._duration.observe(labels, seconds)
+        self._duration.observe(self._find_labels(workspace, route), seconds)
 
     def observe_queue(self, rank: int, seconds: float) -> None:
         """Observe how long a queued request of a rank waited."""
@@ -147,6 +149,22 @@
         content, _ = render(self._registry, ['text/plain'])
         return bytes(content)
 
+    def _find_labels(self, workspace: str | None, route: str) -> dict[str, str]:
+        """Return the labels of a pair, and drop the pair that is unused for longest."""
+        pair = (workspace or NO_WORKSPACE, route)
+        self._outcomes.setdefault(pair, set())
+        self._outcomes.move_to_end(pair)
+        if len(self._outcomes) > MAX_PAIRS:
+            self._drop_pair(*self._outcomes.popitem(last=False))
+        return {'workspace': pair[0], 'route': route}
+
+    def _drop_pair(self, pair: tuple[str, str], outcomes: set[str]) -> None:
+        labels = {'workspace': pair[0], 'route': pair[1]}
+        for histogram in (self._first_byte, self._duration):
+            histogram.values.pop(labels, None)
+        for outcome in outcomes:
+            self._requests.values.pop({**labels, 'outcome': outcome}, None)
+
 
 def _build_histogram(name: str, documentation: str, registry: Registry) -> Histogram:
     return Histogram(
