Let errors that no code expects leave nothing behind them

- A target counted a request as running for ever if the attempt failed before its try block: each release is registered right after what it releases (ExitStack).
- A send went on as an orphan if giving up its target failed; an answer of a hedged send was lost with an error of the other one; a connection stayed open.
An unforeseen error of a send is now an unknown outcome, logged, so that idempotent requests go on elsewhere.
- A failed loan never returned the tokens that were set aside for it.
- A list that couldn't be applied counted as confirmed, and one entry kept all others from being followed.
- An error in the decision of a queue left all waiting requests to their deadline.
- A stop that failed half-way was never planned, and the process ran until it was killed.

--- a/features/steps/running_router.py
+++ b/features/steps/running_router.py
@@ -1,6 +1,7 @@
 """Shared fixtures: a router process in virtual time with its target and callers."""
 
 import asyncio
+import contextlib
 import math
 import os
 import random
@@ -292,6 +293,16 @@
         """Whether the router reports that a background task failed."""
         return self._router.failed
 
+    def list_running(self):
+        """Return how many requests of this router each target runs, as it counts."""
+        candidates = self._router._targets.list_candidates('svc')
+        return [candidate.health.running for candidate in candidates]
+
+    def stop_at_once(self):
+        """Stop the router, whatever it raises."""
+        with contextlib.suppress(Exception):
+            self._router.stop()
+
     def fail_task(self):
         """Make the task that lists the other routers fail at its next call."""
         self._store.scan = mock.AsyncMock(side_effect=RuntimeError('injected failure'))
--- a/features/steps/unforeseenerrors_steps.py
+++ b/features/steps/unforeseenerrors_steps.py
@@ -156,14 +156,14 @@
     assert budget.settled == charged, budget
 
 
-def _parse_name(key):
+def parse_name(key):
     return key.removeprefix('servers/')
 
 
-def _decode_target(item):
+def decode_target(item):
     if item.content == b'odd':
         raise InjectedError(item.key)
-    name = _parse_name(item.key)
+    name = parse_name(item.key)
     return TargetEntry(name, 'svc', ('10.0.0.2', 1), 'd-0', 1, False, item.revision)
 
 
@@ -173,7 +173,7 @@
     return replace(CATALOGUE, version=item.revision)
 
 
-def _watch(service, prefix, subscriber, log):
+def watch_prefix(service, prefix, subscriber, log):
     contact = StoreContact(asyncio.get_running_loop().time())
     watch = PrefixWatch(
         service.open_store('router'),
@@ -194,13 +194,13 @@
     async def play():
         service = MemoryService()
         context.log = ReadableLog()
-        context.targets = TargetView(_decode_target, _parse_name, context.log)
+        context.targets = TargetView(decode_target, parse_name, context.log)
         context.catalogue = CatalogueView('op/config', _decode_catalogue, context.log)
         for key in ('op/config', 'servers/i-0', 'servers/i-1'):
             service.put(key, b'')
         tasks = [
-            _watch(service, 'servers/', context.targets, context.log),
-            _watch(service, 'op/', context.catalogue, context.log),
+            watch_prefix(service, 'servers/', context.targets, context.log),
+            watch_prefix(service, 'op/', context.catalogue, context.log),
         ]
         for content in (b'odd', b''):
             await asyncio.sleep(STEP_SECONDS)
@@ -255,7 +255,7 @@
         context.log = ReadableLog()
         context.subscriber = _FailingSubscriber()
         service.put('key', b'1')
-        context.task = _watch(service, 'key', context.subscriber, context.log)
+        context.task = watch_prefix(service, 'key', context.subscriber, context.log)
         for content in (b'2', b'3'):
             await asyncio.sleep(2 * STEP_SECONDS)
             service.put('key', content)
--- a/features/unforeseenerrors.feature
+++ b/features/unforeseenerrors.feature
@@ -32,3 +32,16 @@
   Scenario: A subscriber that fails once to apply a change gets it again
     When a subscriber fails to apply its first change
     Then it gets a listing with the change, and the watch goes on
+
+  Scenario Outline: An unforeseen error beside <place> concerns nothing else
+    When an unforeseen error is raised beside <place>
+    Then <rest>
+
+    Examples:
+      | place                     | rest                                       |
+      | the count of a prompt     | the target counts no request as running    |
+      | the wait for a target     | the send to it is cancelled                |
+      | a loan                    | the tokens held before are still there     |
+      | the entry of a target     | changes of other entries are followed      |
+      | a decision of the queue   | the other waiting requests are sent        |
+      | the plans of a stop       | the stop is planned all the same           |
--- a/packages/fleet/src/ibisport_fleet/borrowing.py
+++ b/packages/fleet/src/ibisport_fleet/borrowing.py
@@ -171,7 +171,11 @@
             # Another request has returned its tokens since this one asked.
             return Reservation(workspace, tokens, borrowed=True)
         borrowing = _Borrowing(workspace, tokens - available)
-        answer = await self._collect_loan(borrowing, delay)
+        try:
+            answer = await self._collect_loan(borrowing, delay)
+        except Exception:
+            local_budget.borrowed += available
+            raise
         if answer is not None and answer.tokens:
             return Reservation(workspace, tokens, borrowed=True)
         local_budget.borrowed += available
--- a/packages/fleet/src/ibisport_fleet/continuation/hedged_send.py
+++ b/packages/fleet/src/ibisport_fleet/continuation/hedged_send.py
@@ -8,7 +8,6 @@
 from ibisport_fleet.catalogue import RouteKind
 from ibisport_fleet.continuation.hedging import compute_hedge_delay
 from ibisport_fleet.dependencies import Dependencies
-from ibisport_fleet.errors import ConnectionBroken
 from ibisport_fleet.overload.answer_charge import AnswerCharge
 from ibisport_fleet.overload.memory_budget import MemoryExhausted
 from ibisport_fleet.settings import Feature
@@ -205,13 +204,14 @@
             body = await answered.connection.read_body(
                 AnswerCharge(call.request.memory)
             )
-        except ConnectionBroken as error:
-            answered.connection.close()
-            answered.health.record_failure(loop.time())
-            return OutcomeUnknown(repr(error))
         except (asyncio.CancelledError, MemoryExhausted):
             answered.connection.close()
             raise
+        except Exception as error:
+            # Whatever it is, the other target's answer may be whole.
+            answered.connection.close()
+            answered.health.record_failure(loop.time())
+            return OutcomeUnknown(repr(error))
         self._dependencies.target_client.release(answered)
         if answered.succeeded:
             self._record_time(call)
--- a/packages/fleet/src/ibisport_fleet/continuation/waiting.py
+++ b/packages/fleet/src/ibisport_fleet/continuation/waiting.py
@@ -64,7 +64,7 @@
             if not task.done() and may_give_up():
                 await cancel_send(task)
                 return None
-    except asyncio.CancelledError:
+    except BaseException:
         await cancel_send(task)
         raise
     return task.result()
--- a/packages/fleet/src/ibisport_fleet/fleet_view.py
+++ b/packages/fleet/src/ibisport_fleet/fleet_view.py
@@ -136,11 +136,12 @@
         self._builds.restart(asyncio.get_running_loop().time())
         for key in self._unreadable.keys() - {item.key for item in listing.items}:
             self._unreadable.pop(key)
+        first_listing = not self.listings
         entries = [
-            entry for item in listing.items if (entry := self._decode_entry(item))
+            entry
+            for item in listing.items
+            if (entry := self._read_entry(item, first_listing=first_listing))
         ]
-        for entry in entries:
-            self._record_entry(entry, first_listing=not self.listings)
         self.listings += 1
         self.builds_changed.set()
         self.targets.replace_all(entries, doubtful_until)
@@ -233,6 +234,18 @@
         for stale in self._health.keys() - listed:
             self._health.pop(stale)
 
+    def _read_entry(self, item: Item, *, first_listing: bool) -> TargetEntry | None:
+        """Return an entry whose warm-up is recorded, or None if that isn't possible."""
+        entry = self._decode_entry(item)
+        if entry is None:
+            return None
+        try:
+            self._record_entry(entry, first_listing=first_listing)
+        except Exception as error:
+            self._log.write(Event.record_refused, reason=f'{item.key}: {error!r}'[:200])
+            return None
+        return entry
+
     def _decode_entry(self, item: Item) -> TargetEntry | None:
         """Return an entry, or None if its content is invalid.
 
@@ -257,10 +270,9 @@
         self.targets.drop(incarnation)
 
     def _apply_entry(self, item: Item) -> None:
-        entry = self._decode_entry(item)
+        entry = self._read_entry(item, first_listing=False)
         if entry is None:
             return
-        self._record_entry(entry, first_listing=False)
         self.targets.put(entry)
         self._drop_stale_health()
         event = Event.target_draining if entry.draining else Event.target_added
--- a/packages/fleet/src/ibisport_fleet/forwarding.py
+++ b/packages/fleet/src/ibisport_fleet/forwarding.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from contextlib import ExitStack
 from dataclasses import dataclass
 
 from ibisport_fleet.calls import Call
@@ -104,22 +105,21 @@
         while True:
             self.check_quarantine()
             await self._turn.wait()
-            candidate = self._continuation.select()
-            self._guard.begin_send()
-            candidate.health.begin_request(_now())
-            # A run that continues reads only what its copy lacks.
-            if self._call.continued_from is None:
-                self._prefill.begin(candidate, _now())
-            try:
-                with self._turn.count_running():
-                    if await self._attempt(candidate):
-                        self._dependencies.streams.record_end(self._call)
-                        return
-            finally:
-                candidate.health.end_request()
-                self._prefill.end()
-                self._continuation.end_attempt()
-                self._splitter.drop_partial_event()
+            with ExitStack() as releases:
+                releases.callback(self._splitter.drop_partial_event)
+                releases.callback(self._continuation.end_attempt)
+                candidate = self._continuation.select()
+                self._guard.begin_send()
+                candidate.health.begin_request(_now())
+                releases.callback(candidate.health.end_request)
+                releases.callback(self._prefill.end)
+                # A run that continues reads only what its copy lacks.
+                if self._call.continued_from is None:
+                    self._prefill.begin(candidate, _now())
+                releases.enter_context(self._turn.count_running())
+                if await self._attempt(candidate):
+                    self._dependencies.streams.record_end(self._call)
+                    return
 
     def check_quarantine(self) -> None:
         """Refuse a request that crashes targets.
--- a/packages/fleet/src/ibisport_fleet/prefix_watch.py
+++ b/packages/fleet/src/ibisport_fleet/prefix_watch.py
@@ -135,8 +135,9 @@
             listing = await self._store.scan(self._prefix, shared=schedule.shared)
             if listing.revision < self._max_revision:
                 raise StoreUnavailable(f'stale listing of revision {listing.revision}')
-            self._record_answer(called_at)
+            answered_at = self._record_answer()
             self._subscriber.apply_listing(listing, self._contact.doubtful_until)
+            self._confirm(called_at, answered_at)
             self._revision = self._max_revision = listing.revision
             self._listed_bytes = sum(len(item.content) for item in listing.items)
             on_listed()
@@ -145,9 +146,10 @@
         max_bytes = self._listed_bytes + MAX_EXCESS_BYTES
         options = WatchOptions(schedule.wait, max_bytes, schedule.shared)
         result = await self._store.watch(self._prefix, self._revision, options)
-        self._record_answer(called_at)
+        answered_at = self._record_answer()
         for change in result.changes:
             self._subscriber.apply_change(change, self._contact.doubtful_until)
+        self._confirm(called_at, answered_at)
         self._revision = max(self._revision, result.revision)
         self._max_revision = self._revision
         if result.changes:
@@ -155,16 +157,22 @@
             now = asyncio.get_running_loop().time()
             await asyncio.sleep(started_at + schedule.min_interval - now)
 
-    def _record_answer(self, called_at: float) -> None:
+    def _confirm(self, called_at: float, answered_at: float) -> None:
+        """Record that the state of an answer is applied."""
         self.current_at = called_at
-        self.confirmed_at = asyncio.get_running_loop().time()
-        outage = self._contact.record_answer(self.confirmed_at)
+        self.confirmed_at = answered_at
+
+    def _record_answer(self) -> float:
+        """Record that the store has answered; return the loop time."""
+        answered_at = asyncio.get_running_loop().time()
+        outage = self._contact.record_answer(answered_at)
         self._backoff = MIN_BACKOFF_SECONDS
         if self._failing:
             self._failing = False
             self._log.write(
                 Event.store_regained, prefix=self._prefix, away_s=round(outage, 3)
             )
+        return answered_at
 
     def _record_failure(self, error: StoreError) -> None:
         if not self._failing:
--- a/packages/fleet/src/ibisport_fleet/queueing/service_gate.py
+++ b/packages/fleet/src/ibisport_fleet/queueing/service_gate.py
@@ -226,9 +226,15 @@
         """
         self._next_decision = None
         now = _now()
-        queued = self.queue.find_next(self._in_use, now)
-        if queued is None:
-            return
+        queued: QueuedRequest | None = None
+        try:
+            queued = self.queue.find_next(self._in_use, now)
+            if queued is not None:
+                self._decide_on(queued, now)
+        except Exception as error:
+            self._handle_error(queued, error, now)
+
+    def _decide_on(self, queued: QueuedRequest, now: float) -> None:
         capacity = self._observe_capacity(queued.request, now)
         decision: Decision
         if self.queue.find_earliest_end() <= now:
@@ -244,6 +250,19 @@
                 # Scheduled behind the task that sends this request.
                 self._decide_soon()
 
+    def _handle_error(
+        self, queued: QueuedRequest | None, error: Exception, now: float
+    ) -> None:
+        """Let an error concern the request decided on; the others go on waiting."""
+        if queued is None:
+            self._decide_at(now + RECHECK_SECONDS)
+            return
+        self.queue.remove(queued.ticket)
+        turn = self._turns.pop(queued.ticket, None)
+        if turn is not None and not turn.done():
+            turn.set_exception(error)
+        self._decide_soon()
+
     def _end_wait(self, queued: QueuedRequest, decision: Send | Refuse) -> None:
         self.queue.remove(queued.ticket)
         turn = self._turns.pop(queued.ticket, None)
--- a/packages/fleet/src/ibisport_fleet/response_writer.py
+++ b/packages/fleet/src/ibisport_fleet/response_writer.py
@@ -20,7 +20,6 @@
         head_sent: Whether the head of the answer was written.
         closing: Whether the connection closes after this answer.
         complete: Whether all of the answer was written.
-        idle_seconds: How long the head says that the connection may stay idle.
     """
 
     def __init__(
@@ -47,7 +46,6 @@
         self.head_sent = False
         self.closing = False
         self.complete = False
-        self.idle_seconds = 0.0
         self._is_stopping = is_stopping
         self._closes_refusals = closes_refusals
         self._find_idle_seconds = find_idle_seconds
@@ -121,8 +119,8 @@
         """
         if self.closing:
             return CONNECTION_CLOSE
-        self.idle_seconds = math.floor(self._find_idle_seconds())
-        return ((KEEP_ALIVE, b'timeout=%d' % self.idle_seconds),)
+        seconds = math.floor(self._find_idle_seconds())
+        return ((KEEP_ALIVE, b'timeout=%d' % seconds),)
 
 
 def _find_reason_phrase(status: int) -> str:
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -239,10 +239,11 @@
         self.stopping = True
         grace = self._settings.bounds.stop_grace
         shutdown = plan_shutdown(self._estimate_signal_time(), grace)
+        # Whatever the steps below raise, the process ends in time.
+        self._shutdown_planned.set_result(shutdown)
         self._call_handler.begin_shutdown(shutdown)
         self._caller_server.stopping = True
         self._budgets.leave(shutdown)
-        self._shutdown_planned.set_result(shutdown)
 
     def _estimate_signal_time(self) -> float:
         """Return the earliest loop time at which the stop signal may have arrived.
--- a/packages/fleet/src/ibisport_fleet/target_client.py
+++ b/packages/fleet/src/ibisport_fleet/target_client.py
@@ -9,9 +9,10 @@
     CallerLeft,
     ConnectionBroken,
     ConnectionFailed,
+    FleetError,
     NobodyListens,
 )
-from ibisport_fleet.event_log import EventLog
+from ibisport_fleet.event_log import Event, EventLog, find_place
 from ibisport_fleet.http_connection import HttpConnection
 from ibisport_fleet.http_messages import AnswerHead
 from ibisport_fleet.metadata import AnswerMetadata, Dialect, SendMetadata
@@ -141,9 +142,22 @@
             connection.close()
             health.record_failure(loop.time())
             return OutcomeUnknown(repr(error))
-        except BaseException:
+        except (FleetError, asyncio.CancelledError):
             connection.close()
             raise
+        except Exception as error:
+            connection.close()
+            return self._record_error(call, error)
+
+    def _record_error(self, call: Call, error: Exception) -> OutcomeUnknown:
+        """Record an unforeseen error of a send, whose outcome isn't known then."""
+        self._log.write(
+            Event.request_error,
+            request=call.metadata.request_id,
+            reason=repr(error),
+            place=find_place(error),
+        )
+        return OutcomeUnknown(repr(error))
 
     def release(self, answered: Answered) -> None:
         """Return a connection to the pool after its answer was read completely."""
