Check ranges in the records that routers keep in the store

Another writer, or a release with a fault, may leave odd values in the records that routers write themselves. Shown beside a workspace with a budget of 100 tokens and requests of 30:

- a budget page with -1000 tokens closed: four requests were served (120 tokens) out of the budget of 100;
- a stamp nested 200,000 deep of the process before on the host: the router didn't become ready within the minute of the run, since a RecursionError ended the task that keeps the budgets, and each restart would read it again;
- a record of the host that becomes invalid: no request with a budget was served any more (503), since each write met the conflict, failed to decode it and never learned its revision.

Cause: pages were converted by `int` and `float` without a range, records were checked for types only, stamps and proofs didn't use the decoding that other records share, and a host's own record that is invalid was an error instead of none. A router's port out of range ended sends of datagrams with an OverflowError.

Numbers of tokens have the range that loans have had, times aren't negative, ports are ports. A budget page out of range is refused as a whole, as one that can't be decoded: what is spent isn't known, so nothing is drawn. An invalid record of a host is logged and replaced by its process.

--- a/features/steps/running_router.py
+++ b/features/steps/running_router.py
@@ -251,7 +251,7 @@
         slots: Number of requests that the target runs, as its entry says.
     """
 
-    def __init__(self, net, replies, catalogue=CATALOGUE, features=()):
+    def __init__(self, net, replies, catalogue=CATALOGUE, features=(), records=None):
         self.net = net
         self.target = ScriptedTarget(list(replies))
         self.service = MemoryService()
@@ -259,6 +259,7 @@
         self.killed = False
         self.slots = 1_000
         self._catalogue = catalogue
+        self._records = records or {}
         self._settings = replace(_build_settings(), features=frozenset(features))
         self._router = None
         self._store = self.service.open_store(ROUTER)
@@ -284,6 +285,8 @@
         await self.net.start_on('target', self.target.start())
         self.service.put('servers/i-0', b'')
         self.service.put('op/config', b'')
+        for key, content in self._records.items():
+            self.service.put(key, content)
         self._process = self.net.create_task(self._run())
         while not await self._ask_readiness():
             await asyncio.sleep(0.1)
@@ -383,7 +386,9 @@
     return site.call(Caller(site).ask(*arguments))
 
 
-def run_until_stopped(replies, act, catalogue=CATALOGUE, stands_still=0.0, features=()):
+def run_until_stopped(
+    replies, act, catalogue=CATALOGUE, stands_still=0.0, features=(), records=None
+):
     """Run and stop a router beside ``act``; return it and the result of ``act``.
 
     Args:
@@ -392,6 +397,7 @@
         catalogue: The catalogue in the store.
         stands_still: Seconds during which the process can't handle the signal.
         features: The optional parts that are in use.
+        records: Contents that the store has before the router starts, by key.
     """
 
     async def play(net):
@@ -399,7 +405,7 @@
         clock = SimpleNamespace(
             clock_gettime=lambda clock_id: net.time(), CLOCK_BOOTTIME=0
         )
-        site = RunningRouter(net, replies, catalogue, features)
+        site = RunningRouter(net, replies, catalogue, features, records)
         # Leases are computed from the machine's clock, which virtual time doesn't move.
         with mock.patch('ibisport_fleet.clocks.time', clock):
             async with asyncio.timeout(MAX_RUN_SECONDS):
--- a/packages/fleet/src/ibisport_fleet/budget_page.py
+++ b/packages/fleet/src/ibisport_fleet/budget_page.py
@@ -10,21 +10,18 @@
 """
 
 from dataclasses import dataclass, field, replace
-from typing import Any
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta, Struct
 
 from ibisport_fleet.errors import RecordInvalid
+from ibisport_fleet.token_counts import MAX_TOKENS, TokenCount
 
-_DECODE_ERRORS = (
-    msgspec.MsgspecError,
-    AttributeError,
-    KeyError,
-    OverflowError,
-    RecursionError,
-    TypeError,
-    ValueError,
-)
+_Rate = Annotated[float, Meta(ge=0, le=MAX_TOKENS)]
+# Tokens used, cap and rate.
+_Share = tuple[TokenCount, TokenCount, _Rate]
+_Sequence = Annotated[int, Meta(ge=0)]
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,6 +156,16 @@
         return BudgetPage(accounts, {**self.sessions, host: session})
 
 
+class _Page(Struct):
+    # Tokens of ended processes and shares by host name, by workspace name.
+    accounts: dict[str, tuple[TokenCount, dict[str, _Share]]]
+    # Incarnations and sequence numbers by host name.
+    sessions: dict[str, tuple[str, _Sequence]]
+
+
+_DECODER = msgspec.json.Decoder(_Page)
+
+
 def encode_page(page: BudgetPage) -> bytes:
     """Encode a page for the store."""
     return msgspec.json.encode(
@@ -182,9 +189,8 @@
         RecordInvalid: The content is not a valid budget page.
     """
     try:
-        document = msgspec.json.decode(content)
-        return _build_page(document)
-    except _DECODE_ERRORS as error:
+        return _build_page(_DECODER.decode(content))
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise RecordInvalid(f'budget page: {error!r}') from error
 
 
@@ -195,16 +201,13 @@
     }
 
 
-def _build_page(document: dict[str, Any]) -> BudgetPage:
-    accounts = {}
-    for name, (closed, shares) in document['accounts'].items():
-        built = {
-            host: Share(int(used), int(cap), float(rate))
-            for host, (used, cap, rate) in shares.items()
-        }
-        accounts[name] = Account(int(closed), built)
+def _build_page(record: _Page) -> BudgetPage:
+    accounts = {
+        name: Account(closed, {host: Share(*share) for host, share in shares.items()})
+        for name, (closed, shares) in record.accounts.items()
+    }
     sessions = {
-        host: Session(str(incarnation), int(sequence))
-        for host, (incarnation, sequence) in document['sessions'].items()
+        host: Session(incarnation, sequence)
+        for host, (incarnation, sequence) in record.sessions.items()
     }
     return BudgetPage(accounts, sessions)
--- a/packages/fleet/src/ibisport_fleet/budget_synchronizer.py
+++ b/packages/fleet/src/ibisport_fleet/budget_synchronizer.py
@@ -47,7 +47,7 @@
 from ibisport_fleet.host_record import (
     HostRecord,
     build_record_key,
-    decode_record,
+    find_valid_record,
 )
 from ibisport_fleet.ledger import Ledger
 from ibisport_fleet.membership import Member
@@ -424,7 +424,7 @@
         """Apply the state after a conflict; return whether the plan is stored."""
         key = build_record_key(self._host)
         item = await find_current(self._store, conflict, key)
-        record = None if item is None else decode_record(item.content)
+        record = find_valid_record(item, self._log)
         self._record_revision = 0 if item is None else item.revision
         is_stored = record is not None and record == plan.record
         if plan.page is not None:
--- a/packages/fleet/src/ibisport_fleet/contact_proofs.py
+++ b/packages/fleet/src/ibisport_fleet/contact_proofs.py
@@ -13,12 +13,13 @@
 
 import asyncio
 from dataclasses import dataclass
-from typing import Self
+from typing import Annotated, Self
 
 import msgspec
+from msgspec import Meta
 
 from ibisport_fleet.clocks import Clocks
-from ibisport_fleet.errors import RecordInvalid
+from ibisport_fleet.item_decoding import decode_item
 from ibisport_fleet.store import Item, Listing, Put, Store
 
 PROOF_PREFIX = 'ibisport/contact/'
@@ -30,6 +31,7 @@
 STAMP_LEASE_SECONDS = PROOF_LEASE_SECONDS + RELEASE_SECONDS
 # Enough that a stamp's lease has run out before its key is written again.
 STAMP_SLOTS = 10
+_Moment = Annotated[float, Meta(ge=0)]
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,8 +152,12 @@
     """
 
     incarnation: str
-    expires_at: float
-    expires_at_wall: float
+    expires_at: _Moment
+    expires_at_wall: _Moment
+
+
+_PROOF_DECODER = msgspec.json.Decoder(tuple[str, _Moment])
+_STAMP_DECODER = msgspec.json.Decoder(Stamp)
 
 
 @dataclass(frozen=True, slots=True)
@@ -181,10 +187,7 @@
     Raises:
         RecordInvalid: The content is not a valid contact proof.
     """
-    try:
-        return msgspec.json.decode(item.content, type=tuple[str, float])
-    except msgspec.MsgspecError as error:
-        raise RecordInvalid(f'{item.key}: {error!r}') from error
+    return decode_item(_PROOF_DECODER.decode, item)
 
 
 def decode_stamp(item: Item) -> Stamp:
@@ -193,10 +196,7 @@
     Raises:
         RecordInvalid: The content is not a valid stamp.
     """
-    try:
-        return msgspec.json.decode(item.content, type=Stamp)
-    except msgspec.MsgspecError as error:
-        raise RecordInvalid(f'{item.key}: {error!r}') from error
+    return decode_item(_STAMP_DECODER.decode, item)
 
 
 def compute_released_fraction(
--- a/packages/fleet/src/ibisport_fleet/host_record.py
+++ b/packages/fleet/src/ibisport_fleet/host_record.py
@@ -7,12 +7,19 @@
 """
 
 from dataclasses import dataclass, field
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
 from ibisport_fleet.errors import RecordInvalid
+from ibisport_fleet.event_log import Event, EventLog
+from ibisport_fleet.store import Item
+from ibisport_fleet.token_counts import TokenCount
 
 RECORD_PREFIX = 'ibisport/host/'
+_Sequence = Annotated[int, Meta(ge=0)]
+_Moment = Annotated[float, Meta(ge=0)]
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,13 +43,13 @@
     """
 
     incarnation: str
-    sequence: int = 0
+    sequence: _Sequence = 0
     final: bool = False
-    caps: dict[str, int] = field(default_factory=dict)
+    caps: dict[str, TokenCount] = field(default_factory=dict)
     boot_id: str = ''
-    written_at: float = 0.0
-    bound_until: float = 0.0
-    full_cap_at: float = 0.0
+    written_at: _Moment = 0.0
+    bound_until: _Moment = 0.0
+    full_cap_at: _Moment = 0.0
 
 
 _DECODER = msgspec.json.Decoder(HostRecord)
@@ -68,3 +75,17 @@
         return _DECODER.decode(content)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise RecordInvalid(f'host record: {error!r}') from error
+
+
+def find_valid_record(item: Item | None, log: EventLog) -> HostRecord | None:
+    """Return the record in an item of the store; None if there is no valid one.
+
+    The process that owns the record replaces an invalid one by its next write.
+    """
+    if item is None:
+        return None
+    try:
+        return decode_record(item.content)
+    except RecordInvalid as error:
+        log.write(Event.record_refused, reason=f'{item.key}: {error}'[:200])
+        return None
--- a/packages/fleet/src/ibisport_fleet/loans.py
+++ b/packages/fleet/src/ibisport_fleet/loans.py
@@ -6,18 +6,15 @@
 
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
-from typing import Annotated, Protocol
+from typing import Protocol
 
 import msgspec
 
 from ibisport_fleet.addresses import Address
 from ibisport_fleet.peers import PeerClient, PeerHandler, decode_message
+from ibisport_fleet.token_counts import TokenCount
 
 LOANS_PATH = b'/loans'
-# The largest integer that every JSON implementation represents exactly. The lower
-# bound is 0 because a negative count would create tokens at the lender.
-MAX_TOKENS = 2**53
-_TokenCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKENS)]
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,9 +32,9 @@
 
     lender: str
     workspace: str
-    tokens: _TokenCount
-    repaid: _TokenCount = 0
-    ahead: _TokenCount = 0
+    tokens: TokenCount
+    repaid: TokenCount = 0
+    ahead: TokenCount = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,8 +52,8 @@
             should be returned.
     """
 
-    tokens: _TokenCount
-    used: _TokenCount
+    tokens: TokenCount
+    used: TokenCount
     certain: bool
     lends: bool = True
     scarce: bool = False
--- a/packages/fleet/src/ibisport_fleet/membership.py
+++ b/packages/fleet/src/ibisport_fleet/membership.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from ibisport_fleet.addresses import Address
+from ibisport_fleet.addresses import Address, Port
 from ibisport_fleet.errors import RecordInvalid, StoreError
 from ibisport_fleet.event_log import Event, EventLog
 from ibisport_fleet.item_decoding import decode_item
@@ -49,7 +49,7 @@
 
     host: str
     incarnation: str
-    address: Address
+    address: tuple[str, Port]
 
 
 _DECODER = msgspec.json.Decoder(Member)
--- a/packages/fleet/src/ibisport_fleet/predecessor.py
+++ b/packages/fleet/src/ibisport_fleet/predecessor.py
@@ -15,7 +15,7 @@
 )
 from ibisport_fleet.errors import RecordInvalid
 from ibisport_fleet.event_log import Event, EventLog
-from ibisport_fleet.host_record import HostRecord, decode_record
+from ibisport_fleet.host_record import HostRecord, find_valid_record
 from ibisport_fleet.store import Item
 
 
@@ -112,12 +112,8 @@
         ended_by: Time by which the process had ended, as far as known from an earlier
             look at the store.
     """
-    if predecessor is None or state.record is None:
-        return SpentBound(Evidence.no_record)
-    try:
-        record = decode_record(state.record.content)
-    except RecordInvalid as error:
-        log.write(Event.record_refused, reason=str(error))
+    record = find_valid_record(state.record, log)
+    if predecessor is None or record is None:
         return SpentBound(Evidence.no_record)
     if record.incarnation != predecessor.incarnation:
         return SpentBound(Evidence.other_process)
