Look up routes by the lengths of their prefixes

Callers saw delays that grew with the catalogue: each request compared its path with all routes of its host, twice, on the event loop, and each version sorted all routes.

A host's prefixes have few different lengths. For each, the longest first, one look into a table tells whether a prefix of that length matches.

--- a/packages/fleet/src/ibisport_fleet/catalogue.py
+++ b/packages/fleet/src/ibisport_fleet/catalogue.py
@@ -183,14 +183,21 @@
     limits: Limits = field(default_factory=Limits)
 
     @cached_property
-    def _routes_by_host(self) -> Mapping[str, tuple[Route, ...]]:
-        by_host: dict[str, list[Route]] = {}
+    def _routes_by_prefix(self) -> Mapping[tuple[str, str], Route]:
+        by_prefix: dict[tuple[str, str], Route] = {}
         for route in self.routes:
-            by_host.setdefault(route.host, []).append(route)
-        # Longest prefix first, so that the first match is the longest one.
+            by_prefix.setdefault((route.host, route.prefix), route)
+        return by_prefix
+
+    @cached_property
+    def _prefix_lengths(self) -> Mapping[str, tuple[int, ...]]:
+        """The lengths of each host's prefixes, the longest first."""
+        by_host: dict[str, set[int]] = {}
+        for route in self.routes:
+            by_host.setdefault(route.host, set()).add(len(route.prefix))
         return {
-            host: tuple(sorted(routes, key=_prefix_length, reverse=True))
-            for host, routes in by_host.items()
+            host: tuple(sorted(lengths, reverse=True))
+            for host, lengths in by_host.items()
         }
 
     def find_route(self, host: str, path: str) -> Route | None:
@@ -200,8 +207,10 @@
             host: Host name of the request, without the port.
             path: Path of the request, without the query.
         """
-        for route in self._routes_by_host.get(host.lower(), ()):
-            if path.startswith(route.prefix):
+        host = host.lower()
+        for length in self._prefix_lengths.get(host, ()):
+            route = self._routes_by_prefix.get((host, path[:length]))
+            if route is not None:
                 return route
         return None
 
@@ -217,7 +226,3 @@
             for workspace in self.workspaces.values()
             if workspace.budget is not None
         ]
-
-
-def _prefix_length(route: Route) -> int:
-    return len(route.prefix)
