Answer requests that were sent ahead of a refused one

Whole requests got no answer of their own if bytes behind them were refused: where all of them were parsed together, the caller got one 400, 413 or 431, in the place of the answer to the first one.

Cause: an error of the parser dropped the complete requests that were queued ahead of the bytes that it met.

The refusal is now raised behind the complete requests. What the refused message had brought is dropped at once; its announced length would otherwise count against the room for those ahead. A request that asks for another protocol, which the parser completes first, is refused as before. Requests that were sent ahead still end together when there is no room for them: none of them has run, and the connection closes behind the 503.

--- a/features/keptconnections.feature
+++ b/features/keptconnections.feature
@@ -67,3 +67,13 @@
       | requests sent ahead                  | the process runs out of descriptors    |
       | requests sent ahead                  | the connection's idle time is over     |
       | a request behind one in many parts   | the connection's idle time is over     |
+
+  Scenario Outline: Requests sent ahead of a refused one are answered first
+    When 2 requests and <last> arrive at once
+    Then the client gets 200, 200 and <status>
+
+    Examples:
+      | last                          | status |
+      | bytes that are no request     | 400    |
+      | a request for a new protocol  | 400    |
+      | a head with a body too long   | 413    |
--- a/features/steps/crossedcloses_steps.py
+++ b/features/steps/crossedcloses_steps.py
@@ -38,6 +38,13 @@
     + b'1\r\nx\r\n' * 1_000
     + b'0\r\n\r\n'
 )
+REFUSED = {
+    'bytes that are no request': b'no request\r\n\r\n',
+    'a request for a new protocol': REQUEST.replace(
+        b'Host', b'Connection: upgrade\r\nUpgrade: websocket\r\nHost'
+    ),
+    'a head with a body too long': REQUEST.replace(b': 2', b': 99999999'),
+}
 STATUS = re.compile(rb'HTTP/1\.1 (\d+) ')
 
 
@@ -187,3 +194,23 @@
         if len(STATUS.findall(received)) < count
     }
     assert not missing, missing
+
+
+async def _send_at_once(message, count):
+    meeting = _Meeting(None)
+    await meeting.open()
+    meeting.client.sendall(message)
+    received, _ = await _receive_all(meeting, count)
+    return received
+
+
+@when('{count:d} requests and {last} arrive at once')
+def send_at_once(context, count, last):
+    message = REQUEST * count + REFUSED[last]
+    context.received = asyncio.run(_send_at_once(message, count + 1))
+
+
+@then('the client gets 200, 200 and {status:d}')
+def check_statuses(context, status):
+    statuses = [int(each) for each in STATUS.findall(context.received)]
+    assert statuses == [200, 200, status], context.received
--- a/packages/fleet/src/ibisport_fleet/request_reader.py
+++ b/packages/fleet/src/ibisport_fleet/request_reader.py
@@ -95,8 +95,9 @@
 
     @property
     def has_queued(self) -> bool:
-        """Whether bytes or requests are queued that nobody has to send any more."""
-        return bool(self._unparsed or self._complete_requests)
+        """Whether bytes, requests or a refusal are queued."""
+        refused = self._error is not None
+        return refused or bool(self._unparsed or self._complete_requests)
 
     async def wait_for_start(self, deadline: float) -> bool:
         """Wait until a request has begun to arrive; return whether one has.
@@ -222,9 +223,16 @@
         self._is_identified = False
 
     async def _fill_queue(self) -> None:
-        """Read until a request is complete, or the caller has closed the connection."""
+        """Read until a request is complete, or the caller has closed the connection.
+
+        Raises:
+            RequestInvalid: The bytes are no valid request, exceed the limits, or found
+                no room. Complete requests ahead of them are returned first.
+        """
         self._charge()
         while not self._complete_requests:
+            if self._error is not None:
+                raise self._error
             if not self._unparsed:
                 data = await self._channel.read()
                 if not data:
@@ -236,8 +244,7 @@
         """Parse some bytes; requests that they complete are queued.
 
         Raises:
-            RequestInvalid: The bytes are no valid request, exceed the limits, or found
-                no room.
+            RequestInvalid: There is no room for them.
         """
         if self._is_costly:
             # The bytes stay queued meanwhile: the wait may be cancelled.
@@ -247,8 +254,6 @@
             self._feed_slice()
         if self._error is None:
             self._charge()
-        if self._error is not None:
-            raise self._error
 
     def _feed_slice(self) -> None:
         data = self._unparsed[:SLICE_BYTES]
@@ -262,16 +267,26 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
-            self._error = RequestInvalid(STATUS_BAD_REQUEST, repr(error))
+            # The parser completes the request that asks for it.
+            _, used_bytes = self._complete_requests.pop()
+            self._queued_bytes -= used_bytes
+            self._refuse(RequestInvalid(STATUS_BAD_REQUEST, repr(error)))
         except httptools.HttpParserError as error:
             cause = error.__context__
             if isinstance(cause, RequestInvalid):
-                self._error = cause
+                self._refuse(cause)
             else:
-                self._error = RequestInvalid(STATUS_BAD_REQUEST, repr(error))
+                self._refuse(RequestInvalid(STATUS_BAD_REQUEST, repr(error)))
         self._is_costly = self._parts > MAX_PARTS_PER_SLICE
         if self._framing.exceeded and self._error is None:
-            self._error = RequestInvalid(STATUS_HEADERS_TOO_LARGE, 'framing too long')
+            self._refuse(RequestInvalid(STATUS_HEADERS_TOO_LARGE, 'framing too long'))
+
+    def _refuse(self, error: RequestInvalid) -> None:
+        """Raise an error behind the complete requests, and drop what follows them."""
+        self._error = error
+        self._started = False
+        self._unparsed = memoryview(b'')
+        self._reset_message()
 
     def _charge(self) -> None:
         """Count what the reader keeps.
