Count the connections that a router closes while they wait, by reason

Closes of callers' connections couldn't be told apart in the metrics: only those for want of memory (`evictions`) and rejected newcomers were counted. `ibisport_state` now has `closed_idle`, `closed_stopping` and `closed_descriptors`. A connection that closes for a stop no longer counts as waiting, so that it is closed and counted once.

--- a/features/keptconnections.feature
+++ b/features/keptconnections.feature
@@ -77,3 +77,13 @@
       | bytes that are no request     | 400    |
       | a request for a new protocol  | 400    |
       | a head with a body too long   | 413    |
+
+  Scenario Outline: A connection that the process closes while it waits is counted by reason
+    When nothing arrives while the event loop is held up, and then <moment>
+    Then the connection is closed, and counted once as <reason>
+
+    Examples:
+      | moment                              | reason      |
+      | the connection's idle time is over  | idle        |
+      | the process closes idle connections | stopping    |
+      | the process runs out of descriptors | descriptors |
--- a/features/steps/crossedcloses_steps.py
+++ b/features/steps/crossedcloses_steps.py
@@ -18,6 +18,7 @@
 from ibisport_fleet.fleet_view import CatalogueView
 from ibisport_fleet.http_messages import AnswerHead
 from ibisport_fleet.overload.resources import Resources
+from ibisport_fleet.overload.waiting import CloseReason
 from ibisport_fleet.settings import ResourceLimits
 from ibisport_fleet.store import Item
 from ibisport_platform.headers import PlatformDialect
@@ -156,6 +157,8 @@
             return await _send_ahead(meeting)
         case 'a request behind one in many parts':
             return await _wait_for_turn(meeting)
+        case 'nothing':
+            message = b''
         case 'the rest of a request':
             meeting.client.sendall(REQUEST[:-1])
             message = REQUEST[-1:]
@@ -170,7 +173,7 @@
     except ConnectionError as error:
         received = repr(error).encode()
     meeting.client.close()
-    return received, count
+    return received, count, dict(meeting.server.connections.waiting.closed)
 
 
 @when('{sent} arrives while the event loop is held up, and then {moment}')
@@ -190,18 +193,24 @@
 def check_answered_on_loops(context):
     missing = {
         name: (len(STATUS.findall(received)), count, received[-80:])
-        for name, (received, count) in context.received.items()
+        for name, (received, count, _) in context.received.items()
         if len(STATUS.findall(received)) < count
     }
     assert not missing, missing
 
 
+@then('the connection is closed, and counted once as {reason}')
+def check_counts(context, reason):
+    counted = [(received, closed) for received, _, closed in context.received.values()]
+    expected = (b'', {CloseReason(reason): 1})
+    assert counted == [expected for _ in LOOPS], counted
+
+
 async def _send_at_once(message, count):
     meeting = _Meeting(None)
     await meeting.open()
     meeting.client.sendall(message)
-    received, _ = await _receive_all(meeting, count)
-    return received
+    return (await _receive_all(meeting, count))[0]
 
 
 @when('{count:d} requests and {last} arrive at once')
--- a/packages/fleet/src/ibisport_fleet/caller_server.py
+++ b/packages/fleet/src/ibisport_fleet/caller_server.py
@@ -14,7 +14,7 @@
 from ibisport_fleet.metadata import Dialect
 from ibisport_fleet.overload.intake import Intake
 from ibisport_fleet.overload.resources import CALLERS_SHARE, Resources
-from ibisport_fleet.overload.waiting import FIRST_REQUEST_SECONDS
+from ibisport_fleet.overload.waiting import FIRST_REQUEST_SECONDS, CloseReason
 from ibisport_fleet.request_reader import (
     RequestReader,
     discard_rest,
@@ -130,6 +130,7 @@
 
     def _record_idle(self, connection: _Connection, limit: float) -> None:
         """Record that a connection is closed since no request arrived in time."""
+        self.connections.waiting.closed[CloseReason.idle] += 1
         self._log.write(
             Event.connection_idle,
             limit=limit,
--- a/packages/fleet/src/ibisport_fleet/overload/waiting.py
+++ b/packages/fleet/src/ibisport_fleet/overload/waiting.py
@@ -1,9 +1,11 @@
 """Connections that wait for a request, the longest wait first."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
+from enum import Enum
 from itertools import islice
 
 from ibisport_fleet.channel import Channel
@@ -16,6 +18,14 @@
 MAX_EXAMINED = 64
 
 
+class CloseReason(Enum):
+    """Why a process closes a connection that waits for its peer."""
+
+    idle = 'idle'
+    stopping = 'stopping'
+    descriptors = 'descriptors'
+
+
 @dataclass(frozen=True, slots=True)
 class _Wait:
     """A wait for a peer.
@@ -45,11 +55,21 @@
 
 
 class WaitingConnections:
-    """The connections of a listener on which no request is in progress."""
+    """The connections of a listener on which no request is in progress.
+
+    Attributes:
+        closed: Number of connections that the process has closed, by reason.
+    """
 
     def __init__(self) -> None:
+        self.closed: Counter[CloseReason] = Counter()
         self._waits: dict[Channel, _Wait] = {}
 
+    @property
+    def counts(self) -> dict[str, int]:
+        """The number of closed connections by the name of a metric."""
+        return {f'closed_{reason.value}': self.closed[reason] for reason in CloseReason}
+
     @contextmanager
     def track(self, channel: Channel, reader: RequestReader | None) -> Iterator[None]:
         """Count a connection as waiting meanwhile.
@@ -74,6 +94,7 @@
         if channel is None:
             return False
         del self._waits[channel]
+        self.closed[CloseReason.descriptors] += 1
         if channel.flushed:
             channel.close()
         else:
@@ -101,4 +122,6 @@
         for channel, wait in tuple(self._waits.items()):
             is_quiet = not (wait.has_pending or channel.has_unread)
             if is_quiet and wait.begun_at <= waiting_since:
+                del self._waits[channel]
+                self.closed[CloseReason.stopping] += 1
                 channel.close()
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -301,6 +301,7 @@
             'spread_parts': handler.spread_parts,
             'connections': len(self._caller_server.connections),
             'rejected_connections': self._caller_server.connections.rejected,
+            **self._caller_server.connections.waiting.counts,
             'held_bytes': self._resources.memory.used,
             'evictions': self._resources.memory.evictions,
             'memory_refusals': self._resources.memory.refusals,
