Release what was parsed of a request once it is refused

The reader kept the last bytes that it had read while it waited for the next ones, and an error that was raised from parsing refers to its frames, and they to these bytes, while the rest of the refused request is dropped: up to 128 KiB a connection for 2 s, not counted.

--- a/packages/fleet/src/ibisport_fleet/errors.py
+++ b/packages/fleet/src/ibisport_fleet/errors.py
@@ -1,5 +1,9 @@
 """Exceptions of the fleet's core."""
 
+from typing import TypeVar
+
+_Error = TypeVar('_Error', bound=BaseException)
+
 
 class FleetError(Exception):
     """Base class of this package's exceptions."""
@@ -76,3 +80,12 @@
 
 class PeerUnavailable(FleetError):
     """Another router didn't answer: it may have executed the request."""
+
+
+def forget_frames(error: _Error) -> _Error:
+    """Return an error without the frames that it passed, to be raised again.
+
+    The frames refer to what was received, for as long as the error is handled.
+    """
+    error.__cause__ = error.__context__ = None
+    return error.with_traceback(None)
--- a/packages/fleet/src/ibisport_fleet/request_reader.py
+++ b/packages/fleet/src/ibisport_fleet/request_reader.py
@@ -10,7 +10,7 @@
 from ibisport_fleet.calls import draw_jittered_delay
 from ibisport_fleet.catalogue import Limits
 from ibisport_fleet.channel import Channel
-from ibisport_fleet.errors import ConnectionBroken, RequestInvalid
+from ibisport_fleet.errors import ConnectionBroken, RequestInvalid, forget_frames
 from ibisport_fleet.framing import FramingMeter
 from ibisport_fleet.http_messages import Request, find_header
 from ibisport_fleet.overload.intake import Intake
@@ -132,9 +132,10 @@
         with self._channel.memory.wait_for_peer(self._give_up):
             try:
                 await self._fill_queue()
-            except RequestInvalid:
+            except RequestInvalid as error:
                 self.drop()
-                raise
+                self._error = None
+                raise forget_frames(error) from None
         if not self._complete_requests:
             return None
         if self._intake.drops_departed and self._channel.peer_left:
@@ -234,10 +235,9 @@
             if self._error is not None:
                 raise self._error
             if not self._unparsed:
-                data = await self._channel.read()
-                if not data:
-                    return
-                self._unparsed = memoryview(data)
+                self._unparsed = memoryview(await self._channel.read())
+            if not self._unparsed:
+                return
             await self._parse_slice()
 
     async def _parse_slice(self) -> None:
@@ -257,7 +257,8 @@
 
     def _feed_slice(self) -> None:
         data = self._unparsed[:SLICE_BYTES]
-        self._unparsed = self._unparsed[SLICE_BYTES:]
+        # A view refers to all bytes that were read, even if it is empty.
+        self._unparsed = self._unparsed[SLICE_BYTES:] or memoryview(b'')
         if data:
             self._feed(data)
 
