--- a/packages/fleet/src/ibisport_fleet/channel.py
+++ b/packages/fleet/src/ibisport_fleet/channel.py
@@ -43,6 +43,7 @@
 UNACKNOWLEDGED_TIMEOUT_MS = 3_000
 KEEPALIVE_IDLE_SECONDS = 2
 KEEPALIVE_PROBES = 2
+NO_ROOM = 'no room for what a peer sends'
 
 
 class Channel(asyncio.Protocol):
@@ -216,8 +217,9 @@
         """Drop what arrives until the peer has ended, or has sent too much."""
         self._interruption = None
         self._resume_reading()
-        while max_bytes > 0 and (data := await self.read()):
-            max_bytes -= len(data)
+        # A name for the bytes would keep them until the next ones have arrived.
+        while max_bytes > 0 and (size := len(await self.read())):
+            max_bytes -= size
 
     def write(self, data: bytes) -> None:
         """Send bytes; they are dropped without an error if the connection has ended."""
@@ -256,7 +258,7 @@
         try:
             self.charge.update(self._unread_bytes + self._returned_bytes)
         except MemoryExhausted:
-            self.interrupt(partial(MemoryExhausted, 'no room for what a peer sends'))
+            self.interrupt(partial(MemoryExhausted, NO_ROOM))
             self._end(None)
             self.abort(drops_sent=True)
 
@@ -268,7 +270,11 @@
         try:
             self.memory.resize(Part.unread, self._unread_bytes + kernel_bytes)
         except MemoryExhausted:
-            (self.memory.evict or self.abort)()
+            if self.memory.evict is None:
+                self.interrupt(partial(ConnectionBroken, NO_ROOM))
+                self.abort()
+            else:
+                self.memory.evict()
         if self._is_accepted:
             # The event loop doesn't read the end of the connection meanwhile.
             self._end_poll.begin(lambda: self.peer_left, partial(self._end, None))
--- a/packages/fleet/src/ibisport_fleet/connection_tasks.py
+++ b/packages/fleet/src/ibisport_fleet/connection_tasks.py
@@ -7,6 +7,7 @@
 from weakref import WeakSet
 
 from ibisport_fleet.channel import Channel
+from ibisport_fleet.errors import ConnectionBroken
 from ibisport_fleet.event_log import Event, EventLog, find_place
 from ibisport_fleet.overload.memory_budget import MemoryBudget, MemoryUse
 from ibisport_fleet.overload.waiting import WaitingConnections
@@ -95,6 +96,8 @@
             channel.abort()
             raise
         finally:
+            # The garbage collector may find the channel late.
+            channel.interrupt(partial(ConnectionBroken, 'the connection is closed'))
             channel.memory.release()
             channel.close()
 
