Close connections of failed tasks in order

A reset isn't needed: a stream without its last chunk can't look complete, and whole answers are written at once.

--- a/packages/fleet/src/ibisport_fleet/connection_tasks.py
+++ b/packages/fleet/src/ibisport_fleet/connection_tasks.py
@@ -91,10 +91,6 @@
     async def _run(self, channel: Channel) -> None:
         try:
             await self._serve(channel)
-        except Exception:
-            # Part of an answer must not look complete.
-            channel.abort()
-            raise
         finally:
             # The garbage collector may find the channel late.
             channel.interrupt(partial(ConnectionBroken, 'the connection is closed'))
