Leave watch calls out of range to the store

A relay that was asked for a watch with `waitMs` of 400 digits failed on an OverflowError and closed the connection; a revision of 400 digits or below 0, and a wait below 0 or above the store's 30 s, made watches of its own.

Cause: the query was converted without ranges.

Such a call is forwarded, as any call that isn't a watch, and the store judges it.

--- a/features/sharing.feature
+++ b/features/sharing.feature
@@ -82,3 +82,15 @@
   Scenario: With few routers in a domain each watches the store directly
     Then 5 routers in 4 domains watch the store directly, and 30 in 3 share their watches
     And routers share their watches while the number of routers is unknown
+
+  Scenario Outline: A watch of <odd> isn't answered out of the shared one
+    When a relay gets a call for a watch of <odd>
+    Then it leaves the call to the store
+
+    Examples:
+      | odd                        |
+      | a revision of 400 digits   |
+      | a revision of -1           |
+      | a wait of 400 digits       |
+      | a wait of 30001 ms         |
+      | a wait of -1 ms            |
--- a/features/steps/sharing_steps.py
+++ b/features/steps/sharing_steps.py
@@ -12,8 +12,17 @@
 from ibisport_fleet.errors import StoreError
 from ibisport_fleet.watch_cache import WatchCache
 from ibisport_fleet.watch_schedule import plan_router_watch
+from ibisport_platform.watch_codec import parse_watch_query
 
 MAX_FAILURE_SECONDS = 1
+# Revision and wait.
+ODD_WATCHES = {
+    'a revision of 400 digits': (10**399, 1_000),
+    'a revision of -1': (-1, 1_000),
+    'a wait of 400 digits': (1, 10**399),
+    'a wait of 30001 ms': (1, 30_001),
+    'a wait of -1 ms': (1, -1),
+}
 
 
 def _run_domain(context, act):
@@ -285,3 +294,18 @@
 @then('routers share their watches while the number of routers is unknown')
 def check_unknown(context):
     assert plan_router_watch(None, 4, MAX_PROPAGATION_SECONDS).shared
+
+
+@when('a relay gets a call for a watch of {odd}')
+def decode_odd_watch(context, odd):
+    after, wait_ms = ODD_WATCHES[odd]
+    query = f'prefix=servers%2F&after={after}&waitMs={wait_ms}'
+    try:
+        context.call = parse_watch_query(query)
+    except OverflowError as error:
+        context.call = error
+
+
+@then('it leaves the call to the store')
+def check_forwarded_watch(context):
+    assert context.call is None, context.call
