Refuse notices of answers in the future

A notice of another router that a part of prompts was answered at an age of -1 s was applied: the part counts as having survived crashes still to come, so that requests with it may go on crashing targets.

Cause: the ages of answers had no range.

That targets crash for longer is read from the code, not played.

--- a/features/oddpages.feature
+++ b/features/oddpages.feature
@@ -17,6 +17,7 @@
       | a contact proof of the time -1     |
       | a stamp nested 200000 deep         |
       | a stamp that expires at -1         |
+      | an answer notice of age -1         |
       | a router at port 65536             |
       | a router at port 10^400            |
 
--- a/features/steps/oddpages_steps.py
+++ b/features/steps/oddpages_steps.py
@@ -18,9 +18,11 @@
 from ibisport_fleet.budget_writes import PAGE_KEY
 from ibisport_fleet.catalogue import Workspace
 from ibisport_fleet.contact_proofs import PROOF_PREFIX, decode_proof, decode_stamp
-from ibisport_fleet.errors import RecordInvalid
+from ibisport_fleet.errors import PeerUnavailable, RecordInvalid
 from ibisport_fleet.event_log import Event, EventLog
 from ibisport_fleet.membership import decode_member
+from ibisport_fleet.peers import decode_message
+from ibisport_fleet.quarantine.fatal_requests import AnswerNotice
 from ibisport_fleet.store import Item
 from ibisport_platform.records import CATALOGUE_KEY, decode_catalogue
 from ibisport_platform.stand_in_records import encode_catalogue
@@ -62,6 +64,10 @@
     return budget_page.decode_page(item.content)
 
 
+def _decode_notice(item):
+    return decode_message(item.content, AnswerNotice)
+
+
 def _decode_record(item):
     return host_record.decode_record(item.content)
 
@@ -81,6 +87,7 @@
         decode_stamp,
         b'{"incarnation":"before","expires_at":-1,"expires_at_wall":1}',
     ),
+    'an answer notice of age -1': (_decode_notice, b'{"digest":"","parts":{"p":-1}}'),
     'a router at port 65536': (decode_member, _build_member(65_536)),
     'a router at port 10^400': (decode_member, _build_member(HUGE)),
 }
@@ -100,7 +107,7 @@
     decode, content = ODD_RECORDS[odd]
     try:
         context.decoded = decode(Item('key', content, 1))
-    except RecordInvalid:
+    except (RecordInvalid, PeerUnavailable):
         context.decoded = None
 
 
--- a/packages/fleet/src/ibisport_fleet/quarantine/fatal_requests.py
+++ b/packages/fleet/src/ibisport_fleet/quarantine/fatal_requests.py
@@ -9,8 +9,10 @@
 import time
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
 from ibisport_fleet.calls import Call
 from ibisport_fleet.connection_pool import ConnectionPool
@@ -34,6 +36,8 @@
 # All routers count the same crashes. Those that know an answer to a suspected part wait
 # up to this long, and the first one notifies all others.
 MAX_NOTICE_DELAY_SECONDS = 0.1
+# A later answer than now would clear all crashes to come.
+_Age = Annotated[float, Meta(ge=0)]
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,7 +50,7 @@
     """
 
     digest: str
-    parts: dict[str, float] = field(default_factory=dict)
+    parts: dict[str, _Age] = field(default_factory=dict)
 
 
 class FatalRequests:
