Refuse shares of a rate limit that are more than the limit

Cause: a borrowed share was checked for its sign only.

A share of more than twice the limit that this router knows isn't used. The factor covers a lender that learns of a higher limit first.

--- a/features/steps/ratelimit_steps.py
+++ b/features/steps/ratelimit_steps.py
@@ -14,8 +14,15 @@
 from ibisport_bench.virtual_time import run_virtually
 from ibisport_fleet.engine_choice import choose_engine
 from ibisport_fleet.errors import PeerUnavailable
+from ibisport_fleet.membership import Member
 from ibisport_fleet.metadata import PromptPart
+from ibisport_fleet.rate_shares.borrower import ShareBorrower
 from ibisport_fleet.rate_shares.limit import RateLimit, compute_send_interval
+from ibisport_fleet.rate_shares.messages import (
+    LEASE_SECONDS,
+    LentShare,
+    ShareAnswer,
+)
 from ibisport_fleet.rate_shares.target_limits import (
     LIMIT_LIFETIME_SECONDS,
     LIMITS_PATH,
@@ -30,6 +37,7 @@
     suppress_health_check=list(HealthCheck),
 )
 WINDOW_SECONDS = 4.0
+MAX_SENDS = 100
 TARGET = 'i-1'
 RATE = 2.4
 HOSTS = frozenset(f'router-{number}' for number in range(30))
@@ -169,6 +177,48 @@
     assert context.router.rate is None
 
 
+@when(
+    'another router lends a share with a delay of {delay:g} and an interval of '
+    '{interval:g}'
+)
+def lend_share(context, delay, interval):
+    async def ask(*message):
+        shares = {TARGET: LentShare(delay, interval)}
+        return msgspec.json.encode(ShareAnswer(shares))
+
+    async def act(router):
+        loop = asyncio.get_running_loop()
+        limit = RateLimit(RATE, 0.0, 60.0, 60.0)
+        targets = SimpleNamespace(
+            list_limits=lambda: {TARGET: limit}, find_limit=lambda target: limit
+        )
+        others = [Member(host, host, ('10.0.0.1', 1)) for host in sorted(HOSTS)]
+        members = SimpleNamespace(
+            own=others[0], hosts=HOSTS, list_others=lambda: others[1:]
+        )
+        links = SimpleNamespace(members=members, peers=SimpleNamespace(ask=ask))
+        borrower = ShareBorrower(links, targets, lambda: True, open_null_log())
+        borrower.request([TARGET])
+        task = asyncio.create_task(borrower.run())
+        await asyncio.sleep(0)
+        await asyncio.sleep(LEASE_SECONDS / 100)
+        task.cancel()
+        borrowed = list(limit.borrowed.values())[:1]
+        context.sends = 0
+        now = loop.time()
+        for share in borrowed:
+            while share.is_usable(now) and context.sends < MAX_SENDS:
+                share.next_send_at = max(now, share.next_send_at) + share.interval
+                context.sends += 1
+
+    _run(act)
+
+
+@then('the number of requests that may be sent with it in its second is {sends:d}')
+def check_sends(context, sends):
+    assert context.sends == sends, context.sends
+
+
 @when('an answer without a limit arrives for a request from before the limit')
 def answer_early_request(context):
     async def act(router):
--- a/features/targetlimits.feature
+++ b/features/targetlimits.feature
@@ -58,6 +58,19 @@
     When other routers send invalid limits
     Then each is refused, and no limit is known
 
+  Scenario Outline: Another router lends a share with a delay of <delay> and an interval of <interval>
+    When another router lends a share with a delay of <delay> and an interval of <interval>
+    Then the number of requests that may be sent with it in its second is <sends>
+
+    Examples:
+      | delay | interval | sends |
+      | 0     | 1e-320   | 0     |
+      | 0     | 0.001    | 0     |
+      | -1    | 0.5      | 0     |
+      | 0     | -1       | 0     |
+      | 1e308 | 0.5      | 0     |
+      | 0     | 0.5      | 2     |
+
   Scenario: An answer to a request from before the limit doesn't end it
     When an answer without a limit arrives for a request from before the limit
     Then the limit holds until an answer to a later request reports none
--- a/packages/fleet/src/ibisport_fleet/rate_shares/borrower.py
+++ b/packages/fleet/src/ibisport_fleet/rate_shares/borrower.py
@@ -28,6 +28,8 @@
 # Bound the messages of a round in a large fleet.
 MAX_LENDERS = 16
 MAX_TARGETS = 64
+# How far the lender's knowledge of a limit may be ahead of this router's.
+MAX_RATE_FACTOR = 2.0
 
 
 class ShareBorrower:
@@ -151,7 +153,10 @@
         The lender counts it from a later moment, so that both never use the share.
         """
         limit = self._targets.find_limit(target)
-        if limit is None or share.interval <= 0 or share.delay < 0:
+        if limit is None or share.delay < 0:
+            return False
+        if share.interval * limit.rate * MAX_RATE_FACTOR < 1:
+            # More than the whole limit can't be a share of it.
             return False
         now = asyncio.get_running_loop().time()
         known = limit.borrowed.get(lender)
