Count what a relay brings from the store, and wait until it is taken

A relay answered the next call of a router that had not read the last answer, and counted none of the answers' bytes. Clients that send calls ahead and don't read used 190 MB of a relay with 100 MB.

Bytes of the store count for the router's connection on arrival, and its next call is read once most of the answer is taken. A connection that waits so may give way like a caller's. Answers to watches aren't counted, since they are shared; at most one of them waits for each connection.

--- a/packages/fleet/src/ibisport_fleet/relay.py
+++ b/packages/fleet/src/ibisport_fleet/relay.py
@@ -34,9 +34,11 @@
     encode_head,
 )
 from ibisport_fleet.load_feed.engine_poller import ReportCodec
+from ibisport_fleet.overload.answer_charge import AnswerCharge, PartCharge
 from ibisport_fleet.overload.intake import Intake
+from ibisport_fleet.overload.memory_budget import Part
 from ibisport_fleet.overload.resources import CALLERS_SHARE, Resources
-from ibisport_fleet.request_reader import RequestReader, discard_rest
+from ibisport_fleet.request_reader import RequestReader, discard_rest, flush
 from ibisport_fleet.settings import HostSettings
 from ibisport_fleet.store import Store, WatchResult
 from ibisport_fleet.store_call import MAX_ANSWER_SECONDS, MAX_SILENCE_SECONDS
@@ -176,6 +178,10 @@
                 await self._answer(request, channel)
             finally:
                 self.in_flight -= 1
+            # The next call waits until its router has taken this answer.
+            with self.connections.waiting.track(channel, reader):
+                if not await flush(channel, IDLE_TIMEOUT_SECONDS):
+                    return
         # Data that is still buffered when the process exits is lost.
         while not (channel.flushed or channel.ended):
             await asyncio.sleep(DRAIN_POLL_SECONDS)
@@ -204,6 +210,7 @@
         connection = await self._acquire(deadline)
         request_line = f'{incoming.method} '.encode() + incoming.target + b' HTTP/1.1'
         headers = drop_accept_encoding(drop_connection_headers(incoming.headers))
+        connection.charge(PartCharge(channel.memory, Part.upstream))
         try:
             async with asyncio.timeout_at(deadline) as timeout:
                 progress = _ProgressReporter(channel, timeout)
@@ -213,6 +220,7 @@
         except BaseException:
             connection.close()
             raise
+        connection.charge(None)
         if connection.keep_alive and connection.reusable:
             self._idle_connections.append(connection)
         else:
@@ -221,6 +229,7 @@
         kept = (*drop_connection_headers(answer.head.headers), *closing)
         coded = accepts_coding(incoming)
         encoded = _encode_answer(answer.head.status, kept, answer.body, coded=coded)
+        channel.memory.resize(Part.answer, len(encoded))
         channel.write(encoded)
 
     async def _acquire(self, deadline: float) -> HttpConnection:
@@ -236,7 +245,8 @@
     """Sends a router interim answers while the answer to its call arrives.
 
     The relay receives and compresses the whole answer before it sends any of it;
-    without interim answers the router would time out meanwhile.
+    without interim answers the router would time out meanwhile. What has arrived counts
+    for the memory of the router's connection.
     """
 
     def __init__(self, channel: Channel, timeout: asyncio.Timeout) -> None:
@@ -247,6 +257,7 @@
             timeout: Ends the call when its answer stops arriving.
         """
         self._channel = channel
+        self._charge = AnswerCharge(channel.memory)
         self._timeout = timeout
         self._reported_at = 0.0
         self._deadline = 0.0
@@ -257,7 +268,12 @@
         self._deadline = self._reported_at + MAX_ANSWER_SECONDS
 
     def handle_bytes(self, size: int) -> None:
-        """Extend the timeout, and report progress if a report is due."""
+        """Extend the timeout, and report progress if a report is due.
+
+        Raises:
+            MemoryExhausted: There is no room for the answer.
+        """
+        self._charge.handle_bytes(size)
         now = asyncio.get_running_loop().time()
         self._timeout.reschedule(min(now + MAX_SILENCE_SECONDS, self._deadline))
         if now >= self._reported_at + PROGRESS_INTERVAL_SECONDS:
