Halve the receive buffers of accepted connections

Bytes in receive buffers of the operating system aren't counted before reading is paused; 600 connections may hold 77 MB there, more than a small machine has left.

With 32 KiB, which the system doubles, 600 connections hold 39 MB at most.

--- a/packages/fleet/src/ibisport_fleet/channel.py
+++ b/packages/fleet/src/ibisport_fleet/channel.py
@@ -35,8 +35,9 @@
 # Unsent bytes above which writers to such connections wait.
 MAX_UNSENT_BYTES = 16_384
 # Receive buffer of such a connection in the operating system, which doubles the value
-# that it is told.
-RECEIVE_BUFFER_BYTES = 65_536
+# that it is told. A smaller one doesn't take what the first window allows a peer to
+# send, and packets are lost.
+RECEIVE_BUFFER_BYTES = 32_768
 MAX_KERNEL_BYTES = 2 * RECEIVE_BUFFER_BYTES
 # A connection whose sent bytes stay unacknowledged for this time is dead: nothing else
 # reveals a peer that lost power or a path that drops packets.
