Cut an answer only if its caller reads nothing for the idle limit

A caller that read a large answer steadily over a slow link had it cut, and the connection reset, as soon as the idle limit had passed since its last byte was written.

Cause: `flush` took the idle limit as the time to read the whole answer.

It now gives up only if none of the unsent bytes were sent within the limit. Callers that stop reading are reset as before, and others still get their room (`evict`) or their descriptor. `Channel.unsent_bytes` replaces `flushed`.

--- a/features/keptconnections.feature
+++ b/features/keptconnections.feature
@@ -87,3 +87,12 @@
       | the connection's idle time is over  | idle        |
       | the process closes idle connections | stopping    |
       | the process runs out of descriptors | descriptors |
+
+  Scenario Outline: An answer is cut only if its caller reads nothing for the idle limit
+    When the idle limit is 2 s, and a caller <reads> of an answer of 600000 bytes
+    Then its answer arrives <state>
+
+    Examples:
+      | reads                       | state    |
+      | reads 100000 bytes a second | complete |
+      | reads nothing for 10 s      | cut      |
--- a/features/steps/keptconnections_steps.py
+++ b/features/steps/keptconnections_steps.py
@@ -1,18 +1,24 @@
 """Steps on kept connections beside changed limits, in virtual time."""
 
+import asyncio
+import contextlib
 from dataclasses import replace
 
 from behave import then, when
 from running_router import (
+    CALLER,
+    CALLERS,
     CATALOGUE,
     FIRST_BYTE_SECONDS,
     KEY,
+    ROUTER,
     Caller,
     encode_request,
     make_plain,
     run_until_stopped,
 )
 
+from ibisport_bench.memory_transport import Link
 from ibisport_fleet.catalogue import Limits
 
 # Seconds after the signal: the first request, long before the router stops.
@@ -143,3 +149,36 @@
         return [(answer, caller.connections)]
 
     _run(context, Limits(idle_seconds=limit), act)
+
+
+@when(
+    'the idle limit is {limit:g} s, and a caller {reads} of an answer of {size:d} bytes'
+)
+def answer_slow_caller(context, limit, reads, size):
+    context.size = size
+
+    async def read():
+        reader, writer = await asyncio.open_connection(*CALLERS)
+        writer.write(encode_request('once', NAME))
+        if reads == 'reads nothing for 10 s':
+            await asyncio.sleep(10.0)
+        received = b''
+        with contextlib.suppress(ConnectionError):
+            while received.count(b'x') < size and (data := await reader.read(size)):
+                received += data
+        return received.count(b'x')
+
+    async def act(site):
+        if reads == 'reads 100000 bytes a second':
+            site.net.links[ROUTER, CALLER] = Link(rate=100_000)
+        await site.wait_until(BEGIN_SECONDS)
+        return await site.call(read())
+
+    catalogue = replace(CATALOGUE, limits=Limits(idle_seconds=limit))
+    context.received = run_until_stopped([make_plain(size)], act, catalogue)[1]
+
+
+@then('its answer arrives {state}')
+def check_completeness(context, state):
+    seen = 'complete' if context.received == context.size else 'cut'
+    assert seen == state, context.received
--- a/packages/fleet/src/ibisport_fleet/channel.py
+++ b/packages/fleet/src/ibisport_fleet/channel.py
@@ -111,9 +111,9 @@
         return bool(self._unread) or has_received(_find_socket(self._transport))
 
     @property
-    def flushed(self) -> bool:
-        """Whether all written data has been handed to the operating system."""
-        return self._transport is None or not self._transport.get_write_buffer_size()
+    def unsent_bytes(self) -> int:
+        """Written bytes that the operating system hasn't been handed yet."""
+        return 0 if self._transport is None else self._transport.get_write_buffer_size()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set its timeouts."""
@@ -144,7 +144,7 @@
     def eof_received(self) -> bool:
         """Handle the end of the peer's bytes; the connection is closed."""
         raw = _find_socket(self._transport)
-        self.ended_in_order = self.flushed and not _count_unacknowledged(raw)
+        self.ended_in_order = not (self.unsent_bytes or _count_unacknowledged(raw))
         self._end(None)
         return False
 
--- a/packages/fleet/src/ibisport_fleet/connection_tasks.py
+++ b/packages/fleet/src/ibisport_fleet/connection_tasks.py
@@ -65,7 +65,7 @@
     @property
     def flushed(self) -> bool:
         """Whether all written data has been handed to the operating system."""
-        return all(channel.flushed for channel in self._channels)
+        return not any(channel.unsent_bytes for channel in self._channels)
 
     def __len__(self) -> int:
         return len(self._tasks)
--- a/packages/fleet/src/ibisport_fleet/http_connection.py
+++ b/packages/fleet/src/ibisport_fleet/http_connection.py
@@ -81,7 +81,7 @@
         """
         channel = self._channel
         pending = self._events or self._parsing or self._malformed or channel.has_unread
-        return not pending and channel.flushed and not channel.peer_left
+        return not (pending or channel.unsent_bytes or channel.peer_left)
 
     def send(self, request_line: bytes, headers: Headers, body: bytes) -> None:
         """Send a request, with a content length if it has or may have a body."""
--- a/packages/fleet/src/ibisport_fleet/overload/waiting.py
+++ b/packages/fleet/src/ibisport_fleet/overload/waiting.py
@@ -49,7 +49,7 @@
 
         A caller that doesn't read its answer isn't owed one to what it sends behind.
         """
-        if self.reader is None or not channel.flushed:
+        if self.reader is None or channel.unsent_bytes:
             return True
         return not (self.reader.has_queued or channel.has_unread)
 
@@ -95,10 +95,10 @@
             return False
         del self._waits[channel]
         self.closed[CloseReason.descriptors] += 1
-        if channel.flushed:
-            channel.close()
-        else:
+        if channel.unsent_bytes:
             channel.abort()
+        else:
+            channel.close()
         return True
 
     def _find_longest(self) -> Channel | None:
--- a/packages/fleet/src/ibisport_fleet/relay.py
+++ b/packages/fleet/src/ibisport_fleet/relay.py
@@ -183,7 +183,7 @@
                 if not await flush(channel, IDLE_TIMEOUT_SECONDS):
                     return
         # Data that is still buffered when the process exits is lost.
-        while not (channel.flushed or channel.ended):
+        while channel.unsent_bytes and not channel.ended:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     async def _answer(self, request: Request, channel: Channel) -> None:
--- a/packages/fleet/src/ibisport_fleet/request_reader.py
+++ b/packages/fleet/src/ibisport_fleet/request_reader.py
@@ -379,17 +379,19 @@
     """Wait until a caller has read most of its answer; return whether it has.
 
     Args:
-        channel: The connection; it is reset if the caller doesn't read in time, or if
-            others need the room.
-        max_seconds: Time after which it is reset.
+        channel: The connection; it is reset if the caller stops reading, or if others
+            need the room.
+        max_seconds: Time after which it is reset if nothing was read.
     """
-    deadline = asyncio.get_running_loop().time() + max_seconds
-    try:
-        with channel.memory.wait_for_peer(channel.abort):
-            async with asyncio.timeout_at(deadline):
-                await channel.drain()
-    except TimeoutError:
-        channel.abort()
-        return False
-    channel.memory.resize(Part.answer, 0)
-    return True
+    loop = asyncio.get_running_loop()
+    unsent_bytes = channel.unsent_bytes + 1
+    with channel.memory.wait_for_peer(channel.abort):
+        while channel.unsent_bytes < unsent_bytes:
+            unsent_bytes = channel.unsent_bytes
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout_at(loop.time() + max_seconds):
+                    await channel.drain()
+                channel.memory.resize(Part.answer, 0)
+                return True
+    channel.abort()
+    return False
--- a/packages/fleet/src/ibisport_fleet/response_writer.py
+++ b/packages/fleet/src/ibisport_fleet/response_writer.py
@@ -87,7 +87,7 @@
     async def write_chunk(self, content: bytes) -> None:
         """Write a chunk of a stream, and wait while the caller reads slowly."""
         self._channel.write(b'%x\r\n%b\r\n' % (len(content), content))
-        if not self._channel.flushed:
+        if self._channel.unsent_bytes:
             with self._channel.memory.wait_for_peer(self._channel.abort):
                 await self._channel.drain()
 
