Follow the other keys of a prefix if one of them is no Unicode

A key of the store that is no UTF-8, or that has half a surrogate pair, made the answers with it unreadable: a router followed none of the prefix's keys as long as the key was there.

Cause: the texts of an answer were decoded as a whole, or not at all.

Whether the platform's store ever sends such keys isn't known.

If an answer can't be decoded, what is no Unicode in it is replaced by U+FFFD, which no id of a target may contain.

--- a/features/oddrecords.feature
+++ b/features/oddrecords.feature
@@ -33,3 +33,4 @@
       | an id with a line end        |
       | an id with a zero byte       |
       | an id that ends with a space |
+      | an id that was no text       |
--- a/features/steps/oddrecords_steps.py
+++ b/features/steps/oddrecords_steps.py
@@ -69,6 +69,7 @@
     'an id with a line end': '\r\nX-Odd: 1',
     'an id with a zero byte': '-\x00',
     'an id that ends with a space': '-odd ',
+    'an id that was no text': '-\ufffd',
 }
 
 
--- a/features/steps/storecalls_steps.py
+++ b/features/steps/storecalls_steps.py
@@ -1,6 +1,7 @@
 """Steps on calls to the store over slow or silent links."""
 
 import asyncio
+import json
 
 from behave import given, then, when
 from followers import NewestContent, ReadableLog, open_null_log
@@ -12,7 +13,7 @@
 from ibisport_fleet.errors import StoreError, StoreUnknown
 from ibisport_fleet.event_log import Event
 from ibisport_fleet.prefix_watch import PrefixWatch
-from ibisport_fleet.store import Condition, Put
+from ibisport_fleet.store import Condition, Item, Put, WatchOptions
 from ibisport_fleet.store_contact import StoreContact
 from ibisport_fleet.store_paths import RelayEndpoint, StorePaths
 from ibisport_fleet.watch_schedule import plan_router_watch
@@ -27,6 +28,12 @@
 # Longer than any call may take; ends a test that would hang.
 TEST_TIMEOUT_SECONDS = 30.0
 PART_BYTES = 10_000
+ODD_ITEMS = {
+    'a key with half a pair': json.dumps(
+        {'key': 'servers/\ud800', 'revision': 3, 'value': 'e30='}
+    ).encode(),
+    'a key that is no UTF-8': b'{"key":"servers/\xff","revision":3,"value":"e30="}',
+}
 HEAD = b'HTTP/1.1 200 OK\r\ncontent-length: 1000000\r\n\r\n'
 
 
@@ -243,3 +250,36 @@
 def check_conflict(context):
     assert context.conflict.find('changed').content == b'new'
     assert context.conflict.absent == ('absent',), context.conflict
+
+
+@given('a store that has an item with {odd} beside another one')
+def serve_odd_item(context, odd):
+    context.links = []
+    items = b'{"key":"servers/a","revision":2,"value":"e30="},' + ODD_ITEMS[odd]
+
+    async def serve(channel):
+        while not channel.ended:
+            request = await channel.read()
+            name = b'events' if b'/kv-watch' in request else b'items'
+            body = b'{"%b":[%b],"storeRevision":3}' % (name, items)
+            head = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % len(body)
+            channel.write(head + body)
+
+    context.serve = lambda: ConnectionTasks(serve, 'store', open_null_log())
+
+
+@when('the router lists the items, and watches for changes of them')
+def list_odd_item(context):
+    async def use(store):
+        listing = await store.scan('servers/')
+        watched = await store.watch('servers/', 1, WatchOptions(1.0, 1_000_000))
+        return listing.items, watched.changes
+
+    context.found = _run_router(context, use)
+
+
+@then('it gets the other item both times, and nothing else that is valid')
+def check_other_item(context):
+    for items in context.found:
+        assert items[0] == Item('servers/a', b'{}', 2), items
+        assert [item.key for item in items[1:]] == ['servers/\ufffd'], items
--- a/features/storecalls.feature
+++ b/features/storecalls.feature
@@ -70,3 +70,13 @@
       | nested too deeply             | watch    |
       | nested too deeply             | write    |
       | with more pages and no items  | scan     |
+
+  Scenario Outline: An item with <odd> hides no other item of an answer
+    Given a store that has an item with <odd> beside another one
+    When the router lists the items, and watches for changes of them
+    Then it gets the other item both times, and nothing else that is valid
+
+    Examples:
+      | odd                            |
+      | a key with half a pair         |
+      | a key that is no UTF-8         |
