Vary the catalogue and write odd entries in the soak

Other writers put entries with numbers out of range or deep nesting under new and known ids. Callers pad heads and bodies, send bodies in two parts, and rest on their connections for up to four fifths of the newest idle limit.

Checks: DENIED is new. A 401, 404, 413 or 431 is right only if a version that may be in force gives it, and a success only if none of these reasons holds in all of them. It replaces the part of WHOLE that forbade these statuses to all but probes, and is as strict where versions differ in nothing. LOST now also holds for requests that were sent in time on an idle connection and whose router got no signal; a stream that the shorter time limit ends, in force as it was sent, is excused.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -8,6 +8,17 @@
     When the soak only restarts all routers, with seed 3 for 30 seconds
     Then no check finds a violation
 
+  # A kept connection had the limits of an older version, so that what the newest one
+  # allows was refused.
+  Scenario: Versions that change limits, routes, shares and keys violate no check
+    When the soak only injects publish, with seed 1 for 30 seconds
+    Then no check finds a violation
+
+  # An entry out of range ended all requests of its service without an answer.
+  Scenario: Odd entries among those of targets violate no check
+    When the soak only injects misregister, with seed 1 for 30 seconds
+    Then no check finds a violation
+
   Scenario: Requests with a fatal prompt part stop reaching targets
     When the soak sends requests with a fatal part, with seed 1 for 25 seconds
     Then no check finds a violation
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -71,6 +71,11 @@
     ]
 
 
+@when('the soak only injects {kind}, with seed {seed:d} for {seconds:d} seconds')
+def run_kind(context, kind, seed, seconds):
+    context.runs = [_run_soak('--seed', seed, '--seconds', seconds, '--only', kind)]
+
+
 @when(
     'the soak sends requests with a fatal part, '
     'with seed {seed:d} for {seconds:d} seconds'
--- a/packages/bench/src/ibisport_bench/soak/callers.py
+++ b/packages/bench/src/ibisport_bench/soak/callers.py
@@ -33,9 +33,15 @@
 # Probes ask for one of this many newest versions of the catalogue.
 PROBED_VERSIONS = 4
 CONNECT_TIMEOUT_SECONDS = 1.0
-# Four fifths of the idle timeout of a router, so that no request is sent on a
-# connection that the router is about to close.
-MAX_IDLE_SECONDS = 12.0
+# Share of the idle limit for which a connection stays idle, so that no request is sent
+# on a connection that the router is about to close.
+MAX_IDLE_SHARE = 0.8
+BODY_BYTES = (1, 1, 1_900, 30_000, 200_000)
+HEADER_BYTES = (0, 0, 0, 8_000)
+PADDING = b'x-padding'
+# Share of the requests whose body is sent in two parts, and the pause between them.
+SPLIT_SHARE = 0.2
+SPLIT_SECONDS = (0.01, 0.4)
 REQUEST_TIMEOUT_SECONDS = 25.0
 MIN_STREAM_SECONDS = 0.2
 MAX_STREAM_SECONDS = 6.0
@@ -79,12 +85,11 @@
     writer: asyncio.StreamWriter
     last_used_at: float
 
-    @property
-    def usable(self) -> bool:
-        """Whether a request may be sent on the connection."""
+    def is_usable(self, idle_limit: float) -> bool:
+        """Return whether a request may be sent on the connection."""
         idle = read_clock() - self.last_used_at
         ended = self.reader.at_eof() or self.writer.is_closing()
-        return not ended and idle < MAX_IDLE_SECONDS
+        return not ended and idle < MAX_IDLE_SHARE * idle_limit
 
 
 class Callers:
@@ -107,6 +112,7 @@
         self._journal = journal
         self._random = random.Random(f'callers {seed}')
         self._patience_random = random.Random(f'patience {seed}')
+        self._size_random = random.Random(f'sizes {seed}')
         self._ids = itertools.count(1)
         self._seed = seed
         self._connections: dict[str, list[Connection]] = {
@@ -164,6 +170,12 @@
                 self._spawn(self._random.choice(self._hosts), request)
             await asyncio.sleep(FATAL_PART_INTERVAL_SECONDS)
 
+    @property
+    def _idle_limit(self) -> float:
+        """The idle limit of the newest version of the catalogue."""
+        newest = max(self._journal.catalogues)
+        return self._journal.catalogues[newest].limits.idle_seconds
+
     async def finish(self) -> None:
         """Wait for outstanding answers and close all connections."""
         if self._tasks:
@@ -204,7 +216,7 @@
             for host in self._hosts:
                 connections = self._connections[host.name]
                 for connection in tuple(connections):
-                    if not connection.usable:
+                    if not connection.is_usable(self._idle_limit):
                         connections.remove(connection)
                         connection.writer.close()
                 if len(connections) < IDLE_CONNECTIONS:
@@ -286,10 +298,10 @@
         if request.resumes:
             headers.append((RESUMES, request.resumes.encode()))
             headers.append((LAST_EVENT_ID, b'%d' % request.after))
-        method = 'GET' if request.kind is Kind.mark else 'POST'
-        connection.writer.write(
-            encode_message(f'{method} {request.path} HTTP/1.1', headers, b'x')
-        )
+        headers.append((PADDING, b'x' * self._size_random.choice(HEADER_BYTES)))
+        request.idle_since, request.begun = connection.last_used_at, read_clock()
+        if not await self._write(connection, request, headers):
+            return
         request.sent = connection.last_used_at = read_clock()
         self._journal.asks.append(request)
         reusable = await self._receive(connection, request)
@@ -299,11 +311,34 @@
         else:
             connection.writer.transport.abort()
 
+    async def _write(
+        self,
+        connection: Connection,
+        request: RequestRecord,
+        headers: list[tuple[bytes, bytes]],
+    ) -> bool:
+        """Write a request; return whether the connection stayed open meanwhile."""
+        method = 'GET' if request.kind is Kind.mark else 'POST'
+        request.body_bytes = self._size_random.choice(BODY_BYTES)
+        message = encode_message(
+            f'{method} {request.path} HTTP/1.1', headers, b'x' * request.body_bytes
+        )
+        request.head_bytes = len(message) - request.body_bytes
+        if self._size_random.random() < SPLIT_SHARE:
+            half = request.head_bytes + request.body_bytes // 2
+            connection.writer.write(message[:half])
+            message = message[half:]
+            await asyncio.sleep(self._size_random.uniform(*SPLIT_SECONDS))
+            if connection.writer.is_closing():
+                return False
+        connection.writer.write(message)
+        return True
+
     async def _acquire_connection(self, host: Host) -> Connection | None:
         connections = self._connections[host.name]
         while connections:
             connection = connections.pop(self._random.randrange(len(connections)))
-            if connection.usable:
+            if connection.is_usable(self._idle_limit):
                 return connection
             connection.writer.close()
         return await self._connect(host)
--- a/packages/bench/src/ibisport_bench/soak/catalogue_checks.py
+++ b/packages/bench/src/ibisport_bench/soak/catalogue_checks.py
@@ -6,6 +6,7 @@
 
 from ibisport_bench.soak.analysis import Evidence, Violation
 from ibisport_bench.soak.evidence import Kind, RequestRecord
+from ibisport_fleet.catalogue import Catalogue
 
 # The platform's bound for applying a new version, doubled for slow machines.
 MAX_APPLY_SECONDS = 2.0 * 2
@@ -71,3 +72,65 @@
 def list_version_probes(evidence: Evidence) -> list[RequestRecord]:
     """Return the requests that only one version of the catalogue allows."""
     return [request for request in evidence.journal.asks if request.kind is Kind.mark]
+
+
+def check_denied(evidence: Evidence) -> Iterator[Violation]:
+    """A request is rejected or served as a version that may be in force says."""
+    for request in evidence.journal.asks:
+        catalogues = list_possible_catalogues(evidence, request, request.sent)
+        wrong = [
+            status
+            for status, denies in DENIALS.items()
+            if is_wrong(
+                request, status, [denies(known, request) for known in catalogues]
+            )
+        ]
+        if wrong:
+            yield Violation('DENIED', f'{wrong[0]}: {evidence.describe(request)}')
+
+
+def is_wrong(request: RequestRecord, status: int, denied: list[bool]) -> bool:
+    """Return whether an answer contradicts all versions that may be in force.
+
+    Args:
+        request: The request.
+        status: A status of rejections.
+        denied: Whether each version rejects the request with this status.
+    """
+    if request.status == STATUS_OK:
+        return all(denied)
+    return request.status == status and not any(denied)
+
+
+def list_possible_catalogues(
+    evidence: Evidence, request: RequestRecord, since: float, until: float = math.inf
+) -> list[Catalogue]:
+    """Return the versions that a router may apply in a span until a request's end."""
+    journal = evidence.journal
+    until = min(until, request.ended)
+    written = [version for version, at in journal.versions.items() if at <= until]
+    since -= MAX_APPLY_SECONDS
+    if evidence.is_undisturbed(request, since, until):
+        known = [version for version in written if journal.versions[version] <= since]
+        written = written[len(known) - 1 :] if known else written
+    return [journal.catalogues[version] for version in written]
+
+
+def _lacks_route(catalogue: Catalogue, request: RequestRecord) -> bool:
+    return not any(request.path.startswith(route.prefix) for route in catalogue.routes)
+
+
+def _lacks_key(catalogue: Catalogue, request: RequestRecord) -> bool:
+    return bool(request.workspace) and request.workspace not in catalogue.workspaces
+
+
+def _limits_head(catalogue: Catalogue, request: RequestRecord) -> bool:
+    return request.head_bytes > catalogue.limits.max_header_bytes
+
+
+def _limits_body(catalogue: Catalogue, request: RequestRecord) -> bool:
+    return request.body_bytes > catalogue.limits.max_body_bytes
+
+
+# Why a version rejects a request, by the status of its answer.
+DENIALS = {401: _lacks_key, 404: _lacks_route, 413: _limits_body, 431: _limits_head}
--- a/packages/bench/src/ibisport_bench/soak/checks.py
+++ b/packages/bench/src/ibisport_bench/soak/checks.py
@@ -7,20 +7,25 @@
 from collections.abc import Callable, Iterator
 
 from ibisport_bench.soak.analysis import RECOVERY_SECONDS, Evidence, Violation
-from ibisport_bench.soak.catalogue_checks import check_back, check_late
+from ibisport_bench.soak.callers import MAX_IDLE_SHARE
+from ibisport_bench.soak.catalogue_checks import (
+    check_back,
+    check_denied,
+    check_late,
+    list_possible_catalogues,
+)
 from ibisport_bench.soak.departure_checks import check_gone
 from ibisport_bench.soak.evidence import (
     EVENT_END,
     NOT_EXECUTED_STATUSES,
     AdvertisedLimit,
     Journal,
-    Kind,
     RequestRecord,
     Run,
     Start,
     make_body,
 )
-from ibisport_bench.soak.site import GRACE_SECONDS
+from ibisport_bench.soak.site import GRACE_SECONDS, ROUTE_TIME_LIMIT_SECONDS
 from ibisport_bench.soak.stream_checks import check_order, check_resumed
 from ibisport_bench.soak.target_checks import (
     check_evacuations,
@@ -33,6 +38,8 @@
 # A router that closes a connection later than this after the request was sent has
 # read the request. An earlier close may have crossed the request on its way.
 CLOSE_RACE_SECONDS = 0.2
+# A router's clock and that of the checks may round differently.
+ROUNDING_SECONDS = 0.01
 # Requests sent before SIGTERM or up to this long after it may be cut in the last
 # sixth of the grace period.
 EARLY_REQUEST_SECONDS = 3.0
@@ -58,18 +65,24 @@
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
 LIMIT_APPLY_SECONDS = 0.5
-# Rejections that routers must not send, since every version of the catalogue allows
-# all requests except version probes.
-REJECTION_STATUSES = frozenset((400, 401, 403, 404, 413, 431))
+# Rejections that routers must not send, whatever the catalogue allows.
+REJECTION_STATUSES = frozenset((400, 403))
 
 
 def check_lost(evidence: Evidence) -> Iterator[Violation]:
-    """A request that a router has read doesn't end with a closed connection."""
+    """A request that a router has read doesn't end with a closed connection.
+
+    Neither does one that was sent in time on an idle connection.
+    """
     for request in evidence.journal.asks:
         runs = evidence.runs[request.request_id]
         # A request without a run whose connection ended at once crossed the close
         # of that connection.
-        was_read = bool(runs) or request.ended - request.sent > CLOSE_RACE_SECONDS
+        was_read = (
+            bool(runs)
+            or request.ended - request.sent > CLOSE_RACE_SECONDS
+            or was_sent_in_time(evidence, request)
+        )
         if (
             not (request.whole or request.left)
             and was_read
@@ -78,6 +91,17 @@
             yield Violation('LOST', evidence.describe(request))
 
 
+def was_sent_in_time(evidence: Evidence, request: RequestRecord) -> bool:
+    """Whether no idle limit and no signal closed the connection of a request."""
+    since = request.idle_since
+    catalogues = list_possible_catalogues(evidence, request, since)
+    shortest = min(catalogue.limits.idle_seconds for catalogue in catalogues)
+    return (
+        request.begun - since <= MAX_IDLE_SHARE * shortest
+        and evidence.starts[request.router, request.start].told > request.ended
+    )
+
+
 def is_loss_allowed(
     evidence: Evidence, request: RequestRecord, runs: list[Run]
 ) -> bool:
@@ -93,11 +117,22 @@
         for run in runs
     ):
         return True
+    time_limit = find_shortest_time_limit(evidence, request)
+    is_late = request.ended - request.begun >= time_limit - ROUNDING_SECONDS
+    if is_late and time_limit < ROUTE_TIME_LIMIT_SECONDS:
+        return True
     told_at = evidence.starts[request.router, request.start].told
     early = request.sent - told_at <= EARLY_REQUEST_SECONDS
     return early and request.ended - told_at >= GRACE_SECONDS * MIN_GRACE_SHARE
 
 
+def find_shortest_time_limit(evidence: Evidence, request: RequestRecord) -> float:
+    """Return the shortest time limit under which a request may have been sent."""
+    until = request.sent + CLOSE_RACE_SECONDS
+    catalogues = list_possible_catalogues(evidence, request, request.sent, until)
+    return min(route.time_limit for known in catalogues for route in known.routes[:1])
+
+
 def list_target_subjects(run: Run) -> list[str]:
     """Return the fault subjects of a run's target and of its link."""
     name = run.target.rpartition('-')[0]
@@ -142,16 +177,13 @@
 def check_whole(evidence: Evidence) -> Iterator[Violation]:
     """A success is the answer of a target: whole if framed as whole, else a prefix.
 
-    Other answers have no seal, and routers reject nothing that the catalogue allows.
+    Other answers have no seal, and routers take no request for malformed.
     """
     for request in evidence.journal.asks:
         if request.status == STATUS_OK:
             valid = is_authentic(request, evidence.runs[request.request_id])
         else:
-            rejected = (
-                request.status in REJECTION_STATUSES and request.kind is not Kind.mark
-            )
-            valid = not (rejected or request.seal)
+            valid = not (request.status in REJECTION_STATUSES or request.seal)
         if not valid:
             yield Violation('WHOLE', evidence.describe(request))
 
@@ -348,6 +380,7 @@
     'DRAIN': check_drain,
     'LATE': check_late,
     'BACK': check_back,
+    'DENIED': check_denied,
     'ENDS': check_ends,
     'FATAL': check_fatal,
     'PART': check_fatal_parts,
--- a/packages/bench/src/ibisport_bench/soak/evidence.py
+++ b/packages/bench/src/ibisport_bench/soak/evidence.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from ibisport_fleet.catalogue import Catalogue
+
 STREAM_TOKENS_PER_EVENT = 1
 EVENT_END = b'\n\n'
 # Statuses by which an answer says that its request was not and will not be executed.
@@ -105,6 +107,10 @@
         leaves_at: Clock at which it does.
         left: Whether the caller itself has left.
         parts: Ids of the parts of its prompt, in order.
+        head_bytes: Size of its head.
+        body_bytes: Size of its body.
+        idle_since: Clock when its connection became idle.
+        begun: Clock when its first byte was sent.
     """
 
     request_id: str
@@ -130,6 +136,10 @@
     leaves_at: float = math.inf
     left: bool = False
     parts: tuple[str, ...] = ()
+    head_bytes: int = 0
+    body_bytes: int = 1
+    idle_since: float = 0.0
+    begun: float = 0.0
 
     @property
     def last_event(self) -> int:
@@ -306,6 +316,7 @@
         starts: Starts of processes.
         lives: Starts of targets, by incarnation.
         versions: Clock when the store had accepted each version of the catalogue.
+        catalogues: Each version of the catalogue.
         drains: Clock when the store had accepted that a target drains.
         limits: Rate limits that targets advertised.
         crashes: Crashes of targets by fatal requests.
@@ -326,6 +337,7 @@
     starts: list[Start] = field(default_factory=list)
     lives: dict[str, Life] = field(default_factory=dict)
     versions: dict[int, float] = field(default_factory=dict)
+    catalogues: dict[int, Catalogue] = field(default_factory=dict)
     drains: dict[str, float] = field(default_factory=dict)
     limits: list[AdvertisedLimit] = field(default_factory=list)
     crashes: list[Crash] = field(default_factory=list)
--- a/packages/bench/src/ibisport_bench/soak/fault_injection.py
+++ b/packages/bench/src/ibisport_bench/soak/fault_injection.py
@@ -50,6 +50,7 @@
     'pause': 2,
     'leave': 2,
     'evacuate': 2,
+    'misregister': 2,
 }
 # The last fault of a run: all processes are killed at once, and callers go on.
 FINAL_FAULT = 'kill_all'
--- a/packages/bench/src/ibisport_bench/soak/site.py
+++ b/packages/bench/src/ibisport_bench/soak/site.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from ibisport_bench.soak.callers import SITE_HOST
+from ibisport_bench.soak.catalogue_variations import Variation
 from ibisport_bench.soak.evidence import Cause, Journal, Kind, read_clock
 from ibisport_bench.soak.links import Address, Link
 from ibisport_bench.soak.processes import Host
@@ -42,6 +43,8 @@
 ENGINES = 4
 PLAIN, ENGINE = 'plain', 'engine'
 PLAIN_SLOTS, ENGINE_SLOTS = 64, 40
+# A workspace that may run out of tokens.
+TIGHT = 'tight'
 ENGINE_MEMORY = 100_000
 # Slow enough that engines fetch no cached parts from each other.
 COPY_SECONDS_PER_TOKEN = 1e-5
@@ -96,6 +99,8 @@
         self._folder = folder
         self._journal = journal
         self._version = 1
+        self._variation = Variation()
+        self._variation_random = random.Random(f'variation {seed}')
         self._copies = CopyStore()
         self._warm_up = warm_up
         self._versions = versions
@@ -143,10 +148,13 @@
 
     def publish(self) -> int:
         """Write the next version of the catalogue, as an operator does."""
+        if self._journal.versions:
+            self._variation = self._variation.vary(self._variation_random, [TIGHT])
         self._version += self._random.randint(1, 3)
-        content = encode_catalogue(self._make_catalogue(self._version))
-        self.service.put(CATALOGUE_KEY, content)
+        catalogue = self._make_catalogue(self._version, self._variation)
+        self.service.put(CATALOGUE_KEY, encode_catalogue(catalogue))
         self._journal.versions[self._version] = read_clock()
+        self._journal.catalogues[self._version] = catalogue
         fault = self._journal.record_fault(Cause.catalogue, 'all', f'{self._version}')
         fault.ended = read_clock()
         return self._version
@@ -201,19 +209,13 @@
             self._versions,
         )
 
-    def _make_catalogue(self, version: int) -> Catalogue:
-        routes = [
-            make_route(kind.value, f'/{kind.value}/', *kind_and_service)
-            for kind, kind_and_service in ROUTE_KINDS.items()
-        ]
-        routes = [
-            replace(route, resumable=route.name == Kind.resume.value)
-            for route in routes
-        ]
+    def _make_catalogue(self, version: int, variation: Variation) -> Catalogue:
+        routes = make_routes(variation)
         # Only this version has this route: probes show whether a router applies it.
         probe_route = make_route(
             'mark', f'/mark/{version}/', RouteKind.idempotent, PLAIN
         )
+        probe_route = replace(probe_route, public=True, time_limit=variation.time_limit)
         engine = Engine(
             ENGINE_SLOTS,
             ENGINE_MEMORY,
@@ -225,18 +227,45 @@
         return Catalogue(
             version=version,
             revision=0,
-            routes=(*routes, replace(probe_route, public=True)),
+            routes=(probe_route, *routes),
             services={
                 PLAIN: Service(PLAIN, 0, None, self._warm_up),
                 ENGINE: Service(ENGINE, 0, engine, self._warm_up),
             },
             workspaces={
-                name: Workspace(name, None, budget)
+                name: Workspace(name, None, int(budget * variation.budget_share))
                 for name, budget in self._journal.budgets.items()
+                if name not in variation.absent
             },
-            keys={key: name for name, key in self.keys},
+            keys={key: name for name, key in self.keys if name not in variation.absent},
             needs_keys=True,
+            limits=variation.limits,
+        )
+
+
+def make_routes(variation: Variation) -> list[Route]:
+    """Return the routes of a version, without the one for its probes."""
+    names = {kind.value: kind for kind in ROUTE_KINDS}
+    routes = [
+        replace(
+            make_route(name, f'/{name}/', *ROUTE_KINDS[kind]),
+            resumable=kind is Kind.resume,
+            time_limit=variation.time_limit,
         )
+        for name, kind in names.items()
+        if name not in variation.absent
+    ]
+    share = variation.engine_share
+    moved = (ServiceShare(PLAIN, 1.0 - share), ServiceShare(ENGINE, share))
+    present = tuple(part for part in moved if part.weight)
+    routes = [
+        route if names[route.name].streams else replace(route, shares=present)
+        for route in routes
+    ]
+    return routes + [
+        make_route(f'idle-{number}', f'/idle-{number}/', RouteKind.once, PLAIN)
+        for number in range(variation.idle_routes)
+    ]
 
 
 def make_route(name: str, prefix: str, kind: RouteKind, service: str) -> Route:
--- a/packages/bench/src/ibisport_bench/soak/target_faults.py
+++ b/packages/bench/src/ibisport_bench/soak/target_faults.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import random
+from dataclasses import replace
+
+import msgspec
 
 from ibisport_bench.soak.evidence import (
     AdvertisedLimit,
@@ -13,6 +16,7 @@
 from ibisport_bench.soak.site import DOMAINS, ENGINE, Site
 from ibisport_bench.soak.targets import ENTRY_TIMEOUT_SECONDS, Target, TargetFaults
 from ibisport_platform.records import EVACUATION_PREFIX
+from ibisport_platform.stand_in_records import encode_target
 
 RESTART_DELAY_SECONDS = (0.1, 1.5)
 FAULT_SECONDS = (0.3, 4.0)
@@ -24,6 +28,20 @@
 REJECT_SHARES = (0.5, 1.0)
 PAUSING_SECONDS = (2.0, 6.0)
 EVACUATED_SECONDS = (5.0, 8.0)
+# The id of entries of targets that don't exist, and the share of the odd entries that
+# replace the entry of a target instead.
+STRANGER = 'stranger-1'
+KNOWN_ID_SHARE = 0.3
+CLOSED_ADDRESS = '127.1.1.1:1'
+# What other writers put into an entry.
+ODD_FIELDS: tuple[dict[str, object], ...] = (
+    {'slots': msgspec.Raw(b'1%b' % (b'0' * 400)), 'address': CLOSED_ADDRESS},
+    {'slots': msgspec.Raw(b'1%b' % (b'0' * 30)), 'address': CLOSED_ADDRESS},
+    {'coldLeftMs': msgspec.Raw(b'1e300'), 'address': CLOSED_ADDRESS},
+    {'born': msgspec.Raw(b'1%b' % (b'0' * 400)), 'address': CLOSED_ADDRESS},
+    {'address': '127.1.1.1:65536'},
+    {'zone': msgspec.Raw(b'%b%b' % (b'[' * 20_000, b']' * 20_000))},
+)
 
 
 class TargetFaultInjector:
@@ -114,6 +132,24 @@
         self._site.service.remove(key)
         self._is_evacuating = False
 
+    async def misregister(self) -> None:
+        """Let another writer put an odd entry under a new id or a known one."""
+        target = self._random.choice(self._site.targets)
+        is_known = self._random.random() < KNOWN_ID_SHARE
+        incarnation = target.entry.incarnation if is_known else STRANGER
+        key, record = encode_target(replace(target.entry, incarnation=incarnation), 1)
+        change = self._random.choice(ODD_FIELDS)
+        content = msgspec.json.encode({**msgspec.json.decode(record), **change})
+        await self._site.wait_for_store()
+        with self._journal.track_fault(Cause.target, incarnation, f'{list(change)}'):
+            self._site.service.put(key, content)
+            await asyncio.sleep(self._random.uniform(*FAULT_SECONDS))
+        if not is_known:
+            await self._site.wait_for_store()
+            self._site.service.remove(key)
+        elif target.entry.incarnation == incarnation:
+            await target.announce()
+
     async def pause(self) -> None:
         """Let a target reject requests and ask for pauses."""
         target = self._random.choice(self._site.targets)
--- a/packages/bench/src/ibisport_bench/soak/targets.py
+++ b/packages/bench/src/ibisport_bench/soak/targets.py
@@ -188,7 +188,7 @@
         )
         self._server = await asyncio.start_server(self._serve, *self.link.sink)
         await self.link.open()
-        await self._announce()
+        await self.announce()
 
     def become_cold(self) -> None:
         """Warm up from now on; the next write of the entry tells."""
@@ -198,12 +198,12 @@
     async def announce_cold(self) -> None:
         """Warm up from now on, and write the entry, as a heartbeat does."""
         self.become_cold()
-        await self._announce()
+        await self.announce()
 
     async def drain(self) -> None:
         """Drain, keep serving for a while, and stop; answers in progress break off."""
         self.entry = replace(self.entry, draining=True)
-        await self._announce()
+        await self.announce()
         self._journal.drains[self.entry.incarnation] = read_clock()
         self._end_life()
         await asyncio.sleep(self._random.uniform(*SERVE_AFTER_DRAIN_SECONDS))
@@ -247,7 +247,8 @@
         host, port = self.entry.address
         return b'%b:%d' % (host.encode(), port)
 
-    async def _announce(self) -> None:
+    async def announce(self) -> None:
+        """Write the entry, as a heartbeat does."""
         await self._wait_for_store()
         self._seq += 1
         cold_seconds = max(0.0, self._cold_until - read_clock())
