Open the readiness listener last, so that a ready router accepts callers

Cause: readiness was the first of the four listeners to open, the callers' the last; with its lists read meanwhile, the router says that it is ready before callers can connect. The readiness listener is now opened last.

Evidence: where each listener takes 0.5 s to open, 2 of 5 (with the target's) were open once the router was ready, all 5 now.

--- a/features/process.feature
+++ b/features/process.feature
@@ -23,3 +23,7 @@
   Scenario: A connection that is reset before its link is made is a closed link
     When a connection is reset between its opening and the making of its link
     Then whoever connects is told that the link is closed
+
+  Scenario: A router is ready only once all its listeners are open
+    When each listener of a router takes 0.5 s to open
+    Then all of them are open once the router is ready
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -1,5 +1,6 @@
 """Steps on start-up, settings and what comes in on links."""
 
+import asyncio
 import random
 import select
 import socket
@@ -10,8 +11,10 @@
 from unittest import mock
 
 from behave import given, then, when
+from running_router import make_plain, run_until_stopped
 
 from ibisport_agent.agent import Agent
+from ibisport_bench.virtual_network import VirtualNetwork
 from ibisport_core import announce
 from ibisport_core.codec import encode_message
 from ibisport_core.errors import LinkClosed
@@ -126,3 +129,24 @@
     host, _, port = address.rpartition(':')
     with socket.create_connection((host, int(port)), timeout=1) as sock:
         sock.sendall(sent)
+
+
+@when('each listener of a router takes {seconds:g} s to open')
+def open_listeners_late(context, seconds):
+    create_server = VirtualNetwork.create_server
+
+    async def create_late(net, *arguments, **options):
+        await asyncio.sleep(seconds)
+        return await create_server(net, *arguments, **options)
+
+    async def act(site):
+        return len(site.net.listeners)
+
+    with mock.patch.object(VirtualNetwork, 'create_server', create_late):
+        context.listeners = run_until_stopped([make_plain()], act)[1]
+
+
+@then('all of them are open once the router is ready')
+def check_accepts(context):
+    # Callers, routers, metrics, readiness and the target.
+    assert context.listeners == 5, context.listeners
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -213,19 +213,23 @@
         )
 
     async def _listen(self) -> asyncio.Server:
-        """Open all listeners; return the one for callers."""
+        """Open all listeners; return the one for callers.
+
+        Readiness comes last: a ready router accepts callers.
+        """
         loop = asyncio.get_running_loop()
         readiness = self._settings.readiness_address
         callers = self._settings.callers_address
         if readiness is None or callers is None:
             raise RecordInvalid('a router needs addresses for callers and readiness')
-        accept_readiness = self._readiness_server.connections.accept
-        for address in (readiness, self._settings.metrics_address):
-            await loop.create_server(accept_readiness, *address, backlog=BACKLOG)
+        accept = self._caller_server.connections.accept
+        listener = await loop.create_server(accept, *callers, backlog=BACKLOG)
         peers = self._peer_server.connections.accept
         await loop.create_server(peers, *self._settings.peer_address, backlog=BACKLOG)
-        accept = self._caller_server.connections.accept
-        return await loop.create_server(accept, *callers, backlog=BACKLOG)
+        accept_readiness = self._readiness_server.connections.accept
+        for address in (self._settings.metrics_address, readiness):
+            await loop.create_server(accept_readiness, *address, backlog=BACKLOG)
+        return listener
 
     def stop(self) -> None:
         """Begin a graceful shutdown; another call has no effect."""
