Remember the start of a target while its entry is invalid

A target whose entry became invalid and was then removed got requests again when a late write of its old entry arrived, and so did an ended start of a target whose newer start had an invalid entry.

Cause: the list forgot a target with its invalid entry, so that neither the removal nor the late write could be compared with what was known.

The last valid entry is kept until a valid one or a removal arrives.

--- a/features/records.feature
+++ b/features/records.feature
@@ -21,6 +21,16 @@
     Then it gets no new requests each time, the other does, and each entry is logged once
     And it gets new requests once its entry is valid again
 
+  Scenario Outline: A target whose entry became invalid is not used again after <event>
+    Given a router's list of two targets, one with a failure and a cached prompt
+    When that target's entry becomes invalid, and its first start is written late after <event>
+    Then it gets no new requests
+
+    Examples:
+      | event         |
+      | a removal     |
+      | a later start |
+
   Scenario: An invalid entry in a listing does not affect other entries
     Given a router's list of two targets, one with a failure and a cached prompt
     When a listing arrives in which that target's entry is invalid
--- a/features/steps/records_steps.py
+++ b/features/steps/records_steps.py
@@ -162,6 +162,22 @@
     assert 'i-1' in _run(context, _list_serving)
 
 
+@when(
+    "that target's entry becomes invalid, and its first start is written late after "
+    '{event}'
+)
+def drop_and_write_late(context, event):
+    def change(context):
+        if event == 'a later start':
+            context.view.apply_change(_write(KEY, 3, born=BORN + 5_000), NEVER)
+        context.view.apply_change(Item(KEY, b'{}', 4), NEVER)
+        if event == 'a removal':
+            context.view.apply_change(Removal(KEY, 5), NEVER)
+        context.view.apply_change(_write(KEY, 6), NEVER)
+
+    _run(context, change)
+
+
 @when("each kind of invalid entry replaces that target's entry")
 def replace_entry(context):
     missing = [
--- a/packages/fleet/src/ibisport_fleet/targets.py
+++ b/packages/fleet/src/ibisport_fleet/targets.py
@@ -78,6 +78,8 @@
         self._entries: dict[str, TargetEntry] = {}
         self._build_counts: Counter[Build] = Counter()
         self._lapsed: dict[str, TargetEntry] = {}
+        # Last valid entries of the ids whose entries are invalid now.
+        self._dropped: dict[str, TargetEntry] = {}
         # By id, start time of the newest start that has drained or was removed; in the
         # order in which they departed.
         self._departed_starts: dict[str, int] = {}
@@ -126,10 +128,11 @@
         A write of a previous start may reach the store after the first one of the
         current start, so entries of older starts are ignored.
         """
-        known = self._entries.get(entry.incarnation)
+        known = self._find_last_valid(entry.incarnation)
         if known is not None and entry.started_at_ms < known.started_at_ms:
             return
         self._lapsed.pop(entry.incarnation, None)
+        self._dropped.pop(entry.incarnation, None)
         if entry.draining:
             self._record_departure(entry)
         elif entry.started_at_ms <= self._departed_starts.get(entry.incarnation, -1):
@@ -140,10 +143,12 @@
 
     def remove(self, incarnation: str) -> None:
         """Remove an entry that was removed from the store outside of an outage."""
-        entry = self._entries.get(incarnation)
+        entry = self._find_last_valid(incarnation)
         if entry is not None:
             self._record_departure(entry)
-        self.drop(incarnation)
+        self._forget(incarnation)
+        self._lapsed.pop(incarnation, None)
+        self._dropped.pop(incarnation, None)
 
     def mark_departed(self, entry: TargetEntry) -> None:
         """Treat a start of a target as draining, whatever its entry says later."""
@@ -154,6 +159,9 @@
 
     def drop(self, incarnation: str) -> None:
         """Stop using a target until a valid entry of it arrives."""
+        entry = self._entries.get(incarnation)
+        if entry is not None:
+            self._dropped[incarnation] = entry
         self._forget(incarnation)
         self._lapsed.pop(incarnation, None)
 
@@ -178,6 +186,9 @@
         for incarnation in set(self._entries) - listed:
             self.mark_lapsed(incarnation, until)
 
+    def _find_last_valid(self, incarnation: str) -> TargetEntry | None:
+        return self._entries.get(incarnation) or self._dropped.get(incarnation)
+
     def _forget(self, incarnation: str) -> None:
         entry = self._entries.pop(incarnation, None)
         if entry is None:
