--- a/packages/fleet/src/ibisport_fleet/caller_server.py
+++ b/packages/fleet/src/ibisport_fleet/caller_server.py
@@ -23,7 +23,7 @@
 )
 from ibisport_fleet.response_writer import ResponseWriter
 
-# Callers reuse a connection that was idle for up to four fifths of the limit.
+# Requests that were sent within the limit are on their way for less than this.
 IDLE_MARGIN_SECONDS = 1.0
 
 
