--- a/features/soakends.feature
+++ b/features/soakends.feature
@@ -15,3 +15,7 @@
   Scenario: A process that fails at its start violates the check
     Given a router's process that fails at once
     Then it ends, and the check finds 1 violations
+
+  Scenario: A target that two faults restart at once listens once
+    When a target that has ended is started twice at the same time
+    Then it serves as one new incarnation
--- a/features/steps/soakends_steps.py
+++ b/features/steps/soakends_steps.py
@@ -14,6 +14,7 @@
 from ibisport_bench.soak.checks import check_ends
 from ibisport_bench.soak.evidence import Journal
 from ibisport_bench.soak.processes import Host
+from ibisport_bench.soak.site import Site
 
 GUARD_SECONDS = 30.0
 ACTS = {
@@ -75,3 +76,25 @@
     journal.starts.append(host.start)
     violations = list(check_ends(Evidence(journal)))
     assert len(violations) == count, (violations, host.start)
+
+
+@when('a target that has ended is started twice at the same time')
+def start_twice(context):
+    async def play(folder):
+        journal = Journal()
+        site = Site(0, 1, Path(folder), journal)
+        await site.open()
+        target = site.targets[0]
+        target.end()
+        known = len(journal.lives)
+        await asyncio.gather(target.start(), target.start())
+        target.end()
+        context.new_lives = len(journal.lives) - known
+
+    with tempfile.TemporaryDirectory() as folder:
+        asyncio.run(play(folder))
+
+
+@then('it serves as one new incarnation')
+def check_started_once(context):
+    assert context.new_lives == 1, context.new_lives
--- a/packages/bench/src/ibisport_bench/soak/targets.py
+++ b/packages/bench/src/ibisport_bench/soak/targets.py
@@ -168,10 +168,17 @@
         self._seq = 0
         self._server: asyncio.Server | None = None
         self._restart_task: asyncio.Future[None] | None = None
+        self._running = False
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
-        """Listen, and write the entry of a new incarnation to the store."""
+        """Listen, and write the entry of a new incarnation to the store.
+
+        A target that crashed restarts by itself, maybe while a fault restarts it.
+        """
+        if self._running:
+            return
+        self._running = True
         number = next(self._numbers)
         version = self.entry.software_version
         if number > 1:
@@ -230,6 +237,7 @@
         self._journal.record_fault(
             Cause.target, incarnation, 'ended'
         ).ended = read_clock()
+        self._running = False
         self._end_life()
         self._copies.drop_all(self._encoded_address)
         self.link.close()
