Use no target on whose entry the list fails

Seen while reading the change once more: an entry whose decoding succeeds and whose recording fails was refused, but the target's older entry stayed in use, while an entry that can't be decoded takes the target out. Each listing also logged it again.

Change: both go the same way (_refuse_entry): one line for each content, the target gets nothing until its entry is valid.

--- a/features/steps/errorremains_steps.py
+++ b/features/steps/errorremains_steps.py
@@ -83,13 +83,14 @@
     record = TargetView._record_entry
 
     def record_or_fail(view, entry, *, first_listing):
-        if entry.incarnation == 'odd':
+        if entry.incarnation == 'odd' and not first_listing:
             raise ERROR
         record(view, entry, first_listing=first_listing)
 
     service, log = MemoryService(), ReadableLog()
     view = TargetView(decode_target, parse_name, log)
-    service.put('servers/i-1', b'')
+    for name in ('i-1', 'odd'):
+        service.put(f'servers/{name}', b'')
     task = watch_prefix(service, 'servers/', view, log)
     with mock.patch.object(TargetView, '_record_entry', record_or_fail):
         await asyncio.sleep(STEP_SECONDS)
--- a/packages/fleet/src/ibisport_fleet/fleet_view.py
+++ b/packages/fleet/src/ibisport_fleet/fleet_view.py
@@ -242,8 +242,9 @@
         try:
             self._record_entry(entry, first_listing=first_listing)
         except Exception as error:
-            self._log.write(Event.record_refused, reason=f'{item.key}: {error!r}'[:200])
+            self._refuse_entry(item, RecordInvalid(f'{item.key}: {error!r}'))
             return None
+        self._unreadable.pop(item.key, None)
         return entry
 
     def _decode_entry(self, item: Item) -> TargetEntry | None:
@@ -253,15 +254,17 @@
         becomes invalid gets no more requests until its entry is valid again.
         """
         try:
-            entry = _decode_record(self._decode, item)
+            return _decode_record(self._decode, item)
         except RecordInvalid as error:
-            if self._unreadable.get(item.key) != item.content:
-                self._log.write(Event.record_refused, reason=str(error)[:200])
-            self._unreadable[item.key] = item.content
-            self._drop(self._parse_incarnation(item.key))
+            self._refuse_entry(item, error)
             return None
-        self._unreadable.pop(item.key, None)
-        return entry
+
+    def _refuse_entry(self, item: Item, error: RecordInvalid) -> None:
+        """Use a target no more whose entry is invalid or can't be applied."""
+        if self._unreadable.get(item.key) != item.content:
+            self._log.write(Event.record_refused, reason=str(error)[:200])
+        self._unreadable[item.key] = item.content
+        self._drop(self._parse_incarnation(item.key))
 
     def _drop(self, incarnation: str) -> None:
         known = self.targets.find(incarnation)
