Write errors to the log in one way, with reason and place

Change: EventLog.write_error serves all six; hedged sends log what they didn't expect and count only broken connections against a target.

--- a/features/steps/unforeseenerrors_steps.py
+++ b/features/steps/unforeseenerrors_steps.py
@@ -145,6 +145,7 @@
     assert len(errors) == 1, context.events
     assert errors[0]['request'] in {ODD_NAME, ''}, errors
     assert 'InjectedError' in errors[0]['reason'], errors
+    assert errors[0]['place'], errors
     failed = [item for item in context.events if item[0] is Event.task_failed]
     assert not failed, failed
 
--- a/packages/fleet/src/ibisport_fleet/connection_tasks.py
+++ b/packages/fleet/src/ibisport_fleet/connection_tasks.py
@@ -8,7 +8,7 @@
 
 from ibisport_fleet.channel import Channel
 from ibisport_fleet.errors import ConnectionBroken
-from ibisport_fleet.event_log import Event, EventLog, find_place
+from ibisport_fleet.event_log import Event, EventLog
 from ibisport_fleet.overload.memory_budget import MemoryBudget, MemoryUse
 from ibisport_fleet.overload.waiting import WaitingConnections
 
@@ -103,12 +103,7 @@
             return
         failure = task.exception()
         if failure is not None:
-            self._log.write(
-                Event.task_failed,
-                task=self._name,
-                reason=repr(failure),
-                place=find_place(failure),
-            )
+            self._log.write_error(Event.task_failed, failure, task=self._name)
 
 
 def _cancel(task: asyncio.Task[None]) -> None:
--- a/packages/fleet/src/ibisport_fleet/continuation/hedged_send.py
+++ b/packages/fleet/src/ibisport_fleet/continuation/hedged_send.py
@@ -8,6 +8,7 @@
 from ibisport_fleet.catalogue import RouteKind
 from ibisport_fleet.continuation.hedging import compute_hedge_delay
 from ibisport_fleet.dependencies import Dependencies
+from ibisport_fleet.errors import ConnectionBroken
 from ibisport_fleet.overload.answer_charge import AnswerCharge
 from ibisport_fleet.overload.memory_budget import MemoryExhausted
 from ibisport_fleet.settings import Feature
@@ -207,11 +208,14 @@
         except (asyncio.CancelledError, MemoryExhausted):
             answered.connection.close()
             raise
-        except Exception as error:
-            # Whatever it is, the other target's answer may be whole.
+        except ConnectionBroken as error:
             answered.connection.close()
             answered.health.record_failure(loop.time())
             return OutcomeUnknown(repr(error))
+        except Exception as error:
+            # The other target's answer may be whole.
+            answered.connection.close()
+            return self._dependencies.target_client.record_error(call, error)
         self._dependencies.target_client.release(answered)
         if answered.succeeded:
             self._record_time(call)
--- a/packages/fleet/src/ibisport_fleet/event_log.py
+++ b/packages/fleet/src/ibisport_fleet/event_log.py
@@ -11,6 +11,7 @@
 # 0.2 % of a core at the sustained rate.
 MAX_LINES_PER_SECOND = 100.0
 MAX_BURST_LINES = 400.0
+MAX_REASON_LENGTH = 200
 
 
 class Event(IntEnum):
@@ -130,6 +131,20 @@
             self._dropped = 0
         self._append(event, now, details)
 
+    def write_error(
+        self, event: Event, error: BaseException | None, **details: object
+    ) -> None:
+        """Write an event about an error, with its reason and its place.
+
+        Args:
+            event: Number and name of the event.
+            error: The error; None: what should have gone on ended without one.
+            details: Fields of the event; never keys, prompts or answers.
+        """
+        place = None if error is None else _find_place(error)
+        reason = repr(error)[:MAX_REASON_LENGTH]
+        self.write(event, **details, reason=reason, place=place)
+
     def _append(self, event: Event, now: float, details: dict[str, object]) -> None:
         record = {
             'timestamp': round(time.time(), 3),
@@ -156,7 +171,7 @@
         return not self._unwritten
 
 
-def find_place(error: BaseException) -> str:
+def _find_place(error: BaseException) -> str:
     """Return the file and the line at which an error was raised."""
     frames = traceback.extract_tb(error.__traceback__, limit=-1)
     return (
--- a/packages/fleet/src/ibisport_fleet/prefix_watch.py
+++ b/packages/fleet/src/ibisport_fleet/prefix_watch.py
@@ -13,7 +13,7 @@
     StoreError,
     StoreUnavailable,
 )
-from ibisport_fleet.event_log import Event, EventLog, find_place
+from ibisport_fleet.event_log import Event, EventLog
 from ibisport_fleet.store import Change, Listing, Store, WatchOptions
 from ibisport_fleet.store_contact import StoreContact
 from ibisport_fleet.watch_schedule import WatchSchedule
@@ -125,7 +125,7 @@
                 self._backoff = min(2 * self._backoff, MAX_BACKOFF_SECONDS)
             case _:
                 # A restart of the process would read the same record again.
-                self._record_error(error)
+                self._log.write_error(Event.task_failed, error, task=self._prefix)
                 await asyncio.sleep(ERROR_BACKOFF_SECONDS)
 
     async def _update_once(self, on_listed: Callable[[], None]) -> None:
@@ -178,11 +178,3 @@
         if not self._failing:
             self._failing = True
             self._log.write(Event.store_lost, prefix=self._prefix, reason=repr(error))
-
-    def _record_error(self, error: Exception) -> None:
-        self._log.write(
-            Event.task_failed,
-            task=self._prefix,
-            reason=repr(error),
-            place=find_place(error),
-        )
--- a/packages/fleet/src/ibisport_fleet/process.py
+++ b/packages/fleet/src/ibisport_fleet/process.py
@@ -81,8 +81,8 @@
     def log_failure(ended: asyncio.Task[None]) -> None:
         # Store calls are still forwarded without the feed.
         if not ended.cancelled():
-            reason = repr(ended.exception())
-            log.write(Event.task_failed, task='load feed', reason=reason)
+            error = ended.exception()
+            log.write_error(Event.task_failed, error, task='load feed')
 
     task.add_done_callback(log_failure)
     return task
--- a/packages/fleet/src/ibisport_fleet/request_recorder.py
+++ b/packages/fleet/src/ibisport_fleet/request_recorder.py
@@ -5,7 +5,7 @@
 
 from ibisport_fleet.budgets import TokensUnavailable
 from ibisport_fleet.calls import Call
-from ibisport_fleet.event_log import Event, EventLog, find_place
+from ibisport_fleet.event_log import Event, EventLog
 from ibisport_fleet.metrics import Metrics
 from ibisport_fleet.placing.change_log import ChangeLog
 from ibisport_fleet.placing.pace import ServicePace
@@ -18,7 +18,6 @@
 OUTCOME_CALLER_LEFT = 'caller_left'
 OUTCOME_PROCESS_ENDED = 'process_ended'
 OUTCOME_ERROR = 'error'
-MAX_REASON_LENGTH = 200
 MAX_LOGGED_PARTS = 8
 
 
@@ -316,14 +315,10 @@
         Args:
             request_id: The request's id; empty if it isn't known.
             error: The error.
-            status: The status of the answer; None: an answer was begun before.
+            status: The status of the answer; None: the whole answer was written before.
         """
-        self._log.write(
-            Event.request_error,
-            request=request_id,
-            reason=repr(error)[:MAX_REASON_LENGTH],
-            place=find_place(error),
-            status=status,
+        self._log.write_error(
+            Event.request_error, error, request=request_id, status=status
         )
         self._metrics.count_request(None, '', OUTCOME_ERROR)
 
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -383,9 +383,7 @@
         # A background task never returns normally. Without it, the router would go on
         # with a stale catalogue, so the process restarts, but only after the answers
         # in flight are written.
-        self._log.write(
-            Event.task_failed, task=task.get_name(), reason=repr(task.exception())
-        )
+        self._log.write_error(Event.task_failed, task.exception(), task=task.get_name())
         self.failed = True
         self.stop()
 
--- a/packages/fleet/src/ibisport_fleet/target_client.py
+++ b/packages/fleet/src/ibisport_fleet/target_client.py
@@ -12,7 +12,7 @@
     FleetError,
     NobodyListens,
 )
-from ibisport_fleet.event_log import Event, EventLog, find_place
+from ibisport_fleet.event_log import Event, EventLog
 from ibisport_fleet.http_connection import HttpConnection
 from ibisport_fleet.http_messages import AnswerHead
 from ibisport_fleet.metadata import AnswerMetadata, Dialect, SendMetadata
@@ -147,15 +147,12 @@
             raise
         except Exception as error:
             connection.close()
-            return self._record_error(call, error)
+            return self.record_error(call, error)
 
-    def _record_error(self, call: Call, error: Exception) -> OutcomeUnknown:
+    def record_error(self, call: Call, error: Exception) -> OutcomeUnknown:
         """Record an unforeseen error of a send, whose outcome isn't known then."""
-        self._log.write(
-            Event.request_error,
-            request=call.metadata.request_id,
-            reason=repr(error),
-            place=find_place(error),
+        self._log.write_error(
+            Event.request_error, error, request=call.metadata.request_id
         )
         return OutcomeUnknown(repr(error))
 
