--- a/packages/fleet/src/ibisport_fleet/connection_pool.py
+++ b/packages/fleet/src/ibisport_fleet/connection_pool.py
@@ -69,7 +69,7 @@
         for address, idle in tuple(self._idle.items()):
             kept: deque[HttpConnection] = deque()
             for connection in idle:
-                if connection.reusable and connection.idle_until > now:
+                if connection.idle_until > now and not connection.channel.ended:
                     kept.append(connection)
                 else:
                     connection.close()
