Let a failed count of tokens not replace what ended a request

Seen while reading the change once more: an error of the count, raised in the finally block of a request, took the place of its deadline, its refusal or its cancellation. The caller got 502 internal_error, and a cancelled task went on.

Change: the error is logged with the request's id, the request is charged in full, and what ended it stands.

Measured (x86_64, virtual time): the new row failed before (502 for 504) and passes; serving, budgets, changesinflight, stopping: 83 passed.

--- a/features/steps/unforeseenerrors_steps.py
+++ b/features/steps/unforeseenerrors_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 from contextlib import ExitStack
 from dataclasses import replace
+from functools import partial
 from unittest import mock
 
 from behave import then, when
@@ -14,6 +15,7 @@
     Caller,
     encode_request,
     make_plain,
+    make_silence,
     make_stream,
     run_until_stopped,
 )
@@ -29,6 +31,9 @@
 from ibisport_fleet.watch_schedule import plan_router_watch
 
 FLEET = 'ibisport_fleet'
+# The target doesn't answer by the deadline, which decides the status.
+SILENT_PLACE = 'counting after a wait'
+DEADLINE = 'Deadline-Ms: 500\r\n'
 PLACES = {
     'reading its metadata': 'ibisport_platform.headers.PlatformDialect.decode_request',
     'identifying the workspace': f'{FLEET}.call_handler.admit',
@@ -40,6 +45,12 @@
     'splitting a stream': f'{FLEET}.sse.EventSplitter.feed',
     'recording the answer': f'{FLEET}.request_recorder.RequestRecorder.record_served',
     'counting the tokens': f'{FLEET}.forwarding.RequestForwarder.count_tokens',
+    SILENT_PLACE: f'{FLEET}.forwarding.RequestForwarder.count_tokens',
+}
+FIRST_REPLIES = {
+    'splitting a stream': partial(make_stream, 1.0),
+    'counting the tokens': partial(make_stream, 1.0),
+    SILENT_PLACE: make_silence,
 }
 TOKENS = 'Token-Usage: 3,10\r\n'
 MAX_TOKENS = 13
@@ -85,14 +96,13 @@
                 caller.ask(encode_request('once', NEXT_NAME, TOKENS))
             )
 
-        replies = [make_stream(1.0) if place == 'splitting a stream' else make_plain()]
-        replies += [make_plain()]
-        if place == 'counting the tokens':
-            replies[0] = make_stream(1.0)
+        first = FIRST_REPLIES.get(place, make_plain)()
         stack.enter_context(
             mock.patch.object(Ledger, 'settle', _spy_on_settle(context))
         )
-        context.site = run_until_stopped(replies, act_with_error, catalogue)[0]
+        context.site = run_until_stopped(
+            [first, make_plain()], act_with_error, catalogue
+        )[0]
 
 
 @when(
@@ -102,7 +112,8 @@
 def fail_request(context, place, kind):
     async def act(site):
         caller = Caller(site)
-        request = encode_request(kind, ODD_NAME, TOKENS)
+        deadline = DEADLINE if place == SILENT_PLACE else ''
+        request = encode_request(kind, ODD_NAME, TOKENS + deadline)
         return await site.call(caller.ask(request)), caller
 
     _run_with_error(context, place, act)
--- a/features/unforeseenerrors.feature
+++ b/features/unforeseenerrors.feature
@@ -20,6 +20,7 @@
       | splitting a stream     | stream     | broken  | 1    | 0       |
       | recording the answer   | once       | 200     | 1    | 0       |
       | counting the tokens    | stream     | 200     | 1    | 13      |
+      | counting after a wait  | once       | 504     | 1    | 13      |
 
   Scenario: The body of a request is refused if identifying its workspace fails
     When identifying the workspace fails for a request with a long body
--- a/packages/fleet/src/ibisport_fleet/call_handler.py
+++ b/packages/fleet/src/ibisport_fleet/call_handler.py
@@ -228,13 +228,15 @@
         self, call: Call, forwarder: RequestForwarder, reservation: Reservation
     ) -> None:
         """Charge a request, in full if its tokens can't be counted."""
-        dependencies = self._dependencies
+        recorder = self._dependencies.recorder
         reservation.spent = reservation.tokens
         try:
             reservation.spent = forwarder.count_tokens()
-            dependencies.recorder.record_charged(call, reservation.spent)
-        finally:
-            dependencies.budgets.settle(reservation)
+            recorder.record_charged(call, reservation.spent)
+        except Exception as error:
+            # It must not take the place of what ended the request.
+            recorder.record_error(call.metadata.request_id, error, None)
+        self._dependencies.budgets.settle(reservation)
 
     @contextlib.asynccontextmanager
     async def _limit_time(self, call: Call) -> AsyncIterator[None]:
