Let SIGHUP end no process that exits

Cause: the event loop restores the default of a signal as it closes, and the process takes some time to exit after that.

Change: SIGHUP is ignored from the end of the work on. A first try blocked it in the main thread only; a relay still ended by it, since other threads of the process take the signal.

--- a/features/soakends.feature
+++ b/features/soakends.feature
@@ -19,3 +19,12 @@
   Scenario: A target that two faults restart at once listens once
     When a target that has ended is started twice at the same time
     Then it serves as one new incarnation
+
+  Scenario Outline: A <role> that stops is not ended by a signal to read its settings
+    When a <role> is told to stop, and again and again to read its settings
+    Then it exits with code 0
+
+    Examples:
+      | role   |
+      | router |
+      | relay  |
--- a/features/steps/soakends_steps.py
+++ b/features/steps/soakends_steps.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from unittest import mock
 
+import uvloop
 from behave import given, then, when
 from serving_steps import build_settings
 
@@ -14,9 +15,12 @@
 from ibisport_bench.soak.checks import check_ends
 from ibisport_bench.soak.evidence import Journal
 from ibisport_bench.soak.processes import Host
+from ibisport_bench.soak.run import open_site
 from ibisport_bench.soak.site import Site
 
 GUARD_SECONDS = 30.0
+# Each site has ports of its own.
+SEEDS = {'router': 2, 'relay': 3}
 ACTS = {
     'stands still at its start': 'stops',
     'has begun and waits': 'waits',
@@ -34,10 +38,14 @@
     return host
 
 
-async def _reload_later(host, log, seconds):
-    """Send SIGHUP some seconds after the process has written a line."""
+async def _wait_for_line(log):
     while not log.exists() or not log.read_text():
         await asyncio.sleep(0.01)
+
+
+async def _reload_later(host, log, seconds):
+    """Send SIGHUP some seconds after the process has written a line."""
+    await _wait_for_line(log)
     await asyncio.sleep(seconds)
     host.reload(1.0)
     host.send_signal(signal.SIGCONT)
@@ -98,3 +106,30 @@
 @then('it serves as one new incarnation')
 def check_started_once(context):
     assert context.new_lives == 1, context.new_lives
+
+
+@when('a {role} is told to stop, and again and again to read its settings')
+def reload_until_exit(context, role):
+    async def play(folder):
+        site = Site(1, SEEDS[role], Path(folder), Journal())
+        await open_site(site)
+        try:
+            host = {'router': site.routers, 'relay': site.relays}[role][0]
+            async with asyncio.timeout(GUARD_SECONDS):
+                await _wait_for_line(Path(folder) / f'{host.name}.log')
+                host.send_signal(signal.SIGTERM)
+                while host.start.code is None:
+                    host.send_signal(signal.SIGHUP)
+                    await asyncio.sleep(0.001)
+        finally:
+            for started in site.hosts:
+                started.kill()
+        context.code = host.start.code
+
+    with tempfile.TemporaryDirectory() as folder:
+        uvloop.run(play(folder))
+
+
+@then('it exits with code 0')
+def check_exit_code(context):
+    assert context.code == 0, context.code
--- a/packages/fleet/src/ibisport_fleet/process.py
+++ b/packages/fleet/src/ibisport_fleet/process.py
@@ -65,6 +65,7 @@
     log.write(Event.process_stopping, host=settings.host, in_flight=relay.in_flight)
     listener.close()
     await relay.drain(killed_at - EXIT_MARGIN_SECONDS)
+    _ignore_sighup()
     delays.cancel()
     log.write(Event.process_stopped, host=settings.host)
 
@@ -99,10 +100,21 @@
     loop.add_signal_handler(signal.SIGHUP, router.reload)
     _unblock_sighup()
     await router.run()
+    _ignore_sighup()
     delays.cancel()
     return router.failed
 
 
+def _ignore_sighup() -> None:
+    """Ignore SIGHUP from now on.
+
+    The event loop would restore the default, which ends a process, before it exits.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP,))
+    asyncio.get_running_loop().remove_signal_handler(signal.SIGHUP)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def _unblock_sighup() -> None:
     """Unblock SIGHUP, which the program blocks until its handler is installed."""
     signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGHUP,))
