--- a/features/steps/storeanswers_steps.py
+++ b/features/steps/storeanswers_steps.py
@@ -31,7 +31,7 @@
 NESTING = 100_000
 DAMAGES = {
     'with a value cut short': lambda body: body.replace(b'YWJj', b'YWJ'),
-    'with a value of other letters': lambda body: body.replace(b'YWJj', b'!!!!'),
+    'with a value that is no base64': lambda body: body.replace(b'YWJj', b'!!!!'),
     'nested too deeply': lambda body: b'{"x":' + b'[' * NESTING,
     'with more pages and no items': lambda body: (
         b'{"items":[],"hasMore":true,"storeRevision":7}'
--- a/features/storecalls.feature
+++ b/features/storecalls.feature
@@ -63,8 +63,8 @@
       | with a value cut short        | scan     |
       | with a value cut short        | watch    |
       | with a value cut short        | conflict |
-      | with a value of other letters | read     |
-      | with a value of other letters | watch    |
+      | with a value that is no base64 | read     |
+      | with a value that is no base64 | watch    |
       | nested too deeply             | read     |
       | nested too deeply             | scan     |
       | nested too deeply             | watch    |
--- a/packages/bench/src/ibisport_bench/soak/process_states.py
+++ b/packages/bench/src/ibisport_bench/soak/process_states.py
@@ -22,12 +22,12 @@
     """State of a process at one moment.
 
     Attributes:
-        letter: The system's letter for what it does.
+        code: The system's code for what it does, one character.
         cpu_seconds: Processor time that it has used.
         held_signals: Mask of the signals that it blocks, ignores or handles.
     """
 
-    letter: str
+    code: str
     cpu_seconds: float
     held_signals: int
 
@@ -37,7 +37,7 @@
         holds_hangup = self.held_signals >> (signal.SIGHUP - 1) & 1
         return (
             not holds_hangup
-            and self.letter in BUSY_STATES
+            and self.code in BUSY_STATES
             and self.cpu_seconds < MAX_STARTUP_CPU_SECONDS
         )
 
