Name every refused request in the log, and refuse in one way

Seen while reading the change once more: an unforeseen error while a body arrives was logged without the request's id, though its head had told it; a request refused with 400 for its headers left no line at all; two methods built the same refusal. A stop whose plans fail left answers without Connection: close, since that was set after them.

Measured (x86_64, virtual time): the scenario of a long body fails without it (no id in the log) and passes; earlyrefusals, oddheaders, memorybudget, stopping, standby, shutdowns, serving: 104 passed.

--- a/features/steps/unforeseenerrors_steps.py
+++ b/features/steps/unforeseenerrors_steps.py
@@ -142,6 +142,15 @@
     assert context.site.has_got(ODD_NAME) == bool(runs), context.site.target.requests
 
 
+@then('its id stands in the log')
+def check_id_in_log(context):
+    check_log(context)
+    names = {
+        details['request'] for _, details in context.events if 'request' in details
+    }
+    assert ODD_NAME in names, names
+
+
 @then('the next request is served')
 def check_next(context):
     answer = context.next_answer
--- a/features/unforeseenerrors.feature
+++ b/features/unforeseenerrors.feature
@@ -25,6 +25,7 @@
   Scenario: The body of a request is refused if identifying its workspace fails
     When identifying the workspace fails for a request with a long body
     Then the caller gets "503", and 0 requests reach the target for it
+    And its id stands in the log
 
   Scenario: A record that breaks its decoder affects no other record
     When the decoders fail for one of two entries of targets, and for the second of three catalogues
--- a/packages/fleet/src/ibisport_fleet/call_handler.py
+++ b/packages/fleet/src/ibisport_fleet/call_handler.py
@@ -92,30 +92,22 @@
         Raises:
             RequestInvalid: The request would be refused as soon as it is complete.
         """
+        request_id = ''
         try:
-            return self._identify(head)
+            metadata = self._dependencies.dialect.decode_request(head)
+            request_id = metadata.request_id
+            call = self._admit(head, metadata)
         except RequestInvalid:
             raise
         except Exception as error:
-            refusal = self._failures.refuse_unforeseen('', error)
-            raise RequestInvalid(
-                refusal.status, refusal.reason, refusal.reason, refusal.retry_after
-            ) from None
-
-    def _identify(self, head: Request) -> str | None:
-        dependencies = self._dependencies
-        metadata = dependencies.dialect.decode_request(head)
-        try:
-            call = admit(head, metadata, dependencies.catalogue.current, self._shutdown)
-        except Refused as refusal:
-            self.standby.record_refusal(refusal)
+            refusal = self._find_refusal(request_id, error)
             raise RequestInvalid(
                 refusal.status,
                 refusal.reason,
                 refusal.reason,
                 refusal.retry_after,
-                metadata.request_id,
-            ) from refusal
+                request_id,
+            ) from None
         return None if call.workspace is None else call.workspace.name
 
     async def _handle(self, request: Request, response: ResponseWriter) -> None:
@@ -125,9 +117,11 @@
             request_id = metadata.request_id
             call = self._admit(request, metadata)
         except RequestInvalid as invalid:
+            self.record_refusal(request_id, invalid.status, invalid.code)
             response.refuse(invalid.status, invalid.code, None, None)
         except Exception as error:
             refusal = self._find_refusal(request_id, error)
+            self.record_refusal(request_id, refusal.status, refusal.reason)
             response.refuse(
                 refusal.status, refusal.reason, request_id or None, refusal.retry_after
             )
@@ -138,7 +132,6 @@
         """Return the refusal of a request that wasn't admitted."""
         match error:
             case Refused():
-                self.record_refusal(request_id, error.status, error.reason)
                 self.standby.record_refusal(error)
                 return error
             case _:
--- a/packages/fleet/src/ibisport_fleet/router.py
+++ b/packages/fleet/src/ibisport_fleet/router.py
@@ -245,8 +245,8 @@
         shutdown = plan_shutdown(self._estimate_signal_time(), grace)
         # Whatever the steps below raise, the process ends in time.
         self._shutdown_planned.set_result(shutdown)
-        self._call_handler.begin_shutdown(shutdown)
         self._caller_server.stopping = True
+        self._call_handler.begin_shutdown(shutdown)
         self._budgets.leave(shutdown)
 
     def _estimate_signal_time(self) -> float:
